Bound the time for a whole request and let stalled connections give way to clients

Peers that sent nothing kept a client connection's slot for 10 s, those that stalled in a body for ever: the body's read deadline was taken off before net/http read on to drain it.

Now one ReadTimeout of 2.5 s holds for head and body, a stalled body gets 408 and a close, and when connections run short the one longest without a whole request is closed, with a line in the log that says what holds them.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,10 +22,21 @@
 
 const (
 	maxHead      = 16 << 10         // of a request, before its body
-	headPatience = 10 * time.Second // for a request's head, and as long again for its body
 	idlePatience = 2 * time.Minute  // for the next request on a connection
 	writeLeeway  = 10 * time.Second // beyond the longest deadline, for the answer to be taken
 
+	// A whole request, head and body, is to be here so long after its first byte, and on a new connection
+	// after the connect: a peer that sends nothing, or too little, is owed a close within 3 s.
+	requestPatience = 2500 * time.Millisecond
+
+	// When connections run short, one without a whole request on it makes room: a kept one after idleLeast,
+	// which is how long clients may count on it, one whose request has not come in after stallLeast.
+	idleLeast  = 2 * time.Second
+	stallLeast = 250 * time.Millisecond
+	shedEvery  = 20 * time.Millisecond
+	shortPart  = 0.75        // of the clients' part: connections run short beyond it
+	shortQuiet = time.Second // between two lines in the log about that
+
 	// The answer to a request is to leave this long before its client gives up, so that a busy core does
 	// not make it late, but a request with little time keeps most of it.
 	answerMargin = 30 * time.Millisecond
@@ -41,29 +53,39 @@
 	tenants  map[string]int
 	server   *http.Server
 	listener *cappedListener
+	log      *slog.Logger
 	most     int // connections of clients that are served; those beyond are refused
 	draining atomic.Bool
 
-	mu    sync.Mutex
-	conns map[net.Conn]connState
+	mu      sync.Mutex
+	conns   map[net.Conn]connState
+	shedded int       // since the log last said so
+	refused int       // likewise
+	said    time.Time // when it did
 }
 
 type connState struct {
 	state http.ConnState
 	since time.Time
+	whole bool // the request on it has come in
 }
 
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, most int, log *slog.Logger) *frontend {
-	f := &frontend{site: site, loop: l, most: most, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		listener: newCappedListener(listener, most+overCap), conns: map[net.Conn]connState{}}
+	f := &frontend{site: site, loop: l, log: log, most: most, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
+		conns: map[net.Conn]connState{}}
+	f.listener = newCappedListener(listener, most+overCap, f.shed)
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
 	}
 	f.server = &http.Server{
-		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
-		WriteTimeout: headPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
+		Handler: f, ReadTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
+		WriteTimeout: requestPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
 		ConnState:    f.connState, ErrorLog: quietLog(log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return f
 }
@@ -79,23 +101,23 @@
 // quietLog sends net/http's remarks on broken clients to the debug level.
 func quietLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
 
-// cappedListener accepts no more connections than there are slots; those beyond wait in the kernel.
+// cappedListener accepts no more connections than there are slots; those beyond wait in the kernel, and
+// shed is called for as long as they must.
 type cappedListener struct {
 	net.Listener
 	slots  chan struct{}
+	shed   func()
 	closed chan struct{}
 	once   sync.Once
 }
 
-func newCappedListener(l net.Listener, most int) *cappedListener {
-	return &cappedListener{Listener: l, slots: make(chan struct{}, most), closed: make(chan struct{})}
+func newCappedListener(l net.Listener, most int, shed func()) *cappedListener {
+	return &cappedListener{Listener: l, slots: make(chan struct{}, most), shed: shed, closed: make(chan struct{})}
 }
 
 // Accept takes a slot, which the connection gives back when the server reports it closed.
 func (l *cappedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
+	if !l.slot() {
 		return nil, net.ErrClosed
 	}
 	c, err := l.Listener.Accept()
@@ -105,6 +127,27 @@
 	return c, err
 }
 
+// slot waits for a slot; false if the listener was closed first.
+func (l *cappedListener) slot() bool {
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	default:
+	}
+	again := time.NewTicker(shedEvery)
+	defer again.Stop()
+	for {
+		l.shed()
+		select {
+		case l.slots <- struct{}{}:
+			return true
+		case <-l.closed:
+			return false
+		case <-again.C:
+		}
+	}
+}
+
 func (l *cappedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
@@ -128,7 +171,82 @@
 		}
 		return
 	}
-	f.conns[c] = connState{s, time.Now()}
+	f.conns[c] = connState{state: s, since: time.Now()}
+	if s == http.StateNew && f.short(len(f.conns)) {
+		f.shedLocked()
+	}
+}
+
+// short tells whether so many connections leave too little room for others.
+func (f *frontend) short(open int) bool { return float64(open) > shortPart*float64(f.most) }
+
+// cameWhole notes that the request on a connection is whole: it is owed its answer, and that connection is
+// none to spare. A further read is only there to notice a client that goes.
+func (f *frontend) cameWhole(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	if s, ok := f.conns[c]; ok {
+		s.whole = true
+		f.conns[c] = s
+	}
+}
+
+// shed closes the connection that has been without a whole request the longest, if there is one to spare.
+func (f *frontend) shed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shedLocked()
+}
+
+func (f *frontend) shedLocked() {
+	var oldest net.Conn
+	var over time.Duration
+	for c, s := range f.conns {
+		least := stallLeast
+		if s.state == http.StateIdle {
+			least = idleLeast
+		}
+		if d := time.Since(s.since) - least; !s.whole && d > over && (s.state != http.StateIdle || quiet(c)) {
+			oldest, over = c, d
+		}
+	}
+	if oldest != nil {
+		oldest.Close() // the server's read ends and reports it closed
+		f.shedded++
+		f.sayShort()
+	}
+}
+
+// sayShort tells the log what holds the connections, now and then while they are short.
+func (f *frontend) sayShort() {
+	if time.Since(f.said) < shortQuiet {
+		return
+	}
+	whole, idle := 0, 0
+	for _, s := range f.conns {
+		if s.whole {
+			whole++
+		} else if s.state == http.StateIdle {
+			idle++
+		}
+	}
+	f.log.Warn("client connections run short", "open", len(f.conns), "in_flight", whole, "idle", idle,
+		"incomplete", len(f.conns)-whole-idle, "shed", f.shedded, "refused", f.refused)
+	f.said, f.shedded, f.refused = time.Now(), 0, 0
+}
+
+// over tells whether clients hold more connections than their part, and counts the refusal that follows.
+func (f *frontend) over() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.conns) <= f.most {
+		return false
+	}
+	f.refused++
+	f.sayShort()
+	return true
 }
 
 func (f *frontend) open() int {
@@ -165,7 +283,8 @@
 		f.reply(w, fault)
 		return
 	}
-	if f.open() > f.most {
+	f.cameWhole(w, r)
+	if f.over() {
 		f.reply(w, answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter})
 		return
 	}
@@ -197,7 +316,7 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
-	if f.draining.Load() || f.open() > f.most*3/4 { // a closed connection makes room for another
+	if f.draining.Load() || f.short(f.open()) { // a closed connection makes room for another
 		h.Set("Connection", "close")
 	}
 	if ans.content != "" {
@@ -241,9 +360,14 @@
 	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (k.Repeat == logic.Keyed) {
 		return bad(http.StatusBadRequest, "Idempotency-Key does not fit the class")
 	}
-	body, fault := f.body(w, r)
-	if fault != "" {
-		return bad(http.StatusBadRequest, fault)
+	body, err := readBody(r)
+	if err != nil {
+		// What is left of it cannot be told from a next request, and is not waited for.
+		w.Header().Set("Connection", "close")
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return bad(http.StatusRequestTimeout, "the body came too slowly")
+		}
+		return bad(http.StatusBadRequest, "the body broke off")
 	}
 	if len(body) > maxBody {
 		w.Header().Set("Connection", "close")
@@ -270,22 +394,15 @@
 	}, answer{}
 }
 
-// body reads at most one byte more than a body may hold.
-func (f *frontend) body(w http.ResponseWriter, r *http.Request) ([]byte, string) {
+// readBody reads at most one byte more than a body may hold, for as long as the server's ReadTimeout lets it.
+func readBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
-		return nil, ""
+		return nil, nil
 	}
 	if r.ContentLength > maxBody {
-		return make([]byte, maxBody+1), "" // too large, unread
-	}
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(time.Now().Add(headPatience))
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
-	_ = c.SetReadDeadline(time.Time{})
-	if err != nil {
-		return nil, "the body broke off"
+		return make([]byte, maxBody+1), nil // too large, unread
 	}
-	return body, ""
+	return io.ReadAll(io.LimitReader(r.Body, maxBody+1))
 }
 
 // passOn takes the headers that concern one connection out, and leaves net/http to frame the body.
--- /dev/null
+++ b/internal/proxy/frontend_test.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fernlanding/internal/settings"
+)
+
+// pipeListener hands out the far ends of pipes, so that the client side runs on a test's own clock.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pipedFrontend is a frontend on pipes. Its loop only collects what is posted.
+type pipedFrontend struct {
+	*frontend
+	pipes *pipeListener
+}
+
+// startPiped is for use in a synctest bubble; end it with stop.
+func startPiped(t *testing.T, most int) *pipedFrontend {
+	t.Helper()
+	site, err := settings.Decode([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loop{clock: clock{time.Now()}, events: make(chan func(), 256), listed: make(chan struct{}),
+		done: make(chan struct{}), reqs: map[string]*request{}}
+	close(l.listed)
+	p := &pipedFrontend{pipes: newPipeListener()}
+	p.frontend = newFrontend(site, l, p.pipes, most, slog.New(slog.DiscardHandler))
+	go func() { _ = p.serve() }()
+	return p
+}
+
+func (p *pipedFrontend) connect() net.Conn {
+	near, far := net.Pipe()
+	p.pipes.conns <- far
+	return near
+}
+
+func (p *pipedFrontend) stop() {
+	p.listener.Close()
+	p.server.Close()
+	synctest.Wait()
+}
+
+// ends reads what comes until the connection is closed, and tells when that was.
+func ends(c net.Conn) (text string, after time.Duration) {
+	start := time.Now()
+	_ = c.SetReadDeadline(start.Add(time.Hour))
+	data, err := io.ReadAll(c)
+	if err != nil && !os.IsTimeout(err) {
+		err = nil // a close is a close
+	}
+	if err != nil {
+		return "still open", time.Hour
+	}
+	return string(data), time.Since(start)
+}
+
+// Peers that sent nothing, or part of a request and then nothing, kept their connection's slot: for 10 s
+// those silent in the head, for ever those silent in a body, until no client could connect.
+func TestAPeerThatStallsIsClosedInTime(t *testing.T) {
+	const post = "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\n"
+	for name, c := range map[string]struct {
+		text string
+		want string // how the answer begins, if there is to be one
+	}{
+		"silent":             {"", ""},
+		"half a head":        {"GET /look/k HT", "HTTP/1.1 400 "},
+		"no body":            {post + "Content-Length: 9\r\n\r\n", "HTTP/1.1 408 "},
+		"half a body":        {post + "Content-Length: 9\r\n\r\nabc", "HTTP/1.1 408 "},
+		"half a chunk":       {post + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", "HTTP/1.1 408 "},
+		"no last chunk":      {post + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", "HTTP/1.1 408 "},
+		"no body and a flaw": {strings.Replace(post, "Request-Class: post", "Request-Class: leap", 1) + "Content-Length: 9\r\n\r\n", "HTTP/1.1 400 "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := startPiped(t, 8)
+				defer p.stop()
+				peer := p.connect()
+				defer peer.Close()
+				go func() { _, _ = io.WriteString(peer, c.text) }()
+				text, after := ends(peer)
+				if !strings.HasPrefix(text, c.want) || text != "" && c.want == "" || after > 3*time.Second {
+					t.Errorf("got %q and the end after %v", text, after)
+				}
+				synctest.Wait()
+				if n := p.open(); n != 0 {
+					t.Errorf("%d connections are left", n)
+				}
+			})
+		})
+	}
+}
+
+// A byte now and then is no sign of life: the whole request has one time.
+func TestAPeerThatDripsIsClosedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPiped(t, 8)
+		defer p.stop()
+		peer := p.connect()
+		defer peer.Close()
+		var drip sync.WaitGroup
+		defer drip.Wait()
+		drip.Go(func() {
+			_, err := io.WriteString(peer, "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: 999\r\n\r\n")
+			for ; err == nil; _, err = peer.Write([]byte("x")) {
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		if text, after := ends(peer); !strings.HasPrefix(text, "HTTP/1.1 408 ") || after > 3*time.Second {
+			t.Errorf("got %q and the end after %v", text, after)
+		}
+	})
+}
+
+// The time for a request to come in is not the time for its answer.
+func TestASlowAnswerOutlastsTheReadTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPiped(t, 8)
+		defer p.stop()
+		for _, text := range []string{look("1", 8000),
+			"POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: 3\r\n\r\nabc"} {
+			c := p.connect()
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			l := p.loop
+			select {
+			case <-l.events: // take: this test answers in the module's place
+			default:
+				t.Fatal("the request did not reach the loop")
+			}
+			time.Sleep(4 * requestPatience)
+			synctest.Wait()
+			if n := p.open(); n != 1 {
+				t.Errorf("%d connections while the answer is awaited", n)
+			}
+			select {
+			case <-l.events:
+				t.Error("the request was withdrawn")
+			default:
+			}
+			c.Close()
+			synctest.Wait()
+			<-l.events // its withdrawal
+		}
+	})
+}
+
+// Peers that stall in every slot, in the head or in the body, give way to a client before their time is up.
+func TestStalledConnectionsGiveWay(t *testing.T) {
+	for name, text := range map[string]string{
+		"in the head": "",
+		"in the body": "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: 9\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const most = 4
+				p := startPiped(t, most)
+				defer p.stop()
+				for range most + overCap {
+					peer := p.connect()
+					defer peer.Close()
+					if _, err := io.WriteString(peer, text); err != nil {
+						t.Fatal(err)
+					}
+				}
+				start := time.Now()
+				c := p.connect()
+				defer c.Close()
+				if took := time.Since(start); took > stallLeast+2*shedEvery {
+					t.Errorf("a client waited %v for a slot", took)
+				}
+				go func() { _, _ = io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n") }()
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("got %v, %v", resp, err)
+				}
+			})
+		})
+	}
+}
