--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -301,7 +301,10 @@
 	}
 }
 
+// health answers a check. Its connection is closed each time: kept ones, of however many checkers, would take
+// the slots that clients need.
 func (f *frontend) health(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
 	select {
 	case <-f.loop.listed:
 		if !f.draining.Load() {
@@ -310,7 +313,6 @@
 		}
 	default:
 	}
-	w.Header().Set("Connection", "close")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -216,3 +216,23 @@
 		})
 	}
 }
+
+// Checkers that kept their connections filled every slot with them.
+func TestAHealthCheckKeepsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPiped(t, 8)
+		defer p.stop()
+		c := p.connect()
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if text, after := ends(c); !strings.HasPrefix(text, "HTTP/1.1 200 ") || after != 0 {
+			t.Errorf("got %q and the end after %v", text, after)
+		}
+		synctest.Wait()
+		if n := p.open(); n != 0 {
+			t.Errorf("%d connections are left", n)
+		}
+	})
+}
