Answer 400 to requests of ambiguous framing before net/http settles it

A request with Transfer-Encoding and Content-Length was read as chunked, and what stood behind the last chunk went to a nodo as a request of its own; so did repeated lengths, bare LF, folded lines and chunked HTTP/1.0 in the new test. A guard on the client's connection now passes one request at a time to net/http and a flaw it answers 400 in place of a head in doubt. A chunked request is the last on its connection. Repeated identity headers get 400 as well.

--- /dev/null
+++ b/internal/proxy/framing.go
@@ -0,0 +1,168 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"syscall"
+)
+
+// headSlack is what net/http reads beyond MaxHeaderBytes before it answers 431.
+const headSlack = 4 << 10
+
+var errFraming = errors.New("ambiguous framing")
+
+// framing tells from a raw head how long the body behind it is, -1 if it is not told by a Content-Length.
+// net/http settles what two readers could take in two ways, and then hides it: a Transfer-Encoding beside a
+// Content-Length, a repeated Content-Length, a Transfer-Encoding in HTTP/1.0, folded lines, a bare CR or LF.
+// Here each of these is a fault, since the other reader's body may hold a request of its own.
+func framing(head []byte) (length int64, chunked bool, err error) {
+	lines := bytes.Split(bytes.TrimSuffix(head, []byte("\r\n\r\n")), []byte("\r\n"))
+	length = -1
+	for i, line := range lines {
+		if bytes.ContainsAny(line, "\r\n\x00") || i > 0 && (len(line) == 0 || line[0] == ' ' || line[0] == '\t') {
+			return 0, false, errFraming
+		}
+		if i == 0 {
+			continue
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value = bytes.TrimSpace(name), bytes.Trim(value, " \t")
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			n, err := strconv.ParseUint(string(value), 10, 63)
+			if err != nil || length >= 0 {
+				return 0, false, errFraming
+			}
+			length = int64(n)
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if chunked || !bytes.EqualFold(value, []byte("chunked")) {
+				return 0, false, errFraming
+			}
+			chunked = true
+		}
+	}
+	if chunked && (length >= 0 || bytes.Contains(lines[0], []byte("HTTP/1.0"))) {
+		return 0, false, errFraming
+	}
+	return length, chunked, nil
+}
+
+// framedConn is a client's connection that lets net/http see no more than one request at a time, and only
+// one whose framing is beyond doubt. Nothing passes after a chunked request: its connection is to be closed.
+type framedConn struct {
+	net.Conn
+	buf  []byte // read and not passed yet
+	pass int64  // bytes that may pass before the next head is looked at; negative: all
+	over bool   // after these comes nothing more
+}
+
+// flaw stands in for a head whose framing is in doubt: net/http answers it 400 and closes. It comes as
+// something to read, since an error would also take away the answer to a request that is still in flight.
+const flaw = "ambiguous\r\n\r\n"
+
+func (c *framedConn) Read(p []byte) (int, error) {
+	if c.pass == 0 && !c.over {
+		if err := c.head(); err != nil {
+			return 0, err
+		}
+	}
+	if c.pass == 0 {
+		return 0, io.EOF
+	}
+	if c.pass > 0 {
+		p = p[:min(int64(len(p)), c.pass)]
+	}
+	var n int
+	var err error
+	if len(c.buf) > 0 {
+		n = copy(p, c.buf)
+		if c.buf = c.buf[n:]; len(c.buf) == 0 {
+			c.buf = nil
+		}
+	} else {
+		n, err = c.Conn.Read(p)
+	}
+	if c.pass > 0 {
+		c.pass -= int64(n)
+	}
+	return n, err
+}
+
+// head reads until a whole head is there and sets what may pass.
+func (c *framedConn) head() error {
+	for from := 0; ; {
+		if len(c.buf) > from {
+			for len(c.buf) > 1 && c.buf[0] == '\r' && c.buf[1] == '\n' { // empty lines before a request
+				c.buf, from = c.buf[2:], 0
+			}
+			end := bytes.Index(c.buf[from:], []byte("\r\n\r\n"))
+			if end >= 0 {
+				end += from + len("\r\n\r\n")
+				c.judge(end)
+				return nil
+			}
+			if bareLF(c.buf[from:]) {
+				c.reject()
+				return nil
+			}
+			if len(c.buf) > maxHead+headSlack {
+				c.pass, c.over = -1, true // net/http answers 431 and closes
+				return nil
+			}
+			from = max(0, len(c.buf)-len("\r\n\r")) // what may begin the end of the head
+		}
+		c.buf = slices.Grow(c.buf, 1<<10)
+		n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
+		c.buf = c.buf[:len(c.buf)+n]
+		if n == 0 && err != nil {
+			return err
+		}
+	}
+}
+
+func (c *framedConn) judge(end int) {
+	length, chunked, err := framing(c.buf[:end])
+	switch {
+	case err != nil:
+		c.reject()
+	case chunked:
+		c.pass, c.over = -1, true
+	default:
+		c.pass = int64(end) + max(length, 0)
+		c.over = c.pass < 0 // so long that the sum does not fit
+	}
+}
+
+func (c *framedConn) reject() {
+	c.buf, c.pass, c.over = []byte(flaw), int64(len(flaw)), true
+}
+
+// bareLF tells whether a line ends without a CR. The first byte's predecessor is not known, so it is let off.
+func bareLF(b []byte) bool {
+	for i := 1; i < len(b); i++ {
+		if b[i] == '\n' && b[i-1] != '\r' {
+			return true
+		}
+	}
+	return false
+}
+
+// CloseWrite lets net/http end an answer gently before it closes on a peer that still sends.
+func (c *framedConn) CloseWrite() error {
+	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SyscallConn is for quiet.
+func (c *framedConn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
--- /dev/null
+++ b/internal/proxy/framing_test.go
@@ -0,0 +1,137 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// A request whose end two readers could see in two places was served, and what stood in its body went on to
+// a backend as a request of its own.
+func TestAmbiguousFramingIsNeverServed(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	const post = "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\n"
+	inner := look("inner", 4000)
+	length := "Content-Length: 0\r\n"
+	for name, text := range map[string]string{
+		"length beside chunked":  post + length + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"chunked beside length":  post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + inner,
+		"chunked in other case":  post + "TRANSFER-encoding:\tChunked\r\nCONTENT-length: 5\r\n\r\n0\r\n\r\n" + inner,
+		"length twice":           post + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nabcd" + inner,
+		"two lengths":            post + "Content-Length: 4\r\nContent-Length: 0\r\n\r\nabcd" + inner,
+		"lengths in a list":      post + "Content-Length: 4, 4\r\n\r\nabcd" + inner,
+		"signed length":          post + "Content-Length: +4\r\n\r\nabcd" + inner,
+		"empty length":           post + "Content-Length:\r\n\r\n" + inner,
+		"huge length":            post + "Content-Length: 99999999999999999999\r\n\r\n" + inner,
+		"chunked twice":          post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"other coding":           post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + inner,
+		"unknown coding":         post + "Transfer-Encoding: xchunked\r\n\r\n" + inner,
+		"chunked in HTTP/1.0":    strings.Replace(post, "HTTP/1.1", "HTTP/1.0", 1) + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + inner,
+		"folded line":            post + "X: y\r\n Content-Length: 4\r\n\r\n" + inner,
+		"folded coding":          post + "Transfer-Encoding:\r\n chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + inner,
+		"bare LF":                strings.ReplaceAll(post, "\r\n", "\n") + "Content-Length: 0\n\n" + inner,
+		"one bare LF":            post + "X: y\nTransfer-Encoding: chunked\r\n" + length + "\r\n" + inner,
+		"bare CR":                post + "X: y\rTransfer-Encoding: chunked\r\n" + length + "\r\n" + inner,
+		"space before the colon": post + "Content-Length : 0\r\n\r\n" + inner,
+		"no name":                post + ": x\r\n\r\n" + inner,
+	} {
+		t.Run(name, func(t *testing.T) {
+			came := b.requests.Load()
+			c := connect(t, p)
+			c.send(t, text)
+			resp, _ := c.answer(t)
+			if resp.StatusCode < 400 || !resp.Close {
+				t.Errorf("got %s, close %v", resp.Status, resp.Close)
+			}
+			if rest, _ := io.ReadAll(c.r); len(rest) > 0 {
+				t.Errorf("then got %q", rest)
+			}
+			if n := b.requests.Load() - came; n > 0 {
+				t.Errorf("%d requests went on", n)
+			}
+		})
+	}
+}
+
+// Behind a chunked body nothing more is read: bytes there were sent by nobody as a request of their own.
+func TestAChunkedRequestIsTheLastOnItsConnection(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	c := connect(t, p)
+	c.send(t, "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\n\r\n"+look("inner", 4000))
+	if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || !resp.Close {
+		t.Errorf("got %s %q, close %v", resp.Status, body, resp.Close)
+	}
+	if rest, _ := io.ReadAll(c.r); len(rest) > 0 || b.requests.Load() != 1 {
+		t.Errorf("then got %q after %d requests", rest, b.requests.Load())
+	}
+}
+
+// A flawed head behind a request in flight does not cost that request its answer.
+func TestAFlawBehindARequestIsAnsweredAfterIt(t *testing.T) {
+	release := make(chan struct{})
+	p, b := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		<-release
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	c := connect(t, p)
+	c.send(t, look("1", 8000)+"POST /post/k HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n")
+	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	close(release)
+	if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("first got %s %q", resp.Status, body)
+	}
+	if resp, _ := c.answer(t); resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("then got %s, close %v", resp.Status, resp.Close)
+	}
+}
+
+// readConn reads from r; the rest of it is not used.
+type readConn struct {
+	net.Conn
+	r io.Reader
+}
+
+func (c readConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// However the bytes arrive, requests of plain framing pass unchanged.
+func TestPlainRequestsPassUnchanged(t *testing.T) {
+	text := look("1", 9) + "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 7\r\n\r\na\nb\r\n\r\n" +
+		"POST /b HTTP/1.1\r\nHost: h\r\ncontent-length:0\r\n\r\n" +
+		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	for name, r := range map[string]io.Reader{
+		"at once":      strings.NewReader(text),
+		"byte by byte": iotest.OneByteReader(strings.NewReader(text)),
+		"in halves":    iotest.HalfReader(strings.NewReader(text)),
+	} {
+		got, err := io.ReadAll(&framedConn{Conn: readConn{r: r}})
+		if err != nil || string(got) != text {
+			t.Errorf("%s: %v, %q", name, err, got)
+		}
+	}
+}
+
+// FuzzFraming: no input makes the guard panic, and what it passes is a prefix of the input, but for empty
+// lines before a head and the flaw that stands in for a bad one.
+func FuzzFraming(f *testing.F) {
+	f.Add(look("1", 9) + look("2", 9))
+	f.Add("\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 9223372036854775807\r\n\r\nx")
+	f.Add("GET / HTTP/1.1\n\n")
+	f.Add("\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := io.ReadAll(&framedConn{Conn: readConn{r: iotest.HalfReader(strings.NewReader(text))}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		passed := strings.TrimSuffix(string(got), flaw)
+		for _, part := range strings.Split(passed, "\r\n") {
+			if !strings.Contains(text, part) {
+				t.Errorf("%q was not in %q", part, text)
+			}
+		}
+	})
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -123,8 +123,9 @@
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
+		return nil, err
 	}
-	return c, err
+	return &framedConn{Conn: c}, nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
@@ -274,6 +275,9 @@
 // ServeHTTP answers health checks and takes requests.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
+	if len(r.TransferEncoding) > 0 { // see framedConn
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == "/_health" {
 		f.health(w)
 		return
@@ -339,6 +343,11 @@
 	bad := func(status int, why string) (*request, answer) {
 		return nil, answer{status: status, body: []byte(why + "\n"), content: "text/plain"}
 	}
+	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "Tenant"} {
+		if len(r.Header[name]) > 1 {
+			return bad(http.StatusBadRequest, name+" is given twice")
+		}
+	}
 	class, ok := f.classes[r.Header.Get("Request-Class")]
 	if !ok {
 		return bad(http.StatusBadRequest, "unknown Request-Class")
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -173,6 +173,7 @@
 		"other path":    {strings.Replace(look("1", 9), "/look", "/rate", 1), 400, true},
 		"full address":  {strings.Replace(look("1", 9), "/look", "http://h/look", 1), 400, true},
 		"no id":         {strings.Replace(look("1", 9), "Request-Id", "Other", 1), 400, true},
+		"two ids":       {strings.Replace(look("1", 9), "Tenant: acme", "Request-Id: 2", 1), 400, true},
 		"wrong method":  {strings.Replace(look("1", 9), "GET", "PUT", 1), 405, true},
 		"needless key":  {strings.Replace(look("1", 9), "Tenant", "Idempotency-Key", 1), 400, true},
 		"missing key":   {"POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nRequest-Class: rate\r\nContent-Length: 0\r\n\r\n", 400, true},
