Trust a kept server connection only as long as idle ones were seen to live

A kept connection that breaks so halves the idle time that is trusted; it doubles every 10 s, and requests that must not run twice get half.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -24,6 +25,8 @@
 // answerHead bounds what a backend's answer may hold before its body.
 const answerHead = 16 << 10
 
+const answerLimit = answerHead + 2*maxBody // framing of small chunks included
+
 // backends holds the connections to all backends of the list. It stands in for http.Transport, which by
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
@@ -35,6 +38,52 @@
 	mu     sync.Mutex
 	byName map[string]*backend
 	open   int
+	trust  trust
+}
+
+const (
+	trustLeast  = 20 * time.Millisecond // a kept connection is trusted this long whatever was seen
+	trustDouble = 10 * time.Second      // without a further break the trusted time doubles in this
+	staleWithin = 100 * time.Millisecond
+)
+
+// trust is how long a kept connection may have been idle to be used again. Backends and what stands between
+// close idle connections earlier than the settings say, and word of it can come too late: a request written
+// meanwhile ends as a reset, which is final for one that must not run twice. Where a kept connection breaks
+// that way, connections idle for half as long are the last that are trusted; after that, trust comes back.
+type trust struct {
+	limit time.Duration // 0: no connection has broken so
+	since time.Time
+}
+
+// span is how long a connection may have been idle now, never more than most. A request that must not run
+// twice gets half of it, so that those which can be repeated meet the edge first.
+func (t *trust) span(now time.Time, most time.Duration, unsafe bool) time.Duration {
+	span := most
+	if t.limit > 0 {
+		grown := float64(t.limit) * math.Exp2(now.Sub(t.since).Seconds()/trustDouble.Seconds())
+		if grown >= float64(2*most) {
+			t.limit = 0
+			return most
+		}
+		span = time.Duration(grown)
+		if unsafe {
+			span /= 2
+		}
+	}
+	return min(span, most)
+}
+
+// broke notes that a connection which had been idle so long broke under its next request.
+func (t *trust) broke(now time.Time, idle, most time.Duration) {
+	if idle < trustLeast || idle > most {
+		return // no staleness, or one that span already guards from
+	}
+	limit := max(idle/2, trustLeast)
+	if t.limit > 0 {
+		limit = min(limit, max(t.span(now, most, false)/2, trustLeast))
+	}
+	t.limit, t.since = limit, now
 }
 
 // backend is one backend as the list now has it.
@@ -55,6 +104,7 @@
 	of    *backend
 	epoch int // of the backend when it was opened
 	since time.Time
+	idle  time.Duration // before its present request; 0 for its first
 }
 
 func newBackends(dialTimeout, idleClose time.Duration, most int) *backends {
@@ -119,14 +169,16 @@
 	return b.epoch == epoch
 }
 
-// reuse takes the most recently used idle connection that its peer has not closed.
-func (p *backends) reuse(b *backend, epoch int) *conn {
+// reuse takes the most recently used idle connection that can be trusted and its peer has not closed.
+func (p *backends) reuse(b *backend, epoch int, unsafe bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	span := p.trust.span(now, p.idleFor, unsafe)
 	for b.epoch == epoch && len(b.idle) > 0 {
 		c := b.idle[len(b.idle)-1]
 		b.idle = b.idle[:len(b.idle)-1]
-		if time.Since(c.since) < p.idleFor && quiet(c.Conn) {
+		if c.idle = now.Sub(c.since); c.idle < span && quiet(c.Conn) {
 			return c
 		}
 		p.closeLocked(c)
@@ -187,6 +239,13 @@
 	c.of.idle = append(c.of.idle, c)
 }
 
+// stale notes that a kept connection broke before a byte of an answer came.
+func (p *backends) stale(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trust.broke(time.Now(), c.idle, p.idleFor)
+}
+
 // drop closes a connection.
 func (p *backends) drop(c *conn) {
 	p.mu.Lock()
@@ -261,7 +320,7 @@
 
 // run carries the attempt out; it returns exactly one result, when nothing of the attempt is left.
 func (a *attempt) run() result {
-	c := a.pool.reuse(a.backend, a.epoch)
+	c := a.pool.reuse(a.backend, a.epoch, a.req.unsafe)
 	if c == nil {
 		var err error
 		if c, err = a.dial(); err != nil {
@@ -310,6 +369,7 @@
 	if err != nil {
 		return result{status: logic.Moot}, true
 	}
+	wrote := time.Now()
 	if _, err := c.Write(head); err != nil {
 		// The last byte was not written, so the backend cannot have begun.
 		return result{status: logic.ConnectFailed}, false
@@ -323,6 +383,9 @@
 	case a.ctx.Err() != nil:
 		return result{status: logic.Cancelled}, false
 	}
+	if c.limit.N == answerLimit && time.Since(wrote) < staleWithin { // not a byte came
+		a.pool.stale(c)
+	}
 	return result{status: logic.Reset}, false
 }
 
@@ -346,7 +409,7 @@
 
 // read takes the whole answer: one that breaks off has not been given.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
-	c.limit.N = answerHead + 2*maxBody // framing of small chunks included
+	c.limit.N = answerLimit
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: a.req.method})
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(c.r, &http.Request{Method: a.req.method})
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -266,7 +266,7 @@
 	}
 	p.keep(two[0])
 	p.keep(two[1])
-	if c := p.reuse(e, e.epoch); c != two[1] {
+	if c := p.reuse(e, e.epoch, false); c != two[1] {
 		t.Error("not the most recent one")
 	}
 	p.keep(two[1])
@@ -369,3 +369,71 @@
 		t.Errorf("Request-Timeout-Ms %q", ms)
 	}
 }
+
+// A kept connection that its backend closes unannounced breaks under its next request: final for one that
+// must not run twice. On a day with such resets the proxy went on trusting every idle connection.
+func TestAKeptConnectionThatBrokeCostsTheNextItsTrust(t *testing.T) {
+	b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n == 2 {
+			return false // closed without an answer
+		}
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	p := poolWith(10, b.addr)
+	do := func(idle time.Duration, unsafe bool) logic.Status {
+		t.Helper()
+		p.mu.Lock()
+		for _, c := range p.byName["a"].idle {
+			c.since = time.Now().Add(-idle)
+		}
+		p.mu.Unlock()
+		a := newAttempt(p, "a", patience)
+		a.req.unsafe = unsafe
+		return a.run().status
+	}
+	for i, step := range []struct {
+		idle   time.Duration
+		unsafe bool
+		want   logic.Status
+		conns  int32
+	}{
+		{0, true, logic.OK, 1},
+		{time.Second, true, logic.Reset, 1}, // trusted until now
+		{0, true, logic.OK, 2},
+		{600 * time.Millisecond, true, logic.OK, 3},
+		{5 * time.Millisecond, true, logic.OK, 3}, // fresh enough
+	} {
+		if got := do(step.idle, step.unsafe); got != step.want || b.conns.Load() != step.conns {
+			t.Errorf("step %d: %v on %d connections, want %v on %d", i, got, b.conns.Load(), step.want, step.conns)
+		}
+	}
+}
+
+func TestTrustFallsWithBreaksAndComesBack(t *testing.T) {
+	const most = 4 * time.Second
+	now := time.Unix(1000, 0)
+	var tr trust
+	check := func(unsafe bool, want time.Duration) {
+		t.Helper()
+		if got := tr.span(now, most, unsafe); got != want {
+			t.Errorf("trusted for %v, want %v", got, want)
+		}
+	}
+	check(true, most)
+	tr.broke(now, 0, most) // a first request, or no idling: says nothing of staleness
+	check(true, most)
+	tr.broke(now, 800*time.Millisecond, most)
+	check(false, 400*time.Millisecond)
+	check(true, 200*time.Millisecond)
+	tr.broke(now, 600*time.Millisecond, most) // sent before the first break was known
+	check(false, 200*time.Millisecond)
+	now = now.Add(trustDouble)
+	check(false, 400*time.Millisecond)
+	for range 20 {
+		tr.broke(now, 50*time.Millisecond, most)
+	}
+	check(false, trustLeast)
+	now = now.Add(20 * trustDouble)
+	check(true, most)
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -401,6 +401,7 @@
 		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
 			GiveUp: f.loop.clock.at(came.Add(wait))},
 		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), body: body,
+		unsafe: k.Repeat == logic.Unsafe,
 		answer: make(chan answer, 1),
 	}, answer{}
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -37,6 +37,7 @@
 	host   string
 	header http.Header // what goes on to the backend
 	body   []byte
+	unsafe bool        // its class must never run twice
 	answer chan answer // takes the one final answer without a wait
 
 	over    bool
