--- a/logic/logic.go
+++ b/logic/logic.go
@@ -632,8 +632,8 @@
 	} else if status != Error {
 		blame = s.whole.judge(x, blameRatio*b.errs)
 	}
-	if status == Error || status == OK {
-		blame = s.classes[class].judge(x, blameRatio*c.errs)
+	if status == Error || status == FullUp || status == OK {
+		blame = s.classes[class].judge(x, blameRatio*c.errs) || blame
 	}
 	return blame
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -561,6 +561,26 @@
 	}
 }
 
+// A server that was full for one class alone got its weight back with every success of another.
+func TestFullConcernsItsClassToo(t *testing.T) {
+	b, _ := with(t, testSettings(), 4)
+	ill, well := b.byID["s0"], b.byID["s1"]
+	for range 5 {
+		b.judge(ill, 0, FullUp)
+		for range 3 {
+			b.judge(ill, 2, OK)
+			b.judge(well, 0, OK)
+			b.judge(well, 2, OK)
+		}
+	}
+	if w := b.weigh(start, ill, 0); w > b.weigh(start, well, 0)/5 {
+		t.Errorf("a server that is full for the class keeps weight %v", w)
+	}
+	if w := b.weigh(start, ill, 2); w < b.weigh(start, well, 2)/2 {
+		t.Errorf("and for the other class it is left %v", w)
+	}
+}
+
 // An error that all servers show comes from a deeper tier: no server is blamed.
 func TestPeersShowingTheSameAreNotBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
