--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,6 +50,7 @@
 	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
 	triedPart   = 1e-6 // weight left to a server that the request has tried, for when there is no other
 	healthFloor = 0.05 // health left to a failing server, for trials
+	wellPart    = 0.5  // of its health left: a server below it only gets trials
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
@@ -394,7 +395,7 @@
 // subset grows where it has too few warm and healthy servers, or none that the request may go to.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
-	total, room := 0.0, b.subset(now)
+	total, best, room := 0.0, 0.0, b.subset(now)
 	for _, s := range b.ready {
 		if room <= 0 && total > 0 {
 			break
@@ -408,8 +409,19 @@
 			w *= triedPart
 		}
 		total += w
+		if s.healthFor(q.Class) >= wellPart {
+			best = max(best, w)
+		}
 		b.weights = append(b.weights, w)
 	}
+	// One that fails fast holds few calls, and these weigh heavily: by that alone it would draw the most. Its
+	// trials are a part of what goes to those that are well.
+	for i, w := range b.weights {
+		if part := b.ready[i].healthFor(q.Class); best > 0 && part < wellPart && w > part*best {
+			total -= w - part*best
+			b.weights[i] = part * best
+		}
+	}
 	return b.pick(b.rnd.Float64() * total)
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -581,6 +581,29 @@
 	}
 }
 
+// A server that fails fast holds no calls, and by that drew nearly all while its peers were busy.
+func TestAServerThatFailsFastGetsNoMoreThanTrials(t *testing.T) {
+	b, _ := with(t, testSettings(), 4)
+	for range 50 {
+		b.judge(b.byID["s0"], 0, Error)
+		for _, id := range []string{"s1", "s2", "s3"} {
+			b.judge(b.byID[id], 0, OK)
+		}
+	}
+	for _, id := range []string{"s1", "s2", "s3"} {
+		b.byID[id].inflight = 4
+	}
+	drawn := 0
+	for range 1000 {
+		if b.draw(start, &request{}).ID == "s0" {
+			drawn++
+		}
+	}
+	if drawn == 0 || drawn > 100 {
+		t.Errorf("the failing server was drawn %d times in 1000", drawn)
+	}
+}
+
 // An error that all servers show comes from a deeper tier: no server is blamed.
 func TestPeersShowingTheSameAreNotBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
