Read the configuration again on SIGHUP and move discovery without a gap

SIGHUP ended the process, which counts as a crash. Now the file is read again and the list is taken from the discovery it names: the call that is out at the old address ends at once and the new one is asked for the whole list. A file that makes no sense is logged and changes nothing.

--- a/.ci/start/main.go
+++ b/.ci/start/main.go
@@ -26,7 +26,7 @@
 		fmt.Fprintf(os.Stderr, "start: %v\n", err)
 		os.Exit(1)
 	}
-	fmt.Println("the proxy starts, is healthy and ends on SIGTERM")
+	fmt.Println("the proxy starts, is healthy, outlives SIGHUP and ends on SIGTERM")
 }
 
 func run() error {
@@ -64,6 +64,13 @@
 			return fmt.Errorf("not healthy after %v", patience)
 		}
 	}
+	// SIGHUP reads the configuration again; by itself it would end the process.
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	if !healthy(addr) {
+		return fmt.Errorf("not healthy after SIGHUP")
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -33,6 +33,9 @@
 
 func run() error {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	hup := make(chan os.Signal, 1) // from the first moment: unheeded, it would end the process
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	cfg, lim, err := load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -50,9 +53,29 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, hup, p.MoveDiscovery, os.Getenv, log)
 	return p.Run(ctx)
 }
 
+// reload reads the configuration again at each SIGHUP until the context ends. Only discovery's address can
+// change under way. A file that makes no sense changes nothing.
+func reload(ctx context.Context, hup <-chan os.Signal, move func(string), env func(string) string, log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		cfg, _, err := load(env)
+		if err != nil {
+			log.Error("reload: the configuration stands as it was", "error", err)
+			continue
+		}
+		log.Info("reload", "discovery", cfg.Discovery)
+		move(cfg.Discovery)
+	}
+}
+
 type limits struct {
 	Cores    float64 `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -58,3 +61,36 @@
 		t.Error("no LB_CONFIG is no error")
 	}
 }
+
+// SIGHUP ended the process. It moves discovery, and a file that makes no sense leaves all as it was.
+func TestSIGHUPReadsTheConfigurationAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(name string) string { return map[string]string{"LB_CONFIG": path}[name] }
+	hup, moved, failed := make(chan os.Signal), make(chan string, 1), make(chan struct{}, 1)
+	log := slog.New(slog.NewTextHandler(notice(failed), &slog.HandlerOptions{Level: slog.LevelError}))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); reload(ctx, hup, func(addr string) { moved <- addr }, env, log) }()
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hup <- syscall.SIGHUP
+	<-failed
+	if err := os.WriteFile(path, []byte(strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hup <- syscall.SIGHUP
+	if addr := <-moved; addr != "127.0.0.1:2" {
+		t.Errorf("moved to %q", addr)
+	}
+	stop()
+	<-ended
+}
+
+// notice tells of each line that is written.
+type notice chan struct{}
+
+func (n notice) Write(p []byte) (int, error) {
+	n <- struct{}{}
+	return len(p), nil
+}
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -82,23 +82,51 @@
 	client *http.Client
 	lists  chan<- listNews
 	asked  <-chan struct{} // with a subscription: the module's word to open it
+	moved  <-chan string   // discovery's new address
 }
 
 // listNews is what discovery answered; a nil list is a call that failed.
 type listNews struct{ list *List }
 
-func newDiscovery(addr string, log *slog.Logger, lists chan<- listNews, asked <-chan struct{}) *discovery {
-	return &discovery{addr: addr, log: log, lists: lists, asked: asked,
+func newDiscovery(addr string, log *slog.Logger, lists chan<- listNews, asked <-chan struct{},
+	moved <-chan string) *discovery {
+	return &discovery{addr: addr, log: log, lists: lists, asked: asked, moved: moved,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
-// run watches until the context ends. The next watch follows its answer at once, lest changes in between
-// count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
-// the full list.
+// run watches until the context ends, at one address after another. A move ends the call that is out at the
+// old address, and the new one is asked for the whole list at once: what it has to tell counts as told soon.
 func (d *discovery) run(ctx context.Context, subscribe bool) {
 	defer d.client.CloseIdleConnections()
-	index, wait := int64(-1), retryFirst
-	for subscribed := false; ctx.Err() == nil; {
+	for wait := subscribe; ctx.Err() == nil; wait = false {
+		here, leave := context.WithCancel(ctx)
+		next := make(chan string, 1)
+		go func() {
+			defer close(next)
+			select {
+			case addr := <-d.moved:
+				next <- addr
+				leave()
+			case <-here.Done():
+			}
+		}()
+		d.watch(here, subscribe, wait)
+		leave()
+		if addr, ok := <-next; ok {
+			d.log.Info("discovery moved", "from", d.addr, "to", addr)
+			d.addr = addr
+			d.client.CloseIdleConnections()
+		}
+	}
+}
+
+// watch watches at one address until the context ends. With wait, the first call awaits the module's word, as
+// it does after each call that failed if there is a subscription. The next watch follows its answer at once, lest changes in between
+// count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
+// the full list.
+func (d *discovery) watch(ctx context.Context, subscribe, wait bool) {
+	index, pause := int64(-1), retryFirst
+	for subscribed := !wait; ctx.Err() == nil; {
 		if subscribe && !subscribed {
 			select {
 			case <-d.asked:
@@ -124,13 +152,13 @@
 				continue
 			}
 			select {
-			case <-time.After(wait):
+			case <-time.After(pause):
 			case <-ctx.Done():
 			}
-			wait = min(2*wait, retryMost)
+			pause = min(2*pause, retryMost)
 			continue
 		}
-		index, wait, subscribed = list.index, retryFirst, true
+		index, pause, subscribed = list.index, retryFirst, true
 		d.tell(ctx, listNews{list})
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,6 +40,7 @@
 	cfg   Config
 	loop  *loop
 	front *frontend
+	moved chan string // discovery's new address, the latest only
 }
 
 // New opens the listener; clients are served from Run on.
@@ -61,7 +62,20 @@
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log)}, nil
+	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
+		moved: make(chan string, 1)}, nil
+}
+
+// MoveDiscovery has the proxy take its list from another address from now on. What it knows stands until
+// that address has answered.
+func (p *Proxy) MoveDiscovery(addr string) {
+	for {
+		select {
+		case p.moved <- addr:
+			return
+		case <-p.moved: // an older one that was not taken yet
+		}
+	}
 }
 
 // Addr is where clients connect.
@@ -75,7 +89,7 @@
 	defer stop()
 	parts.Go(func() { p.loop.run(inner) })
 	parts.Go(func() {
-		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked).run(inner, p.cfg.Site.Logic.Subscribe)
+		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked, p.moved).run(inner, p.cfg.Site.Logic.Subscribe)
 	})
 	served := make(chan error, 1)
 	parts.Go(func() { served <- p.front.serve() })
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -355,6 +355,58 @@
 	}
 }
 
+// A proxy whose discovery moves leaves the old one at once, in mid-watch, and takes the new one's whole list.
+func TestDiscoveryMoves(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	first, second, third := startDiscovery(t), startDiscovery(t), startDiscovery(t)
+	p := startProxy(t, first.addr, 200, "")
+	query := func(d *fakeDiscovery, want string) {
+		t.Helper()
+		if got := wait(t, "call", d.calls); got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	query(first, "")
+	first.say <- listText(5, true, listed("a", a.addr, statusServing))
+	query(first, "from=5&hold_ms=10000")
+	p.MoveDiscovery(second.addr)
+	query(second, "")
+	second.say <- listText(3, true, listed("b", b.addr, statusServing)) // another count of versions
+	query(second, "from=3&hold_ms=10000")
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	if resp, _ := c.answer(t); resp.StatusCode != 200 || a.requests.Load() != 0 || b.requests.Load() != 1 {
+		t.Errorf("got %s, %d and %d requests", resp.Status, a.requests.Load(), b.requests.Load())
+	}
+	p.MoveDiscovery(third.addr) // and again
+	query(third, "")
+	if n := len(first.calls); n != 0 {
+		t.Errorf("%d more calls at the first address", n)
+	}
+}
+
+// With a subscription the module is not asked again: for all it knows the one that it asked for stands.
+func TestASubscriptionMovesUnasked(t *testing.T) {
+	first, second := startDiscovery(t), startDiscovery(t)
+	lists, asked, moved := make(chan listNews), make(chan struct{}, 1), make(chan string, 1)
+	d := newDiscovery(first.addr, slog.New(slog.DiscardHandler), lists, asked, moved)
+	ended := make(chan struct{})
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { defer close(ended); d.run(ctx, true) }()
+	asked <- struct{}{}
+	wait(t, "call", first.calls)
+	first.say <- listText(5, true)
+	wait(t, "list", lists)
+	moved <- second.addr
+	wait(t, "call", second.calls)
+	second.say <- listText(3, true)
+	if n := wait(t, "list", lists); n.list == nil || n.list.index != 3 {
+		t.Errorf("got %v", n.list)
+	}
+	stop()
+	wait(t, "end of the watch", ended)
+}
+
 // After SIGTERM clients still come, on new connections and on old ones: all get their answer and a close.
 func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
 	release := make(chan struct{})
