--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -39,8 +40,14 @@
 	byName map[string]*backend
 	open   int
 	trust  trust
+
+	log    *slog.Logger // of broken answers; nil for none
+	said   time.Time    // when the last was logged
+	unsaid int          // since then
 }
 
+const brokenQuiet = time.Second // between two lines about broken answers
+
 const (
 	trustLeast  = 20 * time.Millisecond // a kept connection is trusted this long whatever was seen
 	trustDouble = 10 * time.Second      // without a further break the trusted time doubles in this
@@ -246,6 +253,18 @@
 	p.trust.broke(time.Now(), c.idle, p.idleFor)
 }
 
+// broken tells the log, now and then, of an answer that could not be read.
+func (p *backends) broken(b *backend, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsaid++
+	if p.log == nil || time.Since(p.said) < brokenQuiet {
+		return
+	}
+	p.log.Warn("broken answer", "server", b.name, "error", err, "since_last_line", p.unsaid)
+	p.said, p.unsaid = time.Now(), 0
+}
+
 // drop closes a connection.
 func (p *backends) drop(c *conn) {
 	p.mu.Lock()
@@ -383,6 +402,7 @@
 	case a.ctx.Err() != nil:
 		return result{status: logic.Cancelled}, false
 	}
+	a.pool.broken(a.backend, err)
 	if c.limit.N == answerLimit && time.Since(wrote) < staleWithin { // not a byte came
 		a.pool.stale(c)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,8 +57,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each),
-		newZones(cfg.Site.Zones), cfg.Log)
+	pool := newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each)
+	pool.log = cfg.Log
+	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), cfg.Log)
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
