Serve clients on for a while after SIGTERM instead of closing at once

A draining proxy closed each connection with its next answer and its doors after 0.55 s. Now they are served on until the last request can just meet the longest aim before SIGKILL.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -54,8 +54,9 @@
 	server   *http.Server
 	listener *cappedListener
 	log      *slog.Logger
-	most     int // connections of clients that are served; those beyond are refused
-	draining atomic.Bool
+	most     int         // connections of clients that are served; those beyond are refused
+	draining atomic.Bool // SIGTERM has come: health checks hear it
+	closing  atomic.Bool // and clients are to leave
 
 	mu      sync.Mutex
 	conns   map[net.Conn]connState
@@ -322,7 +323,7 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
-	if f.draining.Load() || f.short(f.open()) { // a closed connection makes room for another
+	if f.closing.Load() || f.short(f.open()) { // a closed connection makes room for another
 		h.Set("Connection", "close")
 	}
 	if ans.content != "" {
@@ -434,14 +435,20 @@
 	return h
 }
 
-// drain closes the doors after SIGTERM. Clients still come for a while, so the listener stays open for
-// accept; then connections are closed as they fall idle, until none is left or the cutoff has come.
-func (f *frontend) drain(accept time.Duration, cutoff time.Time) {
-	time.Sleep(accept)
+// drain closes the doors after SIGTERM. Clients still come for a while, and those that keep a connection may
+// have nowhere else to go while the next proxy starts: all are served on for stay. Then the listener closes,
+// and connections as they fall idle, until none is left or the cutoff has come.
+func (f *frontend) drain(stay time.Duration, cutoff time.Time) {
+	start := time.Now()
+	f.draining.Store(true)
+	f.log.Info("draining", "open", f.open())
+	time.Sleep(stay)
+	f.closing.Store(true)
 	f.listener.Close()
-	for f.closeIdle(accept) > 0 && time.Now().Before(cutoff) {
+	for f.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 	}
+	f.log.Info("drained", "after", time.Since(start), "left", f.open())
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
 	defer cancel()
 	_ = f.server.Shutdown(ctx)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -41,6 +41,8 @@
 	loop  *loop
 	front *frontend
 	moved chan string // discovery's new address, the latest only
+
+	stay, left time.Duration // after SIGTERM: see drainTimes
 }
 
 // New opens the listener; clients are served from Run on.
@@ -63,7 +65,8 @@
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
+	stay, left := drainTimes(cfg.Site.Logic.Classes)
+	return &Proxy{cfg: cfg, stay: stay, left: left, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
 		moved: make(chan string, 1)}, nil
 }
 
@@ -99,13 +102,19 @@
 		return err
 	case <-ctx.Done():
 	}
-	longest := time.Duration(0)
-	for _, c := range p.cfg.Site.Logic.Classes {
-		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
-	}
-	cutoff := time.Now().Add(min(longest, killAfter) + killLeeway)
-	p.front.draining.Store(true)
+	cutoff := time.Now().Add(p.left)
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
-	p.front.drain(acceptAfter, cutoff)
+	p.front.drain(p.stay, cutoff)
 	return nil
 }
+
+// drainTimes tells how long after SIGTERM clients are served on, and when all must have ended. The last that
+// come in still have as long as the longest aim.
+func drainTimes(classes []logic.Class) (stay, left time.Duration) {
+	deadline, aim := int64(0), int64(0)
+	for _, c := range classes {
+		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
+	}
+	left = min(time.Duration(deadline)*time.Microsecond, killAfter) + killLeeway
+	return max(acceptAfter, left-time.Duration(aim)*time.Microsecond), left
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"fernlanding/internal/settings"
+	"fernlanding/logic"
 )
 
 const siteText = `{"contract":{"cold_us":1000000,"start_capacity":0.3},"failure_domains":["a"],"limits":{` +
@@ -407,16 +408,19 @@
 	wait(t, "end of the watch", ended)
 }
 
-// After SIGTERM clients still come, on new connections and on old ones: all get their answer and a close.
+// After SIGTERM clients still come, on new connections and on old ones: all get their answer, on connections
+// that stay until the doors close, and then a close.
 func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
 	release := make(chan struct{})
-	p, b := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
+	b := startBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
 		if r.Header.Get("Request-Id")[0] == 'h' {
 			<-release
 		}
 		_, _ = io.WriteString(w, served)
 		return true
 	})
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+	p.stay = 2 * time.Second // long enough for what is to be served on
 	idle := connect(t, p)
 	idle.send(t, look("1", 8000))
 	idle.answer(t)
@@ -429,12 +433,19 @@
 	unused := connect(t, p)
 	p.stop()
 	waitUntil(t, func() bool { return p.front.draining.Load() })
-	for i, c := range []*client{idle, connect(t, p)} {
+	late := connect(t, p)
+	for i, c := range []*client{idle, late, idle, late} {
 		c.send(t, look(fmt.Sprint("n", i), 8000))
-		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || !resp.Close {
+		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || resp.Close {
 			t.Errorf("after SIGTERM: got %s, close %v", resp.Status, resp.Close)
 		}
 	}
+	waitUntil(t, func() bool { return p.front.closing.Load() })
+	for _, c := range []*client{idle, late} {
+		if _, err := c.r.ReadByte(); err == nil {
+			t.Error("an idle connection was not closed")
+		}
+	}
 	close(release)
 	var all sync.WaitGroup
 	for _, c := range held {
@@ -453,6 +464,21 @@
 	}
 }
 
+// The doors closed at once: with the next proxy not yet up, clients that kept a connection had nowhere to go.
+func TestClientsAreServedOnWhileTheLastCanStillMakeIt(t *testing.T) {
+	for _, c := range []struct{ deadline, aim, stay, left time.Duration }{
+		{5 * time.Second, 2 * time.Second, 1500 * time.Millisecond, 3500 * time.Millisecond},
+		{8 * time.Second, 4 * time.Second, acceptAfter, 3500 * time.Millisecond},
+		{time.Second, 400 * time.Millisecond, 1100 * time.Millisecond, 1500 * time.Millisecond},
+	} {
+		stay, left := drainTimes([]logic.Class{{Deadline: c.deadline.Microseconds(), Aim: c.aim.Microseconds()},
+			{Deadline: 1, Aim: 1}})
+		if stay != c.stay || left != c.left {
+			t.Errorf("deadline %v, aim %v: %v and %v, want %v and %v", c.deadline, c.aim, stay, left, c.stay, c.left)
+		}
+	}
+}
+
 // SIGKILL follows: what a hung backend holds is failed before it comes.
 func TestSIGTERMEndsWhatHangs(t *testing.T) {
 	p, b := serving(t, hang(t))
