--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -107,6 +107,7 @@
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
+	body  *bufio.Reader // of a head that was looked at, and then r
 	limit io.LimitedReader
 	of    *backend
 	epoch int // of the backend when it was opened
@@ -210,6 +211,7 @@
 	c := &conn{Conn: nc, of: b, epoch: epoch}
 	c.limit.R = nc
 	c.r = bufio.NewReaderSize(&c.limit, 4<<10)
+	c.body = bufio.NewReaderSize(nil, 1<<10)
 	return c, nil
 }
 
@@ -427,12 +429,37 @@
 	return buf.Bytes(), nil
 }
 
+// response reads an answer's head. One whose body two readers could see end in two places is no answer:
+// net/http would settle that unseen, and the rest of it would be taken for the next answer.
+func (c *conn) response(method string) (*http.Response, error) {
+	var head []byte
+	for !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+		line, err := c.r.ReadSlice('\n')
+		head = append(head, line...)
+		switch {
+		case errors.Is(err, io.EOF) && len(head) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(head) > answerHead:
+			return nil, errors.New("head too long")
+		case err == nil && !bytes.HasSuffix(line, []byte("\r\n")):
+			return nil, errFraming
+		}
+	}
+	if _, _, err := framing(head); err != nil {
+		return nil, err
+	}
+	c.body.Reset(io.MultiReader(bytes.NewReader(head), c.r))
+	return http.ReadResponse(c.body, &http.Request{Method: method})
+}
+
 // read takes the whole answer: one that breaks off has not been given.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
 	c.limit.N = answerLimit
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: a.req.method})
+	resp, err := c.response(a.req.method)
 	for err == nil && resp.StatusCode < 200 {
-		resp, err = http.ReadResponse(c.r, &http.Request{Method: a.req.method})
+		resp, err = c.response(a.req.method)
 	}
 	if err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
@@ -455,7 +482,7 @@
 	if err != nil {
 		return res, false, fmt.Errorf("read body: %w", err)
 	}
-	keep = !resp.Close && c.r.Buffered() == 0
+	keep = !resp.Close && c.body.Buffered() == 0 && c.r.Buffered() == 0
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return result{status: logic.OK, body: body, content: resp.Header.Get("Content-Type")}, keep, nil
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -135,6 +135,13 @@
 		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", logic.Reset},
 		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", maxBody+1), logic.Error},
 		{"no HTTP", "SSH-2.0-x\r\n\r\n", logic.Reset},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", logic.Reset},
+		{"length twice", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", logic.Reset},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", logic.Reset},
+		{"a folded line", "HTTP/1.1 200 OK\r\nX: y\r\n z\r\nContent-Length: 2\r\n\r\nok", logic.Reset},
+		{"a bare LF", "HTTP/1.1 200 OK\r\nX: y\nContent-Length: 2\r\n\r\nok", logic.Reset},
+		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*answerHead) + "\r\n\r\n", logic.Reset},
+		{"long head", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\nok", logic.OK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := startBackend(t, says(c.text, false))
