Blame servers that fail all their calls even where these are half of all

A failure counted as a server's own only if it failed twice as often as all: out of reach from a half on. The bar now lies at most halfway between the mean and one; where three quarters of all fail, no server is blamed.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,6 +54,7 @@
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
+	mostFail    = 0.75 // of all calls: where more fail, no server is blamed
 	coldMargin  = 0.6  // part of its least capacity that a cold server is given
 
 	hintPart = 0.5 // of the aim: the longest hint
@@ -642,14 +643,24 @@
 	if status == ConnectFailed {
 		blame = s.whole.judge(x, 0)
 	} else if status != Error {
-		blame = s.whole.judge(x, blameRatio*b.errs)
+		blame = s.whole.judge(x, usual(b.errs))
 	}
 	if status == Error || status == FullUp || status == OK {
-		blame = s.classes[class].judge(x, blameRatio*c.errs) || blame
+		blame = s.classes[class].judge(x, usual(c.errs)) || blame
 	}
 	return blame
 }
 
+// usual is the part of failed calls that a server may show unblamed when so many of all fail. Twice that part
+// would be out of reach from a half on, where a few servers that fail all drag the whole along. Where most
+// calls fail it is no server's own.
+func usual(errs float64) float64 {
+	if errs > mostFail {
+		return 1
+	}
+	return min(blameRatio*errs, (1+errs)/2)
+}
+
 // judge blames a failure where failures are more than a usual part.
 func (h *health) judge(x, usual float64) (blame bool) {
 	h.errs += (x - h.errs) * healthRise
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -604,6 +604,25 @@
 	}
 }
 
+// Where half the calls failed none was blamed, though they were all of two servers: their full cut the counts.
+func TestTwoServersThatFailAllAreBlamedAmongFour(t *testing.T) {
+	b, _ := with(t, testSettings(), 4)
+	for range 50 {
+		b.judge(b.byID["s0"], 0, FullUp)
+		b.judge(b.byID["s1"], 0, FullUp)
+		b.judge(b.byID["s2"], 0, OK)
+		b.judge(b.byID["s3"], 0, OK)
+	}
+	for _, id := range []string{"s0", "s1"} {
+		if !b.judge(b.byID[id], 0, FullUp) {
+			t.Errorf("%s is not blamed", id)
+		}
+	}
+	if b.judge(b.byID["s2"], 0, FullUp) {
+		t.Error("a single failure of a server that is well is blamed")
+	}
+}
+
 // An error that all servers show comes from a deeper tier: no server is blamed.
 func TestPeersShowingTheSameAreNotBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
