Give a silent watch up before its news counts as told

A watch that hangs was given up 13 s after it began, while what discovery has to tell counts as told after 12 s: a drain could go unheeded unasked. It is now given up after 11.5 s.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -20,10 +20,11 @@
 	statusDraining = "DRAINING"
 	statusDeleted  = "DELETED"
 
-	watchHold    = 10 * time.Second       // how long a watch may wait for news
-	listPatience = 3 * time.Second        // for an answer that need not wait, and beyond a watch's wait
-	retryFirst   = 50 * time.Millisecond  // after a failed call
-	retryMost    = 500 * time.Millisecond // at most
+	watchHold    = 10 * time.Second        // how long a watch may wait for news
+	listPatience = 3 * time.Second         // for an answer that need not wait
+	watchSlack   = 1500 * time.Millisecond // beyond a watch's wait: its news counts as told 2 s after that
+	retryFirst   = 50 * time.Millisecond   // after a failed call
+	retryMost    = 500 * time.Millisecond  // at most
 	maxList      = 4 << 20
 )
 
@@ -177,7 +178,7 @@
 	u, patience := "http://"+d.addr+"/catalog/members", listPatience
 	if index >= 0 {
 		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(watchHold.Milliseconds(), 10)
-		patience += watchHold
+		patience = watchHold + watchSlack
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fernlanding/internal/settings"
@@ -356,6 +357,29 @@
 	}
 }
 
+// roundTrip stands in for discovery and its network.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// A watch that hung was given up 3 s after its wait, when its news had counted as told for a second.
+func TestASilentWatchIsGivenUpBeforeItsNewsCountsAsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDiscovery("127.0.0.1:1", slog.New(slog.DiscardHandler), nil, nil, nil)
+		d.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		})
+		start := time.Now()
+		if _, err := d.call(t.Context(), 5); err == nil {
+			t.Error("a silent watch gave a list")
+		}
+		if took := time.Since(start); took <= watchHold || took >= watchHold+2*time.Second {
+			t.Errorf("given up after %v", took)
+		}
+	})
+}
+
 // A proxy whose discovery moves leaves the old one at once, in mid-watch, and takes the new one's whole list.
 func TestDiscoveryMoves(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
