Try silent servers less often with calls that must not run twice

Trials went to a hanging server with every class alike, and each with an alta-tarifa call cost a request. Such classes now make a fifth of the trials; keyed and safe ones, which can be made again, go on as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,6 +50,7 @@
 	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
 	triedPart   = 1e-6 // weight left to a server that the request has tried, for when there is no other
 	healthFloor = 0.05 // health left to a failing server, for trials
+	riskPart    = 0.2  // of the trials of a silent server go on with calls that cannot be made again
 	wellPart    = 0.5  // of its health left: a server below it only gets trials
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
@@ -418,7 +419,11 @@
 	// One that fails fast holds few calls, and these weigh heavily: by that alone it would draw the most. Its
 	// trials are a part of what goes to those that are well.
 	for i, w := range b.weights {
-		if part := b.ready[i].healthFor(q.Class); best > 0 && part < wellPart && w > part*best {
+		part := b.ready[i].healthFor(q.Class)
+		if b.ready[i].whole.left < wellPart && b.s.Classes[q.Class].Repeat == Unsafe {
+			part *= riskPart
+		}
+		if best > 0 && part < wellPart && w > part*best {
 			total -= w - part*best
 			b.weights[i] = part * best
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -604,6 +604,29 @@
 	}
 }
 
+// A server that hangs took as many trials from a class that must not run twice, and each cost a request.
+func TestASilentServerIsTriedWithCallsThatCanBeRepeated(t *testing.T) {
+	set := testSettings()
+	b, _ := with(t, set, 4)
+	for range 50 {
+		b.judge(b.byID["s0"], 0, TimedOut)
+		for range 3 {
+			b.judge(b.byID["s1"], 0, OK)
+		}
+	}
+	drawn := map[Repeat]int{}
+	for class, c := range set.Classes {
+		for range 4000 {
+			if b.draw(start, &request{Request: Request{Class: class}}).ID == "s0" {
+				drawn[c.Repeat]++
+			}
+		}
+	}
+	if drawn[Unsafe] == 0 || drawn[Unsafe] > drawn[Safe]/2 {
+		t.Errorf("drawn for a trial %v times", drawn)
+	}
+}
+
 // Where half the calls failed none was blamed, though they were all of two servers: their full cut the counts.
 func TestTwoServersThatFailAllAreBlamedAmongFour(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
