--- a/.ci/start/main.go
+++ b/.ci/start/main.go
@@ -1,14 +1,17 @@
 // Command start starts the proxy by the command in CI_RUN, with a list that it knows and no discovery, asks
-// for its health over loopback, and ends it with SIGTERM.
+// for its health over loopback, looks at its process, and ends it with SIGTERM.
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -64,6 +67,9 @@
 			return fmt.Errorf("not healthy after %v", patience)
 		}
 	}
+	if err := oneProcess(cmd.Process.Pid); err != nil {
+		return err
+	}
 	// SIGHUP reads the configuration again; by itself it would end the process.
 	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		return err
@@ -82,6 +88,47 @@
 	}
 }
 
+// oneProcess holds run to what the fleet's platform needs: the shell has given way to the proxy, which has
+// started no other process and is linked dynamically against the C library.
+func oneProcess(pid int) error {
+	proc := fmt.Sprintf("/proc/%d", pid)
+	exe, err := os.Readlink(proc + "/exe")
+	if err != nil {
+		return err
+	}
+	shell, err := filepath.EvalSymlinks("/bin/sh")
+	if err != nil {
+		return err
+	}
+	if exe == shell {
+		return fmt.Errorf("run leaves a shell behind: it has to exec the proxy")
+	}
+	tasks, err := filepath.Glob(proc + "/task/*/children")
+	if err != nil {
+		return err
+	}
+	for _, path := range tasks {
+		children, err := os.ReadFile(path)
+		if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ESRCH) { // a thread that has ended
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if len(children) > 0 {
+			return fmt.Errorf("run starts further processes: %s", children)
+		}
+	}
+	maps, err := os.ReadFile(proc + "/maps")
+	if err != nil {
+		return err
+	}
+	if !strings.Contains(string(maps), "/libc.so.") {
+		return fmt.Errorf("%s is not linked dynamically against the C library", exe)
+	}
+	return nil
+}
+
 func healthy(addr string) bool {
 	resp, err := http.Get("http://" + addr + "/_health")
 	if err != nil {
