Answer readyz and metrics on a second address of their own

Design: internal/mgmt has its own listener, 16 reserved descriptors and net/http's server with one call to a connection; the 17th caller displaces the one that has held its connection the longest with no whole call. What it answers with is a copy under a short lock, so a call never waits for the loop. figures counts a request in when it has come whole and out once, in the one function that took it, whichever way that returns; attempts where the last byte is written. Figures on servers are taken from the module every 200 ms. Rejected: serving the calls on the clients' address or through the loop's events, where they queue behind traffic. Rejected: counting ends in the loop: refusals at the door and clients that go never reach it. Tests: TestHeldConnectionsDelayNobody fails without the displacement, TestEveryRequestIsCountedOnce without the deferred end.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -13,8 +13,10 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"syscall"
 
+	"fernlanding/internal/mgmt"
 	"fernlanding/internal/proxy"
 	"fernlanding/internal/settings"
 )
@@ -53,13 +55,35 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, hup, p.MoveDiscovery, os.Getenv, log)
-	return p.Run(ctx)
+	go reload(ctx, hup, p, os.Getenv, log)
+	if lim.mgmt == "" {
+		return p.Run(ctx)
+	}
+	m, err := mgmt.Listen(lim.mgmt, p, log)
+	if err != nil {
+		return err
+	}
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		if err := m.Serve(); err != nil {
+			log.Error("management address", "error", err)
+		}
+	})
+	err = p.Run(ctx)
+	m.Close()
+	calls.Wait()
+	return err
+}
+
+// reloads is what a configuration that came with SIGHUP goes to.
+type reloads interface {
+	MoveDiscovery(addr string)
+	Reloaded(taken bool)
 }
 
 // reload reads the configuration again at each SIGHUP until the context ends. Only discovery's address can
 // change under way. A file that makes no sense changes nothing.
-func reload(ctx context.Context, hup <-chan os.Signal, move func(string), env func(string) string, log *slog.Logger) {
+func reload(ctx context.Context, hup <-chan os.Signal, p reloads, env func(string) string, log *slog.Logger) {
 	for {
 		select {
 		case <-hup:
@@ -69,10 +93,12 @@
 		cfg, _, err := load(env)
 		if err != nil {
 			log.Error("reload: the configuration stands as it was", "error", err)
+			p.Reloaded(false)
 			continue
 		}
 		log.Info("reload", "discovery", cfg.Discovery)
-		move(cfg.Discovery)
+		p.MoveDiscovery(cfg.Discovery)
+		p.Reloaded(true)
 	}
 }
 
@@ -80,9 +106,11 @@
 	Cores    float64 `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
+
+	mgmt string // the management address; empty for none
 }
 
-// load reads the file that LB_CONFIG names; LB_LISTEN and LB_DISCOVERY stand in for what it lacks.
+// load reads the file that LB_CONFIG names; LB_LISTEN, LB_DISCOVERY and LB_MGMT stand in for what it lacks.
 func load(env func(string) string) (proxy.Config, limits, error) {
 	var cfg proxy.Config
 	path := env("LB_CONFIG")
@@ -96,6 +124,7 @@
 	var file struct {
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Mgmt      string          `json:"mgmt"`
 		Seed      string          `json:"seed"`
 		Limits    limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
@@ -104,6 +133,10 @@
 	if err := json.Unmarshal(data, &file); err != nil {
 		return cfg, file.Limits, fmt.Errorf("%s: %w", path, err)
 	}
+	if file.Limits.mgmt = file.Mgmt; file.Mgmt == "" {
+		file.Limits.mgmt = env("LB_MGMT")
+	}
+	cfg.Watched = file.Limits.mgmt != ""
 	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
 	if cfg.Listen == "" {
 		cfg.Listen = env("LB_LISTEN")
--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -66,31 +66,54 @@
 func TestSIGHUPReadsTheConfigurationAgain(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	env := func(name string) string { return map[string]string{"LB_CONFIG": path}[name] }
-	hup, moved, failed := make(chan os.Signal), make(chan string, 1), make(chan struct{}, 1)
-	log := slog.New(slog.NewTextHandler(notice(failed), &slog.HandlerOptions{Level: slog.LevelError}))
+	hup := make(chan os.Signal)
+	p := fakeProxy{moved: make(chan string, 1), reloaded: make(chan bool, 1)}
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	go func() { defer close(ended); reload(ctx, hup, func(addr string) { moved <- addr }, env, log) }()
+	go func() { defer close(ended); reload(ctx, hup, p, env, slog.New(slog.DiscardHandler)) }()
 	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	hup <- syscall.SIGHUP
-	<-failed
+	if <-p.reloaded {
+		t.Error("half a file was taken")
+	}
 	if err := os.WriteFile(path, []byte(strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	hup <- syscall.SIGHUP
-	if addr := <-moved; addr != "127.0.0.1:2" {
+	if addr := <-p.moved; addr != "127.0.0.1:2" {
 		t.Errorf("moved to %q", addr)
 	}
+	if !<-p.reloaded {
+		t.Error("a file that was taken counts as turned down")
+	}
 	stop()
 	<-ended
 }
 
-// notice tells of each line that is written.
-type notice chan struct{}
+// fakeProxy notes what a reload does.
+type fakeProxy struct {
+	moved    chan string
+	reloaded chan bool
+}
 
-func (n notice) Write(p []byte) (int, error) {
-	n <- struct{}{}
-	return len(p), nil
+func (p fakeProxy) MoveDiscovery(addr string) { p.moved <- addr }
+func (p fakeProxy) Reloaded(taken bool)       { p.reloaded <- taken }
+
+func TestTheManagementAddressIsReadAndMayBeLeftOut(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	for _, c := range []struct{ key, env, want string }{
+		{"", "", ""}, {"", "127.0.0.1:8", "127.0.0.1:8"}, {`"mgmt":"127.0.0.1:7",`, "127.0.0.1:8", "127.0.0.1:7"},
+	} {
+		if err := os.WriteFile(path, []byte("{"+c.key+good[1:]), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, lim, err := load(func(name string) string {
+			return map[string]string{"LB_CONFIG": path, "LB_MGMT": c.env}[name]
+		})
+		if err != nil || lim.mgmt != c.want || cfg.Watched != (c.want != "") {
+			t.Errorf("%+v: got %q, watched %v, %v", c, lim.mgmt, cfg.Watched, err)
+		}
+	}
 }
--- /dev/null
+++ b/internal/mgmt/mgmt.go
@@ -0,0 +1,176 @@
+// Package mgmt is the proxy's second address: calls of on-call staff and of what watches the proxy. It has its
+// own listener and connections, and what it answers with is at hand, so that no call waits for traffic or for
+// another caller.
+package mgmt
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"path"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// MaxConns is how many callers are served at once; it bounds the descriptors that are kept for them.
+	MaxConns = 16
+
+	callPatience  = 2 * time.Second // for a whole call
+	writePatience = 2 * time.Second // for its answer to be taken, beyond that
+	maxHead       = 4 << 10
+	maxBody       = 4 << 10 // no call needs a body; one is read so that a call is known to be whole
+)
+
+// Ends counts the requests of a class by how they ended.
+type Ends struct {
+	Succeeded, Declined, Aborted int64 // served, refused, failed
+}
+
+// Figures is what metrics shows.
+type Figures struct {
+	Classes     map[string]Ends
+	Outstanding int64 // requests taken and not ended
+	Forwards    int64 // attempts written whole to nodos
+	Discovered  int   // nodos in the list
+	Ejected     int   // listed nodos that get nothing, or only trials
+	Applied     int64 // configurations taken at SIGHUP
+	Rejected    int64 // and turned down
+}
+
+// Proxy is what the calls are about. Its methods are called from many goroutines and return soon.
+type Proxy interface {
+	Ready() bool
+	Figures() Figures
+}
+
+// Server answers the calls.
+type Server struct {
+	proxy    Proxy
+	log      *slog.Logger
+	listener net.Listener
+	http     *http.Server
+
+	mu    sync.Mutex
+	conns []caller // the oldest first
+}
+
+type caller struct {
+	net.Conn
+	whole bool // its call has come in
+}
+
+// Listen opens the address; Serve answers there.
+func Listen(addr string, p Proxy, log *slog.Logger) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("management address: %w", err)
+	}
+	return newServer(l, p, log), nil
+}
+
+func newServer(l net.Listener, p Proxy, log *slog.Logger) *Server {
+	s := &Server{proxy: p, log: log, listener: l}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/readyz", s.readyz)
+	mux.HandleFunc("GET /v1/metrics", s.metrics)
+	s.http = &http.Server{Handler: s.whole(mux), ReadTimeout: callPatience, WriteTimeout: callPatience + writePatience,
+		MaxHeaderBytes: maxHead, ConnState: s.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	s.http.SetKeepAlivesEnabled(false) // one call to a connection
+	return s
+}
+
+// Addr is where callers connect.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve answers until Close.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("management address: %w", err)
+	}
+	return nil
+}
+
+// Close ends the listener and all callers' connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// connState keeps the callers' number bounded: a new one beyond it displaces the one that has held its
+// connection the longest without a whole call.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if len(s.conns) >= MaxConns {
+			i := max(0, slices.IndexFunc(s.conns, func(c caller) bool { return !c.whole }))
+			s.conns[i].Close()
+			s.conns = slices.Delete(s.conns, i, i+1)
+		}
+		s.conns = append(s.conns, caller{Conn: c})
+	case http.StateClosed, http.StateHijacked:
+		s.conns = slices.DeleteFunc(s.conns, func(x caller) bool { return x.Conn == c })
+	}
+}
+
+// connKey finds a call's connection in its context.
+type connKey struct{}
+
+// whole lets a call through once all of it is here: half of one must change nothing.
+func (s *Server) whole(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBody+1))
+		switch {
+		case err != nil:
+			http.Error(w, "the call broke off", http.StatusBadRequest)
+			return
+		case n > maxBody:
+			http.Error(w, "the call is too large", http.StatusRequestEntityTooLarge)
+			return
+		case path.Clean(r.URL.Path) != r.URL.Path: // a redirect would be neither yes nor no
+			http.NotFound(w, r)
+			return
+		}
+		s.mu.Lock()
+		if i := slices.IndexFunc(s.conns, func(c caller) bool { return c.Conn == r.Context().Value(connKey{}) }); i >= 0 {
+			s.conns[i].whole = true
+		}
+		s.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.proxy.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = w.Write(s.proxy.Figures().encode())
+}
+
+// encode writes one figure a line, in an order that stays.
+func (f Figures) encode() []byte {
+	var b bytes.Buffer
+	for _, class := range slices.Sorted(maps.Keys(f.Classes)) {
+		e := f.Classes[class]
+		fmt.Fprintf(&b, "app.succeeded.%s=%d\napp.declined.%s=%d\napp.aborted.%s=%d\n",
+			class, e.Succeeded, class, e.Declined, class, e.Aborted)
+	}
+	fmt.Fprintf(&b, "app.outstanding=%d\napp.forwards=%d\napp.discovered=%d\napp.ejected=%d\n"+
+		"app.sighup_applied=%d\napp.sighup_rejected=%d\n",
+		f.Outstanding, f.Forwards, f.Discovered, f.Ejected, f.Applied, f.Rejected)
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/mgmt/mgmt_test.go
@@ -0,0 +1,145 @@
+package mgmt
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // for what has to come; only a failing test waits so long
+
+type fakeProxy struct {
+	ready   bool
+	figures Figures
+}
+
+func (p *fakeProxy) Ready() bool      { return p.ready }
+func (p *fakeProxy) Figures() Figures { return p.figures }
+
+func start(t *testing.T, p Proxy) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", p, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve() }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// call makes one call and returns the answer's status and body.
+func call(t *testing.T, s *Server, text string) (int, string) {
+	t.Helper()
+	c := dial(t, s)
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !resp.Close {
+		t.Errorf("%q: the connection is kept", text)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func request(line, more string) string { return line + " HTTP/1.1\r\nHost: proxy\r\n" + more + "\r\n" }
+
+func TestCallsAreAnswered(t *testing.T) {
+	p := &fakeProxy{ready: true, figures: Figures{Classes: map[string]Ends{"look": {1, 2, 3}, "buy": {4, 5, 6}},
+		Outstanding: 7, Forwards: 8, Discovered: 9, Ejected: 10, Applied: 11, Rejected: 12}}
+	s := start(t, p)
+	if status, _ := call(t, s, request("GET /v1/readyz", "")); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	p.ready = false
+	if status, _ := call(t, s, request("GET /v1/readyz", "")); status != 503 {
+		t.Errorf("not ready: %d", status)
+	}
+	want := "app.succeeded.buy=4\napp.declined.buy=5\napp.aborted.buy=6\n" +
+		"app.succeeded.look=1\napp.declined.look=2\napp.aborted.look=3\n" +
+		"app.outstanding=7\napp.forwards=8\napp.discovered=9\napp.ejected=10\n" +
+		"app.sighup_applied=11\napp.sighup_rejected=12\n"
+	if status, text := call(t, s, request("GET /v1/metrics", "")); status != 200 || text != want {
+		t.Errorf("metrics: %d\n%s", status, text)
+	}
+}
+
+func TestOtherCallsAreANo(t *testing.T) {
+	s := start(t, &fakeProxy{ready: true})
+	for _, text := range []string{
+		request("GET /", ""), request("GET /v1/ready", ""), request("POST /v1/readyz", "Content-Length: 0\r\n"),
+		request("GET /v1//readyz", ""), request("GET /v1/readyz/", ""), "nonsense\r\n\r\n",
+		request("GET /v1/readyz", "Content-Length: 5000\r\n") + strings.Repeat("x", 5000),
+		request("GET /v1/readyz", "Long: "+strings.Repeat("x", 20000)+"\r\n"),
+	} {
+		if status, _ := call(t, s, text); status < 400 || status > 599 {
+			t.Errorf("%.60q: %d", text, status)
+		}
+	}
+}
+
+// Callers that hold a connection with no whole call, however many, take no place from others and are closed.
+func TestHeldConnectionsDelayNobody(t *testing.T) {
+	s := start(t, &fakeProxy{ready: true})
+	var held []net.Conn
+	for i := range 3 * MaxConns {
+		c := dial(t, s)
+		if i%2 == 0 {
+			if _, err := io.WriteString(c, "GET /v1/rea"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		held = append(held, c)
+		if i%8 == 0 {
+			if status, _ := call(t, s, request("GET /v1/readyz", "")); status != 200 {
+				t.Fatalf("beside %d held connections: %d", i, status)
+			}
+		}
+	}
+	for i, c := range held {
+		if _, err := io.ReadAll(c); err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Fatalf("connection %d is still open", i)
+		}
+	}
+}
+
+// A call that announces a body must not act before all of it is here.
+func TestHalfACallDoesNothing(t *testing.T) {
+	s := start(t, &fakeProxy{ready: true})
+	c := dial(t, s)
+	if _, err := io.WriteString(c, request("GET /v1/readyz", "Content-Length: 3\r\n")+"x"); err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(c)
+	if strings.Contains(string(text), "200 OK") {
+		t.Errorf("half a call got %q", text)
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -41,6 +41,8 @@
 	open   int
 	trust  trust
 
+	figs *figures
+
 	log    *slog.Logger // of broken answers; nil for none
 	said   time.Time    // when the last was logged
 	unsaid int          // since then
@@ -115,9 +117,9 @@
 	idle  time.Duration // before its present request; 0 for its first
 }
 
-func newBackends(dialTimeout, idleClose time.Duration, most int) *backends {
+func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most,
+	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most, figs: figs,
 		byName: map[string]*backend{}}
 }
 
@@ -395,6 +397,7 @@
 		// The last byte was not written, so the backend cannot have begun.
 		return result{status: logic.ConnectFailed}, false
 	}
+	a.pool.figs.forward()
 	res, keep, err = a.read(c)
 	switch {
 	case err == nil:
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -94,7 +94,7 @@
 }
 
 func poolWith(most int, addrs ...string) *backends {
-	p := newBackends(5*time.Second, 40*time.Second, most)
+	p := newBackends(5*time.Second, 40*time.Second, most, newFigures(nil))
 	var list []endpoint
 	for i, a := range addrs {
 		list = append(list, entry(string(rune('a'+i)), a, statusServing))
--- /dev/null
+++ b/internal/proxy/figures.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"maps"
+	"net/http"
+	"sync"
+
+	"fernlanding/internal/mgmt"
+)
+
+// maxClasses bounds the classes that are counted: classes come and go with the settings.
+const maxClasses = 256
+
+// figures owns the counts that on-call staff see. Each request is counted in once, when it has been taken, and
+// out once, by whoever took it.
+type figures struct {
+	mu      sync.Mutex
+	classes map[string]*mgmt.Ends
+	counts  mgmt.Figures // all but Classes
+}
+
+func newFigures(classes []string) *figures {
+	f := &figures{classes: map[string]*mgmt.Ends{}}
+	f.name(classes)
+	return f
+}
+
+// name shows the classes from now on, with zeros too; of others those that were counted stay while there is room.
+func (f *figures) name(classes []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.classes)+len(classes) > maxClasses {
+		clear(f.classes)
+	}
+	for _, c := range classes {
+		f.of(c)
+	}
+}
+
+func (f *figures) of(class string) *mgmt.Ends {
+	e := f.classes[class]
+	if e == nil {
+		e = &mgmt.Ends{}
+		f.classes[class] = e
+	}
+	return e
+}
+
+// taken is one request that has been taken and not ended; its owner ends it.
+type taken struct {
+	of    *figures
+	class string
+	ended bool
+}
+
+func (f *figures) take(class string) *taken {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Outstanding++
+	return &taken{of: f, class: class}
+}
+
+// end counts the request by its answer's status, 0 if it had none. Only the first call counts.
+func (t *taken) end(status int) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.of.mu.Lock()
+	defer t.of.mu.Unlock()
+	t.of.counts.Outstanding--
+	switch e := t.of.of(t.class); status {
+	case http.StatusOK:
+		e.Succeeded++
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		e.Declined++
+	default:
+		e.Aborted++
+	}
+}
+
+// forward counts an attempt that was written whole.
+func (f *figures) forward() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Forwards++
+}
+
+// servers notes how many servers are listed, and how many of these get nothing or only trials.
+func (f *figures) servers(listed, avoided int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Discovered, f.counts.Ejected = listed, avoided
+}
+
+// reloaded counts a configuration that came with SIGHUP.
+func (f *figures) reloaded(taken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if taken {
+		f.counts.Applied++
+	} else {
+		f.counts.Rejected++
+	}
+}
+
+func (f *figures) snapshot() mgmt.Figures {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.counts
+	out.Classes = map[string]mgmt.Ends{}
+	for c, e := range maps.All(f.classes) {
+		out.Classes[c] = *e
+	}
+	return out
+}
--- /dev/null
+++ b/internal/proxy/figures_test.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+
+	"fernlanding/internal/mgmt"
+)
+
+// Each request that was taken ends once, whichever way it leaves: taken = ended + outstanding throughout.
+func TestEveryRequestIsCountedOnce(t *testing.T) {
+	served := says("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true)
+	failed := says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true)
+	stuck := hang(t)
+	reached := make(chan struct{}, 10)
+	p, _ := serving(t, func(w io.Writer, r *http.Request, n int) bool {
+		switch r.Header.Get("Request-Id") {
+		case "1", "2":
+			return served(w, r, n)
+		case "3":
+			return failed(w, r, n)
+		}
+		reached <- struct{}{}
+		return stuck(w, r, n)
+	})
+	ends := func() (n int64, f mgmt.Figures) {
+		f = p.Figures()
+		for _, e := range f.Classes {
+			n += e.Succeeded + e.Declined + e.Aborted
+		}
+		return n, f
+	}
+	post := func(id string) string {
+		return "POST /post HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRequest-Class: post\r\n" +
+			"Request-Timeout-Ms: 7000\r\nContent-Length: 0\r\n\r\n"
+	}
+	c := connect(t, p)
+	for _, id := range []string{"1", "2", "3"} {
+		c.send(t, post(id))
+		c.answer(t)
+	}
+	c.send(t, "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n") // no request of a class: nothing to count
+	c.answer(t)
+	waitUntil(t, func() bool { n, _ := ends(); return n == 3 })
+	goes := connect(t, p)
+	goes.send(t, post("4"))
+	wait(t, "the request at the backend", reached)
+	if n, f := ends(); n != 3 || f.Outstanding != 1 || f.Forwards != 4 {
+		t.Errorf("while one is out: %d ended, %+v", n, f)
+	}
+	goes.Close()
+	waitUntil(t, func() bool { n, _ := ends(); return n == 4 })
+	_, f := ends()
+	if e := f.Classes["post"]; f.Outstanding != 0 || e.Succeeded != 2 || e.Aborted != 2 || f.Discovered != 1 {
+		t.Errorf("at the end: %+v", f)
+	}
+}
+
+func TestAnEndCountsOnce(t *testing.T) {
+	f := newFigures([]string{"a"})
+	one, two := f.take("a"), f.take("b")
+	one.end(http.StatusServiceUnavailable)
+	one.end(0)
+	got := f.snapshot()
+	if got.Classes["a"] != (mgmt.Ends{Declined: 1}) || got.Outstanding != 1 {
+		t.Errorf("got %+v", got)
+	}
+	two.end(0)
+	if got = f.snapshot(); got.Classes["b"] != (mgmt.Ends{Aborted: 1}) || got.Outstanding != 0 {
+		t.Errorf("got %+v", got)
+	}
+	for range 3 * maxClasses {
+		f.name([]string{string(bytes.Repeat([]byte("x"), len(f.classes)+1))})
+	}
+	if len(f.classes) > maxClasses {
+		t.Errorf("%d classes are kept", len(f.classes))
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -55,6 +55,7 @@
 	listener *cappedListener
 	log      *slog.Logger
 	most     int         // connections of clients that are served; those beyond are refused
+	serving  atomic.Bool // connections are accepted
 	draining atomic.Bool // SIGTERM has come: health checks hear it
 	closing  atomic.Bool // and clients are to leave
 
@@ -157,6 +158,8 @@
 
 // serve accepts connections until the listener is closed.
 func (f *frontend) serve() error {
+	f.serving.Store(true)
+	defer f.serving.Store(false)
 	if err := f.server.Serve(f.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
@@ -289,8 +292,11 @@
 		return
 	}
 	f.cameWhole(w, r)
+	own := f.loop.figs.take(f.site.Classes[req.Class])
+	defer own.end(0) // however else this returns
 	if f.over() {
 		f.reply(w, answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter})
+		own.end(http.StatusServiceUnavailable)
 		return
 	}
 	l := f.loop
@@ -298,6 +304,7 @@
 	select {
 	case ans := <-req.answer:
 		f.reply(w, ans)
+		own.end(ans.status)
 	case <-r.Context().Done(): // the client has gone
 		l.post(func() { l.withdraw(req, answer{}) })
 		panic(http.ErrAbortHandler) // a return would answer 200
@@ -310,15 +317,21 @@
 // the slots that clients need.
 func (f *frontend) health(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
+	if f.healthy() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// healthy tells whether there is a list to serve by and more clients may come.
+func (f *frontend) healthy() bool {
 	select {
 	case <-f.loop.listed:
-		if !f.draining.Load() {
-			w.WriteHeader(http.StatusOK)
-			return
-		}
+		return !f.draining.Load()
 	default:
+		return false
 	}
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -57,7 +57,7 @@
 		t.Fatal(err)
 	}
 	l := &loop{clock: clock{time.Now()}, events: make(chan func(), 256), listed: make(chan struct{}),
-		done: make(chan struct{}), reqs: map[string]*request{}}
+		done: make(chan struct{}), reqs: map[string]*request{}, figs: newFigures(nil)}
 	close(l.listed)
 	p := &pipedFrontend{pipes: newPipeListener()}
 	p.frontend = newFrontend(site, l, p.pipes, most, slog.New(slog.DiscardHandler))
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	sweepEvery = time.Second // idle connections to backends are looked over
+	sweepEvery = time.Second            // idle connections to backends are looked over
+	lookEvery  = 200 * time.Millisecond // the figures on servers are taken again
 	// An attempt's time-out at the end of the request's time is the module's to answer and to learn from;
 	// this much later the request is failed whatever the module says.
 	expireAfter = 10 * time.Millisecond
@@ -80,6 +81,7 @@
 	clock  clock
 	pool   *backends
 	zones  zones
+	figs   *figures
 	log    *slog.Logger
 	events chan func()
 	lists  chan listNews
@@ -91,12 +93,13 @@
 	unsent   []*attempt // Sends that cannot be carried out; their outcomes follow the present event
 	attempts sync.WaitGroup
 	ctx      context.Context // of all attempts
+	watched  bool            // somebody may ask for the figures
 	cutoff   int64           // after SIGTERM: nothing waits beyond this; else 0
 	done     chan struct{}   // closed when the loop has ended
 }
 
-func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, log *slog.Logger) *loop {
-	return &loop{bal: bal, clock: c, pool: pool, zones: z, log: log, events: make(chan func(), 256),
+func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
+	return &loop{bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
 		lists: make(chan listNews), asked: make(chan struct{}, 1), listed: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
@@ -112,6 +115,12 @@
 	defer alarm.Stop()
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	var look <-chan time.Time
+	if l.watched {
+		tick := time.NewTicker(lookEvery)
+		defer tick.Stop()
+		look = tick.C
+	}
 	for {
 		// What discovery told comes before all else: nothing may go to a backend known to drain.
 		select {
@@ -128,6 +137,8 @@
 		case <-alarm.C:
 		case now := <-sweep.C:
 			l.pool.sweep(now)
+		case <-look:
+			l.figs.servers(l.bal.Servers())
 		case <-ctx.Done():
 			return
 		}
@@ -187,6 +198,7 @@
 func (l *loop) apply(kind logic.ListKind, list *List) {
 	l.pool.apply(kind != logic.Delta, list.endpoints)
 	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.endpoints))
+	l.figs.servers(l.bal.Servers())
 	select {
 	case <-l.listed:
 	default:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/mgmt"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
@@ -31,6 +32,7 @@
 	Seed      uint64
 	Sockets   int   // descriptors that the process may hold
 	Known     *List // the list as last known; may be nil
+	Watched   bool  // there is a management address: figures are kept up and descriptors reserved for its callers
 	Site      *settings.Site
 	Log       *slog.Logger
 }
@@ -40,6 +42,7 @@
 	cfg   Config
 	loop  *loop
 	front *frontend
+	figs  *figures
 	moved chan string // discovery's new address, the latest only
 
 	stay, left time.Duration // after SIGTERM: see drainTimes
@@ -51,7 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
-	each := (cfg.Sockets - ownSockets - overCap) / 2
+	own := ownSockets
+	if cfg.Watched {
+		own += mgmt.MaxConns + 1
+	}
+	each := (cfg.Sockets - own - overCap) / 2
 	if each < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
@@ -59,14 +66,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	pool := newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each)
+	figs := newFigures(cfg.Site.Classes)
+	pool := newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each, figs)
 	pool.log = cfg.Log
-	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), cfg.Log)
+	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
+	l.watched = cfg.Watched
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
 	stay, left := drainTimes(cfg.Site.Logic.Classes)
-	return &Proxy{cfg: cfg, stay: stay, left: left, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
+	return &Proxy{cfg: cfg, stay: stay, left: left, loop: l, figs: figs, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
 		moved: make(chan string, 1)}, nil
 }
 
@@ -82,6 +91,15 @@
 	}
 }
 
+// Ready tells whether requests that come now are served: clients can connect and there is a list of servers.
+func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
+
+// Figures are the counts so far.
+func (p *Proxy) Figures() mgmt.Figures { return p.figs.snapshot() }
+
+// Reloaded counts a configuration that came with SIGHUP.
+func (p *Proxy) Reloaded(taken bool) { p.figs.reloaded(taken) }
+
 // Addr is where clients connect.
 func (p *Proxy) Addr() string { return p.front.listener.Addr().String() }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"fernlanding/internal/mgmt"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
@@ -78,7 +79,7 @@
 		t.Fatal(err)
 	}
 	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site,
-		Log: slog.New(slog.DiscardHandler)}
+		Watched: true, Log: slog.New(slog.DiscardHandler)}
 	if known != "" {
 		if cfg.Known, err = ParseList([]byte(known)); err != nil {
 			t.Fatal(err)
@@ -278,7 +279,7 @@
 func TestConnectionsOverTheClientsPartAreRefused(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	const most = 8
-	p := startProxy(t, startDiscovery(t).addr, 2*most+ownSockets+overCap,
+	p := startProxy(t, startDiscovery(t).addr, 2*most+ownSockets+mgmt.MaxConns+1+overCap,
 		listText(1, true, listed("a", b.addr, statusServing)))
 	var conns []*client
 	for range most {
--- a/logic/state.go
+++ b/logic/state.go
@@ -274,6 +274,16 @@
 	}
 }
 
+// Servers tells how many servers are listed, and how many of these are avoided: they get trials at most.
+func (b *Balancer) Servers() (listed, avoided int) {
+	for _, s := range b.all {
+		if s.State == Ready && s.whole.left < wellPart {
+			avoided++
+		}
+	}
+	return len(b.all), avoided
+}
+
 // report tells on-call staff when traffic inside the shares is held back, and which way calls lean.
 func (b *Balancer) report(now int64, h Host) {
 	if b.share >= 1 || now-b.reported < reportEvery && b.reported != 0 {
