Keep servers out by hand, with bans that outlive the process and bind both in an upgrade

Design: a ban is one empty file a server, its name escaped, in a folder of the proxy's own under TMPDIR. The folder is the only truth: a call changes it, syncs it and hands the whole set to the loop before its yes; every process reads it 5 times a second, so a call to either of two binds both. In the module a ban takes a server out of the draw as draining does, above list, restarts and last-server-left; one that is back has nothing held against it and gets the next call that may go there. The connections' side begins a new epoch, so a dial under way sends nothing. Rejected: one file with all bans: two processes would lose each other's changes without a lock, and a dead holder's lock would block a start. Rejected: telling the other process over a socket: a call that it misses is lost. TestABannedServerGetsNothingAndIsTriedOnceBack fails without the owed trial, TestABanHoldsAtEveryProcess... without the polling.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -2,14 +2,17 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math"
+	"net/url"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -137,6 +140,8 @@
 		file.Limits.mgmt = env("LB_MGMT")
 	}
 	cfg.Watched = file.Limits.mgmt != ""
+	// Where the folder is not the proxy's own, as it is on the platform, its address tells it from others.
+	cfg.State = filepath.Join(cmp.Or(env("TMPDIR"), os.TempDir()), "fernlanding-"+url.PathEscape(cmp.Or(file.Listen, env("LB_LISTEN"))))
 	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
 	if cfg.Listen == "" {
 		cfg.Listen = env("LB_LISTEN")
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -29,6 +29,9 @@
 	maxBody       = 4 << 10 // no call needs a body; one is read so that a call is known to be whole
 )
 
+// ErrUnknown is the answer to a call on a nodo that no list has named.
+var ErrUnknown = errors.New("no list has named this nodo")
+
 // Ends counts the requests of a class by how they ended.
 type Ends struct {
 	Succeeded, Declined, Aborted int64 // served, refused, failed
@@ -49,6 +52,9 @@
 type Proxy interface {
 	Ready() bool
 	Figures() Figures
+	// Suspend and Resume return once the proxy acts on it and the ban outlives the process.
+	Suspend(nodo string) error
+	Resume(nodo string) error
 }
 
 // Server answers the calls.
@@ -81,6 +87,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/readyz", s.readyz)
 	mux.HandleFunc("GET /v1/metrics", s.metrics)
+	mux.HandleFunc("POST /v1/nodos/{id}/suspend", s.nodo("suspend", p.Suspend))
+	mux.HandleFunc("POST /v1/nodos/{id}/resume", s.nodo("resume", p.Resume))
 	s.http = &http.Server{Handler: s.whole(mux), ReadTimeout: callPatience, WriteTimeout: callPatience + writePatience,
 		MaxHeaderBytes: maxHead, ConnState: s.connState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -174,3 +182,21 @@
 		f.Outstanding, f.Forwards, f.Discovered, f.Ejected, f.Applied, f.Rejected)
 	return b.Bytes()
 }
+
+// nodo answers a call on one nodo.
+func (s *Server) nodo(verb string, do func(string) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.PathValue("id")
+		err := do(id)
+		switch {
+		case errors.Is(err, ErrUnknown):
+			http.Error(w, err.Error(), http.StatusNotFound)
+		case err != nil:
+			s.log.Error("management call", "call", verb, "nodo", id, "error", err)
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		default:
+			s.log.Info("management call", "call", verb, "nodo", id)
+			_, _ = io.WriteString(w, "ok\n")
+		}
+	}
+}
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -16,11 +17,26 @@
 type fakeProxy struct {
 	ready   bool
 	figures Figures
+	did     string
 }
 
 func (p *fakeProxy) Ready() bool      { return p.ready }
 func (p *fakeProxy) Figures() Figures { return p.figures }
 
+func (p *fakeProxy) Suspend(nodo string) error { return p.do("suspend", nodo) }
+func (p *fakeProxy) Resume(nodo string) error  { return p.do("resume", nodo) }
+
+func (p *fakeProxy) do(verb, nodo string) error {
+	switch nodo {
+	case "stranger":
+		return ErrUnknown
+	case "stuck":
+		return errors.New("no room")
+	}
+	p.did = verb + " " + nodo
+	return nil
+}
+
 func start(t *testing.T, p Proxy) *Server {
 	t.Helper()
 	s, err := Listen("127.0.0.1:0", p, slog.New(slog.DiscardHandler))
@@ -143,3 +159,29 @@
 		t.Errorf("half a call got %q", text)
 	}
 }
+
+func TestNodosAreCalledByTheirName(t *testing.T) {
+	p := &fakeProxy{}
+	s := start(t, p)
+	post := func(path string) string { return request("POST "+path, "Content-Length: 0\r\n") }
+	for _, c := range []struct {
+		text   string
+		status int
+		did    string
+	}{
+		{post("/v1/nodos/s-1/suspend"), 200, "suspend s-1"},
+		{post("/v1/nodos/s-1/resume"), 200, "resume s-1"},
+		{post("/v1/nodos/a%2Fb/suspend"), 200, "suspend a/b"},
+		{post("/v1/nodos/stranger/suspend"), 404, ""},
+		{post("/v1/nodos/stuck/resume"), 503, ""},
+		{post("/v1/nodos//suspend"), 404, ""},
+		{post("/v1/nodos/s-1/stop"), 404, ""},
+		{request("GET /v1/nodos/s-1/suspend", ""), 405, ""},
+		{request("POST /v1/nodos/s-1/suspend", ""), 200, "suspend s-1"}, // no body is a whole call too
+	} {
+		p.did = ""
+		if status, _ := call(t, s, c.text); status != c.status || p.did != c.did {
+			t.Errorf("%q: %d, did %q", c.text, status, p.did)
+		}
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -38,6 +38,7 @@
 
 	mu     sync.Mutex
 	byName map[string]*backend
+	banned map[string]bool
 	open   int
 	trust  trust
 
@@ -100,8 +101,9 @@
 	name    string
 	addr    string
 	started int64
-	ready   bool
-	epoch   int     // goes up when what the list says of it changes: drained, gone, restarted or moved
+	serving bool    // by the list
+	ready   bool    // serving and not banned
+	epoch   int     // goes up when what is told of it changes: drained, gone, restarted, moved, banned or not
 	idle    []*conn // the most recently used last
 }
 
@@ -136,23 +138,37 @@
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
-		if ready := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
+		if ready := e.Status == statusServing && !p.banned[e.Name]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
+		b.serving = e.Status == statusServing
 		if e.Status == statusDeleted {
 			delete(p.byName, e.Name)
 		}
 	}
 	for name, b := range p.byName {
 		if full && !listed[name] {
-			b.ready = false
+			b.serving, b.ready = false, false
 			p.turn(b)
 			delete(p.byName, name)
 		}
 	}
 }
 
+// ban has these backends and no others banned: nothing new goes to them, and idle connections there are closed.
+func (p *backends) ban(ids map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.banned = ids
+	for name, b := range p.byName {
+		if ready := b.serving && !ids[name]; ready != b.ready {
+			b.ready = ready
+			p.turn(b)
+		}
+	}
+}
+
 // turn begins a new epoch of a backend.
 func (p *backends) turn(b *backend) {
 	b.epoch++
--- /dev/null
+++ b/internal/proxy/bans_test.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"errors"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"fernlanding/internal/mgmt"
+)
+
+// A ban keeps a server out at both processes of a proxy, through lists and restarts, until one call back.
+func TestABanHoldsAtEveryProcessUntilOneCallBack(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	known := listText(1, true, listed("a/1", b.addr, statusServing))
+	first := startProxy(t, d.addr, 200, known)
+	asks := func(p *running, id string) int {
+		c := connect(t, p)
+		c.send(t, look(id, 4000))
+		resp, _ := c.answer(t)
+		return resp.StatusCode
+	}
+	if got := asks(first, "1"); got != 200 {
+		t.Fatalf("before the ban: %d", got)
+	}
+	for range 3 { // calls may be repeated
+		if err := first.Suspend("a/1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := asks(first, "2"); got != 503 {
+		t.Errorf("the last server left, banned: %d", got)
+	}
+	second := startProxyAt(t, d.addr, 200, known, first.cfg.State)
+	if got := asks(second, "3"); got != 503 {
+		t.Errorf("at the next process: %d", got)
+	}
+	d.say <- listText(2, true) // it leaves the list, and one that is banned can still be called back
+	waitUntil(t, func() bool { return first.Figures().Discovered == 0 || second.Figures().Discovered == 0 })
+	if err := second.Resume("a/1"); err != nil {
+		t.Fatal(err)
+	}
+	d.say <- listText(3, false, `{"name":"a/1","address":"`+b.addr+`","zone":"a","status":"SERVING","since_ms":5}`)
+	d.say <- listText(3, false, `{"name":"a/1","address":"`+b.addr+`","zone":"a","status":"SERVING","since_ms":5}`)
+	id := 10
+	for _, p := range []*running{first, second} {
+		waitUntil(t, func() bool { id++; return asks(p, strconv.Itoa(id)) == 200 })
+	}
+	if f := first.Figures(); f.Ejected != 0 {
+		t.Errorf("%d avoided after the call back", f.Ejected)
+	}
+}
+
+func TestAServerThatNoListNamedIsUnknown(t *testing.T) {
+	p, _ := serving(t, says(served, true))
+	for _, do := range []func(string) error{p.Suspend, p.Resume} {
+		if err := do("stranger"); !errors.Is(err, mgmt.ErrUnknown) {
+			t.Errorf("got %v", err)
+		}
+	}
+	if err := p.Resume("a"); err != nil { // nothing to end, and no harm
+		t.Error(err)
+	}
+	left, err := os.ReadDir(p.cfg.State)
+	if err != nil || len(left) != 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+// A ban that cannot be kept is no ban: the answer must not be yes.
+func TestABanThatCannotBeKeptIsANo(t *testing.T) {
+	p, _ := serving(t, says(served, true))
+	if err := os.RemoveAll(p.cfg.State); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Suspend("a"); err == nil {
+		t.Error("no error")
+	}
+}
+
+func TestBansKeepNamesOfAllKinds(t *testing.T) {
+	s := banStore{t.TempDir()}
+	names := []string{"..", "a", "a b", "a/b", "ü%2F"}
+	for _, id := range names {
+		if err := s.add(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := s.load()
+	if err != nil || len(got) != len(names) {
+		t.Fatalf("got %v, %v", got, err)
+	}
+	for _, id := range names {
+		if !got[id] {
+			t.Errorf("%q is lost", id)
+		}
+		if err := errors.Join(s.remove(id), s.remove(id)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestNamesOfServersThatLeftAreBounded(t *testing.T) {
+	s := newSeen()
+	for i := range 2 * maxSeen {
+		s.add("stays", strconv.Itoa(i))
+	}
+	ids := s.all()
+	if len(ids) > maxSeen || !slices.Contains(ids, "stays") || s.has("0") {
+		t.Errorf("%d names kept", len(ids))
+	}
+}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,10 +87,13 @@
 	log    *slog.Logger
 	events chan func()
 	lists  chan listNews
+	bans   chan banNews
+	seen   *seen
 	asked  chan struct{} // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
 
 	reqs     map[string]*request // until answered and no attempt is out
+	banned   map[string]bool
 	timers   timerHeap
 	unsent   []*attempt // Sends that cannot be carried out; their outcomes follow the present event
 	attempts sync.WaitGroup
@@ -100,7 +105,7 @@
 
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	return &loop{bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
-		lists: make(chan listNews), asked: make(chan struct{}, 1), listed: make(chan struct{}),
+		lists: make(chan listNews), bans: make(chan banNews), seen: newSeen(), asked: make(chan struct{}, 1), listed: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
@@ -122,16 +127,24 @@
 		look = tick.C
 	}
 	for {
-		// What discovery told comes before all else: nothing may go to a backend known to drain.
+		// What discovery and on-call staff told comes before all else: nothing may go to a backend known to
+		// drain, or banned.
 		select {
 		case n := <-l.lists:
 			l.list(n)
 			continue
+		case n := <-l.bans:
+			l.ban(n.ids)
+			close(n.done)
+			continue
 		default:
 		}
 		select {
 		case n := <-l.lists:
 			l.list(n)
+		case n := <-l.bans:
+			l.ban(n.ids)
+			close(n.done)
 		case f := <-l.events:
 			f()
 		case <-alarm.C:
@@ -196,6 +209,11 @@
 }
 
 func (l *loop) apply(kind logic.ListKind, list *List) {
+	names := make([]string, 0, len(list.endpoints))
+	for _, e := range list.endpoints {
+		names = append(names, e.Name)
+	}
+	l.seen.add(names...)
 	l.pool.apply(kind != logic.Delta, list.endpoints)
 	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.endpoints))
 	l.figs.servers(l.bal.Servers())
@@ -208,6 +226,18 @@
 	}
 }
 
+// ban has these backends and no others banned.
+func (l *loop) ban(ids map[string]bool) {
+	if maps.Equal(ids, l.banned) {
+		return
+	}
+	l.log.Info("bans", "backends", slices.Sorted(maps.Keys(ids)))
+	l.banned = ids
+	l.pool.ban(ids)
+	l.bal.Ban(ids)
+	l.figs.servers(l.bal.Servers())
+}
+
 // take hands a request to the module. It has until GiveUp to end it.
 func (l *loop) take(r *request) {
 	if l.reqs[r.ID] != nil { // two under one id could not be told apart
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,9 +30,10 @@
 	Listen    string
 	Discovery string
 	Seed      uint64
-	Sockets   int   // descriptors that the process may hold
-	Known     *List // the list as last known; may be nil
-	Watched   bool  // there is a management address: figures are kept up and descriptors reserved for its callers
+	Sockets   int    // descriptors that the process may hold
+	Known     *List  // the list as last known; may be nil
+	State     string // folder of what outlives the process; with Watched
+	Watched   bool   // there is a management address: figures are kept up and descriptors reserved for its callers
 	Site      *settings.Site
 	Log       *slog.Logger
 }
@@ -43,6 +44,7 @@
 	loop  *loop
 	front *frontend
 	figs  *figures
+	bans  *bans       // nil unless watched
 	moved chan string // discovery's new address, the latest only
 
 	stay, left time.Duration // after SIGTERM: see drainTimes
@@ -74,8 +76,15 @@
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
+	var held *bans
+	if cfg.Watched {
+		if held, err = openBans(cfg.State, l); err != nil {
+			listener.Close()
+			return nil, err
+		}
+	}
 	stay, left := drainTimes(cfg.Site.Logic.Classes)
-	return &Proxy{cfg: cfg, stay: stay, left: left, loop: l, figs: figs, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
+	return &Proxy{cfg: cfg, stay: stay, left: left, loop: l, figs: figs, bans: held, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
 		moved: make(chan string, 1)}, nil
 }
 
@@ -94,6 +103,13 @@
 // Ready tells whether requests that come now are served: clients can connect and there is a list of servers.
 func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
 
+// Suspend has a server get nothing new, whatever the list says, until Resume. Any process of this proxy may be
+// told. The answer comes once this one acts on it; that of a server that no list has named is mgmt.ErrUnknown.
+func (p *Proxy) Suspend(server string) error { return p.bans.suspend(server) }
+
+// Resume ends the ban of a server.
+func (p *Proxy) Resume(server string) error { return p.bans.resume(server) }
+
 // Figures are the counts so far.
 func (p *Proxy) Figures() mgmt.Figures { return p.figs.snapshot() }
 
@@ -110,6 +126,9 @@
 	defer parts.Wait()
 	defer stop()
 	parts.Go(func() { p.loop.run(inner) })
+	if p.bans != nil {
+		parts.Go(func() { p.bans.watch(inner) })
+	}
 	parts.Go(func() {
 		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked, p.moved).run(inner, p.cfg.Site.Logic.Subscribe)
 	})
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -73,13 +73,19 @@
 }
 
 func startProxy(t *testing.T, discovery string, sockets int, known string) *running {
+	t.Helper()
+	return startProxyAt(t, discovery, sockets, known, t.TempDir())
+}
+
+// startProxyAt starts a proxy that keeps its bans in a folder.
+func startProxyAt(t *testing.T, discovery string, sockets int, known, state string) *running {
 	t.Helper()
 	site, err := settings.Decode([]byte(siteText))
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site,
-		Watched: true, Log: slog.New(slog.DiscardHandler)}
+		Watched: true, State: state, Log: slog.New(slog.DiscardHandler)}
 	if known != "" {
 		if cfg.Known, err = ParseList([]byte(known)); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/logic/ban_test.go
@@ -0,0 +1,66 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A ban is above all that the module prefers, and a server that comes back is tried with the next call, cold and
+// far as it may be.
+func TestABannedServerGetsNothingAndIsTriedOnceBack(t *testing.T) {
+	b, h := with(t, testSettings(), 4) // s2 and s3 are in the other zone
+	now, n := start, 0
+	next := func() string {
+		now, n = now+1000, n+1
+		sends := len(h.sends)
+		ask(b, h, now, fmt.Sprint(n), 2)
+		if len(h.sends) == sends {
+			return ""
+		}
+		b.Outcome(now, h, Outcome{ID: fmt.Sprint(n), Status: OK, Took: 1000, Closed: true})
+		return h.sends[sends].server
+	}
+	b.Ban(map[string]bool{"s0": true, "s3": true, "left long ago": true})
+	list := fleet(4)
+	list[0].Launched, list[3].Launched = start, start // restarted meanwhile
+	b.List(start, h, Full, list)
+	for range 300 {
+		if got := next(); got != "s1" && got != "s2" {
+			t.Fatalf("a call went to %q", got)
+		}
+	}
+	if listed, avoided := b.Servers(); listed != 4 || avoided != 2 {
+		t.Errorf("%d listed, %d avoided", listed, avoided)
+	}
+	b.Ban(map[string]bool{"s0": true, "s1": true, "s2": true, "s3": true})
+	if got := next(); got != "" {
+		t.Errorf("with all banned a call went to %q", got)
+	}
+	b.Ban(map[string]bool{"s0": true, "s1": true, "s2": true})
+	if got := next(); got != "s3" {
+		t.Errorf("the one that is back: a call went to %q", got)
+	}
+	b.Ban(map[string]bool{"s0": true})
+	b.Ban(nil)
+	first := map[string]bool{next(): true, next(): true, next(): true}
+	if !first["s0"] || !first["s1"] || !first["s2"] {
+		t.Errorf("the first calls went to %v", first)
+	}
+}
+
+// A further attempt keeps away from a server that was banned after the first.
+func TestABanHoldsForFurtherAttempts(t *testing.T) {
+	b, h := with(t, testSettings(), 2)
+	ask(b, h, start, "1", 0)
+	other := "s0"
+	if h.sends[0].server == "s0" {
+		other = "s1"
+	}
+	b.Ban(map[string]bool{other: true})
+	b.Outcome(start+1000, h, Outcome{ID: "1", Status: Error, Took: 1000})
+	for _, s := range h.sends {
+		if s.server == other {
+			t.Errorf("sent to the banned %s", other)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -224,8 +224,22 @@
 	s.Server = e
 }
 
-// relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is
-// out of the draw from the moment that the list says that it drains or is gone.
+// Ban has these servers and no others left out by hand, whatever the list says of them and if none is left. One
+// that comes back may have restarted meanwhile: it starts with nothing held against it.
+func (b *Balancer) Ban(ids map[string]bool) {
+	was := b.banned
+	b.banned = ids
+	for _, s := range b.all {
+		if was[s.ID] && !ids[s.ID] {
+			s.forget(len(b.classes))
+			s.owed = true
+		}
+	}
+	b.relist()
+}
+
+// relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is out of
+// the draw from the moment that the list says that it drains or is gone, or that it is banned.
 func (b *Balancer) relist() {
 	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
 		if s.State == Gone {
@@ -235,7 +249,7 @@
 	})
 	b.ready = b.ready[:0]
 	for _, s := range b.all {
-		if s.State == Ready {
+		if s.State == Ready && !b.banned[s.ID] {
 			b.ready = append(b.ready, s)
 		}
 	}
@@ -394,8 +408,16 @@
 }
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
-// subset grows where it has too few warm and healthy servers, or none that the request may go to.
+// subset grows where it has too few warm and healthy servers, or none that the request may go to. A server that
+// is back from a ban gets the first call that may go there: it may be cold, in another zone or outside the subset,
+// and who called it back wants to see it serve.
 func (b *Balancer) draw(now int64, q *request) *server {
+	for _, s := range b.ready {
+		if s.owed && b.mayGo(now, q, s) {
+			s.owed = false
+			return s
+		}
+	}
 	b.weights = b.weights[:0]
 	total, best, room := 0.0, 0.0, b.subset(now)
 	for _, s := range b.ready {
--- a/logic/state.go
+++ b/logic/state.go
@@ -107,6 +107,7 @@
 	classes  []health // for the calls of each class
 	inflight int
 	hash     uint64
+	owed     bool // back from a ban and not tried since
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -218,8 +219,9 @@
 	s         Settings
 	rnd       *rand.Rand
 	byID      map[string]*server
-	all       []*server // in order of first listing
-	ready     []*server // those that new calls may go to, this copy's subset first
+	all       []*server       // in order of first listing
+	banned    map[string]bool // by hand; listed or not
+	ready     []*server       // those that new calls may go to, this copy's subset first
 	reqs      map[string]*request
 	turns     map[string]*turn
 	tier      threadRule
@@ -274,10 +276,11 @@
 	}
 }
 
-// Servers tells how many servers are listed, and how many of these are avoided: they get trials at most.
+// Servers tells how many servers are listed, and how many of these are avoided: they are banned or, for their
+// failures, get trials at most.
 func (b *Balancer) Servers() (listed, avoided int) {
 	for _, s := range b.all {
-		if s.State == Ready && s.whole.left < wellPart {
+		if b.banned[s.ID] || s.State == Ready && s.whole.left < wellPart {
 			avoided++
 		}
 	}
