--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -47,7 +47,8 @@
 	}
 	cfg.Log = log
 	if lim.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(lim.MemoryMB * memoryPart * (1 << 20)))
+		cfg.Memory = func(part float64) { debug.SetMemoryLimit(int64(lim.MemoryMB * part * memoryPart * (1 << 20))) }
+		cfg.Memory(1)
 	}
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -233,22 +233,37 @@
 	return c, nil
 }
 
+// limit sets how many connections may be open. Beyond it idle ones are closed.
+func (p *backends) limit(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for p.open > p.most && p.shedLocked() {
+	}
+}
+
+// shedLocked closes the connection that has been idle the longest, if there is one.
+func (p *backends) shedLocked() bool {
+	var oldest *backend
+	for _, b := range p.byName {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = b
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.closeLocked(oldest.idle[0])
+	oldest.idle = oldest.idle[1:]
+	return true
+}
+
 // reserve counts a connection in. At the limit the one that has been idle longest makes room.
 func (p *backends) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open >= p.most {
-		var oldest *backend
-		for _, b := range p.byName {
-			if len(b.idle) > 0 && (oldest == nil || b.idle[0].since.Before(oldest.idle[0].since)) {
-				oldest = b
-			}
-		}
-		if oldest == nil {
-			return false
-		}
-		p.closeLocked(oldest.idle[0])
-		oldest.idle = oldest.idle[1:]
+	if p.open >= p.most && !p.shedLocked() {
+		return false
 	}
 	p.open++
 	return true
--- a/internal/proxy/bans.go
+++ b/internal/proxy/bans.go
@@ -91,9 +91,6 @@
 
 // openBans takes the bans that hold, before anything is sent.
 func openBans(dir string, l *loop) (*bans, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, fmt.Errorf("bans: %w", err)
-	}
 	b := &bans{store: banStore{dir}, loop: l}
 	ids, err := b.store.load()
 	if err != nil {
--- a/internal/proxy/bans_test.go
+++ b/internal/proxy/bans_test.go
@@ -34,8 +34,9 @@
 		t.Errorf("the last server left, banned: %d", got)
 	}
 	second := startProxyAt(t, d.addr, 200, known, first.cfg.State)
+	waitUntil(t, func() bool { return second.Figures().Ejected == 1 })
 	if got := asks(second, "3"); got != 503 {
-		t.Errorf("at the next process: %d", got)
+		t.Errorf("beside the next process: %d", got)
 	}
 	d.say <- listText(2, true) // it leaves the list, and one that is banned can still be called back
 	waitUntil(t, func() bool { return first.Figures().Discovered == 0 || second.Figures().Discovered == 0 })
@@ -48,8 +49,8 @@
 	for _, p := range []*running{first, second} {
 		waitUntil(t, func() bool { id++; return asks(p, strconv.Itoa(id)) == 200 })
 	}
-	if f := first.Figures(); f.Ejected != 0 {
-		t.Errorf("%d avoided after the call back", f.Ejected)
+	for _, p := range []*running{first, second} { // whichever was asked above
+		waitUntil(t, func() bool { return p.Figures().Ejected == 0 })
 	}
 }
 
@@ -63,7 +64,7 @@
 	if err := p.Resume("a"); err != nil { // nothing to end, and no harm
 		t.Error(err)
 	}
-	left, err := os.ReadDir(p.cfg.State)
+	left, err := p.bans.store.load()
 	if err != nil || len(left) != 0 {
 		t.Errorf("left behind: %v, %v", left, err)
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -42,6 +42,8 @@
 	answerMargin = 30 * time.Millisecond
 	marginPart   = 8
 
+	leaveIdle = time.Second // see leave
+
 	overCap = 32 // connections beyond the clients' part, to refuse on
 )
 
@@ -54,10 +56,10 @@
 	server   *http.Server
 	listener *cappedListener
 	log      *slog.Logger
-	most     int         // connections of clients that are served; those beyond are refused
-	serving  atomic.Bool // connections are accepted
-	draining atomic.Bool // SIGTERM has come: health checks hear it
-	closing  atomic.Bool // and clients are to leave
+	most     atomic.Int64 // connections of clients that are served; those beyond are refused
+	serving  atomic.Bool  // connections are accepted
+	draining atomic.Bool  // SIGTERM has come: health checks hear it
+	closing  atomic.Bool  // and clients are to leave
 
 	mu      sync.Mutex
 	conns   map[net.Conn]connState
@@ -75,10 +77,11 @@
 // connKey finds a request's connection in its context.
 type connKey struct{}
 
-func newFrontend(site *settings.Site, l *loop, listener net.Listener, most int, log *slog.Logger) *frontend {
-	f := &frontend{site: site, loop: l, log: log, most: most, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
+func newFrontend(site *settings.Site, l *loop, listener net.Listener, most, over int, log *slog.Logger) *frontend {
+	f := &frontend{site: site, loop: l, log: log, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
 		conns: map[net.Conn]connState{}}
-	f.listener = newCappedListener(listener, most+overCap, f.shed)
+	f.listener = newCappedListener(listener, f.shed)
+	f.limit(most, over)
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
@@ -107,14 +110,17 @@
 // shed is called for as long as they must.
 type cappedListener struct {
 	net.Listener
-	slots  chan struct{}
 	shed   func()
+	freed  chan struct{} // holds a value after a slot came free
 	closed chan struct{}
 	once   sync.Once
+
+	mu         sync.Mutex
+	used, most int
 }
 
-func newCappedListener(l net.Listener, most int, shed func()) *cappedListener {
-	return &cappedListener{Listener: l, slots: make(chan struct{}, most), shed: shed, closed: make(chan struct{})}
+func newCappedListener(l net.Listener, shed func()) *cappedListener {
+	return &cappedListener{Listener: l, shed: shed, freed: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // Accept takes a slot, which the connection gives back when the server reports it closed.
@@ -124,7 +130,7 @@
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
-		<-l.slots
+		l.free()
 		return nil, err
 	}
 	return &framedConn{Conn: c}, nil
@@ -132,25 +138,52 @@
 
 // slot waits for a slot; false if the listener was closed first.
 func (l *cappedListener) slot() bool {
-	select {
-	case l.slots <- struct{}{}:
+	if l.take() {
 		return true
-	default:
 	}
 	again := time.NewTicker(shedEvery)
 	defer again.Stop()
 	for {
 		l.shed()
 		select {
-		case l.slots <- struct{}{}:
-			return true
+		case <-l.freed:
 		case <-l.closed:
 			return false
 		case <-again.C:
 		}
+		if l.take() {
+			return true
+		}
+	}
+}
+
+func (l *cappedListener) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.used >= l.most {
+		return false
+	}
+	l.used++
+	return true
+}
+
+func (l *cappedListener) free() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used--
+	select {
+	case l.freed <- struct{}{}:
+	default:
 	}
 }
 
+// limit sets how many slots there are. Connections that are open stay.
+func (l *cappedListener) limit(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+}
+
 func (l *cappedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
@@ -172,7 +205,7 @@
 	if s == http.StateClosed || s == http.StateHijacked {
 		if _, ok := f.conns[c]; ok {
 			delete(f.conns, c)
-			<-f.listener.slots
+			f.listener.free()
 		}
 		return
 	}
@@ -183,7 +216,13 @@
 }
 
 // short tells whether so many connections leave too little room for others.
-func (f *frontend) short(open int) bool { return float64(open) > shortPart*float64(f.most) }
+func (f *frontend) short(open int) bool { return float64(open) > shortPart*float64(f.most.Load()) }
+
+// limit sets how many connections of clients are served, and how many beyond these are taken to be refused.
+func (f *frontend) limit(most, over int) {
+	f.most.Store(int64(most))
+	f.listener.limit(most + over)
+}
 
 // cameWhole notes that the request on a connection is whole: it is owed its answer, and that connection is
 // none to spare. A further read is only there to notice a client that goes.
@@ -246,7 +285,7 @@
 func (f *frontend) over() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.conns) <= f.most {
+	if int64(len(f.conns)) <= f.most.Load() {
 		return false
 	}
 	f.refused++
@@ -260,13 +299,14 @@
 	return len(f.conns)
 }
 
-// closeIdle closes the connections that carry no request, and returns how many others there are. One on
-// which a request has just come in is left alone: closing it would lose that request.
-func (f *frontend) closeIdle(newFor time.Duration) (busy int) {
+// closeIdle closes the connections that have carried no request for some time, and returns how many others there
+// are. One on which a request has just come in is left alone: closing it would lose that request.
+func (f *frontend) closeIdle(idleFor, newFor time.Duration) (busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, s := range f.conns {
-		idle := s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > newFor
+		d := time.Since(s.since)
+		idle := s.state == http.StateIdle && d >= idleFor || s.state == http.StateNew && d > newFor
 		if idle && quiet(c) {
 			c.Close()
 		} else {
@@ -458,9 +498,31 @@
 	time.Sleep(stay)
 	f.closing.Store(true)
 	f.listener.Close()
-	for f.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
+	for f.closeIdle(0, acceptAfter) > 0 && time.Now().Before(cutoff) {
+		time.Sleep(drainStep)
+	}
+	f.end(start, cutoff)
+}
+
+// leave closes the doors after SIGTERM where a successor serves. New connections are the successor's at once. Kept
+// ones are told to close by their next answer, since a close of ours could cross a request; those that do not ask
+// for leaveIdle are closed, and after stay all that are idle.
+func (f *frontend) leave(stay time.Duration, cutoff time.Time) {
+	start := time.Now()
+	f.draining.Store(true)
+	f.log.Info("leaving to the successor", "open", f.open())
+	f.closing.Store(true)
+	f.listener.Close()
+	for idleFor := leaveIdle; f.closeIdle(idleFor, acceptAfter) > 0 && time.Now().Before(cutoff); {
 		time.Sleep(drainStep)
+		if time.Since(start) > stay {
+			idleFor = 0
+		}
 	}
+	f.end(start, cutoff)
+}
+
+func (f *frontend) end(start, cutoff time.Time) {
 	f.log.Info("drained", "after", time.Since(start), "left", f.open())
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
 	defer cancel()
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -60,7 +60,7 @@
 		done: make(chan struct{}), reqs: map[string]*request{}, figs: newFigures(nil)}
 	close(l.listed)
 	p := &pipedFrontend{pipes: newPipeListener()}
-	p.frontend = newFrontend(site, l, p.pipes, most, slog.New(slog.DiscardHandler))
+	p.frontend = newFrontend(site, l, p.pipes, most, overCap, slog.New(slog.DiscardHandler))
 	go func() { _ = p.serve() }()
 	return p
 }
--- /dev/null
+++ b/internal/proxy/handover_test.go
@@ -0,0 +1,162 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A successor takes over while clients come on new and kept connections: none is turned back, the predecessor's
+// kept connections are told to close, and it ends.
+func TestASuccessorTakesOverUnnoticed(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	known := listText(1, true, listed("a", b.addr, statusServing))
+	state := t.TempDir()
+	first := startProxyAt(t, d.addr, 400, known, state)
+	waitUntil(t, func() bool { return first.heirs.Load() != nil })
+	kept := connect(t, first)
+	kept.send(t, look("kept", 4000))
+	kept.answer(t)
+
+	var id, bad atomic.Int64
+	over := make(chan struct{})
+	var clients sync.WaitGroup
+	end := sync.OnceFunc(func() { close(over); clients.Wait() })
+	defer end()
+	for range 4 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-over:
+					return
+				case <-time.After(10 * time.Millisecond): // within the tenant's share
+				}
+				if status := oneShot(first.Addr(), look(fmt.Sprint("n", id.Add(1)), 4000)); status != 200 {
+					bad.Add(1)
+					t.Logf("a request was answered with %d", status)
+				}
+			}
+		})
+	}
+	d.say <- listText(2, true, listed("a", b.addr, statusServing)) // whoever asks: the successor too
+	d.say <- listText(2, true, listed("a", b.addr, statusServing))
+	second := startProxyAt(t, d.addr, 400, known, state)
+	if second.Addr() != first.Addr() {
+		t.Fatalf("the successor listens at %s and not %s", second.Addr(), first.Addr())
+	}
+	waitUntil(t, second.Ready)
+	waitUntil(t, func() bool { return first.heirs.Load().served() })
+	kept.send(t, look("kept to the end", 4000))
+	if resp, _ := kept.answer(t); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("before the end: %s, close %v", resp.Status, resp.Close)
+	}
+	first.stop()
+	waitUntil(t, first.front.closing.Load)
+	kept.send(t, look("kept on", 4000))
+	if resp, _ := kept.answer(t); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("on a kept connection: %s, close %v", resp.Status, resp.Close)
+	}
+	if err := wait(t, "end of the predecessor", first.done); err != nil {
+		t.Error(err)
+	}
+	first.done <- nil
+	before := id.Load()
+	waitUntil(t, func() bool { return id.Load() > before+50 })
+	end()
+	if n := bad.Load(); n > 0 {
+		t.Errorf("%d of %d requests went wrong", n, id.Load())
+	}
+	each, _ := second.cfg.parts(false)
+	waitUntil(t, func() bool { return int(second.front.most.Load()) == each })
+	third := startProxyAt(t, d.addr, 400, known, state) // and the successor can be succeeded
+	if third.elder == nil {
+		t.Error("the successor hands nothing over")
+	}
+}
+
+// oneShot sends one request on a connection of its own; 0 is no whole answer.
+func oneShot(addr, text string) int {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	var status int
+	if _, err := fmt.Fprint(c, text); err != nil {
+		return 0
+	}
+	if _, err := fmt.Fscanf(c, "HTTP/1.1 %d", &status); err != nil {
+		return 0
+	}
+	return status
+}
+
+// While both live each keeps to its part; a successor that dies leaves the other with all.
+func TestTwoProcessesShareTheLimits(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	known := listText(1, true, listed("a", b.addr, statusServing))
+	state := t.TempDir()
+	first := startProxyAt(t, d.addr, 400, known, state)
+	waitUntil(t, func() bool { return first.heirs.Load() != nil })
+	half, over := first.cfg.parts(true)
+	if all := 2 * (2*half + over + ownShared + 17); all > 400 {
+		t.Errorf("two processes may hold %d descriptors", all)
+	}
+	second := startProxyAt(t, d.addr, 400, known, state)
+	for _, p := range []*running{first, second} {
+		waitUntil(t, func() bool { return int(p.front.most.Load()) == half })
+	}
+	second.stop()
+	each, _ := first.cfg.parts(false)
+	waitUntil(t, func() bool { return int(first.front.most.Load()) == each })
+	if status := oneShot(first.Addr(), look("1", 4000)); status != 200 {
+		t.Errorf("after the successor's end: %d", status)
+	}
+}
+
+// What a dead or mute predecessor left behind must not keep a process from its start.
+func TestLeftoversDoNotBlockAStart(t *testing.T) {
+	for name, leave := range map[string]func(t *testing.T, path string){
+		"a file": func(t *testing.T, path string) {
+			if err := os.WriteFile(path, nil, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		},
+		"a dead socket": func(t *testing.T, path string) {
+			l, err := net.ListenUnix("unix", &net.UnixAddr{Net: "unix", Name: path})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.SetUnlinkOnClose(false)
+			l.Close()
+		},
+		"a mute process": func(t *testing.T, path string) {
+			l, err := net.Listen("unix", path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := t.TempDir()
+			leave(t, filepath.Join(state, handoverName))
+			b := startBackend(t, says(served, true))
+			p := startProxyAt(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, statusServing)), state)
+			if p.elder != nil {
+				t.Error("it takes itself for a successor")
+			}
+			if status := oneShot(p.Addr(), look("1", 4000)); status != 200 {
+				t.Errorf("got %d", status)
+			}
+		})
+	}
+}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -91,6 +91,7 @@
 	seen   *seen
 	asked  chan struct{} // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
+	fresh  chan struct{} // closed when there is one from discovery
 
 	reqs     map[string]*request // until answered and no attempt is out
 	banned   map[string]bool
@@ -106,7 +107,8 @@
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	return &loop{bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
 		lists: make(chan listNews), bans: make(chan banNews), seen: newSeen(), asked: make(chan struct{}, 1), listed: make(chan struct{}),
-		reqs: map[string]*request{}, done: make(chan struct{})}
+		fresh: make(chan struct{}),
+		reqs:  map[string]*request{}, done: make(chan struct{})}
 }
 
 // run plays events until the context ends, and then until every attempt has.
@@ -206,6 +208,11 @@
 	}
 	l.apply(kind, n.list)
 	l.settle()
+	select {
+	case <-l.fresh:
+	default:
+		close(l.fresh)
+	}
 }
 
 func (l *loop) apply(kind logic.ListKind, list *List) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,10 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"fernlanding/internal/mgmt"
@@ -19,6 +23,10 @@
 	ownSockets = 32 // descriptors that are neither a client's nor a backend's, generously
 	leastEach  = 8  // connections on either side, at least
 
+	// While two processes are one proxy each keeps to half of the descriptors, and reckons them closer.
+	ownShared  = 16
+	overShared = 8
+
 	acceptAfter = 550 * time.Millisecond // new connections may still come for this long after SIGTERM
 	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
 	killLeeway  = 500 * time.Millisecond // and somewhat more
@@ -36,6 +44,9 @@
 	Watched   bool   // there is a management address: figures are kept up and descriptors reserved for its callers
 	Site      *settings.Site
 	Log       *slog.Logger
+
+	// Memory is told what part of the memory limit is this process's; may be nil.
+	Memory func(part float64)
 }
 
 // Proxy is one proxy with its listener open.
@@ -44,8 +55,10 @@
 	loop  *loop
 	front *frontend
 	figs  *figures
-	bans  *bans       // nil unless watched
-	moved chan string // discovery's new address, the latest only
+	bans  *bans                 // nil unless watched
+	elder *elder                // the predecessor that lives, or nil
+	heirs atomic.Pointer[heirs] // once this process serves, if watched
+	moved chan string           // discovery's new address, the latest only
 
 	stay, left time.Duration // after SIGTERM: see drainTimes
 }
@@ -56,15 +69,18 @@
 	if err != nil {
 		return nil, err
 	}
-	own := ownSockets
-	if cfg.Watched {
-		own += mgmt.MaxConns + 1
-	}
-	each := (cfg.Sockets - own - overCap) / 2
+	each, over := cfg.parts(false)
 	if each < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
+	var before *elder
+	if cfg.Watched {
+		if err := os.MkdirAll(cfg.State, 0o700); err != nil {
+			return nil, fmt.Errorf("state: %w", err)
+		}
+		before = findElder(cfg.State, cfg.Log)
+	}
+	listener, err := cfg.listen(before)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -73,19 +89,122 @@
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
+	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, moved: make(chan string, 1)}
+	p.stay, p.left = drainTimes(cfg.Site.Logic.Classes)
+	p.front = newFrontend(cfg.Site, l, listener, each, over, cfg.Log)
+	if before != nil {
+		bal.Inherit(before.legacy.Spent)
+		l.seen.add(before.legacy.Seen...)
+		p.share(true)
+	}
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	var held *bans
 	if cfg.Watched {
-		if held, err = openBans(cfg.State, l); err != nil {
+		if p.bans, err = openBans(cfg.State, l); err != nil {
 			listener.Close()
 			return nil, err
 		}
 	}
-	stay, left := drainTimes(cfg.Site.Logic.Classes)
-	return &Proxy{cfg: cfg, stay: stay, left: left, loop: l, figs: figs, bans: held, front: newFrontend(cfg.Site, l, listener, each, cfg.Log),
-		moved: make(chan string, 1)}, nil
+	return p, nil
+}
+
+// listen takes the predecessor's listener over, or opens one. On the platform a predecessor whose word did not come
+// leaves the address to be shared.
+func (cfg Config) listen(before *elder) (net.Listener, error) {
+	if before != nil {
+		return before.listener, nil
+	}
+	var lc net.ListenConfig
+	if cfg.Watched {
+		lc.Control = func(_, _ string, c syscall.RawConn) error {
+			var set error
+			if err := c.Control(func(fd uintptr) {
+				set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1)
+			}); err != nil {
+				return err
+			}
+			return set
+		}
+	}
+	return lc.Listen(context.Background(), "tcp", cfg.Listen)
+}
+
+// soReusePort is SO_REUSEPORT, which package syscall does not name on Linux.
+const soReusePort = 0xf
+
+// parts tells how many connections there may be on either side, and how many more of clients to refuse on.
+func (cfg Config) parts(shared bool) (each, over int) {
+	sockets, own, over := cfg.Sockets, ownSockets, overCap
+	if shared {
+		sockets, own, over = sockets/2, ownShared, overShared
+	}
+	if cfg.Watched {
+		own += mgmt.MaxConns + 1
+	}
+	return (sockets - own - over) / 2, over
+}
+
+// share has this process keep to its part of memory and descriptors while another of the proxy lives, or not.
+func (p *Proxy) share(with bool) {
+	each, over := p.cfg.parts(with)
+	p.front.limit(max(each, leastEach), over)
+	p.loop.pool.limit(max(each, leastEach))
+	if p.cfg.Memory != nil {
+		part := 1.0
+		if with {
+			part = 0.5
+		}
+		p.cfg.Memory(part)
+	}
+}
+
+// alone takes the news that the other process has ended.
+func (p *Proxy) alone() {
+	p.share(false)
+	p.loop.post(func() { p.loop.bal.Alone(p.loop.clock.now()) })
+}
+
+// handOver tells a successor what it needs to know, and shares with it from then on.
+func (p *Proxy) handOver() (legacy, error) {
+	out := make(chan legacy, 1)
+	p.loop.post(func() {
+		out <- legacy{Spent: p.loop.bal.HandOver(p.loop.clock.now()), Seen: p.loop.seen.all()}
+	})
+	select {
+	case l := <-out:
+		p.share(true)
+		return l, nil
+	case <-p.loop.done:
+		return legacy{}, errors.New("this process is at its end")
+	}
+}
+
+// serve takes clients. With a predecessor alive that waits for a list from discovery, or for too long: until then
+// the predecessor takes them all.
+func (p *Proxy) serve(ctx context.Context) error {
+	if p.elder != nil {
+		late := time.NewTimer(freshPatience)
+		defer late.Stop()
+		select {
+		case <-p.loop.fresh:
+		case <-late.C:
+			p.cfg.Log.Warn("no list from discovery yet, serving by the one last known")
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	if p.cfg.Watched {
+		if err := p.openHeirs(); err != nil { // not worth an end: a successor then shares the address, at some cost
+			p.cfg.Log.Error("no successor can take over", "error", err)
+		}
+	}
+	if p.elder != nil {
+		if err := p.elder.serving(); err != nil {
+			p.cfg.Log.Warn("the predecessor has ended", "error", err)
+		}
+	}
+	return p.front.serve()
 }
 
 // MoveDiscovery has the proxy take its list from another address from now on. What it knows stands until
@@ -132,8 +251,17 @@
 	parts.Go(func() {
 		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked, p.moved).run(inner, p.cfg.Site.Logic.Subscribe)
 	})
+	if p.elder != nil {
+		parts.Go(func() { p.elder.wait(); p.alone() })
+		defer p.elder.conn.Close()
+	}
 	served := make(chan error, 1)
-	parts.Go(func() { served <- p.front.serve() })
+	parts.Go(func() { served <- p.serve(ctx) })
+	defer func() {
+		if h := p.heirs.Load(); h != nil {
+			h.close()
+		}
+	}()
 	select {
 	case err := <-served:
 		return err
@@ -141,7 +269,26 @@
 	}
 	cutoff := time.Now().Add(p.left)
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
-	p.front.drain(p.stay, cutoff)
+	if h := p.heirs.Load(); h != nil && h.served() {
+		p.front.leave(p.stay, cutoff)
+	} else {
+		p.front.drain(p.stay, cutoff)
+	}
+	return <-served
+}
+
+func (p *Proxy) openHeirs() error {
+	shared, ok := p.front.listener.Listener.(syscall.Conn)
+	if !ok {
+		return errors.New("the listener has no descriptor")
+	}
+	h, err := openHeirs(p.cfg.State, shared, p.cfg.Log)
+	if err != nil {
+		return err
+	}
+	h.tell, h.gone = p.handOver, p.alone
+	h.done.Go(h.serve)
+	p.heirs.Store(h)
 	return nil
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -145,6 +145,12 @@
 	Closed  bool // the request is over; otherwise this proxy still owes the final answer
 }
 
+// Spent is what has been used of the allowance for further attempts: the times of requests and of attempts
+// beyond the first of each.
+type Spent struct {
+	Taken, Further []int64
+}
+
 // Host carries out what a Balancer decides. Its methods are called from inside event methods, are to
 // return at once and must not call back into the Balancer.
 type Host interface {
--- /dev/null
+++ b/logic/handover_test.go
@@ -0,0 +1,80 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Two Balancers that are one proxy keep the allowance for further attempts between them, in every window.
+func TestTheAllowanceIsOneForBothProcesses(t *testing.T) {
+	s := testSettings()
+	s.BudgetSpan, s.BudgetFree, s.BudgetShare, s.MaxAttempts = 10*second, 5, 0.1, 3
+	old, h := with(t, s, 4)
+	var taken, further []int64
+	fail := func(b *Balancer, now int64, id string) {
+		taken = append(taken, now)
+		sends := len(h.sends)
+		ask(b, h, now, id, 0)
+		for i := 0; len(h.sends) > sends+i; i++ {
+			if i > 0 {
+				further = append(further, now)
+			}
+			b.Outcome(now, h, Outcome{ID: id, Attempt: i, Status: FullUp, Took: 1})
+		}
+	}
+	now := start
+	for i := range 20 {
+		now += second / 10
+		fail(old, now, fmt.Sprint("o", i))
+	}
+	next := mustNew(t, s)
+	next.Inherit(old.HandOver(now))
+	next.List(now, h, Full, fleet(4))
+	for i := range 400 {
+		now += second / 20
+		b := next
+		if i%2 == 0 {
+			b = old
+		}
+		if i == 300 {
+			old.Alone(now) // the successor has died; the free part is not there at once
+		}
+		if i >= 300 {
+			b = old
+		}
+		fail(b, now, fmt.Sprint(i))
+	}
+	for _, end := range further {
+		n, allowed := 0.0, s.BudgetFree
+		for _, at := range further {
+			if at <= end && at >= end-s.BudgetSpan {
+				n++
+			}
+		}
+		for _, at := range taken {
+			if at <= end && at > end-s.BudgetSpan {
+				allowed += s.BudgetShare
+			}
+		}
+		if n > allowed+1e-9 {
+			t.Fatalf("%v further attempts within the span that ends at %d, %v allowed", n, end, allowed)
+		}
+	}
+	if len(further) < 10 {
+		t.Errorf("only %d further attempts", len(further))
+	}
+}
+
+func TestAColdServerGetsHalfFromEachOfTwo(t *testing.T) {
+	b, _ := with(t, testSettings(), 1)
+	cold := &server{Server: Server{Launched: start}}
+	whole := b.warmth(start+second, cold)
+	b.Inherit(Spent{})
+	if got := b.warmth(start+second, cold); got != whole/2 {
+		t.Errorf("beside another process %v, alone %v", got, whole)
+	}
+	b.Alone(start)
+	if got := b.warmth(start+second, cold); got != whole {
+		t.Errorf("alone again %v, before %v", got, whole)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -224,8 +224,8 @@
 	s.Server = e
 }
 
-// Ban has these servers and no others left out by hand, whatever the list says of them and if none is left. One
-// that comes back may have restarted meanwhile: it starts with nothing held against it.
+// Ban has these servers and no others left out by hand, whatever the list says of them and if none is left.
+// One that comes back may have restarted meanwhile: it starts with nothing held against it.
 func (b *Balancer) Ban(ids map[string]bool) {
 	was := b.banned
 	b.banned = ids
@@ -275,6 +275,29 @@
 	return max(subsetLeast, subsetRoot*math.Sqrt(rate))
 }
 
+// HandOver tells a successor, which serves beside this Balancer from now on, what has been used of the
+// allowance for further attempts. The free part of it and what was earned are the successor's then; this one
+// keeps what further requests earn it, so that the two together stay within the rule in every window.
+func (b *Balancer) HandOver(now int64) Spent {
+	b.taken.since(now - b.s.BudgetSpan)
+	b.further.since(now - b.s.BudgetSpan)
+	s := Spent{Taken: b.taken, Further: b.further}
+	b.taken, b.further, b.free, b.shared = nil, nil, math.MaxInt64, true
+	return s
+}
+
+// Inherit takes what a predecessor handed over, before the first request. It may send on for a while.
+func (b *Balancer) Inherit(s Spent) { b.taken, b.further, b.shared = s.Taken, s.Further, true }
+
+// Alone takes the news that the other process has ended. A predecessor that outlives its successor has the
+// free part of the allowance again when no window holds what that one may have used of it.
+func (b *Balancer) Alone(now int64) {
+	b.shared = false
+	if b.free == math.MaxInt64 {
+		b.free = now + b.s.BudgetSpan
+	}
+}
+
 // Timer takes a timer that was asked for.
 func (b *Balancer) Timer(now int64, h Host, token string) {
 	if token == watchToken && !b.asked {
@@ -408,9 +431,9 @@
 }
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
-// subset grows where it has too few warm and healthy servers, or none that the request may go to. A server that
-// is back from a ban gets the first call that may go there: it may be cold, in another zone or outside the subset,
-// and who called it back wants to see it serve.
+// subset grows where it has too few warm and healthy servers, or none that the request may go to. A server
+// that is back from a ban gets the first call that may go there: it may be cold, in another zone or outside
+// the subset, and who called it back wants to see it serve.
 func (b *Balancer) draw(now int64, q *request) *server {
 	for _, s := range b.ready {
 		if s.owed && b.mayGo(now, q, s) {
@@ -488,7 +511,11 @@
 		return 1
 	}
 	part := float64(max(age, 0)) / float64(b.s.Cold)
-	return coldMargin * (b.s.StartCapacity + (1-b.s.StartCapacity)*part)
+	margin := coldMargin
+	if b.shared { // the other process sends there too
+		margin /= 2
+	}
+	return margin * (b.s.StartCapacity + (1-b.s.StartCapacity)*part)
 }
 
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
@@ -571,9 +598,12 @@
 // again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget is
 // exact in the window that ends now: an attempt at its far edge counts, a request taken there does not.
 func (b *Balancer) again(now int64, h Host, q *request) bool {
-	u, rule, from := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan
+	u, rule, from, free := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan, b.s.BudgetFree
+	if now < b.free {
+		free = 0
+	}
 	if len(q.attempts) >= b.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
-		b.further.since(from)+1 > b.s.BudgetFree+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
+		b.further.since(from)+1 > free+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
 		return false
 	}
 	b.further.add(now, b.s.BudgetSpan)
--- a/logic/state.go
+++ b/logic/state.go
@@ -238,6 +238,8 @@
 	taken     timeline // requests
 	came      tally    // requests, over a longer time
 	further   timeline // attempts beyond each request's first
+	free      int64    // the free part of the allowance for further attempts is this Balancer's from then on
+	shared    bool     // another process of this proxy sends too
 	born      int64    // when the first request came
 	backoff   int64    // before the next try at a subscription
 	asked     bool     // a subscription was asked for
