Pass large answers on as they come, whatever their framing

Design: an answer of up to 64 KiB is still taken whole, so that one that breaks off can be tried again. A longer one, or one of untold length that is not here within 100 ms, ends the request in the module as Started and is read by the client's side, 32 KiB at a time: who does not read holds the backend up, and the attempt owns the connection until the copy says how it ended. A break shows in the client's framing. A stall of 10 s ends it. An answer ended by the close of its connection is an answer. Rejected: buffering on: at 64 MB for all, a few answers of 32 MB are the limit. Rejected: read deadlines to wait for chunks: net/http's chunk reader does not go on after one, so a small prefetch waits instead. Lines: attempt.read, ContentLength checks. TestLargeAnswersArePassedOnAsTheyCome and TestAClientThatDoesNotReadHoldsTheBackendUp fail without it.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -21,13 +21,9 @@
 	"fernlanding/logic"
 )
 
-const maxBody = 64 << 10 // of a request and of an answer
-
 // answerHead bounds what a backend's answer may hold before its body.
 const answerHead = 16 << 10
 
-const answerLimit = answerHead + 2*maxBody // framing of small chunks included
-
 // backends holds the connections to all backends of the list. It stands in for http.Transport, which by
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
@@ -35,6 +31,7 @@
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
 	most    int           // open connections, those being opened included
+	whole   int           // answers up to this many bytes are taken whole before they are passed on
 
 	mu     sync.Mutex
 	byName map[string]*backend
@@ -112,16 +109,29 @@
 	net.Conn
 	r     *bufio.Reader
 	body  *bufio.Reader // of a head that was looked at, and then r
-	limit io.LimitedReader
+	came  bool          // a byte of the present answer has
 	of    *backend
 	epoch int // of the backend when it was opened
 	since time.Time
 	idle  time.Duration // before its present request; 0 for its first
 }
 
+// counted reads from the connection and notes that something came.
+func (c *conn) counted() io.Reader { return readFunc(c.readOn) }
+
+func (c *conn) readOn(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.came = c.came || n > 0
+	return n, err
+}
+
+type readFunc func(p []byte) (int, error)
+
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
 func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most, figs: figs,
+	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most, whole: wholeMost, figs: figs,
 		byName: map[string]*backend{}}
 }
 
@@ -227,8 +237,7 @@
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
 	c := &conn{Conn: nc, of: b, epoch: epoch}
-	c.limit.R = nc
-	c.r = bufio.NewReaderSize(&c.limit, 4<<10)
+	c.r = bufio.NewReaderSize(c.counted(), 4<<10)
 	c.body = bufio.NewReaderSize(nil, 1<<10)
 	return c, nil
 }
@@ -363,6 +372,9 @@
 	epoch    int
 	ctx      context.Context // its end stops the attempt
 	stop     context.CancelFunc
+
+	// stream hands an answer that is passed on as it comes to the client's side, and returns whether there is one.
+	stream func(answer) bool
 }
 
 // result is how an attempt ended.
@@ -429,6 +441,7 @@
 		return result{status: logic.ConnectFailed}, false
 	}
 	a.pool.figs.forward()
+	c.came = false
 	res, keep, err = a.read(c)
 	switch {
 	case err == nil:
@@ -439,7 +452,7 @@
 		return result{status: logic.Cancelled}, false
 	}
 	a.pool.broken(a.backend, err)
-	if c.limit.N == answerLimit && time.Since(wrote) < staleWithin { // not a byte came
+	if !c.came && time.Since(wrote) < staleWithin {
 		a.pool.stale(c)
 	}
 	return result{status: logic.Reset}, false
@@ -488,9 +501,9 @@
 	return http.ReadResponse(c.body, &http.Request{Method: method})
 }
 
-// read takes the whole answer: one that breaks off has not been given.
+// read takes the answer. A small one is taken whole: one that breaks off has not been given. A larger one is
+// passed on as it comes, and so is one of untold length that is not here soon.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
-	c.limit.N = answerLimit
 	resp, err := c.response(a.req.method)
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = c.response(a.req.method)
@@ -499,27 +512,50 @@
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
 	defer resp.Body.Close()
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		// Its end would look the same as a break.
-		return res, false, errors.New("read answer: length not given")
-	}
-	var body []byte
-	if resp.ContentLength > maxBody {
-		return result{status: logic.Error}, false, nil
-	}
-	if resp.ContentLength >= 0 {
-		body = make([]byte, resp.ContentLength)
-		_, err = io.ReadFull(resp.Body, body)
-	} else if body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1)); len(body) > maxBody {
-		return result{status: logic.Error}, false, nil
+	clean := func() bool { return !resp.Close && c.body.Buffered() == 0 && c.r.Buffered() == 0 }
+	if resp.StatusCode != http.StatusOK {
+		return a.declined(resp, clean)
+	}
+	content := resp.Header.Get("Content-Type")
+	switch n := resp.ContentLength; {
+	case n > int64(a.pool.whole):
+		return a.passOn(resp.Body, n, content, c, clean)
+	case n >= 0:
+		body := make([]byte, n)
+		if _, err = io.ReadFull(resp.Body, body); err != nil {
+			return res, false, fmt.Errorf("read body: %w", err)
+		}
+		return result{status: logic.OK, body: body, content: content}, clean(), nil
+	}
+	ahead := newPrefetch(patientReader{resp.Body, c, a.ctx}, a.pool.whole)
+	defer ahead.close()
+	soon := time.NewTimer(min(wholeWait, time.Until(a.deadline)))
+	defer soon.Stop()
+	select {
+	case <-ahead.full:
+	case <-soon.C:
+	case <-a.ctx.Done():
+	}
+	body, err, ok := ahead.whole()
+	switch {
+	case !ok && a.ctx.Err() == nil:
+		return a.passOn(ahead, -1, content, c, clean)
+	case !ok:
+		return res, false, context.Cause(a.ctx)
+	case err != nil:
+		return res, false, fmt.Errorf("read body: %w", err)
 	}
+	return result{status: logic.OK, body: body, content: content}, clean(), nil
+}
+
+// declined takes an answer that serves nobody: only its status counts.
+func (a *attempt) declined(resp *http.Response, clean func() bool) (result, bool, error) {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeMost+1))
 	if err != nil {
-		return res, false, fmt.Errorf("read body: %w", err)
+		return result{}, false, fmt.Errorf("read body: %w", err)
 	}
-	keep = !resp.Close && c.body.Buffered() == 0 && c.r.Buffered() == 0
+	keep := n <= wholeMost && clean()
 	switch resp.StatusCode {
-	case http.StatusOK:
-		return result{status: logic.OK, body: body, content: resp.Header.Get("Content-Type")}, keep, nil
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get("Not-Started") == "1" {
 			return result{status: logic.FullUp}, keep, nil
@@ -527,3 +563,27 @@
 	}
 	return result{status: logic.Error}, keep, nil // it may have run
 }
+
+// passOn has the client's side read the answer, and waits until it has.
+func (a *attempt) passOn(body io.Reader, length int64, content string, c *conn, clean func() bool) (result, bool, error) {
+	if length >= 0 {
+		body = patientReader{body, c, a.ctx}
+	}
+	d := &download{length: length, body: body, ended: make(chan error, 1), stop: a.stop}
+	if !a.stream(answer{status: http.StatusOK, content: content, stream: d}) {
+		return result{status: logic.Cancelled}, false, nil
+	}
+	select {
+	case err := <-d.ended:
+		switch {
+		case err == nil:
+			return result{status: logic.OK}, clean(), nil
+		case errors.Is(err, errClientGone):
+			return result{status: logic.Cancelled}, false, nil
+		}
+		a.pool.broken(a.backend, err)
+		return result{status: logic.Reset}, false, nil
+	case <-a.ctx.Done():
+		return result{status: logic.Cancelled}, false, nil
+	}
+}
--- /dev/null
+++ b/internal/proxy/download.go
@@ -0,0 +1,171 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	wholeMost  = 64 << 10 // an answer up to this is taken whole before any of it is passed on
+	wholeLeast = 4 << 10  // the same where memory is short
+	wholeWait  = 100 * time.Millisecond
+
+	// A peer that neither sends nor takes a byte for so long in the middle of an answer has hung.
+	streamPatience = 10 * time.Second
+	copyBuffer     = 32 << 10
+)
+
+var errClientGone = errors.New("the client has gone")
+
+// download is an answer that is passed on while it comes. The client's side reads it; the attempt waits until it
+// says how that ended, and owns the connection.
+type download struct {
+	length int64 // -1: not told
+	body   io.Reader
+	ended  chan error // nil: passed on whole
+	stop   context.CancelFunc
+}
+
+// end tells the attempt how the answer ended; only the first call counts.
+func (d *download) end(err error) {
+	select {
+	case d.ended <- err:
+	default:
+	}
+}
+
+// patientReader reads from a backend's connection for as long as something comes.
+type patientReader struct {
+	io.Reader
+	c   *conn
+	ctx context.Context
+}
+
+func (r patientReader) Read(p []byte) (int, error) {
+	_ = r.c.SetReadDeadline(time.Now().Add(streamPatience))
+	if r.ctx.Err() != nil { // stopped, maybe before the deadline was set anew
+		return 0, context.Cause(r.ctx)
+	}
+	return r.Reader.Read(p)
+}
+
+// prefetch reads on ahead of its reader, up to size bytes, so that an answer of untold length can be waited for
+// without a read that has to be broken off: a chunked body does not survive that.
+type prefetch struct {
+	mu   sync.Mutex
+	cond sync.Cond
+	buf  []byte
+	size int
+	err  error // of the source; its end is io.EOF
+	over bool  // nobody reads any more
+	full chan struct{}
+	once sync.Once
+}
+
+func newPrefetch(src io.Reader, size int) *prefetch {
+	p := &prefetch{size: size, full: make(chan struct{})}
+	p.cond.L = &p.mu
+	go p.fill(src)
+	return p
+}
+
+// fill ends with its source, which the attempt that owns the connection sees to.
+func (p *prefetch) fill(src io.Reader) {
+	piece := make([]byte, min(p.size, copyBuffer/4))
+	for {
+		n, err := src.Read(piece)
+		p.mu.Lock()
+		p.buf = append(p.buf, piece[:n]...)
+		p.err = err
+		p.cond.Broadcast()
+		for len(p.buf) >= p.size && p.err == nil && !p.over {
+			p.once.Do(func() { close(p.full) })
+			p.cond.Wait()
+		}
+		done := p.err != nil || p.over
+		p.mu.Unlock()
+		if done {
+			p.once.Do(func() { close(p.full) })
+			return
+		}
+	}
+}
+
+func (p *prefetch) Read(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.buf) == 0 && p.err == nil {
+		p.cond.Wait()
+	}
+	if len(p.buf) == 0 {
+		return 0, p.err
+	}
+	n := copy(b, p.buf)
+	p.buf = append(p.buf[:0], p.buf[n:]...)
+	p.cond.Broadcast()
+	return n, nil
+}
+
+// whole returns the body if all of it is here.
+func (p *prefetch) whole() (body []byte, err error, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.err == nil {
+		return nil, nil, false
+	}
+	if p.err != io.EOF {
+		return nil, p.err, true
+	}
+	return p.buf, nil, true
+}
+
+// close lets fill end though nobody reads on.
+func (p *prefetch) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = true
+	p.cond.Broadcast()
+}
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
+
+// passOn writes an answer to its client as it comes. Where it breaks off so does the client's, in a way that shows:
+// short of its length, or with no last chunk.
+func (d *download) passOn(w http.ResponseWriter, r *http.Request) {
+	unhook := context.AfterFunc(r.Context(), d.stop) // a client that goes takes the attempt along
+	defer unhook()
+	if err := d.copy(w); err != nil {
+		d.end(err)
+		panic(http.ErrAbortHandler)
+	}
+	d.end(nil)
+}
+
+func (d *download) copy(w http.ResponseWriter) error {
+	rc := http.NewResponseController(w)
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	for {
+		n, err := d.body.Read(*buf)
+		if n > 0 {
+			_ = rc.SetWriteDeadline(time.Now().Add(streamPatience))
+			if _, err := w.Write((*buf)[:n]); err != nil {
+				return errClientGone
+			}
+			if err := rc.Flush(); err != nil {
+				return errClientGone
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("pass the answer on: %w", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/download_test.go
@@ -0,0 +1,157 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A large answer is passed on as it comes, in every framing, and whole.
+func TestLargeAnswersArePassedOnAsTheyCome(t *testing.T) {
+	part := bytes.Repeat([]byte("0123456789abcdef"), wholeMost/16)
+	for _, c := range []struct {
+		name, head string
+		chunked    bool
+	}{
+		{"of a length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: %d\r\n\r\n", 3*len(part)), false},
+		{"in chunks", "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"ended by the close", "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			seen := make(chan struct{})
+			p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				write := func(b []byte) {
+					if c.chunked {
+						fmt.Fprintf(w, "%x\r\n%s\r\n", len(b), b)
+					} else {
+						_, _ = w.Write(b)
+					}
+				}
+				_, _ = io.WriteString(w, c.head)
+				write(part)
+				write(part[:1])
+				wait(t, "the client's first bytes", seen) // the rest follows only once these have come
+				write(part[1:])
+				write(part)
+				if c.chunked {
+					_, _ = io.WriteString(w, "0\r\n\r\n")
+				}
+				return !strings.Contains(c.name, "close")
+			})
+			cl := connect(t, p)
+			cl.send(t, look("1", 4000))
+			resp, err := http.ReadResponse(cl.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := make([]byte, len(part))
+			if _, err := io.ReadFull(resp.Body, got); err != nil {
+				t.Fatal(err)
+			}
+			close(seen)
+			rest, err := io.ReadAll(resp.Body)
+			if err != nil || !bytes.Equal(append(got, rest...), bytes.Repeat(part, 3)) {
+				t.Errorf("%d bytes came, %v", len(got)+len(rest), err)
+			}
+			if resp.Header.Get("Content-Type") != "a/b" {
+				t.Errorf("header %v", resp.Header)
+			}
+			waitUntil(t, func() bool { f := p.Figures(); return f.Classes["look"].Succeeded == 1 && f.Outstanding == 0 })
+		})
+	}
+}
+
+// An answer of untold length that comes slowly is not held back until it is large.
+func TestASlowAnswerOfUntoldLengthIsNotHeldBack(t *testing.T) {
+	seen := make(chan struct{})
+	p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")
+		wait(t, "the client's first bytes", seen)
+		_, _ = io.WriteString(w, "2\r\ncd\r\n0\r\n\r\n")
+		return true
+	})
+	cl := connect(t, p)
+	cl.send(t, look("1", 4000))
+	resp, err := http.ReadResponse(cl.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 2)
+	if _, err := io.ReadFull(resp.Body, got); err != nil {
+		t.Fatal(err)
+	}
+	close(seen)
+	if rest, err := io.ReadAll(resp.Body); err != nil || string(got)+string(rest) != "abcd" {
+		t.Errorf("got %s%s, %v", got, rest, err)
+	}
+}
+
+// A client can tell an answer that broke off on its way, and it counts as failed.
+func TestAnAnswerThatBreaksOffShows(t *testing.T) {
+	for name, head := range map[string]string{
+		"of a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 9*wholeMost),
+		"in chunks":   fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", 9*wholeMost),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(w, head+strings.Repeat("x", 3*wholeMost))
+				return false
+			})
+			cl := connect(t, p)
+			cl.send(t, look("1", 4000))
+			resp, err := http.ReadResponse(cl.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+				t.Errorf("%d bytes looked like a whole answer", n)
+			}
+			waitUntil(t, func() bool { f := p.Figures(); return f.Classes["look"].Aborted == 1 && f.Outstanding == 0 })
+		})
+	}
+}
+
+// A client that reads slowly holds its backend up and not the proxy's memory; one that goes frees both sides.
+func TestAClientThatDoesNotReadHoldsTheBackendUp(t *testing.T) {
+	const size = 64 << 20
+	written := make(chan int, 1)
+	p, b := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		n, piece := 0, make([]byte, 64<<10)
+		for n < size {
+			m, err := w.Write(piece)
+			if n += m; err != nil {
+				break
+			}
+		}
+		written <- n
+		return false
+	})
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, look("1", 4000)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := bufio.NewReaderSize(c, 16).Peek(16); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case n := <-written:
+		t.Fatalf("the backend got rid of %d bytes that nobody read", n)
+	case <-time.After(100 * time.Millisecond):
+	}
+	c.Close()
+	if n := wait(t, "the backend's end", written); n == size {
+		t.Error("all was taken for a client that had gone")
+	}
+	wait(t, "the backend's connection", b.closed)
+	waitUntil(t, func() bool { return p.Figures().Outstanding == 0 })
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	maxHead      = 16 << 10         // of a request, before its body
-	idlePatience = 2 * time.Minute  // for the next request on a connection
-	writeLeeway  = 10 * time.Second // beyond the longest deadline, for the answer to be taken
+	maxHead      = 16 << 10        // of a request, before its body
+	maxBody      = 64 << 10        // of a request
+	idlePatience = 2 * time.Minute // for the next request on a connection
 
 	// A whole request, head and body, is to be here so long after its first byte, and on a new connection
 	// after the connect: a peer that sends nothing, or too little, is owed a close within 3 s.
@@ -82,14 +82,9 @@
 		conns: map[net.Conn]connState{}}
 	f.listener = newCappedListener(listener, f.shed)
 	f.limit(most, over)
-	longest := int64(0)
-	for _, c := range site.Logic.Classes {
-		longest = max(longest, c.Deadline)
-	}
 	f.server = &http.Server{
 		Handler: f, ReadTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
-		WriteTimeout: requestPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
-		ConnState:    f.connState, ErrorLog: quietLog(log),
+		ConnState: f.connState, ErrorLog: quietLog(log),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return f
@@ -343,10 +338,12 @@
 	l.post(func() { l.take(req) })
 	select {
 	case ans := <-req.answer:
-		f.reply(w, ans)
+		if f.reply(w, ans); ans.stream != nil {
+			ans.stream.passOn(w, r)
+		}
 		own.end(ans.status)
 	case <-r.Context().Done(): // the client has gone
-		l.post(func() { l.withdraw(req, answer{}) })
+		l.post(func() { l.gone(req) })
 		panic(http.ErrAbortHandler) // a return would answer 200
 	case <-l.done:
 		panic(http.ErrAbortHandler)
@@ -384,10 +381,16 @@
 	} else {
 		h["Content-Type"] = nil // not to be guessed
 	}
-	h.Set("Content-Length", strconv.Itoa(len(ans.body)))
+	switch {
+	case ans.stream == nil:
+		h.Set("Content-Length", strconv.Itoa(len(ans.body)))
+	case ans.stream.length >= 0:
+		h.Set("Content-Length", strconv.FormatInt(ans.stream.length, 10))
+	}
 	if ans.status == http.StatusServiceUnavailable && ans.after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(float64(ans.after)/1e6, 'f', 3, 64))
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(streamPatience))
 	w.WriteHeader(ans.status)
 	_, _ = w.Write(ans.body) // a client that has gone is no fault
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -52,6 +52,7 @@
 type answer struct {
 	status  int
 	body    []byte
+	stream  *download // in body's place: it is passed on as it comes
 	content string
 	after   int64 // of a refusal: come again after this, in microseconds; 0 for no word
 }
@@ -288,6 +289,14 @@
 	}
 }
 
+// gone ends a request whose client has gone, even in the middle of its answer.
+func (l *loop) gone(r *request) {
+	l.withdraw(r, answer{})
+	if r.current != nil {
+		r.current.stop()
+	}
+}
+
 // expire fails a request that the module has not ended in its time.
 func (l *loop) expire(r *request) {
 	l.withdraw(r, answer{status: http.StatusGatewayTimeout})
@@ -316,6 +325,27 @@
 	l.forget(r)
 }
 
+// stream ends a request with an answer that is passed on as it comes; false if it has ended otherwise. The
+// attempt calls it and goes on until the answer has been passed on.
+func (l *loop) stream(a *attempt, ans answer) bool {
+	begun := make(chan bool, 1)
+	l.post(func() {
+		if a.req.over {
+			begun <- false
+			return
+		}
+		l.bal.Started(l.clock.now(), a.req.ID)
+		l.end(a.req, ans)
+		begun <- true
+	})
+	select {
+	case ok := <-begun:
+		return ok
+	case <-l.done:
+		return false
+	}
+}
+
 // Send implements logic.Host.
 func (l *loop) Send(id, server string, timeout int64) {
 	r := l.reqs[id]
@@ -337,6 +367,7 @@
 		return
 	}
 	a.ctx, a.stop = context.WithCancel(l.ctx)
+	a.stream = func(ans answer) bool { return l.stream(a, ans) }
 	r.current = a
 	l.attempts.Add(1)
 	go func() {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -548,10 +548,20 @@
 	return true
 }
 
-// Started takes the news that a streamed answer has begun: from now on that attempt is the client's.
+// Started takes the news that a streamed answer has begun: from now on that attempt is the client's, whose
+// pace says nothing of the server. What is learned from is the time that this took.
 func (b *Balancer) Started(now int64, id string) {
-	if q := b.reqs[id]; q != nil {
-		q.over = true
+	q := b.reqs[id]
+	if q == nil || q.over {
+		return
+	}
+	q.over = true
+	for _, a := range q.attempts {
+		if a.out {
+			a.started = true
+			b.leave(q, a)
+			b.learn(now, q, a, Outcome{Status: OK, Took: now - a.sent})
+		}
 	}
 }
 
@@ -572,11 +582,15 @@
 	b.watch(now)
 	a := q.attempts[o.Attempt]
 	a.out = false
+	if q.out--; a.started { // learned from already, but for an answer that breaks off
+		if o.Status != OK && o.Status != Cancelled {
+			b.judge(a.srv, q.Class, o.Status)
+		}
+		b.finish(now, h, q)
+		return
+	}
 	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
-	q.out--
-	a.srv.inflight--
-	b.tier.threads--
-	b.classes[q.Class].rule.threads--
+	b.leave(q, a)
 	b.learn(now, q, a, o)
 	b.report(now, h)
 	if q.turn != nil && slices.Contains([]Status{TimedOut, Reset, Cancelled}, o.Status) { // it may still run
@@ -681,7 +695,7 @@
 		for bar := int64(b.slowBar(i)); len(c.waiting) > 0 && now-c.waiting[0].sent > bar; {
 			a := c.waiting[0]
 			c.waiting = c.waiting[1:]
-			if a.out {
+			if a.out && !a.started {
 				a.slow = true
 				b.press(now, i, a, true, true)
 			}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1011,3 +1011,29 @@
 		t.Errorf("share %v after a dozen good rounds", b.share)
 	}
 }
+
+// A client that reads its answer slowly says nothing of the server: the call is counted out and judged when the
+// answer begins, and again only if that breaks off.
+func TestAnAnswerThatHasBegunIsTheClients(t *testing.T) {
+	for _, end := range []Status{OK, Cancelled, Reset} {
+		b, h := with(t, testSettings(), 1)
+		ask(b, h, start, "r", 0)
+		b.Started(start+1000, "r")
+		s := b.byID["s0"]
+		if s.inflight != 0 || b.tier.threads != 0 || b.classes[0].seen != 1 {
+			t.Errorf("begun: %d held, %d in all, %v seen", s.inflight, b.tier.threads, b.classes[0].seen)
+		}
+		ask(b, h, start+20*second, "other", 0) // would count what is slow
+		b.Outcome(start+20*second, h, Outcome{ID: "other", Status: OK, Took: 1000, Closed: true})
+		if b.share < shareStart {
+			t.Errorf("a slow client presses the shares to %v", b.share)
+		}
+		b.Outcome(start+30*second, h, Outcome{ID: "r", Status: end, Took: 30 * second, Closed: true})
+		if s.inflight != 0 || b.tier.threads != 0 || len(b.reqs) != 0 {
+			t.Errorf("%v: %d held, %d in all, %d requests", end, s.inflight, b.tier.threads, len(b.reqs))
+		}
+		if blamed := s.whole.left < 1; blamed != (end == Reset) {
+			t.Errorf("%v: blamed %v", end, blamed)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -132,13 +132,14 @@
 func (s *server) healthFor(class int) float64 { return s.whole.left * s.classes[class].left }
 
 type attempt struct {
-	srv    *server
-	sent   int64
-	zone   int // as listed at the time of sending
-	cell   int
-	slow   bool // counted as slow before its end
-	mayRun bool // outstanding, or ended without proof that it never ran
-	out    bool
+	srv     *server
+	sent    int64
+	zone    int // as listed at the time of sending
+	cell    int
+	slow    bool // counted as slow before its end
+	started bool // its answer has begun
+	mayRun  bool // outstanding, or ended without proof that it never ran
+	out     bool
 }
 
 // turn is the line of one key's requests in the order of their arrival.
@@ -253,6 +254,13 @@
 	n.peak = max(n.peak, n.threads)
 }
 
+// leave counts an attempt out.
+func (b *Balancer) leave(q *request, a *attempt) {
+	a.srv.inflight--
+	b.tier.threads--
+	b.classes[q.Class].rule.threads--
+}
+
 // origin is the node of the request's tenant; without one the tenant rule is skipped.
 func (b *Balancer) origin(q *request) *originRule {
 	if q.Tenant < 0 || q.Tenant >= len(b.tenants) {
