Pass large request bodies on as they come and judge slow ones by their rate

Design: up to 256 KiB of a body are held, within an eighth of the memory limit for all and 32 KiB each in any case, and can be sent again. What is larger is handed to the module as Uploading: its time, and what is learned of it, begin with its last byte; the client's goroutine feeds the rest through a pipe, so a slow backend holds the client up. Once some of the rest is gone the module is told Spent and does not send again. A body has 2.5 s from the request's first byte, then must come at 32 kB/s and not stand still for 1.5 s; an answer ends the upload at once. Rejected: one fixed time for a whole request (the former 2.5 s), which no size of body fits. Rejected: spooling to TMPDIR, which counts as memory. Rejected: deciding only once the body is whole: at 64 MB that is a few bodies. Lines: requestPatience as ReadTimeout, readBody. TestLargeBodiesArePassedOnAsTheyCome and TestTheRateOfABody fail without it.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	memoryPart     = 0.6 // of the limit: the runtime collects harder from there on
+	memoryPart     = 0.6   // of the limit: the runtime collects harder from there on
+	holdPart       = 0.125 // and of the limit: for requests' and answers' bodies that are held
 	defaultSockets = 1024
 )
 
@@ -49,6 +50,7 @@
 	if lim.MemoryMB > 0 {
 		cfg.Memory = func(part float64) { debug.SetMemoryLimit(int64(lim.MemoryMB * part * memoryPart * (1 << 20))) }
 		cfg.Memory(1)
+		cfg.Hold = int(lim.MemoryMB * holdPart * (1 << 20))
 	}
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -11,10 +11,8 @@
 	"math"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +29,7 @@
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
 	most    int           // open connections, those being opened included
-	whole   int           // answers up to this many bytes are taken whole before they are passed on
+	whole   atomic.Int64  // answers up to this many bytes are taken whole before they are passed on
 
 	mu     sync.Mutex
 	byName map[string]*backend
@@ -131,8 +129,10 @@
 
 func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most, whole: wholeMost, figs: figs,
+	p := &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most, figs: figs,
 		byName: map[string]*backend{}}
+	p.whole.Store(wholeMost)
+	return p
 }
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
@@ -242,11 +242,13 @@
 	return c, nil
 }
 
-// limit sets how many connections may be open. Beyond it idle ones are closed.
-func (p *backends) limit(most int) {
+// limit sets how many connections may be open, and how many bytes of answers these may hold together. Beyond the
+// first, idle ones are closed.
+func (p *backends) limit(most, hold int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.most = most
+	p.whole.Store(int64(min(wholeMost, max(wholeLeast, hold/most))))
 	for p.open > p.most && p.shedLocked() {
 	}
 }
@@ -373,6 +375,8 @@
 	ctx      context.Context // its end stops the attempt
 	stop     context.CancelFunc
 
+	whole chan time.Time // of a request whose body is still coming: the deadline, once that is known
+
 	// stream hands an answer that is passed on as it comes to the client's side, and returns whether there is one.
 	stream func(answer) bool
 }
@@ -431,18 +435,24 @@
 	if a.ctx.Err() != nil { // stopped while the deadline was set
 		return result{status: logic.Moot}, false
 	}
-	head, err := a.encode()
-	if err != nil {
-		return result{status: logic.Moot}, true
+	if a.whole != nil {
+		if status, ok := a.passOnBody(c); !ok {
+			return result{status: status}, false
+		}
+	} else {
+		head, err := a.encode()
+		if err != nil {
+			return result{status: logic.Moot}, true
+		}
+		if _, err := c.Write(head); err != nil {
+			// The last byte was not written, so the backend cannot have begun.
+			return result{status: logic.ConnectFailed}, false
+		}
 	}
 	wrote := time.Now()
-	if _, err := c.Write(head); err != nil {
-		// The last byte was not written, so the backend cannot have begun.
-		return result{status: logic.ConnectFailed}, false
-	}
 	a.pool.figs.forward()
 	c.came = false
-	res, keep, err = a.read(c)
+	res, keep, err := a.read(c)
 	switch {
 	case err == nil:
 		return res, keep
@@ -460,14 +470,9 @@
 
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
 func (a *attempt) encode() ([]byte, error) {
-	r := a.req
-	left := max(1, time.Until(a.deadline).Milliseconds())
-	r.header.Set("Request-Timeout-Ms", strconv.FormatInt(left, 10))
-	path, query, _ := strings.Cut(r.uri, "?")
-	out := http.Request{Method: r.method, Host: r.host, Header: r.header, ContentLength: int64(len(r.body)),
-		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.uri, "?")}}
-	if len(r.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.body))
+	out := a.outgoing(time.Until(a.deadline))
+	if body := a.req.body; len(body) > 0 {
+		out.ContentLength, out.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
 	}
 	var buf bytes.Buffer
 	if err := out.Write(&buf); err != nil {
@@ -518,7 +523,7 @@
 	}
 	content := resp.Header.Get("Content-Type")
 	switch n := resp.ContentLength; {
-	case n > int64(a.pool.whole):
+	case n > a.pool.whole.Load():
 		return a.passOn(resp.Body, n, content, c, clean)
 	case n >= 0:
 		body := make([]byte, n)
@@ -527,7 +532,7 @@
 		}
 		return result{status: logic.OK, body: body, content: content}, clean(), nil
 	}
-	ahead := newPrefetch(patientReader{resp.Body, c, a.ctx}, a.pool.whole)
+	ahead := newPrefetch(patientReader{resp.Body, c, a.ctx}, int(a.pool.whole.Load()))
 	defer ahead.close()
 	soon := time.NewTimer(min(wholeWait, time.Until(a.deadline)))
 	defer soon.Stop()
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -36,6 +37,10 @@
 	requests atomic.Int32 // that have come whole
 	conns    atomic.Int32
 	closed   chan struct{} // one for each connection that has ended
+
+	begun  chan struct{} // closed when the first head has come, if set
+	body   io.Writer     // gets the bodies, if set
+	breaks bool          // the connection ends after a head and some of its body
 }
 
 func startBackend(t *testing.T, reply func(w io.Writer, r *http.Request, n int) bool) *fakeBackend {
@@ -60,7 +65,14 @@
 					if err != nil {
 						return
 					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					if b.begun != nil && b.conns.Load() == 1 && b.requests.Load() == 0 {
+						close(b.begun)
+					}
+					if b.breaks {
+						_, _ = io.CopyN(io.Discard, req.Body, 100_000)
+						return
+					}
+					if _, err := io.Copy(cmp.Or[io.Writer](b.body, io.Discard), req.Body); err != nil {
 						return
 					}
 					if !reply(c, req, int(b.requests.Add(1))) {
--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -7,7 +7,9 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // headSlack is what net/http reads beyond MaxHeaderBytes before it answers 431.
@@ -58,6 +60,9 @@
 	buf  []byte // read and not passed yet
 	pass int64  // bytes that may pass before the next head is looked at; negative: all
 	over bool   // after these comes nothing more
+
+	served bool         // a head has passed
+	began  atomic.Int64 // when the present request did, or the connection for its first; in Unix nanoseconds
 }
 
 // flaw stands in for a head whose framing is in doubt: net/http answers it 400 and closes. It comes as
@@ -94,6 +99,9 @@
 
 // head reads until a whole head is there and sets what may pass.
 func (c *framedConn) head() error {
+	if c.served && len(c.buf) > 0 {
+		c.began.Store(time.Now().UnixNano())
+	}
 	for from := 0; ; {
 		if len(c.buf) > from {
 			for len(c.buf) > 1 && c.buf[0] == '\r' && c.buf[1] == '\n' { // empty lines before a request
@@ -117,6 +125,9 @@
 		}
 		c.buf = slices.Grow(c.buf, 1<<10)
 		n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
+		if c.served && len(c.buf) == 0 {
+			c.began.Store(time.Now().UnixNano())
+		}
 		c.buf = c.buf[:len(c.buf)+n]
 		if n == 0 && err != nil {
 			return err
@@ -125,6 +136,7 @@
 }
 
 func (c *framedConn) judge(end int) {
+	c.served = true
 	length, chunked, err := framing(c.buf[:end])
 	switch {
 	case err != nil:
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,11 +20,10 @@
 
 const (
 	maxHead      = 16 << 10        // of a request, before its body
-	maxBody      = 64 << 10        // of a request
 	idlePatience = 2 * time.Minute // for the next request on a connection
 
-	// A whole request, head and body, is to be here so long after its first byte, and on a new connection
-	// after the connect: a peer that sends nothing, or too little, is owed a close within 3 s.
+	// The head of a request is to be here so long after its first byte, and on a new connection after the
+	// connect: a peer that sends nothing, or too little, is owed a close within 3 s. For its body see upload.
 	requestPatience = 2500 * time.Millisecond
 
 	// When connections run short, one without a whole request on it makes room: a kept one after idleLeast,
@@ -55,6 +52,7 @@
 	tenants  map[string]int
 	server   *http.Server
 	listener *cappedListener
+	holds    *holds
 	log      *slog.Logger
 	most     atomic.Int64 // connections of clients that are served; those beyond are refused
 	serving  atomic.Bool  // connections are accepted
@@ -78,12 +76,12 @@
 type connKey struct{}
 
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, most, over int, log *slog.Logger) *frontend {
-	f := &frontend{site: site, loop: l, log: log, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
+	f := &frontend{site: site, loop: l, log: log, holds: &holds{}, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
 		conns: map[net.Conn]connState{}}
 	f.listener = newCappedListener(listener, f.shed)
 	f.limit(most, over)
 	f.server = &http.Server{
-		Handler: f, ReadTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
+		Handler: f, ReadHeaderTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		ConnState: f.connState, ErrorLog: quietLog(log),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
@@ -128,7 +126,9 @@
 		l.free()
 		return nil, err
 	}
-	return &framedConn{Conn: c}, nil
+	fc := &framedConn{Conn: c}
+	fc.began.Store(time.Now().UnixNano())
+	return fc, nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
@@ -219,9 +219,9 @@
 	f.listener.limit(most + over)
 }
 
-// cameWhole notes that the request on a connection is whole: it is owed its answer, and that connection is
-// none to spare. A further read is only there to notice a client that goes.
-func (f *frontend) cameWhole(w http.ResponseWriter, r *http.Request) {
+// cameWhole counts a request in that has come whole: it is owed its answer, and its connection is none to spare.
+// A further read is only there to notice a client that goes.
+func (f *frontend) cameWhole(w http.ResponseWriter, r *http.Request, req *request) *taken {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -230,6 +230,15 @@
 		s.whole = true
 		f.conns[c] = s
 	}
+	return f.loop.figs.take(f.site.Classes[req.Class])
+}
+
+// giveUp is when the client of a request that has now come whole gives up.
+func (f *frontend) giveUp(req *request) int64 { return f.loop.clock.at(time.Now().Add(req.wait)) }
+
+// full is the answer to a request for which there is no room.
+func (f *frontend) full() answer {
+	return answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter}
 }
 
 // shed closes the connection that has been without a whole request the longest, if there is one to spare.
@@ -313,7 +322,12 @@
 
 // ServeHTTP answers health checks and takes requests.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	came := time.Now()
+	// Until a body is read for what it is: net/http may read what is left of it before it answers.
+	began := time.Now()
+	if c, ok := r.Context().Value(connKey{}).(*framedConn); ok {
+		began = time.Unix(0, c.began.Load())
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(began.Add(requestPatience))
 	if len(r.TransferEncoding) > 0 { // see framedConn
 		w.Header().Set("Connection", "close")
 	}
@@ -321,21 +335,20 @@
 		f.health(w)
 		return
 	}
-	req, fault := f.parse(w, r, came)
-	if fault.status != 0 {
-		f.reply(w, fault)
+	req, bad := f.parse(w, r)
+	if bad.status != 0 {
+		f.reply(w, bad)
 		return
 	}
-	f.cameWhole(w, r)
-	own := f.loop.figs.take(f.site.Classes[req.Class])
-	defer own.end(0) // however else this returns
-	if f.over() {
-		f.reply(w, answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter})
-		own.end(http.StatusServiceUnavailable)
+	body := newUpload(w, r, began, f.holds)
+	defer body.free()
+	own, bad := f.receive(w, r, req, body)
+	if bad.status != 0 {
+		f.reply(w, bad)
 		return
 	}
+	defer own.end(0) // however else this returns
 	l := f.loop
-	l.post(func() { l.take(req) })
 	select {
 	case ans := <-req.answer:
 		if f.reply(w, ans); ans.stream != nil {
@@ -395,11 +408,14 @@
 	_, _ = w.Write(ans.body) // a client that has gone is no fault
 }
 
-// parse reads a whole request. A fault is the answer to one that makes no sense; nothing of it goes on.
-func (f *frontend) parse(w http.ResponseWriter, r *http.Request, came time.Time) (*request, answer) {
-	bad := func(status int, why string) (*request, answer) {
-		return nil, answer{status: status, body: []byte(why + "\n"), content: "text/plain"}
-	}
+// fault is the answer to a request that makes no sense.
+func fault(status int, why string) answer {
+	return answer{status: status, body: []byte(why + "\n"), content: "text/plain"}
+}
+
+// parse reads a request's head. With an answer returned it makes no sense; nothing of it goes on.
+func (f *frontend) parse(w http.ResponseWriter, r *http.Request) (*request, answer) {
+	bad := func(status int, why string) (*request, answer) { return nil, fault(status, why) }
 	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "Tenant"} {
 		if len(r.Header[name]) > 1 {
 			return bad(http.StatusBadRequest, name+" is given twice")
@@ -428,22 +444,6 @@
 	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (k.Repeat == logic.Keyed) {
 		return bad(http.StatusBadRequest, "Idempotency-Key does not fit the class")
 	}
-	body, err := readBody(r)
-	if err != nil {
-		// What is left of it cannot be told from a next request, and is not waited for.
-		w.Header().Set("Connection", "close")
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return bad(http.StatusRequestTimeout, "the body came too slowly")
-		}
-		return bad(http.StatusBadRequest, "the body broke off")
-	}
-	if len(body) > maxBody {
-		w.Header().Set("Connection", "close")
-		return bad(http.StatusRequestEntityTooLarge, "the body is too large")
-	}
-	if method == http.MethodGet && len(body) > 0 {
-		return bad(http.StatusBadRequest, "a body on a GET")
-	}
 	// Without a time-out that makes sense the client is taken to wait as long as its class does.
 	wait := time.Duration(k.Deadline) * time.Microsecond
 	if ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
@@ -455,25 +455,13 @@
 	}
 	wait -= min(answerMargin, wait/marginPart)
 	return &request{
-		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
-			GiveUp: f.loop.clock.at(came.Add(wait))},
-		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), body: body,
+		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:]},
+		method:  method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), wait: wait,
 		unsafe: k.Repeat == logic.Unsafe,
 		answer: make(chan answer, 1),
 	}, answer{}
 }
 
-// readBody reads at most one byte more than a body may hold, for as long as the server's ReadTimeout lets it.
-func readBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > maxBody {
-		return make([]byte, maxBody+1), nil // too large, unread
-	}
-	return io.ReadAll(io.LimitReader(r.Body, maxBody+1))
-}
-
 // passOn takes the headers that concern one connection out, and leaves net/http to frame the body.
 func passOn(h http.Header) http.Header {
 	for _, line := range h["Connection"] {
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -57,7 +58,7 @@
 		t.Fatal(err)
 	}
 	l := &loop{clock: clock{time.Now()}, events: make(chan func(), 256), listed: make(chan struct{}),
-		done: make(chan struct{}), reqs: map[string]*request{}, figs: newFigures(nil)}
+		done: make(chan struct{}), reqs: map[string]*request{}, figs: newFigures(nil), ended: context.Background()}
 	close(l.listed)
 	p := &pipedFrontend{pipes: newPipeListener()}
 	p.frontend = newFrontend(site, l, p.pipes, most, overCap, slog.New(slog.DiscardHandler))
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"io"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -19,6 +20,7 @@
 	// An attempt's time-out at the end of the request's time is the module's to answer and to learn from;
 	// this much later the request is failed whatever the module says.
 	expireAfter = 10 * time.Millisecond
+	uploadMost  = 30 * time.Minute // for a body to come; its rate is watched where it is read
 )
 
 // clock gives the module's time: microseconds that begin at the Unix time of the start and then follow the
@@ -38,10 +40,17 @@
 	method string
 	uri    string // path and query as they came
 	host   string
-	header http.Header // what goes on to the backend
-	body   []byte
-	unsafe bool        // its class must never run twice
-	answer chan answer // takes the one final answer without a wait
+	header http.Header   // what goes on to the backend
+	wait   time.Duration // how long the client waits, from the last byte of the request on
+	body   []byte        // what is held of it
+	unsafe bool          // its class must never run twice
+	answer chan answer   // takes the one final answer without a wait
+
+	// Of a body that is too large to be held. While Uploading the rest is still coming.
+	rest     io.Reader // what comes after body
+	length   int64     // of all; -1: not told
+	stopBody func()    // nobody wants the rest any more
+	spent    bool      // some of the rest is gone: no other attempt can have it
 
 	over    bool
 	sends   int
@@ -99,14 +108,17 @@
 	timers   timerHeap
 	unsent   []*attempt // Sends that cannot be carried out; their outcomes follow the present event
 	attempts sync.WaitGroup
-	ctx      context.Context // of all attempts
-	watched  bool            // somebody may ask for the figures
-	cutoff   int64           // after SIGTERM: nothing waits beyond this; else 0
-	done     chan struct{}   // closed when the loop has ended
+	ctx      context.Context    // of all attempts
+	watched  bool               // somebody may ask for the figures
+	cutoff   int64              // after SIGTERM: nothing waits beyond this; else 0
+	done     chan struct{}      // closed when the loop has ended
+	ended    context.Context    // done when the loop has ended, for AfterFunc
+	leave    context.CancelFunc // ends that
 }
 
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
-	return &loop{bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
+	ended, leave := context.WithCancel(context.Background())
+	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
 		lists: make(chan listNews), bans: make(chan banNews), seen: newSeen(), asked: make(chan struct{}, 1), listed: make(chan struct{}),
 		fresh: make(chan struct{}),
 		reqs:  map[string]*request{}, done: make(chan struct{})}
@@ -115,6 +127,7 @@
 // run plays events until the context ends, and then until every attempt has.
 func (l *loop) run(ctx context.Context) {
 	defer close(l.done)
+	defer l.leave()
 	attempts, stop := context.WithCancel(ctx)
 	defer l.attempts.Wait()
 	defer stop()
@@ -250,14 +263,39 @@
 func (l *loop) take(r *request) {
 	if l.reqs[r.ID] != nil { // two under one id could not be told apart
 		r.answer <- answer{status: http.StatusBadRequest}
+		if r.stopBody != nil {
+			r.stopBody()
+		}
 		return
 	}
+	l.reqs[r.ID] = r
+	if !r.Uploading {
+		l.limit(r)
+	}
+	l.bal.Request(l.clock.now(), l, r.Request)
+}
+
+// limit has a request end when its client gives up, at the latest.
+func (l *loop) limit(r *request) {
 	if l.cutoff > 0 {
 		r.GiveUp = min(r.GiveUp, l.cutoff)
 	}
-	l.reqs[r.ID] = r
 	heap.Push(&l.timers, timer{at: r.GiveUp + expireAfter.Microseconds(), req: r})
-	l.bal.Request(l.clock.now(), l, r.Request)
+}
+
+// uploaded begins the time of a request whose body was still coming when it was taken.
+func (l *loop) uploaded(r *request, giveUp int64) {
+	if r.over {
+		return
+	}
+	r.Uploading, r.GiveUp = false, giveUp
+	l.limit(r)
+	now := l.clock.now()
+	timeout := l.bal.Uploaded(now, r.ID, r.GiveUp)
+	if a := r.current; a != nil && a.whole != nil {
+		a.sent = now
+		a.whole <- l.clock.time(min(r.GiveUp, now+timeout))
+	}
 }
 
 // end gives a request its final answer, if it has none yet.
@@ -267,6 +305,9 @@
 	}
 	r.over = true
 	r.answer <- ans
+	if r.stopBody != nil {
+		r.stopBody()
+	}
 	l.forget(r)
 }
 
@@ -321,7 +362,7 @@
 	}
 	now := l.clock.now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
-		Closed: r.over})
+		Closed: r.over, Spent: r.spent})
 	l.forget(r)
 }
 
@@ -355,11 +396,16 @@
 	}
 	now := l.clock.now()
 	until := r.GiveUp
-	if timeout != 0 {
+	if r.Uploading {
+		until = now + uploadMost.Microseconds()
+	} else if timeout != 0 {
 		until = min(until, now+timeout)
 	}
 	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
 	r.sends++
+	if r.Uploading {
+		a.whole = make(chan time.Time, 1)
+	}
 	var ok bool
 	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
 	if !ok || r.over || r.current != nil { // never two attempts of a request at once
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,8 @@
 	ownShared  = 16
 	overShared = 8
 
+	defaultHold = 16 << 20
+
 	acceptAfter = 550 * time.Millisecond // new connections may still come for this long after SIGTERM
 	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
 	killLeeway  = 500 * time.Millisecond // and somewhat more
@@ -45,6 +48,8 @@
 	Site      *settings.Site
 	Log       *slog.Logger
 
+	Hold int // bytes of memory for bodies that are held; 0 for a default
+
 	// Memory is told what part of the memory limit is this process's; may be nil.
 	Memory func(part float64)
 }
@@ -92,6 +97,7 @@
 	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, moved: make(chan string, 1)}
 	p.stay, p.left = drainTimes(cfg.Site.Logic.Classes)
 	p.front = newFrontend(cfg.Site, l, listener, each, over, cfg.Log)
+	p.share(false)
 	if before != nil {
 		bal.Inherit(before.legacy.Spent)
 		l.seen.add(before.legacy.Seen...)
@@ -149,12 +155,13 @@
 func (p *Proxy) share(with bool) {
 	each, over := p.cfg.parts(with)
 	p.front.limit(max(each, leastEach), over)
-	p.loop.pool.limit(max(each, leastEach))
+	part, hold := 1.0, cmp.Or(p.cfg.Hold, defaultHold)
+	if with {
+		part, hold = 0.5, hold/2
+	}
+	p.front.holds.limit(hold)
+	p.loop.pool.limit(max(each, leastEach), hold)
 	if p.cfg.Memory != nil {
-		part := 1.0
-		if with {
-			part = 0.5
-		}
 		p.cfg.Memory(part)
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -187,7 +188,7 @@
 		"needless key":  {strings.Replace(look("1", 9), "Tenant", "Idempotency-Key", 1), 400, true},
 		"missing key":   {"POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nRequest-Class: rate\r\nContent-Length: 0\r\n\r\n", 400, true},
 		"body on a GET": {strings.Replace(look("1", 9), "Tenant: acme", "Content-Length: 2", 1) + "ab", 400, true},
-		"too large":     {"POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: 65537\r\n\r\n", 413, false},
+		"too large":     {"POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: " + strconv.Itoa(maxBody+1) + "\r\n\r\n", 413, false},
 		"no HTTP":       {"what is this\r\n\r\n", 400, false},
 		"huge head":     {"GET /look/k HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 4*maxHead) + "\r\n\r\n", 431, false},
 	} {
--- /dev/null
+++ b/internal/proxy/upload.go
@@ -0,0 +1,331 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fernlanding/logic"
+)
+
+const (
+	maxBody = 40 << 20 // of a request
+
+	holdMost  = 256 << 10 // of a body is held, to be sent again, before the rest is passed on as it comes
+	holdLeast = 32 << 10  // whatever memory is left: so much goes out with the head at once
+	holdFirst = 4 << 10
+
+	// A body is to come at this rate at least, from the end of requestPatience on, and not to stand still for
+	// stillPatience. Slow clients send 64 kB a second.
+	leastRate     = 32 << 10
+	stillPatience = 1500 * time.Millisecond
+)
+
+var (
+	errTooLarge    = errors.New("the body is too large")
+	errRequestOver = errors.New("the request is over")
+)
+
+// holds bounds the memory of bodies that are held beyond holdLeast each.
+type holds struct {
+	mu         sync.Mutex
+	used, most int
+}
+
+func (h *holds) take(n int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.used+n > h.most {
+		return false
+	}
+	h.used += n
+	return true
+}
+
+func (h *holds) free(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.used -= n
+}
+
+func (h *holds) limit(most int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.most = most
+}
+
+// upload is a request's body on its way from the client. The client's goroutine alone reads it.
+type upload struct {
+	body     io.Reader
+	length   int64 // -1: not told
+	deadline func(time.Time) error
+	began    time.Time // of the request
+	last     time.Time // when something came
+	got      int64
+	holds    *holds
+	taken    int // of holds
+
+	mu   sync.Mutex
+	done bool // all has come
+	cut  bool // nobody wants the rest
+}
+
+func newUpload(w http.ResponseWriter, r *http.Request, began time.Time, h *holds) *upload {
+	return &upload{body: r.Body, length: r.ContentLength, deadline: http.NewResponseController(w).SetReadDeadline,
+		began: began, last: time.Now(), holds: h}
+}
+
+func (u *upload) Read(p []byte) (int, error) {
+	patience := u.began.Add(requestPatience)
+	until := u.last.Add(stillPatience)
+	if until.Before(patience) {
+		until = patience
+	}
+	if slow := patience.Add(time.Duration(u.got) * time.Second / leastRate); slow.Before(until) {
+		until = slow
+	}
+	if !u.wait(until) {
+		return 0, errRequestOver
+	}
+	n, err := u.body.Read(p)
+	if n > 0 {
+		u.got += int64(n)
+		u.last = time.Now()
+	}
+	if u.got > maxBody {
+		return n, errTooLarge
+	}
+	return n, err
+}
+
+// wait sets the deadline for the next read, unless nobody wants that.
+func (u *upload) wait(until time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.cut {
+		_ = u.deadline(until)
+	}
+	return !u.cut
+}
+
+// stop ends a read that waits: the request has its answer. It may come from any goroutine, and at any time.
+func (u *upload) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.done {
+		u.cut = true
+		_ = u.deadline(time.Unix(1, 0))
+	}
+}
+
+// finish notes that all has come; false if nobody wanted it any more.
+func (u *upload) finish() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.done = !u.cut
+	return u.done
+}
+
+// hold reads as much of the body as may be held; whole tells that this is all of it.
+func (u *upload) hold() (body []byte, whole bool, err error) {
+	if u.length == 0 {
+		return nil, true, nil
+	}
+	if u.length > maxBody {
+		return nil, false, errTooLarge
+	}
+	for {
+		if len(body) == cap(body) {
+			more := max(holdFirst, cap(body))
+			if cap(body)+more > holdMost || cap(body)+more > holdLeast && !u.holds.take(more) {
+				return body, false, nil
+			}
+			if cap(body)+more > holdLeast {
+				u.taken += more
+			}
+			body = append(make([]byte, 0, cap(body)+more), body...)
+		}
+		n, err := u.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF, err == nil && u.got == u.length:
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+}
+
+// free gives back what was held.
+func (u *upload) free() { u.holds.free(u.taken) }
+
+// passOn writes the rest of the body into the pipe that the attempt reads.
+func (u *upload) passOn(to *io.PipeWriter) error {
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	for {
+		n, err := u.Read(*buf)
+		if n > 0 && err != errTooLarge {
+			if _, err := to.Write((*buf)[:n]); err != nil {
+				return errRequestOver
+			}
+		}
+		if err == io.EOF || err == nil && u.got == u.length {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// rest is what an attempt reads of a body beyond what is held.
+type rest struct {
+	io.Reader
+	req *request
+	err error // its own, to tell it from one of the connection that it is written to
+}
+
+func (r *rest) Read(p []byte) (int, error) {
+	r.req.spent = true
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
+// patientWriter writes to a backend's connection for as long as something goes.
+type patientWriter struct {
+	c   *conn
+	ctx context.Context
+}
+
+func (w patientWriter) Write(p []byte) (int, error) {
+	_ = w.c.SetWriteDeadline(time.Now().Add(streamPatience))
+	if w.ctx.Err() != nil { // stopped, maybe before the deadline was set anew
+		return 0, context.Cause(w.ctx)
+	}
+	return w.c.Write(p)
+}
+
+// passOnBody writes a request whose body is still coming. It ends when all has been written, and the time for the
+// answer has been told.
+func (a *attempt) passOnBody(c *conn) (status logic.Status, ok bool) {
+	more := &rest{Reader: a.req.rest, req: a.req}
+	out := a.outgoing(a.req.wait)
+	out.ContentLength = a.req.length
+	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), more))
+	w := bufio.NewWriterSize(patientWriter{c, a.ctx}, holdLeast)
+	err := out.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	switch {
+	case a.ctx.Err() != nil, more.err != nil:
+		return logic.Cancelled, false
+	case err != nil: // the last byte was not written
+		return logic.ConnectFailed, false
+	}
+	select {
+	case a.deadline = <-a.whole:
+	case <-a.ctx.Done():
+		return logic.Cancelled, false
+	}
+	_ = c.SetDeadline(a.deadline)
+	if a.ctx.Err() != nil {
+		return logic.Cancelled, false
+	}
+	return logic.OK, true
+}
+
+// outgoing is the head of the request as it goes on, for an answer that is waited for so long.
+func (a *attempt) outgoing(left time.Duration) http.Request {
+	r := a.req
+	r.header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	path, query, _ := strings.Cut(r.uri, "?")
+	return http.Request{Method: r.method, Host: r.host, Header: r.header,
+		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.uri, "?")}}
+}
+
+// stopped tells whether nobody wanted the rest of the body any more.
+func (u *upload) stopped() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.cut
+}
+
+// fault is the answer to a body that did not come as it should. What is left of it cannot be told from a next
+// request, and is not waited for.
+func (u *upload) fault(w http.ResponseWriter, err error) answer {
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errTooLarge):
+		return fault(http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault(http.StatusRequestTimeout, "the body came too slowly")
+	}
+	return fault(http.StatusBadRequest, "the body broke off")
+}
+
+// receive takes a request's body and hands the request over, whose answer then comes on its channel: with the body
+// whole if that can be held, and else while the rest comes. With an answer returned the request is none.
+func (f *frontend) receive(w http.ResponseWriter, r *http.Request, req *request, u *upload) (*taken, answer) {
+	body, whole, err := u.hold()
+	switch {
+	case err != nil:
+		return nil, u.fault(w, err)
+	case req.method == http.MethodGet && (len(body) > 0 || !whole):
+		if !whole {
+			w.Header().Set("Connection", "close")
+		}
+		return nil, fault(http.StatusBadRequest, "a body on a GET")
+	}
+	req.body = body
+	if whole {
+		own := f.cameWhole(w, r, req)
+		req.GiveUp = f.giveUp(req)
+		if f.over() {
+			req.answer <- f.full()
+		} else {
+			f.loop.post(func() { f.loop.take(req) })
+		}
+		return own, answer{}
+	}
+	// The answer may come before the rest of the body has.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	from, to := io.Pipe()
+	req.rest, req.length, req.Uploading = from, u.length, true
+	req.stopBody = func() { u.stop(); from.CloseWithError(errRequestOver) }
+	unhook := context.AfterFunc(f.loop.ended, req.stopBody)
+	defer unhook()
+	if f.over() {
+		req.stopBody()
+		req.answer <- f.full()
+	} else {
+		f.loop.post(func() { f.loop.take(req) })
+	}
+	err = u.passOn(to)
+	if err == nil && u.finish() {
+		own, giveUp := f.cameWhole(w, r, req), f.giveUp(req)
+		f.loop.post(func() { f.loop.uploaded(req, giveUp) })
+		to.Close()
+		return own, answer{}
+	}
+	w.Header().Set("Connection", "close")
+	if u.stopped() { // it has its answer
+		return f.loop.figs.take(f.site.Classes[req.Class]), answer{}
+	}
+	to.CloseWithError(err)
+	f.loop.post(func() { f.loop.gone(req) })
+	return nil, u.fault(w, err)
+}
--- /dev/null
+++ b/internal/proxy/upload_test.go
@@ -0,0 +1,204 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func post(id, framing string) string {
+	return "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nRequest-Class: post\r\n" + framing + "\r\n\r\n"
+}
+
+// A body that is too large to be held reaches the backend whole, in every framing, and passes on while it comes.
+func TestLargeBodiesArePassedOnAsTheyCome(t *testing.T) {
+	const size = 2*holdMost + 5
+	body := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+	for _, c := range []struct {
+		name, framing string
+		chunked       bool
+	}{
+		{"of a length", fmt.Sprintf("Content-Length: %d", size), false},
+		{"in chunks", "Transfer-Encoding: chunked", true},
+		{"when told to", fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue", size), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := startBackend(t, func(w io.Writer, r *http.Request, _ int) bool { return says(served, true)(w, r, 0) })
+			var got bytes.Buffer
+			b.body = &got
+			b.begun = make(chan struct{})
+			p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+			cl := connect(t, p)
+			cl.send(t, post("1", c.framing))
+			if strings.Contains(c.framing, "Expect") {
+				resp, err := http.ReadResponse(cl.r, nil)
+				if err != nil || resp.StatusCode != http.StatusContinue {
+					t.Fatalf("got %v, %v", resp, err)
+				}
+			}
+			send := func(part []byte) {
+				if c.chunked {
+					cl.send(t, fmt.Sprintf("%x\r\n%s\r\n", len(part), part))
+				} else {
+					cl.send(t, string(part))
+				}
+			}
+			send(body[:holdMost+1])
+			wait(t, "the head at the backend", b.begun) // the rest follows only once this has come
+			send(body[holdMost+1 : size-1])
+			send(body[size-1:])
+			if c.chunked {
+				cl.send(t, "0\r\n\r\n")
+			}
+			if resp, text := cl.answer(t); resp.StatusCode != 200 || text != "ok" {
+				t.Errorf("got %s %q", resp.Status, text)
+			}
+			if !bytes.Equal(got.Bytes(), body) {
+				t.Errorf("%d bytes came of %d", got.Len(), size)
+			}
+			if !c.chunked { // the connection goes on
+				cl.send(t, look("2", 4000))
+				if resp, _ := cl.answer(t); resp.StatusCode != 200 {
+					t.Errorf("then got %s", resp.Status)
+				}
+			}
+			waitUntil(t, func() bool { f := p.Figures(); return f.Outstanding == 0 && f.Classes["post"].Succeeded == 1 })
+			if p.front.holds.used != 0 {
+				t.Errorf("%d bytes still held", p.front.holds.used)
+			}
+		})
+	}
+}
+
+// A request whose body breaks off in the backend's hands has its answer at once, though the rest has not come.
+func TestABackendThatBreaksUnderABodyIsAnsweredAtOnce(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	b.breaks = true
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+	cl := connect(t, p)
+	cl.send(t, post("1", fmt.Sprintf("Content-Length: %d", 20<<20)))
+	piece := strings.Repeat("x", 64<<10)
+	answered := make(chan int, 1)
+	go func() {
+		resp, err := http.ReadResponse(cl.r, nil)
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- resp.StatusCode
+	}()
+	for sent := 0; sent < 16<<20; sent += len(piece) {
+		if _, err := io.WriteString(cl, piece); err != nil {
+			break // it has answered and closed
+		}
+	}
+	if got := wait(t, "the answer", answered); got != 503 { // the last byte was never written: it has not run
+		t.Errorf("got %d", got)
+	}
+	waitUntil(t, func() bool { f := p.Figures(); return f.Outstanding == 0 && f.Classes["post"].Declined == 1 })
+	if n := p.Figures().Forwards; n != 0 {
+		t.Errorf("%d attempts count as written", n)
+	}
+}
+
+// A client that goes in the middle of its body takes the attempt along, and the request counts nowhere.
+func TestAClientThatGoesInItsBodyLeavesNothing(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	b.begun = make(chan struct{})
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+	cl := connect(t, p)
+	cl.send(t, post("1", "Content-Length: 1000000")+strings.Repeat("x", holdMost+1))
+	wait(t, "the head at the backend", b.begun)
+	cl.Close()
+	wait(t, "the backend's connection", b.closed)
+	waitUntil(t, func() bool { return p.front.open() == 0 })
+	f := p.Figures()
+	if e := f.Classes["post"]; f.Outstanding != 0 || e.Succeeded+e.Declined+e.Aborted != 0 || f.Forwards != 0 {
+		t.Errorf("got %+v", f)
+	}
+}
+
+// slowReader gives pieces with pauses, and then nothing until its deadline.
+type slowReader struct {
+	piece    int
+	pause    time.Duration
+	left     int
+	deadline time.Time
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.left == 0 || time.Now().Add(r.pause).After(r.deadline) {
+		time.Sleep(time.Until(r.deadline))
+		return 0, errors.New("deadline")
+	}
+	time.Sleep(r.pause)
+	n := min(r.piece, r.left, len(p))
+	r.left -= n
+	return n, nil
+}
+
+// A client may be as slow as 64 kB a second, after a head that took 2 s; who stalls or drips is cut off in time.
+func TestTheRateOfABody(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		r     slowReader
+		whole bool
+		most  time.Duration // until the end
+	}{
+		{"slow and steady", slowReader{piece: 640, pause: 10 * time.Millisecond, left: 200_000}, true, time.Minute},
+		{"slow in large pieces", slowReader{piece: 16_000, pause: 250 * time.Millisecond, left: 200_000}, true, time.Minute},
+		{"nothing", slowReader{}, false, requestPatience},
+		{"a stall after much", slowReader{piece: 1 << 20, left: 150_000}, false, requestPatience},
+		{"dripping", slowReader{piece: 10, pause: 200 * time.Millisecond, left: 200_000}, false, requestPatience + time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				if c.whole {
+					time.Sleep(2 * time.Second) // the head
+				}
+				u := &upload{body: &c.r, length: 200_000, began: began, last: time.Now(), holds: &holds{most: 1 << 20},
+					deadline: func(at time.Time) error { c.r.deadline = at; return nil }}
+				_, whole, err := u.hold()
+				if whole != c.whole || (err == nil) != c.whole {
+					t.Errorf("whole %v, %v", whole, err)
+				}
+				if took := time.Since(began); took > c.most {
+					t.Errorf("it took %v", took)
+				}
+			})
+		})
+	}
+}
+
+// Bodies are held while there is memory for it, and the least of each in any case.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	h := &holds{most: 3 * holdLeast}
+	var all []*upload
+	held := 0
+	for range 10 {
+		u := &upload{body: bytes.NewReader(make([]byte, 2*holdMost)), length: 2 * holdMost, holds: h,
+			deadline: func(time.Time) error { return nil }}
+		body, whole, err := u.hold()
+		if err != nil || whole || len(body) < holdLeast {
+			t.Fatalf("%d bytes, whole %v, %v", len(body), whole, err)
+		}
+		held += cap(body)
+		all = append(all, u)
+	}
+	if held > 10*holdLeast+h.most {
+		t.Errorf("%d bytes are held", held)
+	}
+	for _, u := range all {
+		u.free()
+	}
+	if h.used != 0 {
+		t.Errorf("%d bytes counted after the end", h.used)
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -119,6 +119,9 @@
 	Tenant int
 	Key    string // its subject, or empty
 	GiveUp int64  // when the client abandons it
+
+	// Uploading: its body is still coming. It may be sent already; its time begins with Uploaded.
+	Uploading bool
 }
 
 // Status is how an attempt ended.
@@ -143,6 +146,7 @@
 	Status  Status
 	Took    int64
 	Closed  bool // the request is over; otherwise this proxy still owes the final answer
+	Spent   bool // what it takes to send the request again is gone
 }
 
 // Spent is what has been used of the allowance for further attempts: the times of requests and of attempts
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -389,6 +389,9 @@
 // deadline is when an answer stops being worth anything.
 func (b *Balancer) deadline(q *request) int64 {
 	k := b.s.Classes[q.Class]
+	if q.Uploading {
+		return math.MaxInt64 / 2
+	}
 	if b.s.Stage == 0 && k.LateWorth == 0 {
 		return min(q.GiveUp, q.came+k.Aim)
 	}
@@ -408,7 +411,7 @@
 	}
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
-	if b.s.Stage == 0 {
+	if b.s.Stage == 0 && !q.Uploading {
 		b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
 	}
 	q.out++
@@ -423,6 +426,9 @@
 // timeout gives an attempt up when its answer would be worth nothing, and before that where another may
 // follow, so that a hung server frees its slot.
 func (b *Balancer) timeout(now int64, q *request) int64 {
+	if q.Uploading {
+		return 0
+	}
 	left := b.deadline(q) - now
 	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
 		left = min(left, int64(hangMeans*b.classes[q.Class].mean))
@@ -565,6 +571,25 @@
 	}
 }
 
+// Uploaded takes the news that a request whose body was still coming is whole: its time begins now. It
+// returns the time-out of the attempt that is out, if one is; no other can follow that.
+func (b *Balancer) Uploaded(now int64, id string, giveUp int64) (timeout int64) {
+	q := b.reqs[id]
+	if q == nil || q.over {
+		return 0
+	}
+	q.Uploading, q.GiveUp, q.came = false, giveUp, now
+	for _, a := range q.attempts {
+		if a.out {
+			a.sent = now
+			if b.s.Stage == 0 {
+				b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
+			}
+		}
+	}
+	return max(b.deadline(q)-now, 1)
+}
+
 // Withdrawn takes the news that nobody waits for a request any more.
 func (b *Balancer) Withdrawn(now int64, h Host, id string) {
 	if q := b.reqs[id]; q != nil {
@@ -599,7 +624,7 @@
 	}
 	if o.Closed || q.over {
 		b.finish(now, h, q)
-	} else if q.out > 0 || b.again(now, h, q) {
+	} else if q.out > 0 || !o.Spent && b.again(now, h, q) {
 		return
 	} else if b.mayRefuse(q) {
 		b.refuse(now, h, q)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1037,3 +1037,35 @@
 		}
 	}
 }
+
+// The time of a request begins when its body is whole, however long that took, and one whose body is gone is not
+// sent again.
+func TestTheTimeOfAnUploadBeginsWithItsLastByte(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].LateWorth = 0
+	b, h := with(t, s, 4)
+	b.Request(start, h, Request{ID: "r", Uploading: true})
+	if len(h.sends) != 1 || h.sends[0].timeout != 0 {
+		t.Fatalf("got %q", h.lines)
+	}
+	late := start + 60*second
+	ask(b, h, late, "other", 0) // would count what is slow
+	b.Outcome(late, h, Outcome{ID: "other", Status: OK, Took: 1000, Closed: true})
+	if got := b.Uploaded(late, "r", late+1_000_000); got != s.Classes[0].Aim {
+		t.Errorf("%d left for the answer", got)
+	}
+	b.Outcome(late+1000, h, Outcome{ID: "r", Status: OK, Took: 1000, Closed: true})
+	if b.share < shareStart || b.tier.ev.bad != 0 || len(b.reqs) != 0 {
+		t.Errorf("a slow client counts against the tier: share %v, %d bad, %d requests", b.share, b.tier.ev.bad, len(b.reqs))
+	}
+	for _, spent := range []bool{false, true} {
+		n := len(h.sends)
+		b.Request(late, h, Request{ID: "q", Uploading: true})
+		b.Outcome(late, h, Outcome{ID: "q", Status: ConnectFailed, Spent: spent})
+		if again := len(h.sends) == n+2; again == spent {
+			t.Errorf("spent %v, sent again %v", spent, again)
+		}
+		b.Withdrawn(late, h, "q")
+		b.Outcome(late, h, Outcome{ID: "q", Attempt: 1, Status: Cancelled, Closed: true})
+	}
+}
