Count a call in flight only once its body has come

Ruled out so: the body's rate limits, the server side. Lines to blame: send's tier.enter and rule.enter: a body that comes for seconds held a place in counts learned from calls of 0.4 s. TestTheTimeOfAnUploadBeginsWithItsLastByte fails without it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -411,14 +411,11 @@
 	}
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
-	if b.s.Stage == 0 && !q.Uploading {
-		b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
-	}
 	q.out++
-	s.inflight++
-	b.tier.enter()
 	b.tier.pass.add(now)
-	b.classes[q.Class].rule.enter()
+	if !q.Uploading {
+		b.count(q, a)
+	}
 	h.Send(q.ID, s.ID, b.timeout(now, q))
 	return true
 }
@@ -582,9 +579,7 @@
 	for _, a := range q.attempts {
 		if a.out {
 			a.sent = now
-			if b.s.Stage == 0 {
-				b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
-			}
+			b.count(q, a)
 		}
 	}
 	return max(b.deadline(q)-now, 1)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1049,11 +1049,17 @@
 		t.Fatalf("got %q", h.lines)
 	}
 	late := start + 60*second
+	if b.tier.threads != 0 || b.byID[h.sends[0].server].inflight != 0 {
+		t.Error("a body on its way counts as a call in flight")
+	}
 	ask(b, h, late, "other", 0) // would count what is slow
 	b.Outcome(late, h, Outcome{ID: "other", Status: OK, Took: 1000, Closed: true})
 	if got := b.Uploaded(late, "r", late+1_000_000); got != s.Classes[0].Aim {
 		t.Errorf("%d left for the answer", got)
 	}
+	if b.tier.threads != 1 || b.byID[h.sends[0].server].inflight != 1 {
+		t.Error("a call whose body has come is not counted in flight")
+	}
 	b.Outcome(late+1000, h, Outcome{ID: "r", Status: OK, Took: 1000, Closed: true})
 	if b.share < shareStart || b.tier.ev.bad != 0 || len(b.reqs) != 0 {
 		t.Errorf("a slow client counts against the tier: share %v, %d bad, %d requests", b.share, b.tier.ev.bad, len(b.reqs))
--- a/logic/state.go
+++ b/logic/state.go
@@ -138,6 +138,7 @@
 	cell    int
 	slow    bool // counted as slow before its end
 	started bool // its answer has begun
+	counted bool // in flight, see count
 	mayRun  bool // outstanding, or ended without proof that it never ran
 	out     bool
 }
@@ -254,8 +255,24 @@
 	n.peak = max(n.peak, n.threads)
 }
 
+// count counts an attempt in: a server has begun with it, or is about to. One whose body is still coming is not
+// counted yet, since how long that takes is its client's doing.
+func (b *Balancer) count(q *request, a *attempt) {
+	a.counted = true
+	a.srv.inflight++
+	b.tier.enter()
+	b.classes[q.Class].rule.enter()
+	if b.s.Stage == 0 {
+		b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
+	}
+}
+
 // leave counts an attempt out.
 func (b *Balancer) leave(q *request, a *attempt) {
+	if !a.counted {
+		return
+	}
+	a.counted = false
 	a.srv.inflight--
 	b.tier.threads--
 	b.classes[q.Class].rule.threads--
