Put settings that come with SIGHUP in force whole, or nothing of them

Design: the file is read, checked and decoded whole before anything happens; one that lacks a key that the file in force has is at fault, since a file cut short may still make sense. The module gets a new immutable Settings value; a request keeps a pointer to the one that it was read by. Classes are numbered by slot: one that is unchanged keeps its slot and what was learned, one whose rules differ gets a slot with its learning copied, slots come free when no request, open or still being read, has them. The clients' side swaps one view. Tier and kind of list cannot change under way: turned down. Rejected: a second Balancer beside the first: counts, budget and bans are one per proxy. Rejected: a list of required keys: the module cannot know which keys the next file's readers need; the file in force does. TestSIGHUPReadsTheConfigurationAgain, TestOpenRequestsKeepTheirRules and TestSettingsChangeUnderWay fail without it.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, hup, p, os.Getenv, log)
+	go reload(ctx, hup, p, lim.file, os.Getenv, log)
 	if lim.mgmt == "" {
 		return p.Run(ctx)
 	}
@@ -83,28 +83,34 @@
 
 // reloads is what a configuration that came with SIGHUP goes to.
 type reloads interface {
-	MoveDiscovery(addr string)
+	Reload(cfg proxy.Config) error
 	Reloaded(taken bool)
 }
 
-// reload reads the configuration again at each SIGHUP until the context ends. Only discovery's address can
-// change under way. A file that makes no sense changes nothing.
-func reload(ctx context.Context, hup <-chan os.Signal, p reloads, env func(string) string, log *slog.Logger) {
+// reload reads the configuration again at each SIGHUP until the context ends. One with any fault changes nothing;
+// to lack a key that the one in force has is a fault too, since a file cut short may make sense.
+func reload(ctx context.Context, hup <-chan os.Signal, p reloads, inForce []byte, env func(string) string,
+	log *slog.Logger) {
 	for {
 		select {
 		case <-hup:
 		case <-ctx.Done():
 			return
 		}
-		cfg, _, err := load(env)
+		cfg, lim, err := load(env)
+		if err == nil {
+			err = settings.Lacks(inForce, lim.file)
+		}
+		if err == nil {
+			err = p.Reload(cfg)
+		}
+		p.Reloaded(err == nil)
 		if err != nil {
 			log.Error("reload: the configuration stands as it was", "error", err)
-			p.Reloaded(false)
 			continue
 		}
-		log.Info("reload", "discovery", cfg.Discovery)
-		p.MoveDiscovery(cfg.Discovery)
-		p.Reloaded(true)
+		inForce = lim.file
+		log.Info("reload", "discovery", cfg.Discovery, "classes", cfg.Site.Classes)
 	}
 }
 
@@ -114,6 +120,7 @@
 	Sockets  int     `json:"sockets"`
 
 	mgmt string // the management address; empty for none
+	file []byte // the configuration as it was read
 }
 
 // load reads the file that LB_CONFIG names; LB_LISTEN, LB_DISCOVERY and LB_MGMT stand in for what it lacks.
@@ -142,6 +149,7 @@
 	if file.Limits.mgmt = file.Mgmt; file.Mgmt == "" {
 		file.Limits.mgmt = env("LB_MGMT")
 	}
+	file.Limits.file = data
 	cfg.Watched = file.Limits.mgmt != ""
 	// Where the folder is not the proxy's own, as it is on the platform, its address tells it from others.
 	cfg.State = filepath.Join(cmp.Or(env("TMPDIR"), os.TempDir()), "fernlanding-"+url.PathEscape(cmp.Or(file.Listen, env("LB_LISTEN"))))
--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"fernlanding/internal/proxy"
+	"fernlanding/logic"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",` +
@@ -62,31 +65,56 @@
 	}
 }
 
-// SIGHUP ended the process. It moves discovery, and a file that makes no sense leaves all as it was.
+// SIGHUP puts a whole configuration in force, or nothing of it; each is counted.
 func TestSIGHUPReadsTheConfigurationAgain(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	env := func(name string) string { return map[string]string{"LB_CONFIG": path}[name] }
 	hup := make(chan os.Signal)
-	p := fakeProxy{moved: make(chan string, 1), reloaded: make(chan bool, 1)}
+	p := fakeProxy{loaded: make(chan proxy.Config, 1), reloaded: make(chan bool, 1)}
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	go func() { defer close(ended); reload(ctx, hup, p, env, slog.New(slog.DiscardHandler)) }()
-	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	hup <- syscall.SIGHUP
-	if <-p.reloaded {
-		t.Error("half a file was taken")
-	}
-	if err := os.WriteFile(path, []byte(strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	hup <- syscall.SIGHUP
-	if addr := <-p.moved; addr != "127.0.0.1:2" {
-		t.Errorf("moved to %q", addr)
-	}
-	if !<-p.reloaded {
-		t.Error("a file that was taken counts as turned down")
+	go func() {
+		defer close(ended)
+		reload(ctx, hup, p, []byte(good), env, slog.New(slog.DiscardHandler))
+	}()
+	more := strings.Replace(good, `"profiles":[`, `"profiles":[{"give_up_us":8,"name":"buy","objective_us":4,`+
+		`"repeat":"at_most_once","worth":1},`, 1)
+	for _, c := range []struct {
+		name, text string
+		classes    int // 0: turned down
+	}{
+		{"empty", "", 0},
+		{"cut off", good[:len(good)/2], 0},
+		{"no JSON", "{", 0},
+		{"the same", good, 1},
+		{"a class more", more, 2},
+		{"a deadline of 0", strings.Replace(more, `"give_up_us":8`, `"give_up_us":0`, 1), 0},
+		{"a negative deadline", strings.Replace(more, `"give_up_us":8`, `"give_up_us":-5`, 1), 0},
+		{"no attempts", strings.Replace(more, `"try_limit":3`, `"try_limit":0`, 1), 0},
+		{"short of limits", strings.Replace(more, `"limits":{"cores":1.0,"memory_mb":192,"sockets":512},`, ``, 1), 0},
+		{"short of worth", strings.Replace(more, `,"worth":1`, ``, 1), 0},
+		{"short of a class's name", strings.Replace(more, `"name":"buy",`, ``, 1), 0},
+		{"short of the list", strings.Replace(more, `"known":{"index":4,"snapshot":true,"endpoints":[]},`, ``, 1), 2},
+		{"no classes", strings.Replace(good, `"profiles":[{`, `"profiles":[],"former":[{`, 1), 0},
+		{"discovery elsewhere", strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1), 1},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		hup <- syscall.SIGHUP
+		if got := <-p.reloaded; got != (c.classes > 0) {
+			t.Errorf("%s: taken %v", c.name, got)
+		}
+		select {
+		case cfg := <-p.loaded:
+			if len(cfg.Site.Classes) != c.classes {
+				t.Errorf("%s: classes %v", c.name, cfg.Site.Classes)
+			}
+		default:
+			if c.classes > 0 {
+				t.Errorf("%s: nothing was put in force", c.name)
+			}
+		}
 	}
 	stop()
 	<-ended
@@ -94,12 +122,19 @@
 
 // fakeProxy notes what a reload does.
 type fakeProxy struct {
-	moved    chan string
+	loaded   chan proxy.Config
 	reloaded chan bool
 }
 
-func (p fakeProxy) MoveDiscovery(addr string) { p.moved <- addr }
-func (p fakeProxy) Reloaded(taken bool)       { p.reloaded <- taken }
+func (p fakeProxy) Reload(cfg proxy.Config) error {
+	_, err := logic.New(cfg.Site.Logic, 1) // as the module would judge them
+	if err == nil {
+		p.loaded <- cfg
+	}
+	return err
+}
+
+func (p fakeProxy) Reloaded(taken bool) { p.reloaded <- taken }
 
 func TestTheManagementAddressIsReadAndMayBeLeftOut(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -128,13 +128,20 @@
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
 func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	p := &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most, figs: figs,
-		byName: map[string]*backend{}}
+	p := &backends{most: most, figs: figs, byName: map[string]*backend{}}
 	p.whole.Store(wholeMost)
+	p.retime(dialTimeout, idleClose)
 	return p
 }
 
+// retime sets how long a connection may take to come up, and stand idle before the backend closes it.
+func (p *backends) retime(dialTimeout, idleClose time.Duration) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer, p.idleFor = d.DialContext, idleClose*3/4
+}
+
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
 // drained or gone are closed: nothing new is to go there, or the process at their other end is no more.
 func (p *backends) apply(full bool, entries []endpoint) {
@@ -229,7 +236,10 @@
 	if !p.reserve() {
 		return nil, errNoSockets
 	}
-	nc, err := p.dialer(ctx, "tcp", addr)
+	p.mu.Lock()
+	dialer := p.dialer
+	p.mu.Unlock()
+	nc, err := dialer(ctx, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -104,11 +104,17 @@
 		next := make(chan string, 1)
 		go func() {
 			defer close(next)
-			select {
-			case addr := <-d.moved:
-				next <- addr
-				leave()
-			case <-here.Done():
+			for {
+				select {
+				case addr := <-d.moved:
+					if addr == d.addr {
+						continue // the watch there goes on
+					}
+					next <- addr
+					leave()
+				case <-here.Done():
+				}
+				return
 			}
 		}()
 		d.watch(here, subscribe, wait)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,10 +47,7 @@
 
 // frontend takes requests from clients and hands them to the loop.
 type frontend struct {
-	site     *settings.Site
 	loop     *loop
-	classes  map[string]int
-	tenants  map[string]int
 	server   *http.Server
 	listener *cappedListener
 	holds    *holds
@@ -60,12 +58,81 @@
 	closing  atomic.Bool  // and clients are to leave
 
 	mu      sync.Mutex
+	view    *view   // in force
+	views   []*view // those that requests still read by, the one in force last
 	conns   map[net.Conn]connState
 	shedded int       // since the log last said so
 	refused int       // likewise
 	said    time.Time // when it did
 }
 
+// view is what the settings in force tell of requests. It does not change: others take its place, and each request
+// keeps the one that it was read by.
+type view struct {
+	rules   *logic.Settings // with classes by the module's numbers
+	classes map[string]int  // those numbers
+	tenants map[string]int
+	readers int // requests that it is read by; guarded by the frontend's mu
+}
+
+func newView(site *settings.Site, rules *logic.Settings, numbers []int) *view {
+	v := &view{rules: rules, classes: map[string]int{}, tenants: map[string]int{}}
+	for i, name := range site.Classes {
+		v.classes[name] = numbers[i]
+	}
+	for i, name := range site.Tenants {
+		v.tenants[name] = i
+	}
+	return v
+}
+
+// read takes the view in force, for one request; done gives it back.
+func (f *frontend) read() *view {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.readers++
+	return f.view
+}
+
+func (f *frontend) done(v *view) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v.readers--
+}
+
+// classes are those in force.
+func (f *frontend) classes() []logic.Class {
+	v := f.read()
+	defer f.done(v)
+	var all []logic.Class
+	for _, n := range v.classes {
+		all = append(all, v.rules.Classes[n])
+	}
+	return all
+}
+
+// held tells which of the module's class numbers requests may still have that were read by former views.
+func (f *frontend) held() map[int]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.views = slices.DeleteFunc(f.views, func(v *view) bool { return v != f.view && v.readers == 0 })
+	held := map[int]bool{}
+	for _, v := range f.views {
+		for _, n := range v.classes {
+			held[n] = true
+		}
+	}
+	return held
+}
+
+// turn puts a view in force.
+func (f *frontend) turn(v *view) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = v
+	f.views = append(f.views, v)
+}
+
 type connState struct {
 	state http.ConnState
 	since time.Time
@@ -76,8 +143,12 @@
 type connKey struct{}
 
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, most, over int, log *slog.Logger) *frontend {
-	f := &frontend{site: site, loop: l, log: log, holds: &holds{}, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		conns: map[net.Conn]connState{}}
+	f := &frontend{loop: l, log: log, holds: &holds{}, conns: map[net.Conn]connState{}}
+	first := make([]int, len(site.Classes))
+	for i := range first {
+		first[i] = i
+	}
+	f.turn(newView(site, l.rules(site), first))
 	f.listener = newCappedListener(listener, f.shed)
 	f.limit(most, over)
 	f.server = &http.Server{
@@ -88,14 +159,6 @@
 	return f
 }
 
-func numbers(names []string) map[string]int {
-	m := map[string]int{}
-	for i, n := range names {
-		m[n] = i
-	}
-	return m
-}
-
 // quietLog sends net/http's remarks on broken clients to the debug level.
 func quietLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
 
@@ -230,15 +293,15 @@
 		s.whole = true
 		f.conns[c] = s
 	}
-	return f.loop.figs.take(f.site.Classes[req.Class])
+	return f.loop.figs.take(req.class)
 }
 
 // giveUp is when the client of a request that has now come whole gives up.
 func (f *frontend) giveUp(req *request) int64 { return f.loop.clock.at(time.Now().Add(req.wait)) }
 
 // full is the answer to a request for which there is no room.
-func (f *frontend) full() answer {
-	return answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter}
+func full(req *request) answer {
+	return answer{status: http.StatusServiceUnavailable, after: req.Under.MaxRetryAfter}
 }
 
 // shed closes the connection that has been without a whole request the longest, if there is one to spare.
@@ -335,7 +398,9 @@
 		f.health(w)
 		return
 	}
-	req, bad := f.parse(w, r)
+	v := f.read()
+	defer f.done(v)
+	req, bad := v.parse(w, r)
 	if bad.status != 0 {
 		f.reply(w, bad)
 		return
@@ -414,26 +479,27 @@
 }
 
 // parse reads a request's head. With an answer returned it makes no sense; nothing of it goes on.
-func (f *frontend) parse(w http.ResponseWriter, r *http.Request) (*request, answer) {
+func (v *view) parse(w http.ResponseWriter, r *http.Request) (*request, answer) {
 	bad := func(status int, why string) (*request, answer) { return nil, fault(status, why) }
 	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "Tenant"} {
 		if len(r.Header[name]) > 1 {
 			return bad(http.StatusBadRequest, name+" is given twice")
 		}
 	}
-	class, ok := f.classes[r.Header.Get("Request-Class")]
+	name := r.Header.Get("Request-Class")
+	class, ok := v.classes[name]
 	if !ok {
 		return bad(http.StatusBadRequest, "unknown Request-Class")
 	}
 	part, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if part != f.site.Classes[class] || !strings.HasPrefix(r.RequestURI, "/") {
+	if part != name || !strings.HasPrefix(r.RequestURI, "/") {
 		return bad(http.StatusBadRequest, "the path does not begin with the class")
 	}
 	id := r.Header.Get("Request-Id")
 	if id == "" {
 		return bad(http.StatusBadRequest, "no Request-Id")
 	}
-	k, method := f.site.Logic.Classes[class], http.MethodPost
+	k, method := v.rules.Classes[class], http.MethodPost
 	if k.Repeat == logic.Safe {
 		method = http.MethodGet
 	}
@@ -449,14 +515,16 @@
 	if ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
 		wait = min(wait, time.Duration(min(ms, 1e9))*time.Millisecond)
 	}
-	tenant, ok := f.tenants[r.Header.Get("Tenant")]
+	tenant, ok := v.tenants[r.Header.Get("Tenant")]
 	if !ok {
 		tenant = -1 // not told
 	}
 	wait -= min(answerMargin, wait/marginPart)
 	return &request{
-		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:]},
-		method:  method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), wait: wait,
+		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
+			Under: v.rules},
+		class:  name,
+		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), wait: wait,
 		unsafe: k.Repeat == logic.Unsafe,
 		answer: make(chan answer, 1),
 	}, answer{}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
 
@@ -37,6 +38,7 @@
 // gets it; those below belong to the loop.
 type request struct {
 	logic.Request
+	class  string // its name
 	method string
 	uri    string // path and query as they came
 	host   string
@@ -247,6 +249,33 @@
 	}
 }
 
+// rules are the module's settings at the start.
+func (l *loop) rules(site *settings.Site) *logic.Settings {
+	if l.bal == nil {
+		return &site.Logic // a test without the module
+	}
+	return l.bal.Rules()
+}
+
+// reconfigure puts other settings in force for the requests that come from now on.
+func (l *loop) reconfigure(site *settings.Site, f *frontend) error {
+	next := site.Logic
+	if next.Zone < len(site.Zones) { // zones keep the numbers that they have
+		next.Zone = l.zones.number(site.Zones[next.Zone])
+		for _, name := range site.Zones {
+			l.zones.number(name)
+		}
+		next.Zones = len(l.zones)
+	}
+	numbers, err := l.bal.Reconfigure(l.clock.now(), next, f.held())
+	if err != nil {
+		return err
+	}
+	f.turn(newView(site, l.bal.Rules(), numbers))
+	l.pool.retime(site.DialTimeout, site.IdleClose)
+	return nil
+}
+
 // ban has these backends and no others banned.
 func (l *loop) ban(ids map[string]bool) {
 	if maps.Equal(ids, l.banned) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,12 +60,12 @@
 	loop  *loop
 	front *frontend
 	figs  *figures
-	bans  *bans                 // nil unless watched
-	elder *elder                // the predecessor that lives, or nil
-	heirs atomic.Pointer[heirs] // once this process serves, if watched
-	moved chan string           // discovery's new address, the latest only
+	bans  *bans                                          // nil unless watched
+	elder *elder                                         // the predecessor that lives, or nil
+	heirs atomic.Pointer[heirs]                          // once this process serves, if watched
+	moved chan string                                    // discovery's new address, the latest only
+	times func([]logic.Class) (stay, left time.Duration) // of a drain
 
-	stay, left time.Duration // after SIGTERM: see drainTimes
 }
 
 // New opens the listener; clients are served from Run on.
@@ -94,8 +94,7 @@
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
-	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, moved: make(chan string, 1)}
-	p.stay, p.left = drainTimes(cfg.Site.Logic.Classes)
+	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, moved: make(chan string, 1), times: drainTimes}
 	p.front = newFrontend(cfg.Site, l, listener, each, over, cfg.Log)
 	p.share(false)
 	if before != nil {
@@ -214,9 +213,26 @@
 	return p.front.serve()
 }
 
-// MoveDiscovery has the proxy take its list from another address from now on. What it knows stands until
-// that address has answered.
-func (p *Proxy) MoveDiscovery(addr string) {
+// Reload puts another configuration in force: its settings for the requests that come from now on, and its
+// address of discovery. The rest of it waits for a restart. With an error nothing has changed.
+func (p *Proxy) Reload(cfg Config) error {
+	failed := make(chan error, 1)
+	p.loop.post(func() { failed <- p.loop.reconfigure(cfg.Site, p.front) })
+	select {
+	case err := <-failed:
+		if err != nil {
+			return err
+		}
+	case <-p.loop.done:
+		return errors.New("the proxy is at its end")
+	}
+	p.figs.name(cfg.Site.Classes)
+	p.moveDiscovery(cfg.Discovery)
+	return nil
+}
+
+// moveDiscovery has the list come from another address from now on. What is known stands until that has answered.
+func (p *Proxy) moveDiscovery(addr string) {
 	for {
 		select {
 		case p.moved <- addr:
@@ -274,12 +290,13 @@
 		return err
 	case <-ctx.Done():
 	}
-	cutoff := time.Now().Add(p.left)
+	stay, left := p.times(p.front.classes())
+	cutoff := time.Now().Add(left)
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
 	if h := p.heirs.Load(); h != nil && h.served() {
-		p.front.leave(p.stay, cutoff)
+		p.front.leave(stay, cutoff)
 	} else {
-		p.front.drain(p.stay, cutoff)
+		p.front.drain(stay, cutoff)
 	}
 	return <-served
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -402,7 +402,7 @@
 	query(first, "")
 	first.say <- listText(5, true, listed("a", a.addr, statusServing))
 	query(first, "from=5&hold_ms=10000")
-	p.MoveDiscovery(second.addr)
+	p.moveDiscovery(second.addr)
 	query(second, "")
 	second.say <- listText(3, true, listed("b", b.addr, statusServing)) // another count of versions
 	query(second, "from=3&hold_ms=10000")
@@ -411,7 +411,7 @@
 	if resp, _ := c.answer(t); resp.StatusCode != 200 || a.requests.Load() != 0 || b.requests.Load() != 1 {
 		t.Errorf("got %s, %d and %d requests", resp.Status, a.requests.Load(), b.requests.Load())
 	}
-	p.MoveDiscovery(third.addr) // and again
+	p.moveDiscovery(third.addr) // and again
 	query(third, "")
 	if n := len(first.calls); n != 0 {
 		t.Errorf("%d more calls at the first address", n)
@@ -452,7 +452,9 @@
 		return true
 	})
 	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
-	p.stay = 2 * time.Second // long enough for what is to be served on
+	p.times = func([]logic.Class) (stay, left time.Duration) { // long enough for what is to be served on
+		return 2 * time.Second, 3500 * time.Millisecond
+	}
 	idle := connect(t, p)
 	idle.send(t, look("1", 8000))
 	idle.answer(t)
@@ -529,3 +531,56 @@
 		t.Errorf("ended %v after SIGTERM", took)
 	}
 }
+
+// New classes are served under their rules once the settings are in force; one that was dropped is turned away, and
+// what is open is answered by the rules that it began with.
+func TestSettingsChangeUnderWay(t *testing.T) {
+	reached, goOn := make(chan struct{}, 1), make(chan struct{})
+	p, _ := serving(t, func(w io.Writer, r *http.Request, n int) bool {
+		if r.Header.Get("Request-Id") == "open" {
+			reached <- struct{}{}
+			wait(t, "the reload", goOn)
+		}
+		return says(served, true)(w, r, n)
+	})
+	open := connect(t, p)
+	open.send(t, look("open", 4000))
+	wait(t, "the open request", reached)
+	site, err := settings.Decode([]byte(strings.NewReplacer(`"name":"look"`, `"name":"peek"`,
+		`"repeat":"at_most_once"`, `"repeat":"idempotent"`).Replace(siteText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := p.cfg
+	cfg.Site = site
+	if err := p.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	close(goOn)
+	if resp, _ := open.answer(t); resp.StatusCode != 200 {
+		t.Errorf("the open request: %s", resp.Status)
+	}
+	for text, want := range map[string]int{
+		strings.ReplaceAll(look("1", 4000), "look", "peek"): 200,
+		look("2", 4000): 400,
+		"GET /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\n\r\n": 200,
+		post("4", "Content-Length: 0"): 405,
+	} {
+		cl := connect(t, p)
+		cl.send(t, text)
+		if resp, _ := cl.answer(t); resp.StatusCode != want {
+			t.Errorf("%q: %s", text, resp.Status)
+		}
+	}
+	waitUntil(t, func() bool { return p.Figures().Outstanding == 0 })
+	f := p.Figures()
+	if f.Classes["look"].Succeeded != 1 || f.Classes["peek"].Succeeded != 1 || f.Classes["post"].Succeeded != 1 {
+		t.Errorf("figures %+v", f.Classes)
+	}
+	bad := *site
+	bad.Logic.MaxAttempts = 0
+	cfg.Site = &bad
+	if err := p.Reload(cfg); err == nil {
+		t.Error("settings that cannot work were taken")
+	}
+}
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -295,7 +295,7 @@
 		own := f.cameWhole(w, r, req)
 		req.GiveUp = f.giveUp(req)
 		if f.over() {
-			req.answer <- f.full()
+			req.answer <- full(req)
 		} else {
 			f.loop.post(func() { f.loop.take(req) })
 		}
@@ -310,7 +310,7 @@
 	defer unhook()
 	if f.over() {
 		req.stopBody()
-		req.answer <- f.full()
+		req.answer <- full(req)
 	} else {
 		f.loop.post(func() { f.loop.take(req) })
 	}
@@ -323,7 +323,7 @@
 	}
 	w.Header().Set("Connection", "close")
 	if u.stopped() { // it has its answer
-		return f.loop.figs.take(f.site.Classes[req.Class]), answer{}
+		return f.loop.figs.take(req.class), answer{}
 	}
 	to.CloseWithError(err)
 	f.loop.post(func() { f.loop.gone(req) })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"fernlanding/logic"
@@ -150,12 +153,74 @@
 		if !ok {
 			return s, fmt.Errorf("profiles[%d].dedup_scope: unknown word %q", i, p.Scope)
 		}
-		s.Classes = append(s.Classes, logic.Class{Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
+		s.Classes = append(s.Classes, logic.Class{Name: p.Name, Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
 			LateWorth: p.LateShare, Repeat: repeat, Group: group, Window: p.Window,
 			ByArrival: p.ByArrival})
 	}
 	for _, t := range o.Tenants {
-		s.Tenants = append(s.Tenants, logic.Tenant{Portion: t.Portion, Quota: t.Quota})
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, Portion: t.Portion, Quota: t.Quota})
 	}
 	return s, nil
 }
+
+// Lacks tells of the first key that a former configuration has and the next one lacks: what a file that was cut
+// short, or saved in the middle, may show and still make sense. Entries of a list are compared by the keys that all
+// of them have. What the list of servers holds is discovery's and not compared.
+func Lacks(former, next []byte) error {
+	var a, b map[string]any
+	if err := errors.Join(json.Unmarshal(former, &a), json.Unmarshal(next, &b)); err != nil {
+		return err
+	}
+	delete(a, "known")
+	return lacks("", a, b)
+}
+
+func lacks(at string, former, next any) error {
+	switch a := former.(type) {
+	case map[string]any:
+		b, ok := next.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s: no object", strings.TrimPrefix(at, "."))
+		}
+		for _, key := range slices.Sorted(maps.Keys(a)) {
+			v, ok := b[key]
+			if !ok {
+				return fmt.Errorf("%s is missing", strings.TrimPrefix(at+"."+key, "."))
+			}
+			if err := lacks(at+"."+key, a[key], v); err != nil {
+				return err
+			}
+		}
+	case []any:
+		b, ok := next.([]any)
+		if !ok {
+			return fmt.Errorf("%s: no list", strings.TrimPrefix(at, "."))
+		}
+		common := commonKeys(a)
+		for i, entry := range b {
+			if err := lacks(fmt.Sprintf("%s[%d]", at, i), common, entry); len(common) > 0 && err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// commonKeys are the keys that all entries of a list have.
+func commonKeys(list []any) map[string]any {
+	var common map[string]any
+	for _, entry := range list {
+		m, ok := entry.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if common == nil {
+			common = maps.Clone(m)
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool { _, ok := m[key]; return !ok })
+	}
+	for key := range common {
+		common[key] = nil // their values are each entry's own
+	}
+	return common
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -33,6 +33,7 @@
 
 // Class describes one class of requests.
 type Class struct {
+	Name      string  // by which Reconfigure knows it again; says nothing else
 	Aim       int64   // an answer within this earns the full worth
 	Deadline  int64   // a client waits this long at most, all its tries included
 	Worth     float64 // worth of one request
@@ -45,11 +46,12 @@
 
 // Tenant describes one origin of requests.
 type Tenant struct {
+	Name    string  // by which Reconfigure knows it again; says nothing else
 	Portion float64 // its part of the service
 	Quota   float64 // requests a second inside its share, over all proxies
 }
 
-// Settings are handed over once, at the start, and not changed afterwards.
+// Settings are handed over at the start and not changed afterwards; others may take their place with Reconfigure.
 type Settings struct {
 	Stage     int // the tier that this proxy sends to; 0 is the front
 	Siblings  int // proxies of this tier, this one included
@@ -120,6 +122,9 @@
 	Key    string // its subject, or empty
 	GiveUp int64  // when the client abandons it
 
+	// Under are the settings that the request was read by, as Rules gave them; nil for those in force.
+	Under *Settings
+
 	// Uploading: its body is still coming. It may be sent already; its time begins with Uploaded.
 	Uploading bool
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -154,36 +154,61 @@
 	if err := s.validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
+	b := &Balancer{s: &s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
 		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
 		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
-	if s.BudgetSpan == 0 {
-		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
-	}
-	allowed, least := badPart, minCount
+	b.ownBudget()
 	b.share, b.spill, b.shareBad = shareStart, spillStart, sharePress
 	if s.Stage > 0 {
-		allowed, least = hopeless, deepCount
 		b.share, b.spill, b.shareBad = shareDeep, spillLow, shareDeep
 	}
 	b.shareMost = b.share
-	for _, t := range s.Tenants { // a copy that carries more than its part learns a higher multiple
-		b.fair += t.Quota / float64(s.Siblings)
-	}
 	for i, c := range s.Classes {
-		first := firstMean * float64(c.Aim)
-		span := roundSpan * c.Aim
-		rule := threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: span}}
-		b.shareEv.span = max(b.shareEv.span, span)
-		b.classes[i] = classState{rule: rule, mean: first, base: first}
-		b.classes[i].yield = round{allowed: slowMuch, span: span}
-	}
-	b.tier = threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: b.shareEv.span}}
-	b.shareEv.allowed = slowMuch
-	b.spillEv = b.shareEv
+		b.classes[i] = b.freshClass(c)
+	}
+	b.derive()
+	b.tier = b.freshRule(b.shareEv.span)
 	return b, nil
 }
 
+// ownBudget stands in where no budget for further attempts is stated.
+func (b *Balancer) ownBudget() {
+	if b.s.BudgetSpan == 0 {
+		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
+	}
+}
+
+// derive takes what follows from the settings in force.
+func (b *Balancer) derive() {
+	b.fair = 0
+	for _, t := range b.s.Tenants { // a copy that carries more than its part learns a higher multiple
+		b.fair += t.Quota / float64(b.s.Siblings)
+	}
+	span := int64(0)
+	for i, c := range b.s.Classes {
+		if !b.classes[i].retired {
+			span = max(span, roundSpan*c.Aim)
+		}
+	}
+	b.shareEv.allowed, b.shareEv.span = slowMuch, span
+	b.spillEv.allowed, b.spillEv.span = slowMuch, span
+	b.tier.ev.span = span
+}
+
+func (b *Balancer) freshRule(span int64) threadRule {
+	allowed, least := badPart, minCount
+	if b.s.Stage > 0 {
+		allowed, least = hopeless, deepCount
+	}
+	return threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: span}}
+}
+
+func (b *Balancer) freshClass(c Class) classState {
+	first, span := firstMean*float64(c.Aim), roundSpan*c.Aim
+	return classState{rule: b.freshRule(span), mean: first, base: first,
+		yield: round{allowed: slowMuch, span: span}}
+}
+
 // List takes a list of servers or its changes.
 func (b *Balancer) List(now int64, h Host, kind ListKind, entries []Server) {
 	if kind == Failed {
@@ -318,7 +343,8 @@
 	if b.reqs[r.ID] != nil {
 		return
 	}
-	if r.Class < 0 || r.Class >= len(b.classes) {
+	under := cmp.Or(r.Under, b.s)
+	if r.Class < 0 || r.Class >= len(under.Classes) {
 		h.Fail(r.ID)
 		return
 	}
@@ -326,12 +352,12 @@
 	b.born = cmp.Or(b.born, now)
 	b.taken.add(now, b.s.BudgetSpan)
 	b.came.add(now)
-	q := &request{Request: r, came: now}
+	q := &request{Request: r, s: under, came: now}
 	if t := b.origin(q); t != nil {
 		t.came.add(now)
 	}
 	b.reqs[r.ID] = q
-	if r.Key == "" || !b.s.Classes[r.Class].ByArrival {
+	if r.Key == "" || !under.Classes[r.Class].ByArrival {
 		b.start(now, h, q)
 		return
 	}
@@ -367,7 +393,7 @@
 // refuse gives a hint spread so that clients do not return together, nor so late that an answer then misses
 // its aim.
 func (b *Balancer) refuse(now int64, h Host, q *request) {
-	most := min(b.s.MaxRetryAfter, int64(hintPart*float64(b.s.Classes[q.Class].Aim)))
+	most := min(q.s.MaxRetryAfter, int64(hintPart*float64(q.s.Classes[q.Class].Aim)))
 	h.Refuse(q.ID, most/2+b.rnd.Int64N(most/2+1))
 	b.finish(now, h, q)
 }
@@ -377,9 +403,9 @@
 	if !b.tier.canPass(b.rnd.Float64()) {
 		return false
 	}
-	if t := b.origin(q); t != nil {
-		count := b.share * b.fair * b.s.Tenants[q.Tenant].Portion
-		if !t.canPass(now, b.born, count, b.room(now, q.Tenant), b.rnd.Float64()) {
+	if i := b.tenant(q); i >= 0 {
+		count := b.share * b.fair * b.s.Tenants[i].Portion
+		if !b.tenants[i].canPass(now, b.born, count, b.room(now, i), b.rnd.Float64()) {
 			return false
 		}
 	}
@@ -388,7 +414,7 @@
 
 // deadline is when an answer stops being worth anything.
 func (b *Balancer) deadline(q *request) int64 {
-	k := b.s.Classes[q.Class]
+	k := q.s.Classes[q.Class]
 	if q.Uploading {
 		return math.MaxInt64 / 2
 	}
@@ -427,7 +453,7 @@
 		return 0
 	}
 	left := b.deadline(q) - now
-	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
+	if q.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < q.s.MaxAttempts {
 		left = min(left, int64(hangMeans*b.classes[q.Class].mean))
 	}
 	return max(left, 1)
@@ -468,7 +494,7 @@
 	// trials are a part of what goes to those that are well.
 	for i, w := range b.weights {
 		part := b.ready[i].healthFor(q.Class)
-		if b.ready[i].whole.left < wellPart && b.s.Classes[q.Class].Repeat == Unsafe {
+		if b.ready[i].whole.left < wellPart && q.s.Classes[q.Class].Repeat == Unsafe {
 			part *= riskPart
 		}
 		if best > 0 && part < wellPart && w > part*best {
@@ -524,7 +550,7 @@
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
 // keyed one only to the group that drops its repeats, while that remembers it.
 func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
-	k := b.s.Classes[q.Class]
+	k := q.s.Classes[q.Class]
 	for _, a := range q.attempts {
 		if !a.mayRun || k.Repeat == Safe {
 			continue
@@ -539,7 +565,7 @@
 
 // mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
 func (b *Balancer) mayRefuse(q *request) bool {
-	k := b.s.Classes[q.Class]
+	k := q.s.Classes[q.Class]
 	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
 		return true
 	}
@@ -609,13 +635,13 @@
 		b.finish(now, h, q)
 		return
 	}
-	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
+	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || q.s.FullMayRun)
 	b.leave(q, a)
 	b.learn(now, q, a, o)
 	b.report(now, h)
 	if q.turn != nil && slices.Contains([]Status{TimedOut, Reset, Cancelled}, o.Status) { // it may still run
-		q.turn.rest = now + b.s.OrderSettle
-		h.SetTimer(b.s.OrderSettle, turnToken+q.Key)
+		q.turn.rest = now + q.s.OrderSettle
+		h.SetTimer(q.s.OrderSettle, turnToken+q.Key)
 	}
 	if o.Closed || q.over {
 		b.finish(now, h, q)
@@ -636,7 +662,7 @@
 	if now < b.free {
 		free = 0
 	}
-	if len(q.attempts) >= b.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
+	if len(q.attempts) >= q.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
 		b.further.since(from)+1 > free+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
 		return false
 	}
@@ -649,7 +675,7 @@
 	if o.Status == Cancelled || o.Status == Moot {
 		return
 	}
-	c, k, failed := &b.classes[q.Class], b.s.Classes[q.Class], o.Status != OK
+	c, k, failed := &b.classes[q.Class], q.s.Classes[q.Class], o.Status != OK
 	blame := b.judge(a.srv, q.Class, o.Status)
 	if !failed {
 		b.reward(c, a.srv, float64(o.Took))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -595,7 +595,7 @@
 	}
 	drawn := 0
 	for range 1000 {
-		if b.draw(start, &request{}).ID == "s0" {
+		if b.draw(start, &request{s: b.s}).ID == "s0" {
 			drawn++
 		}
 	}
@@ -617,7 +617,7 @@
 	drawn := map[Repeat]int{}
 	for class, c := range set.Classes {
 		for range 4000 {
-			if b.draw(start, &request{Request: Request{Class: class}}).ID == "s0" {
+			if b.draw(start, &request{s: b.s, Request: Request{Class: class}}).ID == "s0" {
 				drawn[c.Repeat]++
 			}
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -98,6 +98,7 @@
 	seen    float64    // successes
 	errs    float64    // running part of failed calls over all servers
 	waiting []*attempt // at the front: in order of sending, those not yet slow
+	retired bool       // the settings have it no more; it is free once no request of it is open
 }
 
 type server struct {
@@ -152,6 +153,7 @@
 
 type request struct {
 	Request
+	s        *Settings // those that it began with hold for it to its end
 	came     int64
 	turn     *turn // nil if it need not wait its turn
 	attempts []*attempt
@@ -218,7 +220,7 @@
 
 // Balancer decides for one proxy.
 type Balancer struct {
-	s         Settings
+	s         *Settings // in force; Classes by slot
 	rnd       *rand.Rand
 	byID      map[string]*server
 	all       []*server       // in order of first listing
@@ -278,12 +280,27 @@
 	b.classes[q.Class].rule.threads--
 }
 
+// tenant is the number that the request's tenant has now, -1 without one.
+func (b *Balancer) tenant(q *request) int {
+	if q.Tenant < 0 || q.Tenant >= len(q.s.Tenants) {
+		return -1
+	}
+	if q.s == b.s {
+		return q.Tenant
+	}
+	name := q.s.Tenants[q.Tenant].Name
+	return slices.IndexFunc(b.s.Tenants, func(t Tenant) bool { return t.Name == name })
+}
+
+// Rules are the settings in force, with the classes by the numbers that requests have for them.
+func (b *Balancer) Rules() *Settings { return b.s }
+
 // origin is the node of the request's tenant; without one the tenant rule is skipped.
 func (b *Balancer) origin(q *request) *originRule {
-	if q.Tenant < 0 || q.Tenant >= len(b.tenants) {
-		return nil
+	if i := b.tenant(q); i >= 0 {
+		return &b.tenants[i]
 	}
-	return &b.tenants[q.Tenant]
+	return nil
 }
 
 // gainAfter is the gain of a running mean: that of a plain mean over what was seen, until that falls to least.
