Shed connections by their silence and refuse by requests in flight, not by open ones

Design: descriptors are split by the configured limit, 0.55 of what is free to clients; a request is refused only if more are in flight than there are connections to backends for. When connections run short the one that has been silent the longest beyond its due goes: 50 ms with nothing sent, 250 ms in a head, 750 ms in a body, 2 s kept idle. What has been read of a next request counts, so a head that comes slowly on a kept connection is not taken for an idle one, neither here nor in a drain. Rejected: by age since the connect, as it was: a client that takes 2 s goes first. Rejected: more slots than limits. Ruled out: the module (refusals 3 % for 5 s), the drains (both ended by themselves).

--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -63,6 +63,8 @@
 
 	served bool         // a head has passed
 	began  atomic.Int64 // when the present request did, or the connection for its first; in Unix nanoseconds
+	moved  atomic.Int64 // when something last came, or the connection did
+	asked  atomic.Bool  // something has come since the last answer, whoever has read it by now
 }
 
 // flaw stands in for a head whose framing is in doubt: net/http answers it 400 and closes. It comes as
@@ -90,6 +92,7 @@
 		}
 	} else {
 		n, err = c.Conn.Read(p)
+		c.move(n)
 	}
 	if c.pass > 0 {
 		c.pass -= int64(n)
@@ -97,6 +100,29 @@
 	return n, err
 }
 
+// newFramedConn wraps a connection that has just come.
+func newFramedConn(c net.Conn) *framedConn {
+	f := &framedConn{Conn: c}
+	now := time.Now().UnixNano()
+	f.began.Store(now)
+	f.moved.Store(now)
+	return f
+}
+
+// move notes that n bytes came.
+func (c *framedConn) move(n int) {
+	if n > 0 {
+		c.asked.Store(true)
+		c.moved.Store(time.Now().UnixNano())
+	}
+}
+
+// answered notes that the present request has its answer. It comes from the goroutine that reads.
+func (c *framedConn) answered() { c.asked.Store(len(c.buf) > 0) }
+
+// silent is how long nothing has come.
+func (c *framedConn) silent() time.Duration { return time.Since(time.Unix(0, c.moved.Load())) }
+
 // head reads until a whole head is there and sets what may pass.
 func (c *framedConn) head() error {
 	if c.served && len(c.buf) > 0 {
@@ -125,6 +151,7 @@
 		}
 		c.buf = slices.Grow(c.buf, 1<<10)
 		n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
+		c.move(n)
 		if c.served && len(c.buf) == 0 {
 			c.began.Store(time.Now().UnixNano())
 		}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -28,9 +28,13 @@
 	requestPatience = 2500 * time.Millisecond
 
 	// When connections run short, one without a whole request on it makes room: a kept one after idleLeast,
-	// which is how long clients may count on it, one whose request has not come in after stallLeast.
+	// which is how long clients may count on it, one whose request is not whole once nothing has come for
+	// stallLeast, or in its body for pauseLeast (a slow one may come in pieces some hundred milliseconds apart),
+	// and a new one that has sent nothing after muteLeast: it has waited to be accepted, too.
 	idleLeast  = 2 * time.Second
 	stallLeast = 250 * time.Millisecond
+	pauseLeast = 750 * time.Millisecond
+	muteLeast  = 50 * time.Millisecond
 	shedEvery  = 20 * time.Millisecond
 	shortPart  = 0.75        // of the clients' part: connections run short beyond it
 	shortQuiet = time.Second // between two lines in the log about that
@@ -42,7 +46,7 @@
 
 	leaveIdle = time.Second // see leave
 
-	overCap = 32 // connections beyond the clients' part, to refuse on
+	overCap = 32 // connections beyond the clients' part, to refuse on, at most
 )
 
 // frontend takes requests from clients and hands them to the loop.
@@ -52,7 +56,8 @@
 	listener *cappedListener
 	holds    *holds
 	log      *slog.Logger
-	most     atomic.Int64 // connections of clients that are served; those beyond are refused
+	most     atomic.Int64 // connections of clients, and some more to refuse on
+	flight   atomic.Int64 // requests in flight, each of which may need a connection to a backend; more are refused
 	serving  atomic.Bool  // connections are accepted
 	draining atomic.Bool  // SIGTERM has come: health checks hear it
 	closing  atomic.Bool  // and clients are to leave
@@ -142,7 +147,7 @@
 // connKey finds a request's connection in its context.
 type connKey struct{}
 
-func newFrontend(site *settings.Site, l *loop, listener net.Listener, most, over int, log *slog.Logger) *frontend {
+func newFrontend(site *settings.Site, l *loop, listener net.Listener, log *slog.Logger) *frontend {
 	f := &frontend{loop: l, log: log, holds: &holds{}, conns: map[net.Conn]connState{}}
 	first := make([]int, len(site.Classes))
 	for i := range first {
@@ -150,7 +155,6 @@
 	}
 	f.turn(newView(site, l.rules(site), first))
 	f.listener = newCappedListener(listener, f.shed)
-	f.limit(most, over)
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		ConnState: f.connState, ErrorLog: quietLog(log),
@@ -189,9 +193,7 @@
 		l.free()
 		return nil, err
 	}
-	fc := &framedConn{Conn: c}
-	fc.began.Store(time.Now().UnixNano())
-	return fc, nil
+	return newFramedConn(c), nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
@@ -267,6 +269,9 @@
 		}
 		return
 	}
+	if fc, ok := c.(*framedConn); ok && s == http.StateIdle {
+		fc.answered()
+	}
 	f.conns[c] = connState{state: s, since: time.Now()}
 	if s == http.StateNew && f.short(len(f.conns)) {
 		f.shedLocked()
@@ -276,9 +281,11 @@
 // short tells whether so many connections leave too little room for others.
 func (f *frontend) short(open int) bool { return float64(open) > shortPart*float64(f.most.Load()) }
 
-// limit sets how many connections of clients are served, and how many beyond these are taken to be refused.
-func (f *frontend) limit(most, over int) {
+// limit sets how many connections of clients are served, with how many requests in flight, and how many
+// connections beyond these are taken to be refused.
+func (f *frontend) limit(most, flight, over int) {
 	f.most.Store(int64(most))
+	f.flight.Store(int64(flight))
 	f.listener.limit(most + over)
 }
 
@@ -304,32 +311,46 @@
 	return answer{status: http.StatusServiceUnavailable, after: req.Under.MaxRetryAfter}
 }
 
-// shed closes the connection that has been without a whole request the longest, if there is one to spare.
+// shed closes the connection that can be spared best, if there is one.
 func (f *frontend) shed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.shedLocked()
 }
 
+// shedLocked picks by how long a connection has been silent, not by its age: a slow client that keeps sending is
+// owed its answer, one that has stopped is not.
 func (f *frontend) shedLocked() {
-	var oldest net.Conn
+	var victim net.Conn
 	var over time.Duration
 	for c, s := range f.conns {
-		least := stallLeast
-		if s.state == http.StateIdle {
-			least = idleLeast
-		}
-		if d := time.Since(s.since) - least; !s.whole && d > over && (s.state != http.StateIdle || quiet(c)) {
-			oldest, over = c, d
+		if d := s.spare(c); d > over && (s.state != http.StateIdle || quiet(c)) {
+			victim, over = c, d
 		}
 	}
-	if oldest != nil {
-		oldest.Close() // the server's read ends and reports it closed
+	if victim != nil {
+		victim.Close() // the server's read ends and reports it closed
 		f.shedded++
 		f.sayShort()
 	}
 }
 
+// spare tells for how long a connection could have been closed to make room; not at all if that is not positive.
+func (s connState) spare(c net.Conn) time.Duration {
+	fc, ok := c.(*framedConn)
+	switch {
+	case s.whole || !ok:
+		return 0
+	case fc.asked.Load() && s.state == http.StateActive:
+		return fc.silent() - pauseLeast
+	case fc.asked.Load():
+		return fc.silent() - stallLeast
+	case s.state == http.StateIdle:
+		return time.Since(s.since) - idleLeast
+	}
+	return fc.silent() - muteLeast
+}
+
 // sayShort tells the log what holds the connections, now and then while they are short.
 func (f *frontend) sayShort() {
 	if time.Since(f.said) < shortQuiet {
@@ -348,11 +369,12 @@
 	f.said, f.shedded, f.refused = time.Now(), 0, 0
 }
 
-// over tells whether clients hold more connections than their part, and counts the refusal that follows.
+// over tells whether more requests are in flight than there may be, and counts the refusal that follows.
+// Connections without a whole request are no reason to refuse one: they give way.
 func (f *frontend) over() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if int64(len(f.conns)) <= f.most.Load() {
+	if int64(f.inFlight()) <= f.flight.Load() {
 		return false
 	}
 	f.refused++
@@ -360,6 +382,16 @@
 	return true
 }
 
+// inFlight counts the connections whose request has come whole and has no answer yet.
+func (f *frontend) inFlight() (n int) {
+	for _, s := range f.conns {
+		if s.whole {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *frontend) open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -373,8 +405,9 @@
 	defer f.mu.Unlock()
 	for c, s := range f.conns {
 		d := time.Since(s.since)
+		fc, ok := c.(*framedConn)
 		idle := s.state == http.StateIdle && d >= idleFor || s.state == http.StateNew && d > newFor
-		if idle && quiet(c) {
+		if idle && !(ok && fc.asked.Load()) && quiet(c) {
 			c.Close()
 		} else {
 			busy++
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,12 +21,16 @@
 )
 
 const (
-	ownSockets = 32 // descriptors that are neither a client's nor a backend's, generously
-	leastEach  = 8  // connections on either side, at least
-
-	// While two processes are one proxy each keeps to half of the descriptors, and reckons them closer.
+	// Descriptors that are neither a client's nor a backend's: the runtime's, listeners, discovery's calls and
+	// watches, the folder of bans, and some more. While two processes are one proxy they are reckoned closer.
+	ownSockets = 20
 	ownShared  = 16
-	overShared = 8
+	overPart   = 16 // one in so many is kept to refuse on
+	overLeast  = 4
+	// Of the rest: clients hold idle and half-written connections too. What is left for backends is a third of
+	// all where that is 192 or more, as many as clients use for requests at once.
+	clientPart = 0.55
+	leastEach  = 8 // connections on either side, at least
 
 	defaultHold = 16 << 20
 
@@ -74,8 +78,8 @@
 	if err != nil {
 		return nil, err
 	}
-	each, over := cfg.parts(false)
-	if each < leastEach {
+	clients, backends, _ := cfg.parts(false)
+	if min(clients, backends) < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
 	var before *elder
@@ -90,12 +94,12 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	figs := newFigures(cfg.Site.Classes)
-	pool := newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each, figs)
+	pool := newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, backends, figs)
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
 	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, moved: make(chan string, 1), times: drainTimes}
-	p.front = newFrontend(cfg.Site, l, listener, each, over, cfg.Log)
+	p.front = newFrontend(cfg.Site, l, listener, cfg.Log)
 	p.share(false)
 	if before != nil {
 		bal.Inherit(before.legacy.Spent)
@@ -138,28 +142,32 @@
 // soReusePort is SO_REUSEPORT, which package syscall does not name on Linux.
 const soReusePort = 0xf
 
-// parts tells how many connections there may be on either side, and how many more of clients to refuse on.
-func (cfg Config) parts(shared bool) (each, over int) {
-	sockets, own, over := cfg.Sockets, ownSockets, overCap
+// parts tells how many connections there may be of clients and to backends, and how many more of clients to refuse
+// on. While two processes are one proxy each has half of all.
+func (cfg Config) parts(shared bool) (clients, backends, over int) {
+	sockets, own := cfg.Sockets, ownSockets
 	if shared {
-		sockets, own, over = sockets/2, ownShared, overShared
+		sockets, own = sockets/2, ownShared
 	}
 	if cfg.Watched {
 		own += mgmt.MaxConns + 1
 	}
-	return (sockets - own - over) / 2, over
+	over = min(overCap, max(overLeast, sockets/overPart))
+	rest := sockets - own - over
+	clients = int(clientPart * float64(rest))
+	return clients, rest - clients, over
 }
 
 // share has this process keep to its part of memory and descriptors while another of the proxy lives, or not.
 func (p *Proxy) share(with bool) {
-	each, over := p.cfg.parts(with)
-	p.front.limit(max(each, leastEach), over)
+	clients, backends, over := p.cfg.parts(with)
+	p.front.limit(max(clients, leastEach), max(backends, leastEach), over)
 	part, hold := 1.0, cmp.Or(p.cfg.Hold, defaultHold)
 	if with {
 		part, hold = 0.5, hold/2
 	}
 	p.front.holds.limit(hold)
-	p.loop.pool.limit(max(each, leastEach), hold)
+	p.loop.pool.limit(max(backends, leastEach), hold)
 	if p.cfg.Memory != nil {
 		p.cfg.Memory(part)
 	}
