--- a/.ci/start/main.go
+++ b/.ci/start/main.go
@@ -1,10 +1,12 @@
-// Command start starts the proxy by the command in CI_RUN, with a list that it knows and no discovery, asks
-// for its health over loopback, looks at its process, and ends it with SIGTERM.
+// Command start starts the proxy by the command in CI_RUN, with a list that it knows and no discovery, asks for its
+// health over loopback, looks at its process, and ends it with SIGTERM; then again with a management address, a ban
+// and an upgrade in between.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"net"
 	"net/http"
@@ -16,11 +18,12 @@
 	"time"
 )
 
-const config = `{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1","limits":{"cores":1,"memory_mb":192,` +
-	`"sockets":256},"known":{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:1","zone":"a",` +
-	`"status":"SERVING","since_ms":0}]},"settings":{"contract":{},"failure_domains":["a"],"limits":{` +
-	`"dial_timeout_us":100000,"idle_close_us":1000000,"try_limit":2},"membership_mode":"automatic","profiles":[{` +
-	`"give_up_us":1000000,"name":"look","objective_us":500000,"repeat":"idempotent","worth":1}],"siblings":1}}`
+const config = `{"name":"n0","listen":%q,"mgmt":%q,"discovery":"127.0.0.1:1","seed":"1","limits":{"cores":1,` +
+	`"memory_mb":192,"sockets":256},"known":{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":` +
+	`"127.0.0.1:1","zone":"a","status":"SERVING","since_ms":0}]},"settings":{"contract":{},"failure_domains":["a"],` +
+	`"limits":{"dial_timeout_us":100000,"idle_close_us":1000000,"try_limit":2},"membership_mode":"automatic",` +
+	`"profiles":[{"give_up_us":1000000,"name":"look","objective_us":500000,"repeat":"idempotent","worth":1}],` +
+	`"siblings":1}}`
 
 const patience = 30 * time.Second
 
@@ -29,63 +32,135 @@
 		fmt.Fprintf(os.Stderr, "start: %v\n", err)
 		os.Exit(1)
 	}
-	fmt.Println("the proxy starts, is healthy, outlives SIGHUP and ends on SIGTERM")
+	fmt.Println("the proxy starts, is healthy, outlives SIGHUP, keeps a ban over an upgrade and ends on SIGTERM")
 }
 
 func run() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	addr := l.Addr().String()
-	l.Close()
 	dir, err := os.MkdirTemp("", "start")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
-	path := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(path, fmt.Appendf(nil, config, addr), 0o600); err != nil {
+	if err := life(dir, ""); err != nil {
+		return fmt.Errorf("without a management address: %w", err)
+	}
+	mgmt, err := free()
+	if err != nil {
 		return err
 	}
+	if err := life(dir, mgmt); err != nil {
+		return fmt.Errorf("with a management address: %w", err)
+	}
+	return nil
+}
+
+// free is an address that nobody listens at now.
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// proxy is one process of run.
+type proxy struct {
+	cmd   *exec.Cmd
+	ended chan error
+}
+
+// start starts run with a configuration, and waits until that is healthy by the address and path given.
+func start(dir, path, listen, mgmt, health string) (*proxy, error) {
+	if err := os.WriteFile(path, fmt.Appendf(nil, config, listen, mgmt), 0o600); err != nil {
+		return nil, err
+	}
 	cmd := exec.Command("/bin/sh", "-c", os.Getenv("CI_RUN"))
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_MGMT=", "TMPDIR="+dir)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	defer func() { _ = cmd.Process.Kill() }()
-	for end := time.Now().Add(patience); !healthy(addr); time.Sleep(20 * time.Millisecond) {
+	p := &proxy{cmd, make(chan error, 1)}
+	go func() { p.ended <- cmd.Wait() }()
+	for end := time.Now().Add(patience); status("GET", health) != http.StatusOK; time.Sleep(20 * time.Millisecond) {
 		select {
-		case err := <-ended:
-			return fmt.Errorf("it ended early: %v", err)
+		case err := <-p.ended:
+			return nil, fmt.Errorf("it ended early: %v", err)
 		default:
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("not healthy after %v", patience)
+			p.kill()
+			return nil, fmt.Errorf("%s: no yes after %v", health, patience)
 		}
 	}
-	if err := oneProcess(cmd.Process.Pid); err != nil {
+	return p, nil
+}
+
+func (p *proxy) kill() { _ = p.cmd.Process.Kill() }
+
+// stop ends it with SIGTERM.
+func (p *proxy) stop() error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case err := <-p.ended:
+		return err
+	case <-time.After(patience):
+		return fmt.Errorf("still there %v after SIGTERM", patience)
+	}
+}
+
+// life plays a proxy's life: start, SIGHUP, with a management address a ban and an upgrade too, and the end.
+func life(dir, mgmt string) error {
+	listen, err := free()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(dir, "config.json")
+	p, err := start(dir, path, listen, mgmt, listen+"/_health")
+	if err != nil {
+		return err
+	}
+	defer p.kill()
+	if err := oneProcess(p.cmd.Process.Pid); err != nil {
 		return err
 	}
 	// SIGHUP reads the configuration again; by itself it would end the process.
-	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		return err
 	}
-	if !healthy(addr) {
+	if status("GET", listen+"/_health") != http.StatusOK {
 		return fmt.Errorf("not healthy after SIGHUP")
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		return err
+	if mgmt == "" {
+		return p.stop()
 	}
-	select {
-	case err := <-ended:
+	for call, want := range map[string]int{"/v1/nodos/a/suspend": 200, "/v1/nodos/b/suspend": 404} {
+		if got := status("POST", mgmt+call); got != want {
+			return fmt.Errorf("%s: got %d, want %d", call, got, want)
+		}
+	}
+	second, err := free()
+	if err != nil {
 		return err
-	case <-time.After(patience):
-		return fmt.Errorf("still there %v after SIGTERM", patience)
 	}
+	next, err := start(dir, path, listen, second, second+"/v1/readyz")
+	if err != nil {
+		return fmt.Errorf("successor: %w", err)
+	}
+	defer next.kill()
+	if err := p.stop(); err != nil {
+		return fmt.Errorf("predecessor: %w", err)
+	}
+	if text := body(second + "/v1/metrics"); !strings.Contains(text, "\napp.ejected=1\n") {
+		return fmt.Errorf("the ban did not outlast the upgrade:\n%s", text)
+	}
+	if status("GET", listen+"/_health") != http.StatusOK {
+		return fmt.Errorf("not healthy after the upgrade")
+	}
+	return next.stop()
 }
 
 // oneProcess holds run to what the fleet's platform needs: the shell has given way to the proxy, which has
@@ -129,11 +204,29 @@
 	return nil
 }
 
-func healthy(addr string) bool {
-	resp, err := http.Get("http://" + addr + "/_health")
+// status makes one call; 0 is no answer.
+func status(method, url string) int {
+	req, err := http.NewRequest(method, "http://"+url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return 0
 	}
 	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode
+}
+
+func body(url string) string {
+	resp, err := http.Get("http://" + url)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
 }
--- a/internal/proxy/figures_test.go
+++ b/internal/proxy/figures_test.go
@@ -47,7 +47,8 @@
 	goes := connect(t, p)
 	goes.send(t, post("4"))
 	wait(t, "the request at the backend", reached)
-	if n, f := ends(); n != 3 || f.Outstanding != 1 || f.Forwards != 4 {
+	waitUntil(t, func() bool { return p.Figures().Forwards == 4 }) // it may be there before it is counted
+	if n, f := ends(); n != 3 || f.Outstanding != 1 {
 		t.Errorf("while one is out: %d ended, %+v", n, f)
 	}
 	goes.Close()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -44,7 +44,7 @@
 	answerMargin = 30 * time.Millisecond
 	marginPart   = 8
 
-	leaveIdle = time.Second // see leave
+	leaveIdle = time.Second // see drain
 
 	overCap = 32 // connections beyond the clients' part, to refuse on, at most
 )
@@ -583,38 +583,30 @@
 // drain closes the doors after SIGTERM. Clients still come for a while, and those that keep a connection may
 // have nowhere else to go while the next proxy starts: all are served on for stay. Then the listener closes,
 // and connections as they fall idle, until none is left or the cutoff has come.
-func (f *frontend) drain(stay time.Duration, cutoff time.Time) {
+//
+// Where a successor serves, new connections are its own at once. Kept ones are told to close by their next answer,
+// since a close of ours could cross a request; those that do not ask for leaveIdle are closed, and after stay all
+// that are idle.
+func (f *frontend) drain(stay time.Duration, cutoff time.Time, succeeded func() bool) {
 	start := time.Now()
 	f.draining.Store(true)
 	f.log.Info("draining", "open", f.open())
-	time.Sleep(stay)
-	f.closing.Store(true)
-	f.listener.Close()
-	for f.closeIdle(0, acceptAfter) > 0 && time.Now().Before(cutoff) {
+	for time.Since(start) < stay && !succeeded() {
 		time.Sleep(drainStep)
 	}
-	f.end(start, cutoff)
-}
-
-// leave closes the doors after SIGTERM where a successor serves. New connections are the successor's at once. Kept
-// ones are told to close by their next answer, since a close of ours could cross a request; those that do not ask
-// for leaveIdle are closed, and after stay all that are idle.
-func (f *frontend) leave(stay time.Duration, cutoff time.Time) {
-	start := time.Now()
-	f.draining.Store(true)
-	f.log.Info("leaving to the successor", "open", f.open())
+	idleFor := time.Duration(0)
+	if time.Since(start) < stay {
+		f.log.Info("leaving to the successor", "open", f.open())
+		idleFor = leaveIdle
+	}
 	f.closing.Store(true)
 	f.listener.Close()
-	for idleFor := leaveIdle; f.closeIdle(idleFor, acceptAfter) > 0 && time.Now().Before(cutoff); {
+	for f.closeIdle(idleFor, acceptAfter) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 		if time.Since(start) > stay {
 			idleFor = 0
 		}
 	}
-	f.end(start, cutoff)
-}
-
-func (f *frontend) end(start, cutoff time.Time) {
 	f.log.Info("drained", "after", time.Since(start), "left", f.open())
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
 	defer cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -301,11 +301,10 @@
 	stay, left := p.times(p.front.classes())
 	cutoff := time.Now().Add(left)
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
-	if h := p.heirs.Load(); h != nil && h.served() {
-		p.front.leave(stay, cutoff)
-	} else {
-		p.front.drain(stay, cutoff)
-	}
+	p.front.drain(stay, cutoff, func() bool {
+		h := p.heirs.Load()
+		return h != nil && h.served()
+	})
 	return <-served
 }
 
