--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -25,8 +25,9 @@
 )
 
 const (
-	memoryPart     = 0.6   // of the limit: the runtime collects harder from there on
-	holdPart       = 0.125 // and of the limit: for requests' and answers' bodies that are held
+	memoryPart     = 0.6      // of the limit: the runtime collects harder from there on
+	memoryLeast    = 12 << 20 // below this the runtime would do little but collect
+	holdPart       = 0.125    // and of the limit: for requests' and answers' bodies that are held
 	defaultSockets = 1024
 )
 
@@ -48,7 +49,9 @@
 	}
 	cfg.Log = log
 	if lim.MemoryMB > 0 {
-		cfg.Memory = func(part float64) { debug.SetMemoryLimit(int64(lim.MemoryMB * part * memoryPart * (1 << 20))) }
+		cfg.Memory = func(part float64) {
+			debug.SetMemoryLimit(max(memoryLeast, int64(lim.MemoryMB*part*memoryPart*(1<<20))))
+		}
 		cfg.Memory(1)
 		cfg.Hold = int(lim.MemoryMB * holdPart * (1 << 20))
 	}
--- a/internal/proxy/bans.go
+++ b/internal/proxy/bans.go
@@ -104,15 +104,17 @@
 func (b *bans) watch(ctx context.Context) {
 	tick := time.NewTicker(banPoll)
 	defer tick.Stop()
-	for {
+	for failed := false; ; {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
-		if err := b.apply(); err != nil {
+		err := b.apply()
+		if err != nil && !failed { // once, not five times a second
 			b.loop.log.Error("bans stand as they were", "error", err)
 		}
+		failed = err != nil
 	}
 }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -423,8 +423,10 @@
 	if c, ok := r.Context().Value(connKey{}).(*framedConn); ok {
 		began = time.Unix(0, c.began.Load())
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(began.Add(requestPatience))
-	if len(r.TransferEncoding) > 0 { // see framedConn
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(began.Add(requestPatience))
+	_ = rc.SetWriteDeadline(time.Time{}) // the last answer's would keep a 100 Continue back
+	if len(r.TransferEncoding) > 0 {     // see framedConn
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/_health" {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -125,7 +125,7 @@
 	shared   syscall.Conn // the clients' listener
 	log      *slog.Logger
 	tell     func() (legacy, error) // called when a successor has come
-	gone     func()                 // and when it has ended
+	gone     func()                 // and, if that went well, when it has ended
 
 	mu      sync.Mutex
 	conn    *net.UnixConn // to the successor
@@ -176,7 +176,12 @@
 // attend hands over and stays until the successor has ended.
 func (h *heirs) attend(conn *net.UnixConn) {
 	h.log.Info("a successor has started")
-	if err := h.send(conn); err != nil {
+	told, err := h.tell()
+	if err == nil {
+		defer h.gone()
+		err = h.send(conn, told)
+	}
+	if err != nil {
 		h.log.Warn("handover", "error", err)
 	} else {
 		var b [1]byte
@@ -194,14 +199,10 @@
 	h.mu.Lock()
 	h.conn, h.serving = nil, false
 	h.mu.Unlock()
-	h.gone()
+	h.log.Info("the successor has ended")
 }
 
-func (h *heirs) send(conn *net.UnixConn) error {
-	l, err := h.tell()
-	if err != nil {
-		return err
-	}
+func (h *heirs) send(conn *net.UnixConn, l legacy) error {
 	line, err := json.Marshal(l)
 	if err != nil {
 		return fmt.Errorf("what the rules need: %w", err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,15 +60,16 @@
 
 // Proxy is one proxy with its listener open.
 type Proxy struct {
-	cfg   Config
-	loop  *loop
-	front *frontend
-	figs  *figures
-	bans  *bans                                          // nil unless watched
-	elder *elder                                         // the predecessor that lives, or nil
-	heirs atomic.Pointer[heirs]                          // once this process serves, if watched
-	moved chan string                                    // discovery's new address, the latest only
-	times func([]logic.Class) (stay, left time.Duration) // of a drain
+	cfg    Config
+	loop   *loop
+	front  *frontend
+	figs   *figures
+	bans   *bans                                          // nil unless watched
+	elder  *elder                                         // the predecessor that lives, or nil
+	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
+	others atomic.Int32                                   // processes of this proxy that live beside this one
+	moved  chan string                                    // discovery's new address, the latest only
+	times  func([]logic.Class) (stay, left time.Duration) // of a drain
 
 }
 
@@ -104,7 +105,7 @@
 	if before != nil {
 		bal.Inherit(before.legacy.Spent)
 		l.seen.add(before.legacy.Seen...)
-		p.share(true)
+		p.join(1)
 	}
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
@@ -173,10 +174,13 @@
 	}
 }
 
-// alone takes the news that the other process has ended.
-func (p *Proxy) alone() {
-	p.share(false)
-	p.loop.post(func() { p.loop.bal.Alone(p.loop.clock.now()) })
+// join counts the other processes of the proxy that live: a predecessor, a successor.
+func (p *Proxy) join(n int32) {
+	others := p.others.Add(n)
+	p.share(others > 0)
+	if others == 0 {
+		p.loop.post(func() { p.loop.bal.Alone(p.loop.clock.now()) })
+	}
 }
 
 // handOver tells a successor what it needs to know, and shares with it from then on.
@@ -187,7 +191,7 @@
 	})
 	select {
 	case l := <-out:
-		p.share(true)
+		p.join(1)
 		return l, nil
 	case <-p.loop.done:
 		return legacy{}, errors.New("this process is at its end")
@@ -283,7 +287,7 @@
 		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked, p.moved).run(inner, p.cfg.Site.Logic.Subscribe)
 	})
 	if p.elder != nil {
-		parts.Go(func() { p.elder.wait(); p.alone() })
+		parts.Go(func() { p.elder.wait(); p.join(-1) })
 		defer p.elder.conn.Close()
 	}
 	served := make(chan error, 1)
@@ -317,7 +321,7 @@
 	if err != nil {
 		return err
 	}
-	h.tell, h.gone = p.handOver, p.alone
+	h.tell, h.gone = p.handOver, func() { p.join(-1) }
 	h.done.Go(h.serve)
 	p.heirs.Store(h)
 	return nil
