Let long answers go on past the cutoff and turn away bodies that cannot come whole

By the protocol what SIGKILL finds is lost only if it came late, and what a process cuts off itself is lost in any case. Now the end waits for answers that are being passed on; kept connections that are idle close 0.1 s after SIGTERM, later all; a body that has not come whole 0.1 s before the cutoff gets 503. A copy with log lines showed what SIGKILL cuts: half had begun up to 5.6 s before SIGTERM and take over 9 s in all, so no process of a life of 3.7 s can end them; that needs the connections handed over too. TestSIGTERMDoesNotCutALongAnswerOff and TestABodyThatSIGTERMOvertakesIsTurnedAway fail without it.

--- a/internal/proxy/download_test.go
+++ b/internal/proxy/download_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"fernlanding/logic"
 )
 
 // A large answer is passed on as it comes, in every framing, and whole.
@@ -155,3 +157,36 @@
 	wait(t, "the backend's connection", b.closed)
 	waitUntil(t, func() bool { return p.Figures().Outstanding == 0 })
 }
+
+// A long answer that is still being given when the cutoff comes goes on to its end.
+func TestSIGTERMDoesNotCutALongAnswerOff(t *testing.T) {
+	goOn := make(chan struct{})
+	part := strings.Repeat("x", 2*wholeMost)
+	p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*len(part), part)
+		wait(t, "the cutoff", goOn)
+		_, _ = io.WriteString(w, part)
+		return true
+	})
+	p.times = func([]logic.Class) (stay, left time.Duration) { return 50 * time.Millisecond, 100 * time.Millisecond }
+	cl := connect(t, p)
+	cl.send(t, look("1", 4000))
+	resp, err := http.ReadResponse(cl.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.CopyN(io.Discard, resp.Body, 10); err != nil {
+		t.Fatal(err)
+	}
+	p.stop()
+	waitUntil(t, p.front.closing.Load)
+	time.Sleep(200 * time.Millisecond) // past the cutoff, whatever this machine is at
+	close(goOn)
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != int64(2*len(part)-10) {
+		t.Errorf("%d bytes more came, %v", n, err)
+	}
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	p.done <- nil
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -44,7 +44,9 @@
 	answerMargin = 30 * time.Millisecond
 	marginPart   = 8
 
-	leaveIdle = time.Second // see drain
+	leaveIdle  = 100 * time.Millisecond // see drain
+	leaveSoon  = 500 * time.Millisecond
+	streamMost = time.Minute
 
 	overCap = 32 // connections beyond the clients' part, to refuse on, at most
 )
@@ -61,11 +63,13 @@
 	serving  atomic.Bool  // connections are accepted
 	draining atomic.Bool  // SIGTERM has come: health checks hear it
 	closing  atomic.Bool  // and clients are to leave
+	streams  atomic.Int64 // answers that are being passed on
 
 	mu      sync.Mutex
 	view    *view   // in force
 	views   []*view // those that requests still read by, the one in force last
 	conns   map[net.Conn]connState
+	uploads map[*upload]bool
 	shedded int       // since the log last said so
 	refused int       // likewise
 	said    time.Time // when it did
@@ -148,7 +152,8 @@
 type connKey struct{}
 
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, holds: &holds{}, conns: map[net.Conn]connState{}}
+	f := &frontend{loop: l, log: log, holds: &holds{}, conns: map[net.Conn]connState{},
+		uploads: map[*upload]bool{}}
 	first := make([]int, len(site.Classes))
 	for i := range first {
 		first[i] = i
@@ -440,8 +445,8 @@
 		f.reply(w, bad)
 		return
 	}
-	body := newUpload(w, r, began, f.holds)
-	defer body.free()
+	body := f.newUpload(w, r, began)
+	defer f.endUpload(body)
 	own, bad := f.receive(w, r, req, body)
 	if bad.status != 0 {
 		f.reply(w, bad)
@@ -451,6 +456,10 @@
 	l := f.loop
 	select {
 	case ans := <-req.answer:
+		if ans.stream != nil {
+			f.streams.Add(1)
+			defer f.streams.Add(-1)
+		}
 		if f.reply(w, ans); ans.stream != nil {
 			ans.stream.passOn(w, r)
 		}
@@ -586,9 +595,9 @@
 // have nowhere else to go while the next proxy starts: all are served on for stay. Then the listener closes,
 // and connections as they fall idle, until none is left or the cutoff has come.
 //
-// Where a successor serves, new connections are its own at once. Kept ones are told to close by their next answer,
-// since a close of ours could cross a request; those that do not ask for leaveIdle are closed, and after stay all
-// that are idle.
+// Where a successor serves, new connections are its own at once. Kept ones are told to close by their next answer;
+// those that do not ask for leaveIdle are closed, and soon all that are idle: a request that comes late is one that
+// this process may not live to answer.
 func (f *frontend) drain(stay time.Duration, cutoff time.Time, succeeded func() bool) {
 	start := time.Now()
 	f.draining.Store(true)
@@ -605,12 +614,21 @@
 	f.listener.Close()
 	for f.closeIdle(idleFor, acceptAfter) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
-		if time.Since(start) > stay {
+		if time.Since(start) > leaveSoon {
 			idleFor = 0
 		}
+		if time.Until(cutoff) < killMargin {
+			f.turnAway()
+		}
+	}
+	// A long answer that a backend is still giving is owed to its client: it goes on until it ends or this process is
+	// killed, which is better than to cut it off by ourselves.
+	for f.streams.Load() > 0 && time.Since(start) < streamMost {
+		time.Sleep(drainStep)
+		f.closeIdle(0, 0)
 	}
 	f.log.Info("drained", "after", time.Since(start), "left", f.open())
-	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
+	ctx, cancel := context.WithTimeout(context.Background(), drainStep)
 	defer cancel()
 	_ = f.server.Shutdown(ctx)
 	_ = f.server.Close()
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -28,10 +29,13 @@
 	// stillPatience. Slow clients send 64 kB a second.
 	leastRate     = 32 << 10
 	stillPatience = 1500 * time.Millisecond
+
+	killMargin = 100 * time.Millisecond // before all is cut off: what has not come whole is turned away
 )
 
 var (
 	errTooLarge    = errors.New("the body is too large")
+	errDraining    = errors.New("the proxy ends before the body has come")
 	errRequestOver = errors.New("the request is over")
 )
 
@@ -77,11 +81,33 @@
 	mu   sync.Mutex
 	done bool // all has come
 	cut  bool // nobody wants the rest
+	late bool // the process ends
+}
+
+func (f *frontend) newUpload(w http.ResponseWriter, r *http.Request, began time.Time) *upload {
+	u := &upload{body: r.Body, length: r.ContentLength, deadline: http.NewResponseController(w).SetReadDeadline,
+		began: began, last: time.Now(), holds: f.holds}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.uploads[u] = true
+	return u
+}
+
+// endUpload gives back what an upload held.
+func (f *frontend) endUpload(u *upload) {
+	u.holds.free(u.taken)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.uploads, u)
 }
 
-func newUpload(w http.ResponseWriter, r *http.Request, began time.Time, h *holds) *upload {
-	return &upload{body: r.Body, length: r.ContentLength, deadline: http.NewResponseController(w).SetReadDeadline,
-		began: began, last: time.Now(), holds: h}
+// turnAway ends the uploads that are not done: the process ends before they can be.
+func (f *frontend) turnAway() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for u := range f.uploads {
+		u.end(&u.late)
+	}
 }
 
 func (u *upload) Read(p []byte) (int, error) {
@@ -93,10 +119,13 @@
 	if slow := patience.Add(time.Duration(u.got) * time.Second / leastRate); slow.Before(until) {
 		until = slow
 	}
-	if !u.wait(until) {
-		return 0, errRequestOver
+	if err := u.wait(until); err != nil {
+		return 0, err
 	}
 	n, err := u.body.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = cmp.Or(u.wait(until), err)
+	}
 	if n > 0 {
 		u.got += int64(n)
 		u.last = time.Now()
@@ -107,31 +136,38 @@
 	return n, err
 }
 
-// wait sets the deadline for the next read, unless nobody wants that.
-func (u *upload) wait(until time.Time) bool {
+// wait sets the deadline for the next read, or says why there is to be none.
+func (u *upload) wait(until time.Time) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.cut {
-		_ = u.deadline(until)
+	switch {
+	case u.cut:
+		return errRequestOver
+	case u.late:
+		return errDraining
 	}
-	return !u.cut
+	_ = u.deadline(until)
+	return nil
 }
 
-// stop ends a read that waits: the request has its answer. It may come from any goroutine, and at any time.
-func (u *upload) stop() {
+// end ends a read that waits, for the reason given, unless all has come.
+func (u *upload) end(reason *bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.done {
-		u.cut = true
+		*reason = true
 		_ = u.deadline(time.Unix(1, 0))
 	}
 }
 
+// stop ends the upload of a request that has its answer. It may come from any goroutine, and at any time.
+func (u *upload) stop() { u.end(&u.cut) }
+
 // finish notes that all has come; false if nobody wanted it any more.
 func (u *upload) finish() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.done = !u.cut
+	u.done = !u.cut // the cutoff itself may come later than its margin
 	return u.done
 }
 
@@ -165,9 +201,6 @@
 	}
 }
 
-// free gives back what was held.
-func (u *upload) free() { u.holds.free(u.taken) }
-
 // passOn writes the rest of the body into the pipe that the attempt reads.
 func (u *upload) passOn(to *io.PipeWriter) error {
 	buf := copyBuffers.Get().(*[]byte)
@@ -271,6 +304,8 @@
 	switch {
 	case errors.Is(err, errTooLarge):
 		return fault(http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, errDraining): // it has not run, and may come again
+		return fault(http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault(http.StatusRequestTimeout, "the body came too slowly")
 	}
@@ -292,6 +327,7 @@
 	}
 	req.body = body
 	if whole {
+		u.finish()
 		own := f.cameWhole(w, r, req)
 		req.GiveUp = f.giveUp(req)
 		if f.over() {
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"fernlanding/logic"
 )
 
 func post(id, framing string) string {
@@ -196,9 +198,26 @@
 		t.Errorf("%d bytes are held", held)
 	}
 	for _, u := range all {
-		u.free()
+		h.free(u.taken)
 	}
 	if h.used != 0 {
 		t.Errorf("%d bytes counted after the end", h.used)
 	}
 }
+
+// A body that cannot come whole before the cutoff is turned away with word that it may come again, not dropped.
+func TestABodyThatSIGTERMOvertakesIsTurnedAway(t *testing.T) {
+	p, _ := serving(t, says(served, true))
+	p.times = func([]logic.Class) (stay, left time.Duration) { return 100 * time.Millisecond, 600 * time.Millisecond }
+	for _, size := range []int{1000, 4 * holdMost} { // held, and passed on as it comes
+		cl := connect(t, p)
+		cl.send(t, post(fmt.Sprint(size), fmt.Sprintf("Content-Length: %d", size))+strings.Repeat("x", size-500))
+		defer func() {
+			if resp, _ := cl.answer(t); resp.StatusCode < 500 || !resp.Close {
+				t.Errorf("%d bytes: got %s, close %v", size, resp.Status, resp.Close)
+			}
+		}()
+	}
+	waitUntil(t, func() bool { return p.front.open() == 2 })
+	p.stop()
+}
