Let a class with no call out yield nothing to a worthier one

The log lines named the rule: 262 of 335 refusals were of a class that came with SIGHUP, by its own count of 0.36 with 0 or 1 out, no late call and shares at their most. Cause: press lets worthier classes' slow rounds cut a class's count to the most that it had out; a class that nobody uses yet has had none, so it fell to the least, 0.3, and rose by a fifth a round. Ruled out: the tier's count (10 of 23), shares, lack of time, servers (none failed). Not a constant: the evidence was of no call. TestAnUnusedClassKeepsItsCount fails without it (0.3 out). Also: a process that ends no longer logs its successor's end.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -130,6 +130,7 @@
 	mu      sync.Mutex
 	conn    *net.UnixConn // to the successor
 	serving bool
+	closed  bool
 	done    sync.WaitGroup
 }
 
@@ -198,8 +199,11 @@
 	conn.Close()
 	h.mu.Lock()
 	h.conn, h.serving = nil, false
+	closed := h.closed
 	h.mu.Unlock()
-	h.log.Info("the successor has ended")
+	if !closed { // else it is this process that ends
+		h.log.Warn("the successor has ended")
+	}
 }
 
 func (h *heirs) send(conn *net.UnixConn, l legacy) error {
@@ -234,6 +238,7 @@
 func (h *heirs) close() {
 	h.listener.Close()
 	h.mu.Lock()
+	h.closed = true
 	if h.conn != nil {
 		h.conn.Close()
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -712,7 +712,9 @@
 // to one that is worth clearly more: that one's slow calls cut its count.
 func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
 	for i := range b.classes {
-		if c := &b.classes[i]; b.value(class) > yieldRatio*b.value(i) {
+		// One that has had no call out since it last learned has nothing to yield, and its count nothing to
+		// be cut to: it would fall to the least before its first call.
+		if c := &b.classes[i]; c.rule.peak > 0 && b.value(class) > yieldRatio*b.value(i) {
 			c.rule.learn(&c.yield, now, a.sent, slow)
 		}
 	}
--- a/logic/reconfigure_test.go
+++ b/logic/reconfigure_test.go
@@ -128,3 +128,23 @@
 		t.Errorf("fair %v", b.fair)
 	}
 }
+
+// A class that nobody uses yet is not held to its least because a worthier one is slow.
+func TestAnUnusedClassKeepsItsCount(t *testing.T) {
+	s := named()
+	s.Classes[0].Worth, s.Classes[1].Worth = 10, 1
+	b, h := with(t, s, 4)
+	for i := range 100 {
+		id, now := fmt.Sprint(i), start+int64(i)*1000
+		ask(b, h, now, id, 0)
+		b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 1000, Closed: true})
+	}
+	for i := range 100 { // worthy calls turn slow
+		id, now := fmt.Sprint("slow", i), start+int64(i+1)*second
+		ask(b, h, now, id, 0)
+		b.Outcome(now+s.Classes[0].Aim, h, Outcome{ID: id, Status: OK, Took: s.Classes[0].Aim, Closed: true})
+	}
+	if got := b.classes[1].rule.count; got != startCount {
+		t.Errorf("before its first call a class may have %v out", got)
+	}
+}
