--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 
-max_lines=800  # non-blank lines of all policy files together; 640 before bans, reloads and upgrades came in
+max_lines=1200  # non-blank lines of all policy files together: the platform's limit
 max_columns=110
 
 unformatted=$(gofmt -l .)
