--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,290 @@
+// Package experiment is the file format of the fault lab: what fleet there is, what load it gets, what goes wrong
+// when, and what is expected of it. Times in files are seconds (plain numbers) or milliseconds (keys ending in _ms).
+//
+// A file is read whole or not at all: Read returns every fault of a file at once, each with its line and key.
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Experiment is one file.
+type Experiment struct {
+	Title   string  `toml:"title"`
+	Seconds float64 `toml:"seconds"` // of load
+	Warmup  float64 `toml:"warmup"`  // at the start, left out of the figures
+	Seed    uint64  `toml:"seed"`
+	Repeat  int     `toml:"repeat"` // plays; the seed goes up by one each
+
+	Lab     Lab      `toml:"lab"`
+	Network Network  `toml:"network"`
+	Zones   []Zone   `toml:"zone"`
+	Classes []Class  `toml:"class"`
+	Load    Load     `toml:"load"`
+	Clients Clients  `toml:"clients"`
+	Proxy   Proxy    `toml:"proxy"`
+	Nodos   Nodos    `toml:"nodos"`
+	List    List     `toml:"list"`
+	Faults  []Fault  `toml:"fault"`
+	Expect  []Expect `toml:"expect"`
+}
+
+// Lab is what the lab holds itself to.
+type Lab struct {
+	LateMs    float64 `toml:"late_ms"`    // arrivals' 99th percentile of lateness over this voids the run
+	StallMs   float64 `toml:"stall_ms"`   // a single stall of the lab over this does too
+	StartGap  float64 `toml:"start_gap"`  // seconds between the starts of two proxies, jittered, at the most
+	ReadyWait float64 `toml:"ready_wait"` // seconds for all proxies to be healthy before the load begins
+	Rules     string  `toml:"rules"`      // "enforce" or "report": whether a broken rule fails the run
+}
+
+// Network is the one-way delays between and within zones.
+type Network struct {
+	LocalMs float64 `toml:"local_ms"`
+	CrossMs float64 `toml:"cross_ms"`
+}
+
+// Zone is a zone with its proxies and nodos.
+type Zone struct {
+	Name    string      `toml:"name"`
+	Proxies int         `toml:"proxies"`
+	Traffic float64     `toml:"traffic"` // weight among the zones' clients
+	Nodos   []NodoGroup `toml:"nodos"`
+}
+
+// NodoGroup is some nodos alike.
+type NodoGroup struct {
+	Count int     `toml:"count"`
+	Kind  string  `toml:"kind"`
+	Speed float64 `toml:"speed"` // a slot's, of the yardstick
+	Slots int     `toml:"slots"`
+	Queue int     `toml:"queue"`
+}
+
+// Nodos is what all nodos have in common.
+type Nodos struct {
+	StartCapacity float64 `toml:"start_capacity"` // of the full capacity, at a start
+	ColdMs        float64 `toml:"cold_ms"`        // until it is warm
+	TipMultiple   float64 `toml:"tip_multiple"`   // of the present capacity; sent more it falls over
+	FallMs        float64 `toml:"fall_ms"`        // if it lasts this long
+	MaxConns      int     `toml:"max_conns"`
+	ConnectMs     float64 `toml:"connect_ms"`   // a new connection's first request comes this much later
+	ConnectWork   float64 `toml:"connect_work"` // and costs this much work, in ms
+	Cancelling    bool    `toml:"cancelling"`   // work stops when its caller has gone
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name        string    `toml:"name"`
+	Share       float64   `toml:"share"`
+	WorkMs      []float64 `toml:"work_ms"` // from, to: drawn evenly
+	AimMs       float64   `toml:"aim_ms"`
+	GiveUpMs    float64   `toml:"give_up_ms"` // of all tries together
+	Worth       float64   `toml:"worth"`
+	Repeat      string    `toml:"repeat"`
+	Scope       string    `toml:"scope"`
+	WindowMs    float64   `toml:"window_ms"`
+	AnswerBytes []int     `toml:"answer_bytes"`
+	BodyBytes   []int     `toml:"body_bytes"`
+}
+
+// Load is the arrivals over time.
+type Load struct {
+	Rate [][]float64 `toml:"rate"` // [second, first tries a second]; straight lines between
+	Even bool        `toml:"even"` // arrivals at even distances rather than by chance
+}
+
+// Clients is what the callers do.
+type Clients struct {
+	Retries    int       `toml:"retries"`
+	WaitMs     float64   `toml:"wait_ms"`
+	TryPart    []float64 `toml:"try_part"` // of the class's give-up time that one try is given: from, to
+	MarkRetry  bool      `toml:"mark_retry"`
+	NoticeMs   float64   `toml:"notice_ms"`   // until the front notices a dead proxy
+	OtherZones bool      `toml:"other_zones"` // the front sends on to other zones when its own has no proxy
+}
+
+// Proxy is what the proxies are told.
+type Proxy struct {
+	Cores        float64        `toml:"cores"`
+	MemoryMB     int            `toml:"memory_mb"`
+	Sockets      int            `toml:"sockets"`
+	TryLimit     int            `toml:"try_limit"`
+	SecondCopies bool           `toml:"second_copies"`
+	DialMs       float64        `toml:"dial_ms"`
+	IdleMs       float64        `toml:"idle_ms"`
+	DrainGraceMs float64        `toml:"drain_grace_ms"`
+	AskEveryMs   float64        `toml:"ask_every_ms"`
+	SlackMs      float64        `toml:"slack_ms"`
+	RetryAfterMs float64        `toml:"retry_after_ms"` // the longest that clients heed; 0: none is sent
+	Membership   string         `toml:"membership"`
+	Settings     map[string]any `toml:"settings"` // laid over the settings object
+	Config       map[string]any `toml:"config"`   // laid over the configuration
+	KnownPart    *float64       `toml:"known"`    // part of the nodos that a starting proxy knows of; all if not given
+}
+
+// List is the stand-in list service.
+type List struct {
+	LagMs   float64 `toml:"lag_ms"`  // from a change to its being told
+	CallMs  float64 `toml:"call_ms"` // of the service for one call; calls are handled in turn
+	LineUs  float64 `toml:"line_us"` // and for one line of an answer
+	WaitMs  float64 `toml:"wait_ms"` // a call that has waited longer in line gets 503
+	SyncMs  float64 `toml:"sync_ms"` // between two syncs of its file
+	RetainN int     `toml:"retain"`  // changes kept for watches; older ones get the whole list
+	MostN   int     `toml:"most"`    // calls that wait; more get 503 at once
+	Zone    string  `toml:"zone"`    // where it stands; empty: beside everybody
+}
+
+// Fault is one thing that goes wrong.
+type Fault struct {
+	At   float64 `toml:"at"`
+	For  float64 `toml:"for"` // 0: to the end, or for a moment where the kind is one of a moment
+	Kind string  `toml:"kind"`
+
+	Zone    string   `toml:"zone"`
+	Proxies []string `toml:"proxies"` // names; with share or none: drawn among those of the zone, or of all
+	Nodos   []string `toml:"nodos"`
+	Share   float64  `toml:"share"`
+	Spread  float64  `toml:"spread"` // seconds over which the targets' turns are spread
+
+	Link      string  `toml:"link"`      // client, nodo or list; empty: all three
+	Direction string  `toml:"direction"` // both, out (what callers send is lost) or back (answers are)
+	FromZone  string  `toml:"from_zone"`
+	ToZone    string  `toml:"to_zone"`
+	Ms        float64 `toml:"ms"`
+	Part      float64 `toml:"part"`
+	Factor    float64 `toml:"factor"`
+	Versions  int     `toml:"versions"`
+	Keep      bool    `toml:"keep"` // a restarted proxy finds its directory as it was
+}
+
+// Expect is a bound on a figure.
+type Expect struct {
+	Figure string   `toml:"figure"`
+	Min    *float64 `toml:"min"`
+	Max    *float64 `toml:"max"`
+	From   float64  `toml:"from"` // of arrivals, seconds; figures of a span only
+	To     float64  `toml:"to"`
+}
+
+// Span is the part of a run that an expectation speaks of; to 0 is the end.
+func (x Expect) Span(e *Experiment) (from, to float64) {
+	from, to = x.From, x.To
+	if from == 0 && to == 0 {
+		from = e.Warmup
+	}
+	if to == 0 {
+		to = e.Seconds
+	}
+	return from, to
+}
+
+// Seconds turns a file's seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Millis turns a file's milliseconds into a duration.
+func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Node is one proxy or nodo of the fleet, as a file's zones spell it out.
+type Node struct {
+	Name  string
+	Zone  string
+	Group NodoGroup // of a nodo
+}
+
+// ProxyNodes names the proxies: the zone's name and a number from 1.
+func (e *Experiment) ProxyNodes() []Node {
+	var out []Node
+	for _, z := range e.Zones {
+		for i := range z.Proxies {
+			out = append(out, Node{Name: fmt.Sprintf("%s-p%d", z.Name, i+1), Zone: z.Name})
+		}
+	}
+	return out
+}
+
+// NodoNodes names the nodos likewise, over all groups of a zone.
+func (e *Experiment) NodoNodes() []Node {
+	var out []Node
+	for _, z := range e.Zones {
+		n := 0
+		for _, g := range z.Nodos {
+			for range g.Count {
+				n++
+				out = append(out, Node{Name: fmt.Sprintf("%s-s%d", z.Name, n), Zone: z.Name, Group: g})
+			}
+		}
+	}
+	return out
+}
+
+// ZoneNames are the zones in order.
+func (e *Experiment) ZoneNames() []string {
+	var out []string
+	for _, z := range e.Zones {
+		out = append(out, z.Name)
+	}
+	return out
+}
+
+// PairLinksMost is how many links from proxies to nodos get an address each. A fleet with more shares one address
+// among the proxies of a zone, and its links can be told apart by zone only: descriptors are bounded.
+const PairLinksMost = 6000
+
+// SharedLinks tells whether the proxies of a zone share their links to nodos.
+func (e *Experiment) SharedLinks() bool {
+	return len(e.ProxyNodes())*len(e.NodoNodes()) > PairLinksMost
+}
+
+// Kinds of faults, each with what it needs and what it is.
+var Kinds = map[string]Kind{
+	"kill":       {Proxies: true, Text: "SIGKILL; started again after `for`, from nothing unless keep"},
+	"stop":       {Proxies: true, Lasts: true, Text: "SIGSTOP, and SIGCONT after `for`"},
+	"restart":    {Proxies: true, Text: "planned: SIGTERM, SIGKILL after the longest deadline, start again"},
+	"upgrade":    {Proxies: true, Text: "a successor beside it, SIGTERM to the old one, by the on-call page"},
+	"power_loss": {Proxies: true, Text: "SIGKILL, and what its files got last is lost in part; directory kept"},
+	"disk_full":  {Proxies: true, Lasts: true, Text: "every write of a byte to a file fails"},
+
+	"nodo_kill":    {Nodos: true, Text: "the process dies; back cold after `for`"},
+	"nodo_silent":  {Nodos: true, Lasts: true, Text: "the machine vanishes: a black hole; connections reset at the end"},
+	"nodo_hang":    {Nodos: true, Lasts: true, Text: "connects and takes requests, never answers"},
+	"nodo_slow":    {Nodos: true, Lasts: true, Needs: []string{"factor"}, Text: "takes `factor` times as long"},
+	"nodo_errors":  {Nodos: true, Lasts: true, Needs: []string{"part"}, Text: "answers 500 to `part` of its requests"},
+	"nodo_garble":  {Nodos: true, Lasts: true, Needs: []string{"part"}, Text: "spoils `part` of its answers"},
+	"nodo_drain":   {Nodos: true, Text: "drains, and is gone from the list 2 s later; back cold after `for`"},
+	"nodo_replace": {Nodos: true, Text: "drains and goes while a cold one under a new name takes its place"},
+
+	"zone_loss": {Zone: true, Lasts: true, Text: "its nodos vanish and its proxies are killed; all back cold"},
+	"zone_cut":  {Zone: true, Lasts: true, Text: "all links between it and other zones are silent"},
+
+	"cut":   {Links: true, Lasts: true, Text: "links fall silent, in `direction`; open connections stay open"},
+	"delay": {Links: true, Lasts: true, Needs: []string{"ms"}, Text: "`ms` more each way"},
+	"loss":  {Links: true, Lasts: true, Needs: []string{"part"}, Text: "`part` of the writes come a retransmission later"},
+	"reset": {Links: true, Text: "open connections are reset; while it lasts new ones too, at their first byte"},
+
+	"list_down":       {Lasts: true, Text: "the list service refuses connections"},
+	"list_slow":       {Lasts: true, Needs: []string{"factor"}, Text: "calls take `factor` times as long"},
+	"list_stale":      {Lasts: true, Text: "it tells nothing that happened since"},
+	"list_rollback":   {Needs: []string{"versions"}, Text: "its versions go back by `versions`, contents too"},
+	"list_power_loss": {Text: "it dies, loses what was not synced, and is back after `for`"},
+}
+
+// Kind says what a kind of fault needs.
+type Kind struct {
+	Proxies, Nodos, Zone, Links bool // what it is aimed at
+	Lasts                       bool // it holds for `for`
+	Needs                       []string
+	Text                        string
+}
+
+// KindNames are the kinds in order.
+func KindNames() []string {
+	var out []string
+	for k := range Kinds {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/lab/experiment/figures.go
@@ -0,0 +1,63 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Rules are the rules of service that the referee judges, by the names that figures and reports give them.
+var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged"}
+
+// RuleText says what a broken rule means.
+var RuleText = map[string]string{
+	"lost":    "a request taken got no whole final answer in its time",
+	"twice":   "a request got more than one answer",
+	"repeat":  "a request was sent again, or refused, where its class does not allow it",
+	"drain":   "a nodo got something new after the proxy had been told for the grace that it drains or is gone",
+	"tip":     "a cold nodo was sent more than it could stand",
+	"garbled": "an answer was not what a nodo made for that request, or a request reached a nodo changed",
+	"forged":  "a nodo got a request that no client had sent to that proxy",
+}
+
+// spanFigures can be asked of a span of arrivals, and with `.CLASS` of one class.
+var spanFigures = []string{"worth_in_time", "in_time", "served", "refused", "failed", "unreached"}
+
+var wholeFigures = []string{"requests", "tries", "attempts", "attempts_per_request", "cross_zone", "cross_zone_share",
+	"handshakes", "handshakes_per_request", "list_calls", "watch_breaks", "late_answers", "turned_back", "resent",
+	"tipped", "crashed", "waste_ms", "p50_ms", "p90_ms", "p99_ms", "max_ms", "recovery_s", "overhead_p50_ms",
+	"proxy_memory_mb", "proxy_cpu_s", "broken"}
+
+// SpanFigure tells whether a figure can be asked of a span.
+func SpanFigure(name string) bool {
+	base, _, _ := strings.Cut(name, ".")
+	return slices.Contains(spanFigures, base)
+}
+
+// KnownFigure tells whether the report has a figure of that name for an experiment.
+func KnownFigure(name string, e *Experiment) bool {
+	base, rest, dotted := strings.Cut(name, ".")
+	if !dotted {
+		return slices.Contains(spanFigures, name) || slices.Contains(wholeFigures, name)
+	}
+	switch base {
+	case "broken":
+		return slices.Contains(Rules, rest)
+	case "recovery_s":
+		n, err := strconv.Atoi(rest)
+		return err == nil && n >= 1 && n <= len(e.Faults)
+	}
+	return slices.Contains(spanFigures, base) && slices.ContainsFunc(e.Classes, func(k Class) bool { return k.Name == rest })
+}
+
+// Held tells whether a figure keeps a bound, and words it if not.
+func (x Expect) Held(v float64) (bool, string) {
+	if x.Min != nil && !(v >= *x.Min) {
+		return false, fmt.Sprintf("%s is %.4g, wanted at least %.4g", x.Figure, v, *x.Min)
+	}
+	if x.Max != nil && !(v <= *x.Max) {
+		return false, fmt.Sprintf("%s is %.4g, wanted at most %.4g", x.Figure, v, *x.Max)
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/lab/process/process.go
@@ -0,0 +1,273 @@
+// Package process runs the programs under test: real processes with a directory each, that the lab can kill, stop, take
+// the power from, and fill the disk of. No rights are needed beyond those of a user over its own processes.
+//
+// A process never outlives the lab, however that ends: the kernel kills it when the thread that started it does, which
+// is why one thread, the starter's, starts them all.
+package process
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// Starter starts processes from one thread.
+type Starter struct {
+	do   chan func()
+	done chan struct{}
+}
+
+// NewStarter begins the thread.
+func NewStarter() *Starter {
+	s := &Starter{do: make(chan func()), done: make(chan struct{})}
+	go func() {
+		runtime.LockOSThread() // and never unlocked: the thread ends with this goroutine
+		defer close(s.done)
+		for f := range s.do {
+			f()
+		}
+	}()
+	return s
+}
+
+// Close ends the thread, and with it whatever it started that still runs.
+func (s *Starter) Close() {
+	close(s.do)
+	<-s.done
+}
+
+// Spec is a program to run.
+type Spec struct {
+	Name    string
+	Command []string
+	Dir     string   // its working directory
+	Env     []string // all of it
+	Log     string   // file that gets what it prints, after what is there
+}
+
+// Process is one process.
+type Process struct {
+	Name  string
+	cmd   *exec.Cmd
+	log   *slog.Logger
+	ended chan struct{}
+
+	mu     sync.Mutex
+	err    error
+	wanted bool // it was told to end
+	usage  Usage
+}
+
+// Usage is what a process used.
+type Usage struct {
+	CPU    time.Duration
+	Memory int64 // peak of its resident memory, bytes
+}
+
+// Start starts a program.
+func (s *Starter) Start(spec Spec, log *slog.Logger) (*Process, error) {
+	out, err := os.OpenFile(spec.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("log of %s: %w", spec.Name, err)
+	}
+	cmd := exec.Command(spec.Command[0], spec.Command[1:]...)
+	cmd.Dir, cmd.Env = spec.Dir, spec.Env
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// By a pipe: the limit that stands for a full disk must not silence the log.
+	pipe, err := cmd.StderrPipe()
+	if err != nil {
+		out.Close()
+		return nil, fmt.Errorf("start %s: %w", spec.Name, err)
+	}
+	cmd.Stdout = nil
+	p := &Process{Name: spec.Name, cmd: cmd, log: log, ended: make(chan struct{})}
+	started := make(chan error, 1)
+	s.do <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		out.Close()
+		return nil, fmt.Errorf("start %s: %w", spec.Name, err)
+	}
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		defer out.Close()
+		_, _ = io.Copy(out, pipe)
+	}()
+	go func() {
+		<-copied // Wait closes the pipe
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		if ru, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			p.usage = Usage{time.Duration(ru.Utime.Nano() + ru.Stime.Nano()), ru.Maxrss << 10}
+		}
+		p.mu.Unlock()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// PID is the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Err is how it ended: nil for 0.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// Crashed tells whether it has ended without having been told to.
+func (p *Process) Crashed() bool {
+	select {
+	case <-p.ended:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return !p.wanted
+	default:
+		return false
+	}
+}
+
+// Usage is what it has used; peak memory is of the whole life.
+func (p *Process) Usage() Usage {
+	select {
+	case <-p.ended:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.usage
+	default:
+	}
+	var u Usage
+	status, err := os.Open(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return u
+	}
+	defer status.Close()
+	for lines := bufio.NewScanner(status); lines.Scan(); {
+		if text, ok := strings.CutPrefix(lines.Text(), "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(text, "kB")), 10, 64)
+			u.Memory = kb << 10
+		}
+	}
+	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID())); err == nil {
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if f := strings.Fields(rest); len(f) > 12 {
+			user, _ := strconv.ParseInt(f[11], 10, 64)
+			system, _ := strconv.ParseInt(f[12], 10, 64)
+			u.CPU = time.Duration(user+system) * (time.Second / 100)
+		}
+	}
+	return u
+}
+
+// Signal sends a signal. SIGTERM and SIGKILL tell it to end.
+func (p *Process) Signal(sig syscall.Signal) error {
+	p.mu.Lock()
+	p.wanted = p.wanted || sig == syscall.SIGTERM || sig == syscall.SIGKILL
+	p.mu.Unlock()
+	err := p.cmd.Process.Signal(sig)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// Kill ends it outright and waits for that.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return fmt.Errorf("kill %s: %w", p.Name, err)
+	}
+	<-p.ended
+	return nil
+}
+
+// KillAll kills processes in one instant: all are signalled before any is waited for.
+func KillAll(ps []*Process) error {
+	var errs []error
+	for _, p := range ps {
+		errs = append(errs, p.Signal(syscall.SIGKILL))
+	}
+	for _, p := range ps {
+		<-p.ended
+	}
+	return errors.Join(errs...)
+}
+
+// End asks it to end, and kills it after patience. Clean tells whether it ended by itself with 0.
+func (p *Process) End(patience time.Duration) (clean bool, err error) {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return false, fmt.Errorf("end %s: %w", p.Name, err)
+	}
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case <-p.ended:
+		return p.Err() == nil, nil
+	case <-t.C:
+		return false, p.Kill()
+	}
+}
+
+// DiskFull has every byte that the process writes to a file fail, or succeed again. The kernel's limit on a file's size
+// stands for the disk: the error is EFBIG where a disk gives ENOSPC, and making or renaming an empty file still works,
+// as it mostly does on a full disk. The limit is the soft one, which needs no right to be put back.
+func (p *Process) DiskFull(full bool) error {
+	var limit syscall.Rlimit
+	if err := prlimit(p.PID(), nil, &limit); err != nil {
+		return fmt.Errorf("disk of %s: %w", p.Name, err)
+	}
+	if limit.Cur = limit.Max; full {
+		limit.Cur = 0
+	}
+	if err := prlimit(p.PID(), &limit, nil); err != nil {
+		return fmt.Errorf("disk of %s: %w", p.Name, err)
+	}
+	return nil
+}
+
+func prlimit(pid int, set, get *syscall.Rlimit) error {
+	const fsize = syscall.RLIMIT_FSIZE
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), fsize, uintptr(unsafe.Pointer(set)),
+		uintptr(unsafe.Pointer(get)), 0, 0)
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
+
+const holdFile = "lab.pid"
+
+// Hold marks a directory as this process's, unless a process that lives has marked it. The mark of one that was killed
+// is taken over.
+func Hold(dir string) error {
+	path := filepath.Join(dir, holdFile)
+	if text, err := os.ReadFile(path); err == nil {
+		pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
+		if err == nil && pid > 0 && pid != os.Getpid() && syscall.Kill(pid, 0) == nil {
+			return fmt.Errorf("%s is in use by the run of process %d; give another --out", dir, pid)
+		}
+	}
+	if err := os.WriteFile(path, []byte(strconv.Itoa(os.Getpid())+"\n"), 0o644); err != nil {
+		return fmt.Errorf("mark the directory: %w", err)
+	}
+	return nil
+}
+
+// Release takes the mark away.
+func Release(dir string) { _ = os.Remove(filepath.Join(dir, holdFile)) }
--- /dev/null
+++ b/internal/lab/referee/nodos.go
@@ -0,0 +1,225 @@
+package referee
+
+import (
+	"fmt"
+	"time"
+)
+
+// State notes what a nodo is from now on, by the lab's hand: the truth, of which proxies are told late.
+func (r *Referee) State(name, zone string, cell int, serving bool, since int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.nodos[name]
+	if n == nil {
+		n = &nodo{}
+		r.nodos[name] = n
+	}
+	n.zone, n.cell, n.serving, n.since, n.changed = zone, cell, serving, since, at
+}
+
+// Entry is one line of a list, as a proxy gets it.
+type Entry struct {
+	Nodo    string
+	Serving bool
+	Since   int64
+}
+
+// Started notes that a proxy begins from nothing but the list that it is given.
+func (r *Referee) Started(name string, known []Entry, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.proxy(name)
+	p.started, p.asked, p.asking, p.failed = at, at, 0, false
+	p.told = map[string]told{}
+	for _, e := range known {
+		p.told[e.Nodo] = told{e.Serving, e.Since, at}
+	}
+}
+
+// Asks notes a proxy's call to the list; Told notes how it ended.
+func (r *Referee) Asks(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tally.ListCalls++
+	r.proxy(name).asking++
+}
+
+// Told notes that an answer of the list was written whole to a proxy's socket, or (failed) that a call failed. In a
+// whole list, what is missing is gone.
+func (r *Referee) Told(name string, entries []Entry, whole, failed bool, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.proxy(name)
+	p.asking, p.asked, p.failed = max(0, p.asking-1), at, failed
+	if failed {
+		return
+	}
+	listed := map[string]bool{}
+	for _, e := range entries {
+		listed[e.Nodo] = true
+		if now, ok := p.told[e.Nodo]; !ok || now.serving != e.Serving || now.since != e.Since {
+			p.told[e.Nodo] = told{e.Serving, e.Since, at}
+		}
+	}
+	if !whole {
+		return
+	}
+	for id, now := range p.told {
+		if !listed[id] && now.serving {
+			p.told[id] = told{false, now.since, at}
+		}
+	}
+}
+
+// Arrival is what a nodo sees of a request.
+type Arrival struct {
+	Nodo, ID          string
+	First, Last       time.Time
+	Method, Path, Key string
+	Body              uint64 // digest
+}
+
+// Begin notes an attempt that reached a nodo whole, and judges it. It is nil if no client sent that id: the nodo
+// answers 400.
+func (r *Referee) Begin(a Arrival) *Attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tries[a.ID]
+	if t == nil {
+		r.broken(Violation{Rule: "forged", At: a.Last, Nodo: a.Nodo, Try: a.ID, Text: "no client sent this id"})
+		return nil
+	}
+	if a.Method != t.Method || a.Path != t.Path || a.Key != t.Key || a.Body != t.Body {
+		r.broken(Violation{Rule: "garbled", At: a.Last, Proxy: t.Proxy, Nodo: a.Nodo, Try: t.ID,
+			Text: fmt.Sprintf("the request reached the nodo as %s %s", a.Method, a.Path)})
+	}
+	at := &Attempt{try: t, Nodo: a.Nodo, First: a.First, Last: a.Last}
+	if n := r.nodos[a.Nodo]; n != nil {
+		at.Zone, at.Cell = n.zone, n.cell
+	}
+	r.judgeRepeat(t, at)
+	r.judgeDrain(t, at)
+	t.attempts = append(t.attempts, at)
+	r.attempts = append(r.attempts, at)
+	return at
+}
+
+func (r *Referee) judgeRepeat(t *Try, next *Attempt) {
+	class := r.terms.Classes[t.Class]
+	say := func(format string, args ...any) {
+		r.broken(Violation{Rule: "repeat", At: next.Last, Proxy: t.Proxy, Nodo: next.Nodo, Try: t.ID,
+			Text: class.Name + ": " + fmt.Sprintf(format, args...)})
+	}
+	if len(t.attempts) >= r.terms.TryLimit {
+		say("attempt %d, of at most %d", len(t.attempts)+1, r.terms.TryLimit)
+		return
+	}
+	for _, a := range t.attempts {
+		if !a.ended && !r.terms.SecondCopies {
+			say("a second copy while the one at %s is out", a.Nodo)
+			return
+		}
+		if class.Repeat == Safe || !a.mayHaveRun() {
+			continue
+		}
+		switch {
+		case class.Repeat == Unsafe:
+			say("sent again though the attempt at %s may have run", a.Nodo)
+		case class.Scope == "zone" && a.Zone != next.Zone:
+			say("sent again to zone %s though the attempt in zone %s may have run", next.Zone, a.Zone)
+		case class.Scope == "cell" && (a.Zone != next.Zone || a.Cell != next.Cell):
+			say("sent again to another cell though the attempt at %s may have run", a.Nodo)
+		case next.First.Sub(a.First) > class.Window+socketSlack:
+			say("sent again %v after an attempt that may have run", next.First.Sub(a.First).Round(time.Millisecond))
+		default:
+			continue
+		}
+		return
+	}
+}
+
+func (r *Referee) judgeDrain(t *Try, a *Attempt) {
+	p, n := r.proxy(t.Proxy), r.nodos[a.Nodo]
+	if n == nil {
+		return
+	}
+	now, ok := p.told[a.Nodo]
+	if !ok {
+		r.broken(Violation{Rule: "drain", At: a.First, Proxy: t.Proxy, Nodo: a.Nodo, Try: t.ID,
+			Text: "sent to a nodo that no list has named"})
+		return
+	}
+	if late := a.First.Sub(now.at); !now.serving && late > r.terms.DrainGrace+socketSlack {
+		r.broken(Violation{Rule: "drain", At: a.First, Proxy: t.Proxy, Nodo: a.Nodo, Try: t.ID,
+			Text: fmt.Sprintf("sent %v after it was told", late.Round(time.Millisecond))})
+		return
+	}
+	// One who does not ask is deemed told of the list as it stood that long ago.
+	unasked := r.terms.AskEvery
+	if p.failed {
+		unasked *= failedAsk
+	}
+	if unasked > 0 && now.serving && !n.serving && p.asking == 0 && a.First.Sub(p.asked) > unasked+socketSlack &&
+		a.First.Sub(n.changed) > unasked+r.terms.DrainGrace+socketSlack {
+		r.broken(Violation{Rule: "drain", At: a.First, Proxy: t.Proxy, Nodo: a.Nodo, Try: t.ID,
+			Text: fmt.Sprintf("the list was not asked for %v", a.First.Sub(p.asked).Round(time.Millisecond))})
+	}
+}
+
+// Serve notes that a nodo has made an answer 200; Told follows once it is written to the proxy.
+func (r *Referee) Serve(a *Attempt, made uint64, spent time.Duration) {
+	r.end(a, stateServed, spent)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.Made = made
+}
+
+// Err notes that a nodo answered with an error; Turn that it turned the attempt away unbegun; Drop that its caller went.
+func (r *Referee) Err(a *Attempt, spent time.Duration)  { r.end(a, stateError, spent) }
+func (r *Referee) Turn(a *Attempt)                      { r.end(a, stateTurned, 0) }
+func (r *Referee) Drop(a *Attempt, spent time.Duration) { r.end(a, stateDropped, spent) }
+
+func (r *Referee) end(a *Attempt, s attemptState, spent time.Duration) {
+	if a == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.state, a.Spent = s, spent
+	if s == stateDropped {
+		a.ended = true
+	}
+}
+
+// Wrote notes that the end of an attempt was written to the proxy's socket.
+func (r *Referee) Wrote(a *Attempt) {
+	if a == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.told, a.ended = true, true
+}
+
+// Tipped notes that a cold nodo fell over, with the work that came to it in the window, by proxy.
+func (r *Referee) Tipped(name string, since int64, work map[string]time.Duration, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tally.Tipped++
+	all, informed := time.Duration(0), time.Duration(0)
+	worst, most := "", time.Duration(0)
+	for proxy, w := range work {
+		all += w
+		if known, ok := r.proxy(proxy).told[name]; ok && known.since >= since {
+			informed += w
+		}
+		if w > most {
+			worst, most = proxy, w
+		}
+	}
+	if all > 0 && float64(informed) >= tipInformed*float64(all) {
+		r.broken(Violation{Rule: "tip", At: at, Proxy: worst, Nodo: name, Text: fmt.Sprintf(
+			"fell over under %v of work in the window, %.0f %% of it from %d proxies that knew of its start",
+			all.Round(time.Millisecond), 100*float64(informed)/float64(all), len(work))})
+	}
+}
--- /dev/null
+++ b/internal/lab/referee/referee.go
@@ -0,0 +1,419 @@
+// Package referee keeps the lab's own record of every request and attempt, and judges the rules of service by it. It
+// takes nothing from the proxies: what it knows comes from the clients, nodos and the list of the lab, and from what
+// the lab did to processes and links.
+//
+// Where the platform's pages leave room, a doubt is the proxy's: what was told counts from the moment that its last
+// byte was written to the proxy's socket, and what a proxy could not do for a fault of the lab's making is excused.
+package referee
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Repeat is what a class allows.
+type Repeat int
+
+const (
+	Safe   Repeat = iota // may be sent again and refused freely
+	Keyed                // again only within the group that drops repeats, while it does
+	Unsafe               // again or refused only where no attempt may have run
+)
+
+// Class is what the rules need to know of a class.
+type Class struct {
+	Name   string
+	Repeat Repeat
+	Scope  string // all, zone or cell, of a keyed class
+	Window time.Duration
+}
+
+// Terms are the figures of the rules.
+type Terms struct {
+	Classes      []Class
+	TryLimit     int
+	SecondCopies bool
+	DrainGrace   time.Duration
+	AskEvery     time.Duration
+	Slack        time.Duration // beyond a deadline
+}
+
+const (
+	socketSlack  = 50 * time.Millisecond  // every time limit is this much longer on sockets
+	lateMost     = 500 * time.Millisecond // an answer after its time is late up to here, and lost beyond
+	turnedFree   = 200                    // one request in so many may be turned back unheard
+	failedAsk    = 4                      // after a failed call the list need not be asked for so many times as long
+	tipInformed  = 2.0 / 3                // of the work, from proxies that knew of the start, breaks the rule
+	violationTop = 20                     // of each rule are kept in full
+)
+
+// End is how a try ended for the client.
+type End int
+
+const (
+	Pending    End = iota
+	Served         // 200 and what a nodo made
+	Refused        // 429 or 503
+	Failed         // any other answer, or one that broke off in the middle
+	Unreached      // no connection, or one that ended before the request was taken
+	Unanswered     // nothing in its time
+)
+
+func (e End) String() string {
+	return [...]string{"pending", "served", "refused", "failed", "unreached", "unanswered"}[e]
+}
+
+// Try is one try of a client.
+type Try struct {
+	ID       string
+	Arrival  int // of the plan
+	N        int // 0 for the first
+	Class    int
+	Zone     string
+	Proxy    string
+	Sent     time.Time // when it was begun
+	Deadline time.Time
+	Method   string
+	Path     string
+	Key      string
+	Body     uint64 // digest
+
+	Taken  time.Time // last byte written to the proxy's socket; zero: it was not
+	Ended  time.Time
+	End    End
+	Status int
+	broken bool // its connection ended without an answer, after it was taken
+	turned bool // and it was the first on that connection
+
+	attempts []*Attempt
+}
+
+// Attempt is a request that reached a nodo whole.
+type Attempt struct {
+	try   *Try
+	Nodo  string
+	Zone  string
+	Cell  int
+	First time.Time // when its first byte left the proxy
+	Last  time.Time // when its last arrived
+	state attemptState
+	told  bool   // its outcome is written to the proxy
+	ended bool   // no longer out: told, or its connection has ended
+	Made  uint64 // digest of the answer's body
+	Work  time.Duration
+	Spent time.Duration // of work that the nodo did for it
+}
+
+type attemptState int
+
+const (
+	stateOut attemptState = iota
+	stateServed
+	stateError
+	stateTurned // never ran
+	stateDropped
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	Rule  string    `json:"rule"`
+	At    time.Time `json:"at"`
+	Proxy string    `json:"proxy,omitempty"`
+	Nodo  string    `json:"nodo,omitempty"`
+	Try   string    `json:"try,omitempty"`
+	Text  string    `json:"text"`
+}
+
+// told is what a proxy has been told of a nodo.
+type told struct {
+	serving bool
+	since   int64 // ms
+	at      time.Time
+}
+
+// proxy is what the referee knows of one.
+type proxy struct {
+	started time.Time
+	told    map[string]told
+	asked   time.Time // when its last call to the list ended
+	asking  int       // calls that are out
+	failed  bool      // the last call
+	excuses []span
+}
+
+type span struct{ from, to time.Time }
+
+// nodo is what the referee knows of one.
+type nodo struct {
+	zone    string
+	cell    int
+	serving bool
+	changed time.Time
+	since   int64
+}
+
+// Referee judges one run. Its methods may be called from any goroutine.
+type Referee struct {
+	terms Terms
+
+	mu       sync.Mutex
+	tries    map[string]*Try
+	order    []*Try
+	attempts []*Attempt
+	proxies  map[string]*proxy
+	nodos    map[string]*nodo
+	counts   map[string]int
+	first    []Violation
+	tally    Tally
+}
+
+// Tally is counts beside the rules.
+type Tally struct {
+	Handshakes  int `json:"handshakes"`   // connections to nodos
+	ListCalls   int `json:"list_calls"`   // by the proxies
+	WatchBreaks int `json:"watch_breaks"` // watches that came too late to continue the last
+	Resent      int `json:"resent"`       // requests sent once more since their connection was closed unread
+	Tipped      int `json:"tipped"`       // nodos that fell over
+	Crashed     int `json:"crashed"`      // proxies that ended without having been told to
+	Late        int `json:"late"`         // answers after their time, up to 500 ms
+	TurnedBack  int `json:"turned_back"`  // requests whose new connection was closed unheard
+}
+
+// New is a referee for a run.
+func New(t Terms) *Referee {
+	return &Referee{terms: t, tries: map[string]*Try{}, proxies: map[string]*proxy{}, nodos: map[string]*nodo{},
+		counts: map[string]int{}}
+}
+
+// Count adds to the tally.
+func (r *Referee) Count(add func(*Tally)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	add(&r.tally)
+}
+
+func (r *Referee) broken(v Violation) {
+	r.counts[v.Rule]++
+	if r.counts[v.Rule] <= violationTop {
+		r.first = append(r.first, v)
+	}
+}
+
+// Send notes a try that is about to be written to a proxy, or to none; from now on it may reach nodos.
+func (r *Referee) Send(t *Try, proxy string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.Proxy = proxy
+	if r.tries[t.ID] == nil {
+		r.order = append(r.order, t)
+	}
+	r.tries[t.ID] = t
+}
+
+// Taken notes that a try's last byte was written to the proxy's socket.
+func (r *Referee) Taken(t *Try, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.Taken = at
+}
+
+// Answered notes a whole answer; made is the digest of its body.
+func (r *Referee) Answered(t *Try, at time.Time, status int, made uint64) End {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.End != Pending {
+		return t.End
+	}
+	t.Status, t.Ended = status, at
+	switch status {
+	case 200:
+		t.End = Served
+		r.judgeServed(t, at, made)
+	case 429, 503:
+		t.End = Refused
+		r.judgeRefused(t, at)
+	default:
+		t.End = Failed
+	}
+	over := at.Sub(t.Deadline)
+	switch {
+	case over > lateMost:
+		r.lose(t, at, fmt.Sprintf("answered %v after its time", over.Round(time.Millisecond)))
+	case over > r.terms.Slack+socketSlack:
+		r.tally.Late++
+	}
+	return t.End
+}
+
+// judgeServed holds an answer 200 to what nodos made for that request.
+func (r *Referee) judgeServed(t *Try, at time.Time, made uint64) {
+	for _, a := range t.attempts {
+		if a.state == stateServed && a.Made == made {
+			return
+		}
+	}
+	r.broken(Violation{Rule: "garbled", At: at, Proxy: t.Proxy, Try: t.ID, Text: "the body is what no nodo made for it"})
+}
+
+// judgeRefused: a refusal says that trying again is harmless.
+func (r *Referee) judgeRefused(t *Try, at time.Time) {
+	class := r.terms.Classes[t.Class]
+	if class.Repeat == Safe || class.Repeat == Keyed && class.Scope == "all" {
+		return
+	}
+	for _, a := range t.attempts {
+		if a.mayHaveRun() {
+			r.broken(Violation{Rule: "repeat", At: at, Proxy: t.Proxy, Nodo: a.Nodo, Try: t.ID,
+				Text: class.Name + " refused though an attempt may have run"})
+			return
+		}
+	}
+}
+
+// mayHaveRun tells whether the proxy cannot know that the attempt never ran.
+func (a *Attempt) mayHaveRun() bool { return a.state != stateTurned || !a.told }
+
+// Broke notes that a try's connection ended without an answer: before any of it came (unheard), or in the middle of
+// one. The first request on a connection that is closed unheard has been turned back rather than lost.
+func (r *Referee) Broke(t *Try, at time.Time, inAnswer, firstOn bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.End != Pending {
+		return
+	}
+	t.Ended = at
+	switch {
+	case t.Taken.IsZero():
+		t.End = Unreached
+	case inAnswer:
+		t.End = Failed
+	default:
+		t.End, t.broken, t.turned = Failed, true, firstOn
+	}
+}
+
+// Unreachable notes that a try met no proxy.
+func (r *Referee) Unreachable(t *Try, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.End == Pending {
+		t.End, t.Ended = Unreached, at
+	}
+}
+
+// Silent notes that nothing has come for a try in its time and the slack.
+func (r *Referee) Silent(t *Try, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.End == Pending {
+		t.End, t.Ended = Unanswered, at
+	}
+}
+
+// Twice notes that more came on a connection after a whole answer than the next request asked for.
+func (r *Referee) Twice(t *Try, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken(Violation{Rule: "twice", At: at, Proxy: t.Proxy, Try: t.ID, Text: "bytes came behind its answer"})
+}
+
+func (r *Referee) lose(t *Try, at time.Time, text string) {
+	if r.excused(t) {
+		return
+	}
+	r.broken(Violation{Rule: "lost", At: at, Proxy: t.Proxy, Try: t.ID, Text: text})
+}
+
+// excused tells whether the lab itself kept a proxy from answering a try.
+func (r *Referee) excused(t *Try) bool {
+	p := r.proxies[t.Proxy]
+	if p == nil {
+		return false
+	}
+	from, to := t.Sent, t.Deadline.Add(lateMost)
+	if !t.Ended.IsZero() && t.Ended.After(to) {
+		to = t.Ended
+	}
+	for _, s := range p.excuses {
+		if s.from.Before(to) && s.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// Excuse opens a time in which the lab keeps a proxy from its duty: killed, stopped, its clients' links cut. The
+// function that it returns ends it.
+func (r *Referee) Excuse(proxy string, at time.Time) (end func(time.Time)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.proxy(proxy)
+	i := len(p.excuses)
+	p.excuses = append(p.excuses, span{at, at.Add(24 * time.Hour)})
+	return func(to time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		p.excuses[i].to = to
+	}
+}
+
+func (r *Referee) proxy(name string) *proxy {
+	p := r.proxies[name]
+	if p == nil {
+		p = &proxy{told: map[string]told{}}
+		r.proxies[name] = p
+	}
+	return p
+}
+
+// judgeLost judges, at the end of a run, the tries that got no answer.
+func (r *Referee) judgeLost() {
+	var turned []*Try
+	taken := 0
+	for _, t := range r.order {
+		if t.Taken.IsZero() {
+			continue
+		}
+		taken++
+		switch {
+		case t.turned:
+			if !r.excused(t) {
+				turned = append(turned, t)
+			}
+		case t.broken:
+			r.lose(t, t.Ended, "its connection was closed without an answer")
+		case t.End == Unanswered:
+			r.lose(t, t.Ended, "nothing came in its time")
+		}
+	}
+	r.tally.TurnedBack = len(turned)
+	for i, t := range turned {
+		if i >= (taken+turnedFree-1)/turnedFree {
+			r.lose(t, t.Ended, "its new connection was closed unheard, as was one in 200 before")
+		}
+	}
+}
+
+// Record is all that a run left.
+type Record struct {
+	Tries      []*Try
+	Attempts   []*Attempt
+	Broken     map[string]int
+	Violations []Violation // the first of each rule
+	Tally      Tally
+}
+
+// Close judges what can be judged only at the end, and gives the record out. Nothing may be noted afterwards.
+func (r *Referee) Close() Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.judgeLost()
+	return Record{r.order, r.attempts, r.counts, r.first, r.tally}
+}
+
+// Of is the try that an attempt belongs to.
+func (a *Attempt) Of() *Try { return a.try }
+
+// Served tells whether the nodo answered it 200.
+func (a *Attempt) Served() bool { return a.state == stateServed }
--- /dev/null
+++ b/internal/lab/run/block.go
@@ -0,0 +1,59 @@
+package run
+
+import (
+	"fmt"
+	"net"
+	"os"
+)
+
+// block is the loopback addresses of a run: 127.X.0.0/16, claimed by a listener at its end, so that two runs on a
+// machine never meet, and one that was killed leaves nothing claimed. Ports lie below those that the kernel gives out.
+type block struct {
+	x     int
+	claim net.Listener
+}
+
+const (
+	claimPort  = 7400
+	listPort   = 8500
+	proxyPort  = 8443
+	mgmtPort   = 9400 // and up, one for each process of a proxy
+	firstBlock = 16
+	lastBlock  = 250
+	perOctet   = 250
+	proxyOctet = 1
+	listOctet  = 5
+	nodoOctet  = 10
+	lastOctet  = 254
+)
+
+func claimBlock() (*block, error) {
+	span := lastBlock - firstBlock + 1
+	var last error
+	for i := range span {
+		x := firstBlock + (os.Getpid()+i)%span
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", x, claimPort))
+		if err == nil {
+			return &block{x, l}, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("no block of loopback addresses is free: %w", last)
+}
+
+func (b *block) release() { b.claim.Close() }
+
+func (b *block) addr(octet, n, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", b.x, octet+n/perOctet, 1+n%perOctet, port)
+}
+
+func (b *block) proxy(n int) string         { return b.addr(proxyOctet, n, proxyPort) }
+func (b *block) mgmt(n, process int) string { return b.addr(proxyOctet, n, mgmtPort+process) }
+func (b *block) list(n int) string          { return b.addr(listOctet, n, listPort) }
+
+func (b *block) nodo(n int) (string, error) {
+	if nodoOctet+n/perOctet > lastOctet {
+		return "", fmt.Errorf("over %d links from proxies to nodos", n)
+	}
+	return b.addr(nodoOctet, n, proxyPort), nil
+}
--- /dev/null
+++ b/internal/lab/run/config.go
@@ -0,0 +1,72 @@
+package run
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+
+	"fernlanding/internal/lab/experiment"
+)
+
+func micros(ms float64) int64 { return int64(ms * 1000) }
+
+// settings is the settings object that a proxy is told, in the platform's words.
+func settings(e *experiment.Experiment, ordinal, zone int) map[string]any {
+	var profiles []any
+	for _, k := range e.Classes {
+		p := map[string]any{"name": k.Name, "objective_us": micros(k.AimMs), "give_up_us": micros(k.GiveUpMs),
+			"worth": k.Worth, "late_share": 0.0, "repeat": k.Repeat, "stream": false, "dedup_scope": "all",
+			"dedup_window_us": 0}
+		if k.Repeat == "deduplicated" {
+			p["dedup_scope"], p["dedup_window_us"] = k.Scope, micros(k.WindowMs)
+		}
+		profiles = append(profiles, p)
+	}
+	n, x := e.Nodos, e.Proxy
+	s := map[string]any{
+		"contract": map[string]any{"answer_slack_us": micros(x.SlackMs), "ask_every_us": micros(x.AskEveryMs),
+			"cold_us": micros(n.ColdMs), "drain_grace_us": micros(x.DrainGraceMs), "fall_us": micros(n.FallMs),
+			"start_capacity": n.StartCapacity, "tip_multiple": n.TipMultiple},
+		"counted_by": "request", "failure_domains": e.ZoneNames(), "membership_mode": x.Membership, "my_zone": zone,
+		"limits": map[string]any{"cancelling": n.Cancelling, "dial_timeout_us": micros(x.DialMs),
+			"idle_close_us": micros(x.IdleMs), "max_retry_after_us": micros(x.RetryAfterMs),
+			"retry_after": x.RetryAfterMs > 0, "second_copies": x.SecondCopies, "try_limit": x.TryLimit,
+			"streams_per_conn": 1, "peers": false, "probes": false},
+		"ordinal": ordinal, "siblings": len(e.ProxyNodes()), "profiles": profiles, "tenants": []any{},
+		"tiers": []string{"lab"}, "stage": 0, "weights": "off",
+	}
+	lay(s, x.Settings)
+	return s
+}
+
+// lay puts an experiment's own keys over the lab's, object by object.
+func lay(over map[string]any, own map[string]any) {
+	for key, v := range own {
+		mine, isObject := v.(map[string]any)
+		theirs, both := over[key].(map[string]any)
+		if isObject && both {
+			theirs = maps.Clone(theirs)
+			lay(theirs, mine)
+			over[key] = theirs
+			continue
+		}
+		over[key] = v
+	}
+}
+
+// configuration is a proxy's configuration file.
+func configuration(e *experiment.Experiment, m *member, seed uint64, mgmt string, known json.RawMessage) ([]byte, error) {
+	c := map[string]any{"name": m.node.Name, "listen": m.listen, "mgmt": mgmt, "discovery": m.list,
+		"seed": fmt.Sprintf("%016x", seed), "settings": settings(e, m.ordinal, m.zone),
+		"limits": map[string]any{"cores": e.Proxy.Cores, "memory_mb": e.Proxy.MemoryMB, "sockets": e.Proxy.Sockets},
+	}
+	if known != nil {
+		c["known"] = known
+	}
+	lay(c, e.Proxy.Config)
+	text, err := json.MarshalIndent(c, "", " ")
+	if err != nil {
+		return nil, fmt.Errorf("configuration of %s: %w", m.node.Name, err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/lab/run/play.go
@@ -0,0 +1,234 @@
+// Package run plays an experiment: it builds the fleet, starts the proxies as real processes, plays the load, carries
+// the faults out, and hands what the referee recorded on to be reckoned up.
+//
+// Arrows go one way: run uses load, nodo, catalog, link, process and referee; none of them knows of run, and of each
+// other they know no more than links and the referee. One goroutine owns each thing: the load its arrivals, the
+// timeline each fault, the catalog its list, a link's connection its two directions, the starter all processes.
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/process"
+	"fernlanding/internal/lab/result"
+)
+
+// Options are what a run needs beside its experiment.
+type Options struct {
+	Command []string // a proxy
+	Out     string   // directory for the proxies' logs
+	Log     *slog.Logger
+	// Progress is told now and then how far the load is; may be nil.
+	Progress func(at, of time.Duration, p Progress)
+}
+
+// Progress is how a play goes.
+type Progress struct {
+	Arrived int
+	Late    time.Duration // of the newest arrival
+}
+
+const (
+	canaryEvery   = 10 * time.Millisecond
+	progressEvery = time.Second
+	readyPoll     = 50 * time.Millisecond
+	needSockets   = 64 // of the lab's own, beside links and connections
+	perConnection = 4  // descriptors for each request that may be under way at once
+)
+
+// ErrEnvironment is a run that this machine could not make.
+var ErrEnvironment = errors.New("environment")
+
+// Play plays an experiment once. When the context ends it stops, and the play is partial.
+func Play(ctx context.Context, e *experiment.Experiment, seed uint64, o Options) (result.Play, error) {
+	p := plan.Draw(e, seed)
+	sum, err := p.Sum()
+	if err != nil {
+		return result.Play{}, err
+	}
+	out := result.Play{Seed: seed, Plan: sum}
+	f := &fleet{exp: e, plan: p, command: o.Command, log: o.Log, logs: filepath.Join(o.Out, "logs")}
+	if err := os.MkdirAll(f.logs, 0o755); err != nil {
+		return out, fmt.Errorf("logs: %w", err)
+	}
+	if f.block, err = claimBlock(); err != nil {
+		return out, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
+	defer f.block.release()
+	// Short: a Unix socket's path in it has to fit into 108 bytes.
+	if f.work, err = os.MkdirTemp("", "fleetlab-"); err != nil {
+		return out, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
+	defer os.RemoveAll(f.work)
+	f.starter = process.NewStarter()
+	defer f.starter.Close()
+	defer f.end()
+	if err := f.build(); err != nil {
+		return out, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	served := make(chan struct{}, 2)
+	go func() { f.list.Run(inner); served <- struct{}{} }()
+	go func() { f.front.Run(inner); served <- struct{}{} }()
+	if err := f.startProxies(ctx); err != nil {
+		return out, err
+	}
+	stall := make(chan time.Duration, 1)
+	canary, rest := context.WithCancel(inner)
+	go func() { stall <- watchStalls(canary) }()
+	start := time.Now()
+	if o.Progress != nil {
+		go f.progress(canary, start, o.Progress)
+	}
+	events := f.play(ctx, start)
+	rest()
+	in := result.Input{Exp: e, Plan: p, Start: start, Record: f.ref.Close(), Events: events, Late: f.client.Late(),
+		Stall: <-stall}
+	for _, m := range f.order {
+		for _, proc := range m.processes() {
+			u := proc.Usage()
+			in.Memory, in.CPU = max(in.Memory, u.Memory), in.CPU+u.CPU
+		}
+	}
+	out.Partial = ctx.Err() != nil
+	out.Fill(in)
+	out.LabMB = ownMemory()
+	out.Void = voids(e, out.Late, f.failed())
+	stop()
+	<-served
+	<-served
+	return out, nil
+}
+
+// voids tells why a play counts for nothing: the lab was late, or could not do what the file asks.
+func voids(e *experiment.Experiment, late result.Lateness, failed error) string {
+	switch {
+	case failed != nil:
+		return fmt.Sprintf("the lab failed: %v", failed)
+	case late.P99 > e.Lab.LateMs:
+		return fmt.Sprintf("the lab was late: 99 %% of arrivals within %.1f ms, wanted %.1f", late.P99, e.Lab.LateMs)
+	case late.Stall > e.Lab.StallMs:
+		return fmt.Sprintf("the lab stood still for %.0f ms, wanted at most %.0f", late.Stall, e.Lab.StallMs)
+	}
+	return ""
+}
+
+// startProxies starts all proxies, a jittered moment apart, and waits until the front admits each.
+func (f *fleet) startProxies(ctx context.Context) error {
+	r := f.plan.Source("starts")
+	for _, m := range f.order {
+		if !pause(ctx, time.Duration(r.Float64()*float64(experiment.Seconds(f.exp.Lab.StartGap)))) {
+			return ctx.Err()
+		}
+		m.mu.Lock()
+		err := f.start(m, false)
+		m.mu.Unlock()
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrEnvironment, err)
+		}
+	}
+	patience := time.NewTimer(experiment.Seconds(f.exp.Lab.ReadyWait))
+	defer patience.Stop()
+	for !f.front.Ready() {
+		for _, m := range f.order {
+			if over(m.proc) {
+				return fmt.Errorf("%w: proxy %s ended before it served: %v; its log is %s", ErrEnvironment, m.node.Name,
+					m.proc.Err(), filepath.Join(f.logs, m.node.Name+".log"))
+			}
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-patience.C:
+			return fmt.Errorf("%w: not healthy after %v s (lab.ready_wait): %s", ErrEnvironment, f.exp.Lab.ReadyWait,
+				strings.Join(f.front.Missing(), ", "))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// play plays load and faults to their ends.
+func (f *fleet) play(ctx context.Context, start time.Time) []result.Event {
+	faults, stop := context.WithCancel(ctx)
+	defer stop()
+	events := make(chan []result.Event, 1)
+	go func() { events <- (&timeline{fleet: f, start: start}).run(faults) }()
+	f.client.Run(ctx, start)
+	stop() // what holds beyond the last answer is of no use
+	return <-events
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watchStalls tells the longest time by which a wake-up came late.
+func watchStalls(ctx context.Context) (most time.Duration) {
+	for {
+		at := time.Now()
+		if !pause(ctx, canaryEvery) {
+			return most
+		}
+		most = max(most, time.Since(at)-canaryEvery)
+	}
+}
+
+func (f *fleet) progress(ctx context.Context, start time.Time, tell func(at, of time.Duration, p Progress)) {
+	of := experiment.Seconds(f.exp.Seconds)
+	for pause(ctx, progressEvery) {
+		late := f.client.Late()
+		p := Progress{Arrived: len(late)}
+		if len(late) > 0 {
+			p.Late = late[len(late)-1]
+		}
+		tell(min(time.Since(start), of), of, p)
+	}
+}
+
+// ownMemory is the peak of this process's resident memory, in MB.
+func ownMemory() float64 {
+	text, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// MachineLoad is the machine's load now.
+func MachineLoad() (load [3]float64) {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return load
+	}
+	_, _ = fmt.Sscan(string(text), &load[0], &load[1], &load[2])
+	return load
+}
+
+// Cores is how many the lab and the proxies share.
+func Cores() int { return runtime.NumCPU() }
