--- /dev/null
+++ b/internal/lab/process/process_test.go
@@ -0,0 +1,165 @@
+package process
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The test binary is also the process that it plays with: it appends lines to the file it is given, and says what came
+// of each; or it runs a process of its own and waits.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == "append" {
+		for i := 0; ; i++ {
+			f, err := os.OpenFile(os.Args[2], os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			if err == nil {
+				_, err = fmt.Fprintln(f, i)
+				f.Close()
+			}
+			fmt.Fprintf(os.Stderr, "%v\n", err)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if len(os.Args) == 3 && os.Args[1] == "lab" {
+		p, err := NewStarter().Start(Spec{Name: "inner", Command: []string{os.Args[0], "append", os.Args[2]}, Log: os.Args[2] + ".log"}, slog.Default())
+		if err != nil {
+			os.Exit(1)
+		}
+		fmt.Fprintln(os.Stderr, p.PID())
+		select {}
+	}
+	os.Exit(m.Run())
+}
+
+const patience = 20 * time.Second
+
+// until waits for a condition, and says what it waited for if that does not come.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for ", what)
+		}
+	}
+}
+
+func size(path string) int64 {
+	info, err := os.Stat(path)
+	if err != nil {
+		return -1
+	}
+	return info.Size()
+}
+
+func start(t *testing.T, s *Starter, verb, file string) (*Process, string) {
+	t.Helper()
+	log := file + "." + verb + ".log"
+	p, err := s.Start(Spec{Name: verb, Command: []string{os.Args[0], verb, file}, Env: os.Environ(), Log: log},
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, log
+}
+
+func TestFaults(t *testing.T) {
+	s := NewStarter()
+	defer s.Close()
+	file := filepath.Join(t.TempDir(), "f")
+	p, log := start(t, s, "append", file)
+	until(t, "a first line", func() bool { return size(file) > 0 })
+
+	if err := p.DiskFull(true); err != nil {
+		t.Fatal(err)
+	}
+	logged := func() string { text, _ := os.ReadFile(log); return string(text) }
+	until(t, "a write that fails, in the log", func() bool { return strings.Contains(logged(), "file too large") })
+	full := size(file)
+	if err := p.DiskFull(false); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "room again", func() bool { return size(file) > full })
+
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a stop", func() bool {
+		stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+		return strings.Contains(string(stat), ") T ")
+	})
+	stopped := size(file)
+	time.Sleep(20 * time.Millisecond)
+	if size(file) != stopped {
+		t.Error("it writes while it is stopped")
+	}
+	if err := p.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it to go on", func() bool { return size(file) > stopped })
+
+	if u := p.Usage(); u.Memory < 1<<20 {
+		t.Errorf("it uses %+v", u)
+	}
+	if err := p.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if p.Crashed() {
+		t.Error("killed by the lab is no crash")
+	}
+}
+
+// A process that ends by itself has crashed; all end with the lab, even one that is killed.
+func TestEnds(t *testing.T) {
+	s := NewStarter()
+	defer s.Close()
+	file := filepath.Join(t.TempDir(), "f")
+	crash, _ := start(t, s, "append", file)
+	if err := syscall.Kill(crash.PID(), syscall.SIGKILL); err != nil { // by another than the lab
+		t.Fatal(err)
+	}
+	<-crash.Ended()
+	if !crash.Crashed() {
+		t.Error("an end that nobody asked for is a crash")
+	}
+	lab, log := start(t, s, "lab", file)
+	inner := 0
+	until(t, "a process of the lab's", func() bool {
+		text, _ := os.ReadFile(log)
+		_, err := fmt.Sscan(string(text), &inner)
+		return err == nil
+	})
+	if err := lab.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the process to end with its lab", func() bool {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", inner))
+		return err != nil || strings.Contains(string(stat), ") Z ")
+	})
+}
+
+// A directory is one run's at a time; what a killed run left is taken over.
+func TestHold(t *testing.T) {
+	dir := t.TempDir()
+	for _, test := range []struct {
+		mark string
+		free bool
+	}{
+		{"", true}, {"1\n", false}, {"99999999\n", true}, {"no number\n", true},
+	} {
+		if test.mark != "" {
+			if err := os.WriteFile(filepath.Join(dir, holdFile), []byte(test.mark), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := Hold(dir); (err == nil) != test.free {
+			t.Errorf("a directory marked %q: %v", test.mark, err)
+		}
+		Release(dir)
+	}
+}
--- a/internal/lab/report/picture.go
+++ b/internal/lab/report/picture.go
@@ -20,6 +20,7 @@
 const (
 	pictureWidth  = 26 * vg.Centimeter
 	pictureHeight = 9 * vg.Centimeter
+	legendRoom    = 1.3 // of the highest rate
 )
 
 var (
@@ -46,6 +47,7 @@
 	for _, w := range p.Windows {
 		most = max(most, float64(w.Arrived)/width)
 	}
+	g.Y.Max = most * legendRoom
 	for _, ev := range p.Events {
 		to := max(ev.To, ev.From+width/4)
 		span, err := plotter.NewPolygon(plotter.XYs{{X: ev.From, Y: 0}, {X: to, Y: 0}, {X: to, Y: most}, {X: ev.From, Y: most}})
--- /dev/null
+++ b/internal/lab/result/result_test.go
@@ -0,0 +1,94 @@
+package result
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/referee"
+)
+
+// fill plays ten requests a second for 20 s, whose answers are late from some second on until another.
+func fill(t *testing.T, from, to float64, e *experiment.Experiment, events ...Event) Play {
+	t.Helper()
+	start := time.Unix(1000, 0)
+	e.Seconds, e.Zones = 20, []experiment.Zone{{Name: "z", Proxies: 1}}
+	e.Classes = []experiment.Class{{Name: "c", AimMs: 100, Worth: 2}}
+	in := Input{Exp: e, Plan: &plan.Plan{}, Start: start, Events: events}
+	for i := range 200 {
+		at := time.Duration(i) * 100 * time.Millisecond
+		in.Plan.Arrivals = append(in.Plan.Arrivals, plan.Arrival{N: i, At: at})
+		took := 50 * time.Millisecond
+		if s := at.Seconds(); s >= from && s < to {
+			took = 150 * time.Millisecond
+		}
+		in.Record.Tries = append(in.Record.Tries, &referee.Try{Arrival: i, End: referee.Served, Ended: start.Add(at + took)})
+	}
+	var p Play
+	p.Fill(in)
+	return p
+}
+
+func TestRecovery(t *testing.T) {
+	fault := func(n int, from float64) Event { return Event{N: n, From: from, To: from + 1} }
+	for _, test := range []struct {
+		name     string
+		from, to float64 // of the late answers
+		events   []Event
+		want     []float64
+		below    bool // the last of them
+	}{
+		{"never under", 20, 20, []Event{fault(1, 8)}, []float64{0}, false},
+		{"under for 3 s", 8, 11, []Event{fault(1, 8)}, []float64{4.5}, false}, // the last stretch of 2 s that holds a late one
+		{"never back", 8, 20, []Event{fault(1, 8)}, []float64{12}, true},
+		{"of the second fault, not the first", 13, 14, []Event{fault(1, 5), fault(2, 12)}, []float64{0, 3.5}, false},
+	} {
+		p := fill(t, test.from, test.to, &experiment.Experiment{}, test.events...)
+		for i, want := range test.want {
+			if got := p.Events[i].Recovery; math.Abs(got-want) > 1e-9 {
+				t.Errorf("%s: fault %d: %v s, want %v", test.name, i+1, got, want)
+			}
+		}
+		if last := p.Events[len(p.Events)-1]; last.Below != test.below {
+			t.Errorf("%s: below %v", test.name, last.Below)
+		}
+	}
+}
+
+// A failed expectation is named with figure and bound; a void play counts for nothing; several plays have a spread.
+func TestConclude(t *testing.T) {
+	least := func(v float64) *float64 { return &v }
+	e := &experiment.Experiment{Expect: []experiment.Expect{
+		{Figure: "in_time", Min: least(0.7), From: 0.1, To: 20}, {Figure: "in_time", Min: least(0.9), From: 10, To: 15},
+		{Figure: "p99_ms", Max: least(151)}, {Figure: "broken.lost", Max: least(0)}}}
+	bad, good := fill(t, 10, 15, e), fill(t, 20, 20, e)
+	void := fill(t, 0, 20, e)
+	void.Void = "late"
+	r := Result{Plays: []Play{bad, good, good, void}}
+	r.Conclude(e)
+	held := []bool{true, false, true, true}
+	for i, v := range r.Expected {
+		if v.Held != held[i] {
+			t.Errorf("%s: held %v (%s)", v.Figure, v.Held, v.Text)
+		}
+	}
+	if want := "play 1: in_time is 0, wanted at least 0.9\n"; r.Expected[1].Text != want || r.Held {
+		t.Errorf("got %q, want %q", r.Expected[1].Text, want)
+	}
+	if g := r.Figures["in_time"]; g != (Range{Median: 1, Min: 0.75, Max: 1}) {
+		t.Errorf("in_time over the plays: %+v", g)
+	}
+	dir := t.TempDir()
+	if err := r.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(again.Plays) != 4 || again.Figures["p50_ms"] != r.Figures["p50_ms"] {
+		t.Error("it does not read back what it wrote")
+	}
+}
