Let a planned restart leave a gap, fill the list's disk, and clear what killed runs left

Two planned restarts that overlap left the question what fails in them besides having no proxy to go to.

--- a/internal/lab/catalog/catalog.go
+++ b/internal/lab/catalog/catalog.go
@@ -104,6 +104,7 @@
 	slow    float64
 	down    int // faults that hold, as of the next
 	stale   int
+	full    int
 	synced  time.Time
 	ended   map[string]time.Time // when each proxy's last watch was answered
 	rng     *rand.Rand
@@ -196,13 +197,10 @@
 	return lost
 }
 
-// Full has the file's disk full: changes are held back until there is room, and nothing untold is told.
-func (c *Catalog) Full(full bool) { c.on(func() { c.file.Full(full) }) }
-
-// Index is the present version.
-func (c *Catalog) Index() (n int64) {
-	c.on(func() { n = c.index })
-	return n
+// Full has the disk of its file full until end is called: a change that cannot be kept is not told.
+func (c *Catalog) Full() (end func()) {
+	c.on(func() { c.full++; c.file.Full(true) })
+	return func() { c.on(func() { c.full--; c.file.Full(c.full > 0) }) }
 }
 
 // Snapshot is the list as a proxy is told it at its start, with what the referee notes of it.
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -243,7 +243,7 @@
 var Kinds = map[string]Kind{
 	"kill":       {Proxies: true, Text: "SIGKILL; started again after `for`, from nothing unless keep"},
 	"stop":       {Proxies: true, Lasts: true, Text: "SIGSTOP, and SIGCONT after `for`"},
-	"restart":    {Proxies: true, Text: "planned: SIGTERM, SIGKILL after the longest deadline, start again"},
+	"restart":    {Proxies: true, Text: "planned: SIGTERM, SIGKILL after the longest deadline, start again `for` later"},
 	"upgrade":    {Proxies: true, Text: "a successor beside it, SIGTERM to the old one, by the on-call page"},
 	"power_loss": {Proxies: true, Text: "SIGKILL, and what its files got last is lost in part; directory kept"},
 	"disk_full":  {Proxies: true, Lasts: true, Text: "every write of a byte to a file fails"},
@@ -268,6 +268,7 @@
 	"list_down":       {Lasts: true, Text: "the list service refuses connections"},
 	"list_slow":       {Lasts: true, Needs: []string{"factor"}, Text: "calls take `factor` times as long"},
 	"list_stale":      {Lasts: true, Text: "it tells nothing that happened since"},
+	"list_disk_full":  {Lasts: true, Text: "it can keep no change, and tells none that it cannot keep"},
 	"list_rollback":   {Needs: []string{"versions"}, Text: "its versions go back by `versions`, contents too"},
 	"list_power_loss": {Text: "it dies, loses what was not synced, and is back after `for`"},
 }
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -260,13 +260,16 @@
 
 const holdFile = "lab.pid"
 
+// Alive tells whether a process of that id lives, whoever's it is.
+func Alive(pid int) bool { return pid > 0 && !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) }
+
 // Hold marks a directory as this process's, unless a process that lives has marked it. The mark of one that was killed
 // is taken over.
 func Hold(dir string) error {
 	path := filepath.Join(dir, holdFile)
 	if text, err := os.ReadFile(path); err == nil {
 		pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
-		if err == nil && pid > 0 && pid != os.Getpid() && syscall.Kill(pid, 0) == nil {
+		if err == nil && pid != os.Getpid() && Alive(pid) {
 			return fmt.Errorf("%s is in use by the run of process %d; give another --out", dir, pid)
 		}
 	}
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -447,8 +447,8 @@
 	return min(most, killAfter) + killLeeway
 }
 
-// restart is a planned restart.
-func (f *fleet) restart(ctx context.Context, m *member, keep bool) error {
+// restart is a planned restart, with a time in between in which there is no process.
+func (f *fleet) restart(ctx context.Context, m *member, away time.Duration, keep bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.proc == nil || over(m.proc) {
@@ -466,7 +466,7 @@
 		f.log.Warn("a proxy did not end by itself after SIGTERM", "proxy", m.node.Name, "error", old.Err())
 	}
 	defer f.front.Expect(m.node.Name)
-	if ctx.Err() != nil {
+	if !pause(ctx, away) {
 		return nil
 	}
 	return f.start(m, keep)
--- a/internal/lab/run/play.go
+++ b/internal/lab/run/play.go
@@ -43,8 +43,7 @@
 	canaryEvery   = 10 * time.Millisecond
 	progressEvery = time.Second
 	readyPoll     = 50 * time.Millisecond
-	needSockets   = 64 // of the lab's own, beside links and connections
-	perConnection = 4  // descriptors for each request that may be under way at once
+	workPrefix    = "fleetlab-"
 )
 
 // ErrEnvironment is a run that this machine could not make.
@@ -66,8 +65,9 @@
 		return out, fmt.Errorf("%w: %w", ErrEnvironment, err)
 	}
 	defer f.block.release()
+	removeLeftovers()
 	// Short: a Unix socket's path in it has to fit into 108 bytes.
-	if f.work, err = os.MkdirTemp("", "fleetlab-"); err != nil {
+	if f.work, err = os.MkdirTemp("", fmt.Sprintf("%s%d-", workPrefix, os.Getpid())); err != nil {
 		return out, fmt.Errorf("%w: %w", ErrEnvironment, err)
 	}
 	defer os.RemoveAll(f.work)
@@ -112,6 +112,17 @@
 	return out, nil
 }
 
+// removeLeftovers removes the directories of runs that were killed: their processes have ended with them.
+func removeLeftovers() {
+	dirs, _ := filepath.Glob(filepath.Join(os.TempDir(), workPrefix+"*"))
+	for _, dir := range dirs {
+		id, _, _ := strings.Cut(strings.TrimPrefix(filepath.Base(dir), workPrefix), "-")
+		if pid, err := strconv.Atoi(id); err == nil && !process.Alive(pid) {
+			os.RemoveAll(dir)
+		}
+	}
+}
+
 // voids tells why a play counts for nothing: the lab was late, or could not do what the file asks.
 func voids(e *experiment.Experiment, late result.Lateness, failed error) string {
 	switch {
--- a/internal/lab/run/run_test.go
+++ b/internal/lab/run/run_test.go
@@ -6,11 +6,13 @@
 	"log/slog"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"fernlanding/internal/lab/experiment"
 	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/result"
 )
 
 // One zone, a nodo that drains and one that returns cold: what a plain proxy serves without breaking a rule.
@@ -107,6 +109,25 @@
 	}
 }
 
+// A run in which the lab ran late, or failed itself, is void.
+func TestVoids(t *testing.T) {
+	e := &experiment.Experiment{Lab: experiment.Lab{LateMs: 20, StallMs: 400}}
+	for _, test := range []struct {
+		late   result.Lateness
+		failed error
+		void   string
+	}{
+		{result.Lateness{P50: 1, P99: 19, Max: 300, Stall: 300}, nil, ""},
+		{result.Lateness{P50: 1, P99: 21, Max: 30, Stall: 30}, nil, "was late"},
+		{result.Lateness{P50: 1, P99: 2, Max: 3, Stall: 401}, nil, "stood still"},
+		{result.Lateness{}, io.ErrClosedPipe, "failed: io"},
+	} {
+		if got := voids(e, test.late, test.failed); (got == "") != (test.void == "") || !strings.Contains(got, test.void) {
+			t.Errorf("%+v, %v: %q, want %q", test.late, test.failed, got, test.void)
+		}
+	}
+}
+
 const queued = `
 seconds = 30
 warmup = 0
--- a/internal/lab/run/strike.go
+++ b/internal/lab/run/strike.go
@@ -57,18 +57,7 @@
 
 // until waits for a moment of the load.
 func (t *timeline) until(ctx context.Context, at time.Duration) bool {
-	return t.pause(ctx, time.Until(t.start.Add(at)))
-}
-
-func (t *timeline) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause(ctx, time.Until(t.start.Add(at)))
 }
 
 // hold keeps a fault up for its time: to the end of the load if it names none.
@@ -119,7 +108,7 @@
 	case "kill":
 		return t.killWave(ctx, s)
 	case "restart":
-		return t.each(ctx, s, func(turn plan.Turn) error { return t.restart(ctx, t.members[turn.Target], f.Keep) })
+		return t.each(ctx, s, func(turn plan.Turn) error { return t.restart(ctx, t.members[turn.Target], s.For, f.Keep) })
 	case "upgrade":
 		return t.each(ctx, s, func(turn plan.Turn) error { return t.upgrade(ctx, t.members[turn.Target]) })
 	case "power_loss":
@@ -266,7 +255,7 @@
 	}
 	srv.Drain(true)
 	t.tell(srv, catalog.Draining)
-	t.pause(ctx, drainTime)
+	pause(ctx, drainTime)
 	if err := t.down(srv); err != nil || s.Fault.Kind == "nodo_replace" || s.For <= 0 || !t.until(ctx, turn.At+s.For) {
 		return err
 	}
@@ -425,6 +414,8 @@
 		return during(t.list.Slow(s.Fault.Factor))
 	case "list_stale":
 		return during(t.list.Stale())
+	case "list_disk_full":
+		return during(t.list.Full())
 	case "list_rollback":
 		t.list.Rollback(s.Fault.Versions)
 		return nil
