--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -44,7 +44,7 @@
 	r.proxy(name).asking++
 }
 
-// Told notes that an answer of the list was written whole to a proxy's socket, or (failed) that a call failed. In a
+// Told notes that an answer of the list goes whole to a proxy's socket, or (failed) that a call failed. In a
 // whole list, what is missing is gone.
 func (r *Referee) Told(name string, entries []Entry, whole, failed bool, at time.Time) {
 	r.mu.Lock()
@@ -188,7 +188,8 @@
 	}
 }
 
-// Wrote notes that the end of an attempt was written to the proxy's socket.
+// Wrote notes that the end of an attempt goes to the proxy's socket. It has to be called before that: the proxy may act
+// on it at once.
 func (r *Referee) Wrote(a *Attempt) {
 	if a == nil {
 		return
--- /dev/null
+++ b/internal/lab/wait/wait.go
@@ -0,0 +1,22 @@
+// Package wait waits.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a time, which may be over already. False: the context has ended first.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
