Take back the distrust of kept connections when the nodo that broke them has died

To blame: a request that breaks on a kept connection within 100 ms counts as a stale one (backend.go, stale), and halves the idle time that is trusted at every backend; a process that dies under a request looks the same.

A refused connect to that nodo, or a list that has it gone or started anew within 10 s, now takes those breaks back. The trust moves to a package of its own, internal/keepalive.

--- /dev/null
+++ b/internal/keepalive/keepalive.go
@@ -0,0 +1,80 @@
+// Package keepalive decides how long a kept connection may have stood idle to be used again.
+//
+// Backends, and what stands between, close idle connections earlier than the settings say, and word of it can come too
+// late: a request written meanwhile ends as a reset, which is final for one that must not run twice. Where a kept
+// connection breaks that way, connections idle for half as long are the last that are trusted, at any backend; after
+// that, trust comes back.
+//
+// A process that dies breaks its connections too, whatever they stood idle, and says nothing of other backends'. It is
+// known by the next connect to it, which is refused, or by a list that has it gone or started anew: what broke there
+// shortly before is then taken back.
+package keepalive
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	Least  = 20 * time.Millisecond // a kept connection is trusted this long whatever was seen
+	Double = 10 * time.Second      // without a further break the trusted time doubles in this
+
+	diedWithin = 10 * time.Second // of a break, for word of a death to explain it: lists are seconds late
+)
+
+// limit is a bound on the trusted time, as of a moment; 0 is none.
+type limit struct {
+	span  time.Duration
+	since time.Time
+}
+
+// Trust is of all kept connections of a process. It is not safe for concurrent use.
+type Trust struct {
+	now limit
+
+	// The latest breaks at one backend, and the limit before the first of them.
+	at     string
+	broke  time.Time
+	before limit
+}
+
+// Span is how long a connection may have been idle now, never more than most. A request that must not run twice gets
+// half of it, so that those which can be repeated meet the edge first.
+func (t *Trust) Span(now time.Time, most time.Duration, unsafe bool) time.Duration {
+	span := most
+	if t.now.span > 0 {
+		grown := float64(t.now.span) * math.Exp2(now.Sub(t.now.since).Seconds()/Double.Seconds())
+		if grown >= float64(2*most) {
+			t.now.span = 0
+			return most
+		}
+		span = time.Duration(grown)
+		if unsafe {
+			span /= 2
+		}
+	}
+	return min(span, most)
+}
+
+// Broke notes that a connection to a backend which had been idle so long broke under its next request.
+func (t *Trust) Broke(now time.Time, backend string, idle, most time.Duration) {
+	if idle < Least || idle > most {
+		return // no staleness, or one that Span already guards from
+	}
+	if t.at != backend || now.Sub(t.broke) > diedWithin {
+		t.at, t.before = backend, t.now
+	}
+	t.broke = now
+	span := max(idle/2, Least)
+	if t.now.span > 0 {
+		span = min(span, max(t.Span(now, most, false)/2, Least))
+	}
+	t.now = limit{span, now}
+}
+
+// Died notes word that a backend's process has ended.
+func (t *Trust) Died(now time.Time, backend string) {
+	if t.at == backend && now.Sub(t.broke) <= diedWithin {
+		t.now, t.at = t.before, ""
+	}
+}
--- a/internal/lab/nodo/nodo.go
+++ b/internal/lab/nodo/nodo.go
@@ -170,7 +170,7 @@
 	over, life := n.conns > n.spec.MaxConns, n.life
 	n.mu.Unlock()
 	defer n.with(func() { n.conns-- })
-	n.ref.Count(func(t *referee.Tally) { t.Handshakes++ })
+	n.ref.Connected(time.Now())
 	r := bufio.NewReader(c)
 	for first := true; ; first = false {
 		_ = c.SetReadDeadline(time.Now().Add(n.spec.IdleClose))
--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// Connected notes a connection that a nodo took.
+func (r *Referee) Connected(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.connects = append(r.connects, at)
+}
+
 // Arrival is what a nodo sees of a request.
 type Arrival struct {
 	Nodo, ID          string
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -164,13 +164,13 @@
 	proxies  map[string]*proxy
 	nodos    map[string]*nodo
 	counts   map[string]int
+	connects []time.Time
 	first    []Violation
 	tally    Tally
 }
 
 // Tally is counts beside the rules.
 type Tally struct {
-	Handshakes  int `json:"handshakes"`   // connections to nodos
 	ListCalls   int `json:"list_calls"`   // by the proxies
 	WatchBreaks int `json:"watch_breaks"` // watches that came too late to continue the last
 	Resent      int `json:"resent"`       // requests sent once more since their connection was closed unread
@@ -401,6 +401,7 @@
 	Attempts   []*Attempt
 	Broken     map[string]int
 	Violations []Violation // the first of each rule
+	Connects   []time.Time // of each connection to a nodo
 	Tally      Tally
 }
 
@@ -409,7 +410,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.judgeLost()
-	return Record{r.order, r.attempts, r.counts, r.first, r.tally}
+	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.tally}
 }
 
 // Of is the try that an attempt belongs to.
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -144,7 +144,7 @@
 	p.windows(in, cs)
 	p.recovery(in, f)
 	t := in.Record.Tally
-	for name, n := range map[string]int{"handshakes": t.Handshakes, "list_calls": t.ListCalls,
+	for name, n := range map[string]int{"handshakes": len(in.Record.Connects), "list_calls": t.ListCalls,
 		"watch_breaks": t.WatchBreaks, "late_answers": t.Late, "turned_back": t.TurnedBack, "resent": t.Resent,
 		"tipped": t.Tipped, "crashed": t.Crashed} {
 		f[name] = float64(n)
@@ -274,6 +274,11 @@
 			w.InTime += worth
 		}
 	}
+	for _, at := range in.Record.Connects {
+		if i := int(at.Sub(in.Start) / windowWidth); i >= 0 && i < n {
+			p.Windows[i].Connects++
+		}
+	}
 }
 
 // share is the worth in time of the windows from one up to another.
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -84,13 +84,14 @@
 
 // Window is half a second of arrivals.
 type Window struct {
-	At      float64 `json:"at"`
-	Worth   float64 `json:"worth"`
-	InTime  float64 `json:"in_time"` // worth
-	Arrived int     `json:"arrived"`
-	Served  int     `json:"served"`
-	Refused int     `json:"refused"`
-	Failed  int     `json:"failed"`
+	At       float64 `json:"at"`
+	Worth    float64 `json:"worth"`
+	InTime   float64 `json:"in_time"` // worth
+	Arrived  int     `json:"arrived"`
+	Served   int     `json:"served"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	Connects int     `json:"connects"` // to nodos
 }
 
 // Range is a figure over the plays.
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/keepalive"
 	"fernlanding/logic"
 )
 
@@ -35,7 +35,7 @@
 	byName map[string]*backend
 	banned map[string]bool
 	open   int
-	trust  trust
+	trust  keepalive.Trust
 
 	figs *figures
 
@@ -46,50 +46,8 @@
 
 const brokenQuiet = time.Second // between two lines about broken answers
 
-const (
-	trustLeast  = 20 * time.Millisecond // a kept connection is trusted this long whatever was seen
-	trustDouble = 10 * time.Second      // without a further break the trusted time doubles in this
-	staleWithin = 100 * time.Millisecond
-)
-
-// trust is how long a kept connection may have been idle to be used again. Backends and what stands between
-// close idle connections earlier than the settings say, and word of it can come too late: a request written
-// meanwhile ends as a reset, which is final for one that must not run twice. Where a kept connection breaks
-// that way, connections idle for half as long are the last that are trusted; after that, trust comes back.
-type trust struct {
-	limit time.Duration // 0: no connection has broken so
-	since time.Time
-}
-
-// span is how long a connection may have been idle now, never more than most. A request that must not run
-// twice gets half of it, so that those which can be repeated meet the edge first.
-func (t *trust) span(now time.Time, most time.Duration, unsafe bool) time.Duration {
-	span := most
-	if t.limit > 0 {
-		grown := float64(t.limit) * math.Exp2(now.Sub(t.since).Seconds()/trustDouble.Seconds())
-		if grown >= float64(2*most) {
-			t.limit = 0
-			return most
-		}
-		span = time.Duration(grown)
-		if unsafe {
-			span /= 2
-		}
-	}
-	return min(span, most)
-}
-
-// broke notes that a connection which had been idle so long broke under its next request.
-func (t *trust) broke(now time.Time, idle, most time.Duration) {
-	if idle < trustLeast || idle > most {
-		return // no staleness, or one that span already guards from
-	}
-	limit := max(idle/2, trustLeast)
-	if t.limit > 0 {
-		limit = min(limit, max(t.span(now, most, false)/2, trustLeast))
-	}
-	t.limit, t.since = limit, now
-}
+// staleWithin is how soon a request on a kept connection that was closed breaks.
+const staleWithin = 100 * time.Millisecond
 
 // backend is one backend as the list now has it.
 type backend struct {
@@ -147,7 +105,7 @@
 func (p *backends) apply(full bool, entries []endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := make(map[string]bool, len(entries))
+	now, listed := time.Now(), make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Name] = true
 		b := p.byName[e.Name]
@@ -155,18 +113,23 @@
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
+		if b.started != e.SinceMs {
+			p.trust.Died(now, e.Name)
+		}
 		if ready := e.Status == statusServing && !p.banned[e.Name]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
 		b.serving = e.Status == statusServing
 		if e.Status == statusDeleted {
+			p.trust.Died(now, e.Name)
 			delete(p.byName, e.Name)
 		}
 	}
 	for name, b := range p.byName {
 		if full && !listed[name] {
 			b.serving, b.ready = false, false
+			p.trust.Died(now, name)
 			p.turn(b)
 			delete(p.byName, name)
 		}
@@ -217,7 +180,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	span := p.trust.span(now, p.idleFor, unsafe)
+	span := p.trust.Span(now, p.idleFor, unsafe)
 	for b.epoch == epoch && len(b.idle) > 0 {
 		c := b.idle[len(b.idle)-1]
 		b.idle = b.idle[:len(b.idle)-1]
@@ -242,6 +205,9 @@
 	nc, err := dialer(ctx, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.trust.Died(time.Now(), b.name)
+		}
 		p.open--
 		p.mu.Unlock()
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
@@ -306,7 +272,7 @@
 func (p *backends) stale(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.trust.broke(time.Now(), c.idle, p.idleFor)
+	p.trust.Broke(time.Now(), c.of.name, c.idle, p.idleFor)
 }
 
 // broken tells the log, now and then, of an answer that could not be read.
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -360,6 +361,35 @@
 	}
 }
 
+// A kept connection that broke since its backend died leaves the trust in others as it was.
+func TestAConnectionThatBrokeWithItsProcessCostsNoTrust(t *testing.T) {
+	b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n == 2 {
+			return false
+		}
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	p := poolWith(10, b.addr)
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.OK {
+		t.Fatalf("got %v", res.status)
+	}
+	p.byName["a"].idle[0].since = time.Now().Add(-time.Second)
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.Reset {
+		t.Fatalf("got %v, want a reset", res.status)
+	}
+	if span := p.trust.Span(time.Now(), p.idleFor, false); span > 600*time.Millisecond {
+		t.Fatalf("trusted for %v after a break at 1 s", span)
+	}
+	p.dialer = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.ConnectFailed {
+		t.Fatalf("got %v, want a refused connection", res.status)
+	}
+	if span := p.trust.Span(time.Now(), p.idleFor, false); span != p.idleFor {
+		t.Errorf("trusted for %v though the backend had died, want %v", span, p.idleFor)
+	}
+}
+
 // A write that breaks off before the last byte proves that the call never ran; one that ended does not.
 func TestARequestThatWasNotWrittenWholeNeverRan(t *testing.T) {
 	p := poolWith(4, "127.0.0.1:1")
@@ -429,31 +459,3 @@
 		}
 	}
 }
-
-func TestTrustFallsWithBreaksAndComesBack(t *testing.T) {
-	const most = 4 * time.Second
-	now := time.Unix(1000, 0)
-	var tr trust
-	check := func(unsafe bool, want time.Duration) {
-		t.Helper()
-		if got := tr.span(now, most, unsafe); got != want {
-			t.Errorf("trusted for %v, want %v", got, want)
-		}
-	}
-	check(true, most)
-	tr.broke(now, 0, most) // a first request, or no idling: says nothing of staleness
-	check(true, most)
-	tr.broke(now, 800*time.Millisecond, most)
-	check(false, 400*time.Millisecond)
-	check(true, 200*time.Millisecond)
-	tr.broke(now, 600*time.Millisecond, most) // sent before the first break was known
-	check(false, 200*time.Millisecond)
-	now = now.Add(trustDouble)
-	check(false, 400*time.Millisecond)
-	for range 20 {
-		tr.broke(now, 50*time.Millisecond, most)
-	}
-	check(false, trustLeast)
-	now = now.Add(20 * trustDouble)
-	check(true, most)
-}
