--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -97,6 +97,34 @@
 	Even bool        `toml:"even"` // arrivals at even distances rather than by chance
 }
 
+// RateAt is the first tries a second at some second: on straight lines between the points, level outside them.
+func (l Load) RateAt(s float64) float64 {
+	last := 0.0
+	for i, p := range l.Rate {
+		if len(p) != 2 {
+			continue
+		}
+		if s <= p[0] {
+			if i == 0 || len(l.Rate[i-1]) != 2 {
+				return p[1]
+			}
+			a := l.Rate[i-1]
+			return a[1] + (p[1]-a[1])*(s-a[0])/(p[0]-a[0])
+		}
+		last = p[1]
+	}
+	return last
+}
+
+// requests is how many first tries there are to be, to some part in a hundred.
+func (l Load) requests(seconds float64) (n float64) {
+	const steps = 1000
+	for i := range steps {
+		n += l.RateAt((float64(i)+0.5)*seconds/steps) * seconds / steps
+	}
+	return n
+}
+
 // Clients is what the callers do.
 type Clients struct {
 	Retries    int       `toml:"retries"`
--- a/internal/lab/experiment/read.go
+++ b/internal/lab/experiment/read.go
@@ -240,17 +240,18 @@
 }
 
 const (
-	maxSeconds = 3600
-	maxRate    = 20000
-	maxProxies = 400
-	maxNodos   = 2000
+	maxSeconds  = 3600
+	maxRate     = 20000
+	maxRequests = 1_000_000
+	maxProxies  = 400
+	maxNodos    = 2000
 )
 
 func (c *checker) check() {
 	e := c.e
 	c.positive("seconds", e.Seconds)
 	if e.Seconds > maxSeconds {
-		c.problem("seconds", "at most %d: the referee keeps every request in memory", maxSeconds)
+		c.problem("seconds", "at most %d", maxSeconds)
 	}
 	c.notNegative("warmup", e.Warmup)
 	if e.Warmup >= e.Seconds {
@@ -383,6 +384,9 @@
 		}
 		last = p[0]
 	}
+	if n := c.e.Load.requests(c.e.Seconds); n > maxRequests {
+		c.problem("load.rate", "%.0f requests in all; at most %d, since the referee keeps each (2 kB)", n, maxRequests)
+	}
 	t := c.e.Clients.TryPart
 	if len(t) != 2 || t[0] <= 0 || t[1] < t[0] || t[1] > 1 {
 		c.problem("clients.try_part", "from and to are needed, over 0 and at most 1")
--- a/internal/lab/experiment/read_test.go
+++ b/internal/lab/experiment/read_test.go
@@ -51,6 +51,9 @@
 		{whole + "[[expect]]\nfigure = \"worth\"\nmin = 1.0\n[[expect]]\nfigure = \"p99_ms\"\nfrom = 2.0\nmax = 5.0\n",
 			[]string{"f:23: expect[1].figure: \"worth\" is unknown", "f:27: expect[2].from: p99_ms is a figure of the whole run"}},
 		{whole + "[[expect]]\nfigure = \"in_time.c\"\n", []string{"f:22: expect[1]: neither min nor max"}},
+		{strings.Replace(whole, "[[0, 5]]", "[[0, 0], [10, 20000], [5, 1]]", 1), []string{"f:21: load.rate: point 3"}},
+		{"seconds = 3000\n" + strings.Replace(strings.Replace(whole, "seconds = 10\n", "", 1), "[[0, 5]]", "[[0, 500]]", 1),
+			[]string{"f:21: load.rate: 1500000 requests in all"}},
 		{strings.Replace(whole, "seconds = 10", "seconds = ", 1), []string{"f:2:"}},
 		{"base = \"other.toml\"\n" + whole, []string{"f:1: base: file does not exist"}},
 	} {
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -24,8 +24,8 @@
 
 func everything(Ends) bool { return true }
 
-// newEcho is a link to a server that sends lines back, and its address.
-func newEcho(t *testing.T) (*Net, string) {
+// newEcho is a link to a server that sends lines back, its address, and the lines that it has heard.
+func newEcho(t *testing.T) (*Net, string, <-chan string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,7 +33,7 @@
 	}
 	addr := l.Addr().String()
 	l.Close()
-	n := New(1)
+	n, heard := New(1), make(chan string, 100)
 	if _, err := n.Listen(Ends{Kind: "nodo", To: "s"}, addr, 0, func(c *Conn) {
 		defer c.Close()
 		for r := bufio.NewReader(c); ; {
@@ -41,13 +41,14 @@
 			if err != nil {
 				return
 			}
+			heard <- line
 			_, _ = c.Write([]byte(line))
 		}
 	}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { n.Close(); goleak.VerifyNone(t) })
-	return n, addr
+	return n, addr, heard
 }
 
 func dial(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, short) }
@@ -77,17 +78,18 @@
 	for _, test := range []struct {
 		name     string
 		effect   Effect
-		passes   bool  // on a connection that was open before
+		arrives  bool  // what is said on a connection that was open before
+		passes   bool  // and comes back
 		connects error // of a new one; nil: it comes up
 	}{
-		{"nothing", Effect{}, true, nil},
-		{"silent", Silent, false, os.ErrDeadlineExceeded},
-		{"answers are lost", Effect{CutBack: true}, false, nil},
-		{"requests are lost", Effect{CutOut: true, NoConnect: true}, false, os.ErrDeadlineExceeded},
-		{"refused", Effect{Refuse: true}, true, syscall.ECONNREFUSED},
+		{"nothing", Effect{}, true, true, nil},
+		{"silent", Silent, false, false, os.ErrDeadlineExceeded},
+		{"answers are lost", Effect{CutBack: true}, true, false, nil},
+		{"requests are lost", Effect{CutOut: true, NoConnect: true}, false, false, os.ErrDeadlineExceeded},
+		{"refused", Effect{Refuse: true}, true, true, syscall.ECONNREFUSED},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			n, addr := newEcho(t)
+			n, addr, heard := newEcho(t)
 			c, err := dial(addr)
 			if err != nil {
 				t.Fatal(err)
@@ -96,6 +98,7 @@
 			if err := says(c, "before", long); err != nil {
 				t.Fatal(err)
 			}
+			<-heard
 			end, err := n.Apply(everything, test.effect)
 			if err != nil {
 				t.Fatal(err)
@@ -111,6 +114,18 @@
 			if !test.passes && !errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("during: %v, want silence: the connection stays open", err)
 			}
+			if test.arrives {
+				select {
+				case got := <-heard:
+					if got != "during\n" {
+						t.Errorf("the server heard %q", got)
+					}
+				case <-time.After(long):
+					t.Error("what was said did not arrive")
+				}
+			} else if len(heard) > 0 {
+				t.Error("the server heard what was cut off")
+			}
 			other, err := dial(addr)
 			if !errors.Is(err, test.connects) && !(test.connects == os.ErrDeadlineExceeded && errors.Is(err, context.DeadlineExceeded)) {
 				t.Errorf("connect: %v, want %v", err, test.connects)
@@ -140,7 +155,7 @@
 
 // A fault that ends while another holds takes only its own away.
 func TestEffectsOverlap(t *testing.T) {
-	n, addr := newEcho(t)
+	n, addr, _ := newEcho(t)
 	first, err := n.Apply(everything, Effect{Refuse: true})
 	if err != nil {
 		t.Fatal(err)
@@ -177,7 +192,7 @@
 
 // The word of a close does not cross a cut; it comes when that ends.
 func TestCloseOverCut(t *testing.T) {
-	n, addr := newEcho(t)
+	n, addr, _ := newEcho(t)
 	c, err := dial(addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/nodo/nodo_test.go
+++ b/internal/lab/nodo/nodo_test.go
@@ -116,6 +116,18 @@
 func TestCallersThatGo(t *testing.T) {
 	n, _, ref, addr := newNodo(t, Spec{Slots: 1, Speed: 1, Queue: 1, Cancelling: true}, time.Hour)
 	n.Start(time.Time{}, false)
+	holding := func() (in int) { n.with(func() { in = n.busy + len(n.queue) }); return in }
+	var long sync.WaitGroup
+	long.Go(func() { ask(ref, addr, "long", time.Second) })
+	for holding() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 3 { // one after another in the one place of the queue, the slot taken
+		if status, _ := ask(ref, addr, fmt.Sprint("queued", i), 50*time.Millisecond); status == 503 {
+			t.Errorf("turned away behind %d who had left the queue", i)
+		}
+	}
+	long.Wait()
 	for i := range 3 {
 		var both sync.WaitGroup
 		for j := range 2 {
@@ -126,8 +138,8 @@
 			})
 		}
 		both.Wait()
-		for in := 1; in > 0; time.Sleep(time.Millisecond) {
-			n.with(func() { in = n.busy + len(n.queue) })
+		for holding() > 0 {
+			time.Sleep(time.Millisecond)
 		}
 	}
 }
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -81,20 +81,6 @@
 	return p
 }
 
-// rateAt is the rate at a second, on straight lines between the points.
-func rateAt(points [][]float64, s float64) float64 {
-	if s <= points[0][0] {
-		return points[0][1]
-	}
-	for i := 1; i < len(points); i++ {
-		a, b := points[i-1], points[i]
-		if s <= b[0] {
-			return a[1] + (b[1]-a[1])*(s-a[0])/(b[0]-a[0])
-		}
-	}
-	return points[len(points)-1][1]
-}
-
 // drawArrivals draws a Poisson process by thinning one at the highest rate, or places arrivals at even distances of
 // the rate's integral.
 func (p *Plan) drawArrivals(e *experiment.Experiment) {
@@ -115,7 +101,7 @@
 		if s += step; s >= e.Seconds {
 			return
 		}
-		share := rateAt(e.Load.Rate, s) / most
+		share := e.Load.RateAt(s) / most
 		if e.Load.Even {
 			if owed += share; owed < 1-1e-9 {
 				continue
--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -26,8 +26,11 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
+	if len(os.Args) == 3 && os.Args[1] == "wait" { // and says nothing: a broken pipe would end it too
+		time.Sleep(time.Minute)
+	}
 	if len(os.Args) == 3 && os.Args[1] == "lab" {
-		p, err := NewStarter().Start(Spec{Name: "inner", Command: []string{os.Args[0], "append", os.Args[2]}, Log: os.Args[2] + ".log"}, slog.Default())
+		p, err := NewStarter().Start(Spec{Name: "inner", Command: []string{os.Args[0], "wait", os.Args[2]}, Log: os.Args[2] + ".log"}, slog.Default())
 		if err != nil {
 			os.Exit(1)
 		}
--- a/test.sh
+++ b/test.sh
@@ -14,6 +14,10 @@
 go vet ./...
 go test -race ./...
 
+# The proxy and the adapter carry no library and nothing of the lab.
+foreign=$(go list -deps ./cmd/fernlanding ./cmd/simhost | grep -E '^[^/]+\.[^/]+/|^fernlanding/internal/lab' || true)
+[ -z "$foreign" ] || { printf 'the proxy or the adapter depends on:\n%s\n' "$foreign"; exit 1; }
+
 policy=$(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
 [ -n "$policy" ] || { echo 'deploy/balancer.toml names no policy files'; exit 1; }
 lines=$(cat $policy | grep -c '[^[:space:]]')
