Take out what nothing in the lab reads, and read a process's peak of memory in one place

The lab looked VmHWM up twice, in process and in run; a front kept its network and delays, the referee a proxy's start, and three methods said what another said already. Behaviour is as it was: the lab's and the program's tests with -race.

--- a/internal/lab/load/front.go
+++ b/internal/lab/load/front.go
@@ -40,8 +40,6 @@
 type Front struct {
 	notice time.Duration
 	others bool // to other zones where a zone has none
-	net    *link.Net
-	delay  func(from, to string) time.Duration
 
 	mu    sync.Mutex
 	doors map[string]*door
@@ -52,7 +50,7 @@
 // NewFront is a front of these proxies.
 func NewFront(targets []Target, net *link.Net, delay func(from, to string) time.Duration, notice time.Duration,
 	others bool, zones []string, rng *rand.Rand) *Front {
-	f := &Front{notice: notice, others: others, net: net, delay: delay, doors: map[string]*door{}, rng: rng}
+	f := &Front{notice: notice, others: others, doors: map[string]*door{}, rng: rng}
 	for _, t := range targets {
 		d := &door{Target: t, dialers: map[string]*link.Dialer{}}
 		for _, z := range zones {
@@ -115,18 +113,6 @@
 	}
 }
 
-// Ready tells whether all proxies are admitted.
-func (f *Front) Ready() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, d := range f.order {
-		if !d.open {
-			return false
-		}
-	}
-	return true
-}
-
 // Missing names the proxies that are not admitted.
 func (f *Front) Missing() (names []string) {
 	f.mu.Lock()
@@ -139,13 +125,6 @@
 	return names
 }
 
-// Open tells whether a proxy is admitted.
-func (f *Front) Open(name string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.doors[name].open
-}
-
 // Bar takes a proxy out by hand, as before a planned restart; Expect lets it back in once it is healthy.
 func (f *Front) Bar(name string) {
 	f.mu.Lock()
--- a/internal/lab/nodo/nodo.go
+++ b/internal/lab/nodo/nodo.go
@@ -221,7 +221,7 @@
 		return n.answer(c, at, 503, nil, true) && !over
 	}
 	if j == nil { // ended meanwhile, or hanging
-		n.await(c)
+		c.AwaitEnd(nil)
 		n.ref.Drop(at, 0)
 		return false
 	}
@@ -234,9 +234,6 @@
 	return n.since.UnixMilli()
 }
 
-// await waits for the caller to go.
-func (n *Nodo) await(c *link.Conn) { c.AwaitEnd(nil) }
-
 // patience is when the caller will have given up.
 func patience(req *http.Request) time.Time {
 	ms, err := strconv.ParseFloat(req.Header.Get(wire.Timeout), 64)
@@ -404,7 +401,7 @@
 	}
 	switch {
 	case !alive:
-		n.await(c)
+		c.AwaitEnd(nil)
 		n.ref.Drop(at, j.held)
 		return false
 	case fails:
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -6,7 +6,6 @@
 package process
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -154,18 +153,7 @@
 
 // look notes what it uses while it lives.
 func (p *Process) look() {
-	var u Usage
-	status, err := os.Open(fmt.Sprintf("/proc/%d/status", p.PID()))
-	if err != nil {
-		return
-	}
-	defer status.Close()
-	for lines := bufio.NewScanner(status); lines.Scan(); {
-		if text, ok := strings.CutPrefix(lines.Text(), "VmHWM:"); ok {
-			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(text, "kB")), 10, 64)
-			u.Memory = kb << 10
-		}
-	}
+	u := Usage{Memory: PeakMemory(p.PID())}
 	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID())); err == nil {
 		_, rest, _ := strings.Cut(string(stat), ") ")
 		if f := strings.Fields(rest); len(f) > 12 {
@@ -179,6 +167,21 @@
 	p.usage = Usage{max(p.usage.CPU, u.CPU), max(p.usage.Memory, u.Memory)}
 }
 
+// PeakMemory is the peak of a living process's resident memory, in bytes; 0 if it cannot be told.
+func PeakMemory(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
 // Signal sends a signal. SIGTERM and SIGKILL tell it to end.
 func (p *Process) Signal(sig syscall.Signal) error {
 	p.mu.Lock()
--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -29,7 +29,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.proxy(name)
-	p.started, p.asked, p.asking, p.failed = at, at, 0, false
+	p.asked, p.asking, p.failed = at, 0, false
 	p.told = map[string]told{}
 	for _, e := range known {
 		p.told[e.Nodo] = told{e.Serving, e.Since, at}
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -134,7 +134,6 @@
 
 // proxy is what the referee knows of one.
 type proxy struct {
-	started time.Time
 	told    map[string]told
 	asked   time.Time // when its last call to the list ended
 	asking  int       // calls that are out
--- a/internal/lab/run/play.go
+++ b/internal/lab/run/play.go
@@ -105,7 +105,7 @@
 	}
 	out.Partial = ctx.Err() != nil
 	out.Fill(in)
-	out.LabMB = ownMemory()
+	out.LabMB = float64(process.PeakMemory(os.Getpid())) / (1 << 20)
 	out.Void = voids(e, out.Late, f.failed())
 	stop()
 	<-served
@@ -153,7 +153,7 @@
 	}
 	patience := time.NewTimer(experiment.Seconds(f.exp.Lab.ReadyWait))
 	defer patience.Stop()
-	for !f.front.Ready() {
+	for len(f.front.Missing()) > 0 {
 		for _, m := range f.order {
 			if over(m.proc) {
 				return fmt.Errorf("%w: proxy %s ended before it served: %v; its log is %s", ErrEnvironment, m.node.Name,
@@ -206,21 +206,6 @@
 	}
 }
 
-// ownMemory is the peak of this process's resident memory, in MB.
-func ownMemory() float64 {
-	text, err := os.ReadFile("/proc/self/status")
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, _ := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // MachineLoad is the machine's load now.
 func MachineLoad() (load [3]float64) {
 	text, err := os.ReadFile("/proc/loadavg")
