--- /dev/null
+++ b/internal/roster/api/api.go
@@ -0,0 +1,330 @@
+// Package api is the list service's address: the published protocol for proxies, registrations for nodos, and what
+// members and operators ask.
+//
+//	GET    /catalog/members                    the whole list; with consistent=1 as of a moment after the call
+//	GET    /catalog/members?from=N&hold_ms=M   a watch; line=L beside it names the line that N counts in
+//	PUT    /catalog/members/NAME               register, or renew with another lease; again without harm
+//	POST   /catalog/members/NAME/renew         {"instance": ...}
+//	POST   /catalog/members/NAME/drain         {"instance": ...}
+//	DELETE /catalog/members/NAME?instance=I    deregister
+//	GET    /v1/member /v1/proof /v1/nodos /v1/snapshot
+//	POST   /v1/restore
+//
+// Answers carry "line" beside the published keys. By it a caller knows why versions went on as they did: a whole list
+// of the same line is never older than what that line has told before, by any member; one of another line begins
+// anew, and what is missing from it was not taken out by anybody.
+//
+// Any member takes any call. What only the leader can do is passed on to it, once. 503 says that trying again does no
+// harm, here or at another member, after Retry-After.
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fernlanding/internal/roster/member"
+	"fernlanding/internal/roster/state"
+)
+
+const (
+	HoldMost  = 60 * time.Second
+	bodyMost  = 64 << 10
+	writeWait = 5 * time.Second // for a caller to take an answer
+	headWait  = 5 * time.Second
+	bodyWait  = 10 * time.Second
+	idleWait  = 2 * time.Minute
+	passWait  = 4 * time.Second // for the leader's answer
+	passed    = "Roster-Passed" // header of a call that a member has passed on
+)
+
+// Config is what the address is.
+type Config struct {
+	Listen   string
+	Name     string // of the member
+	Watchers int    // watches that are held at once; more are answered 503
+	Log      *slog.Logger
+}
+
+// Server answers the calls.
+type Server struct {
+	cfg      Config
+	http     *http.Server
+	listener net.Listener
+	member   atomic.Pointer[member.Member]
+	pass     *http.Client
+	ending   chan struct{} // closed when watches have to end
+	once     sync.Once
+
+	// Counts, for Figures.
+	watching, calls, turned, lists, deltas, passedOn atomic.Int64
+}
+
+// Figures are the counts so far.
+type Figures struct {
+	Watching int64 // held now
+	Calls    int64
+	Turned   int64 // answered 503
+	Whole    int64 // answers with the whole list
+	Changes  int64 // and with changes, perhaps none
+	Passed   int64 // calls passed on to the leader
+}
+
+// Listen opens the address; Serve answers there, and until Open all but a word on itself is 503.
+func Listen(cfg Config) (*Server, error) {
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &Server{cfg: cfg, listener: l, ending: make(chan struct{}), pass: &http.Client{Timeout: passWait,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64, IdleConnTimeout: idleWait, DisableCompression: true}}}
+	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: headWait, IdleTimeout: idleWait,
+		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)}
+	return s, nil
+}
+
+// Addr is the address.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Open has it answer for a member.
+func (s *Server) Open(m *member.Member) { s.member.Store(m) }
+
+// Serve answers until End.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// End tells those who watch to go elsewhere, and ends when they have been told, or patience has.
+func (s *Server) End(patience time.Duration) {
+	s.once.Do(func() { close(s.ending) })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		s.http.Close()
+	}
+}
+
+// Figures are the counts so far.
+func (s *Server) Figures() Figures {
+	return Figures{s.watching.Load(), s.calls.Load(), s.turned.Load(), s.lists.Load(), s.deltas.Load(), s.passedOn.Load()}
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	with := func(do func(http.ResponseWriter, *http.Request, *member.Member)) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			s.calls.Add(1)
+			m := s.member.Load()
+			if m == nil {
+				s.turn(w, errors.New("this member waits for the others"))
+				return
+			}
+			do(w, r, m)
+		}
+	}
+	mux.HandleFunc("GET /catalog/members", with(s.list))
+	mux.HandleFunc("PUT /catalog/members/{name}", with(s.register))
+	mux.HandleFunc("POST /catalog/members/{name}/renew", with(s.renew))
+	mux.HandleFunc("POST /catalog/members/{name}/drain", with(s.take(state.Drain)))
+	mux.HandleFunc("DELETE /catalog/members/{name}", with(s.take(state.Deregister)))
+	mux.HandleFunc("GET /v1/member", func(w http.ResponseWriter, r *http.Request) {
+		if m := s.member.Load(); m != nil {
+			answer(w, http.StatusOK, m.Status())
+			return
+		}
+		answer(w, http.StatusOK, member.Waiting(s.cfg.Name))
+	})
+	mux.HandleFunc("GET /v1/proof", with(func(w http.ResponseWriter, r *http.Request, m *member.Member) {
+		p, err := m.Proof()
+		if err != nil {
+			s.turn(w, err)
+			return
+		}
+		answer(w, http.StatusOK, p)
+	}))
+	mux.HandleFunc("GET /v1/nodos", with(func(w http.ResponseWriter, r *http.Request, m *member.Member) {
+		if s.toLeader(w, r, m, nil) {
+			return
+		}
+		answer(w, http.StatusOK, m.Nodos())
+	}))
+	mux.HandleFunc("GET /v1/snapshot", with(s.snapshot))
+	mux.HandleFunc("POST /v1/restore", with(s.restore))
+	return mux
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // structs of words and numbers
+	}
+	send(w, status, append(text, '\n'))
+}
+
+// send writes an answer that is whole already. A caller that does not take it is left after a while.
+func send(w http.ResponseWriter, status int, body []byte) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// Fault is the body of an answer that is no yes.
+type Fault struct {
+	Error string `json:"error"`
+	End   string `json:"end,omitempty"` // of a command, by package state
+}
+
+func fail(w http.ResponseWriter, status int, format string, args ...any) {
+	answer(w, status, Fault{Error: fmt.Sprintf(format, args...)})
+}
+
+// turn answers that trying again does no harm.
+func (s *Server) turn(w http.ResponseWriter, err error) {
+	s.turned.Add(1)
+	w.Header().Set("Retry-After", "1")
+	fail(w, http.StatusServiceUnavailable, "%v", err)
+}
+
+// list answers with the whole list, or a watch.
+func (s *Server) list(w http.ResponseWriter, r *http.Request, m *member.Member) {
+	q := r.URL.Query()
+	if !q.Has("from") {
+		if q.Get("consistent") == "1" {
+			if err := m.AwaitFresh(r.Context()); err != nil {
+				s.turn(w, err)
+				return
+			}
+		}
+		if !m.Serving() {
+			s.turn(w, member.ErrStale)
+			return
+		}
+		s.lists.Add(1)
+		send(w, http.StatusOK, m.Hub().Whole())
+		return
+	}
+	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+	if err != nil || from < 0 {
+		fail(w, http.StatusBadRequest, "from=%q: a version is needed, 0 or more", q.Get("from"))
+		return
+	}
+	hold := time.Duration(0)
+	if q.Has("hold_ms") {
+		ms, err := strconv.ParseInt(q.Get("hold_ms"), 10, 64)
+		if err != nil || ms < 0 {
+			fail(w, http.StatusBadRequest, "hold_ms=%q: milliseconds are needed, 0 or more", q.Get("hold_ms"))
+			return
+		}
+		hold = min(HoldMost, time.Duration(min(ms, HoldMost.Milliseconds()))*time.Millisecond)
+	}
+	if n := s.watching.Add(1); n > int64(s.cfg.Watchers) {
+		s.watching.Add(-1)
+		s.turn(w, fmt.Errorf("%d watches are held, as many as there may be", n-1))
+		return
+	}
+	defer s.watching.Add(-1)
+	s.watch(w, r, m, from, q.Get("line"), time.Now().Add(hold))
+}
+
+// watch answers when there is something newer than from, or its time is over.
+//
+// A version that this member has not reached is of a member that is ahead of it (then it waits), or of a line that was
+// lost (then the whole list tells). Which of the two, the caller's line says; one that names no line waits until this
+// member has proved itself current since the call came.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, m *member.Member, from int64, line string, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	over := false
+	for {
+		changed := m.Hub().Await()
+		if !m.Serving() {
+			s.turn(w, member.ErrStale)
+			return
+		}
+		own, index := m.Version()
+		switch {
+		case line != "" && line != own:
+			s.lists.Add(1)
+			send(w, http.StatusOK, m.Hub().Whole())
+			return
+		case from > index && line == "":
+			if err := m.AwaitFresh(r.Context()); err != nil {
+				s.turn(w, err)
+				return
+			}
+			if _, index = m.Version(); from > index {
+				s.lists.Add(1)
+				send(w, http.StatusOK, m.Hub().Whole())
+				return
+			}
+			continue
+		case from < index, over && from == index:
+			s.deltas.Add(1)
+			send(w, http.StatusOK, m.Hub().Since(from))
+			return
+		case over:
+			s.turn(w, errors.New("this member has not come up to that version yet"))
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-s.ending:
+			s.turn(w, errors.New("this member ends"))
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// toLeader passes a call on if this member does not lead; true: it is answered.
+func (s *Server) toLeader(w http.ResponseWriter, r *http.Request, m *member.Member, body []byte) bool {
+	leader, ok := m.Leader()
+	if ok && leader.Name == s.cfg.Name {
+		return false // whether it really leads is seen when it does what was asked
+	}
+	if !ok || leader.API == "" || r.Header.Get(passed) != "" {
+		s.turn(w, member.ErrNoLeader)
+		return true
+	}
+	s.passedOn.Add(1)
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+leader.API+r.URL.RequestURI(), readerOf(body))
+	if err != nil {
+		fail(w, http.StatusBadRequest, "%v", err)
+		return true
+	}
+	req.Header.Set(passed, s.cfg.Name)
+	resp, err := s.pass.Do(req)
+	if err != nil {
+		s.turn(w, fmt.Errorf("%w (the leader, %s: %w)", member.ErrUnsure, leader.Name, err))
+		return true
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, state.FileMost))
+	if err != nil {
+		s.turn(w, fmt.Errorf("%w (the leader, %s: %w)", member.ErrUnsure, leader.Name, err))
+		return true
+	}
+	if after := resp.Header.Get("Retry-After"); after != "" {
+		w.Header().Set("Retry-After", after)
+	}
+	send(w, resp.StatusCode, text)
+	return true
+}
--- /dev/null
+++ b/internal/roster/fanout/fanout.go
@@ -0,0 +1,187 @@
+// Package fanout tells callers of changes. An answer is encoded once, whoever and however many wait for it: all callers
+// at one version share its bytes, and each is woken by the same closed channel and writes at its own speed, so that a
+// slow reader delays nobody.
+//
+// A change wakes the callers at once if the last one did so at least Settle ago, and else with what else has changed by
+// then: a list that changes a hundred times a second is told ten times a second, and costs its callers that much.
+package fanout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"fernlanding/internal/roster/state"
+)
+
+// Settle is the least time between two wake-ups; a change is told this much late at most.
+const Settle = 50 * time.Millisecond
+
+// bodiesMost bounds the answers that are kept: callers at so many different versions share theirs.
+const bodiesMost = 64
+
+// Source is the list. Each call sees one version whole.
+type Source interface {
+	Version() (line string, index int64)
+	Whole() (line string, index int64, entries []state.Entry)
+	// Changes are the versions after from; false: not all are kept, or there is no such version.
+	Changes(from int64) (line string, index int64, changes []state.Change, kept bool)
+}
+
+// Hub tells callers.
+type Hub struct {
+	src   Source
+	dirty chan struct{}
+
+	mu      sync.Mutex
+	changed chan struct{} // closed at the next wake-up
+	line    string        // of the kept answers
+	index   int64
+	whole   []byte
+	bodies  map[int64][]byte
+	encoded int64
+}
+
+// New is a hub; its Run wakes callers.
+func New(src Source) *Hub {
+	return &Hub{src: src, dirty: make(chan struct{}, 1), changed: make(chan struct{}), bodies: map[int64][]byte{}}
+}
+
+// Changed has callers be woken. It never waits.
+func (h *Hub) Changed() {
+	select {
+	case h.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Run wakes callers until the context ends.
+func (h *Hub) Run(ctx context.Context) {
+	for {
+		select {
+		case <-h.dirty:
+		case <-ctx.Done():
+			h.wake()
+			return
+		}
+		h.wake()
+		select {
+		case <-time.After(Settle):
+		case <-ctx.Done():
+			h.wake()
+			return
+		}
+	}
+}
+
+func (h *Hub) wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Await is closed when something has changed after this call: a version, or what a member knows of its own freshness.
+func (h *Hub) Await() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Encoded counts the answers that were encoded.
+func (h *Hub) Encoded() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.encoded
+}
+
+// Whole is the whole list in the published form.
+func (h *Hub) Whole() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	line, index := h.src.Version()
+	h.at(line, index)
+	if h.whole == nil {
+		line, index, entries := h.src.Whole()
+		h.at(line, index)
+		h.whole = Encode(line, index, true, entries)
+		h.encoded++
+	}
+	return h.whole
+}
+
+// Since is what has changed after from, or the whole list where that is no longer known.
+func (h *Hub) Since(from int64) []byte {
+	h.mu.Lock()
+	line, index := h.src.Version()
+	h.at(line, index)
+	if body := h.bodies[from]; body != nil {
+		h.mu.Unlock()
+		return body
+	}
+	line, index, changes, kept := h.src.Changes(from)
+	if !kept {
+		h.mu.Unlock()
+		return h.Whole()
+	}
+	defer h.mu.Unlock()
+	h.at(line, index)
+	body := Encode(line, index, false, Merge(changes))
+	h.encoded++
+	if len(h.bodies) < bodiesMost {
+		h.bodies[from] = body
+	}
+	return body
+}
+
+// at forgets the answers of another version.
+func (h *Hub) at(line string, index int64) {
+	if line != h.line || index != h.index {
+		h.line, h.index, h.whole = line, index, nil
+		clear(h.bodies)
+	}
+}
+
+// Merge is the last word on each nodo that changed, in the order of these words.
+func Merge(changes []state.Change) []state.Entry {
+	last := map[string]int{}
+	n := 0
+	for _, c := range changes {
+		for _, e := range c.Entries {
+			last[e.Name] = n
+			n++
+		}
+	}
+	out := make([]state.Entry, 0, len(last))
+	n = 0
+	for _, c := range changes {
+		for _, e := range c.Entries {
+			if last[e.Name] == n {
+				out = append(out, e)
+			}
+			n++
+		}
+	}
+	return out
+}
+
+// Encode is an answer in the published form, with the line beside it.
+func Encode(line string, index int64, whole bool, entries []state.Entry) []byte {
+	if entries == nil {
+		entries = []state.Entry{}
+	}
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(struct {
+		Index     int64         `json:"index"`
+		Snapshot  bool          `json:"snapshot"`
+		Line      string        `json:"line"`
+		Endpoints []state.Entry `json:"endpoints"`
+	}{index, whole, line, entries}); err != nil {
+		panic(err) // strings and checked numbers
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/roster/figures/figures.go
@@ -0,0 +1,139 @@
+// Package figures is the address of a member's figures, for Prometheus, and of its readiness.
+package figures
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"fernlanding/internal/roster/api"
+	"fernlanding/internal/roster/member"
+)
+
+const headWait = 5 * time.Second
+
+// Server answers GET /metrics, /readyz (the list is served) and /livez.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	member   atomic.Pointer[member.Member]
+	api      *api.Server
+}
+
+// Listen opens the address; Serve answers there, until Open for a member that waits.
+func Listen(addr string, a *api.Server) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for figures: %w", err)
+	}
+	s := &Server{listener: l, api: a}
+	all := prometheus.NewRegistry()
+	all.MustRegister(s, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(all, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "yes") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if m := s.member.Load(); m != nil && m.Serving() {
+			fmt.Fprintln(w, "yes")
+			return
+		}
+		http.Error(w, "the list is not served: this member has no leader, or waits for the others", http.StatusServiceUnavailable)
+	})
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headWait, WriteTimeout: 2 * headWait}
+	return s, nil
+}
+
+// Addr is the address.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Open has it show a member.
+func (s *Server) Open(m *member.Member) { s.member.Store(m) }
+
+// Serve answers until End.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// End ends it.
+func (s *Server) End() { _ = s.http.Shutdown(context.Background()) }
+
+func desc(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("roster_"+name, help, nil, nil)
+}
+
+var (
+	index    = desc("index", "Newest version of the list on this member.")
+	nodos    = desc("nodos", "Nodos in the list.")
+	leads    = desc("leads", "1 if this member leads.")
+	serving  = desc("serving", "1 if the list is told: it was proved current lately enough.")
+	age      = desc("age_seconds", "Since the list was last proved current; -1 if never.")
+	term     = desc("term", "The consensus's term.")
+	abstains = desc("abstains", "1 if this member lost its directory and does not vote until it has caught up.")
+	overdue  = desc("leases_overdue", "Leases that are over and whose nodos are held, on the leader.")
+	held     = desc("zones_held", "Zones in which too many leases ended together, on the leader.")
+	expired  = desc("leases_ended_total", "Leases that ended since this member leads.")
+	watching = desc("watches", "Watches that are held.")
+	calls    = desc("calls_total", "Calls.")
+	turned   = desc("calls_turned_total", "Calls answered 503.")
+	whole    = desc("answers_whole_total", "Answers with the whole list.")
+	changes  = desc("answers_changes_total", "Answers with changes, perhaps none.")
+	passed   = desc("calls_passed_total", "Calls passed on to the leader.")
+	encoded  = desc("encoded_total", "Answers encoded: callers at one version share one.")
+)
+
+// Describe implements prometheus.Collector.
+func (s *Server) Describe(to chan<- *prometheus.Desc) { prometheus.DescribeByCollect(s, to) }
+
+// Collect implements prometheus.Collector.
+func (s *Server) Collect(to chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64) { to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v) }
+	count := func(d *prometheus.Desc, v int64) {
+		to <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v))
+	}
+	is := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	var st member.Status
+	if m := s.member.Load(); m != nil {
+		st = m.Status()
+		count(encoded, m.Hub().Encoded())
+	} else {
+		st = member.Waiting("")
+		count(encoded, 0)
+	}
+	gauge(index, float64(st.Index))
+	gauge(nodos, float64(st.Nodos))
+	gauge(leads, is(st.Role == "leader"))
+	gauge(serving, is(st.Serving))
+	if st.AgeMs < 0 {
+		gauge(age, -1)
+	} else {
+		gauge(age, float64(st.AgeMs)/1000)
+	}
+	gauge(term, float64(st.Term))
+	gauge(abstains, is(st.Abstains))
+	gauge(overdue, float64(st.Overdue))
+	gauge(held, float64(st.Held))
+	count(expired, st.Expired)
+	f := s.api.Figures()
+	gauge(watching, float64(f.Watching))
+	count(calls, f.Calls)
+	count(turned, f.Turned)
+	count(whole, f.Whole)
+	count(changes, f.Changes)
+	count(passed, f.Passed)
+}
--- /dev/null
+++ b/internal/roster/lease/lease.go
@@ -0,0 +1,202 @@
+// Package lease decides when a nodo that has stopped renewing is gone. It runs on the leader alone and is told the
+// time; what it decides becomes a command like any other, so that a leader that no longer is one decides nothing.
+//
+// Times are monotonic, and never compared between members: a new leader counts each lease afresh from the moment it
+// leads. The same holds for time in which this process did not run (stopped, starved): renewals could not reach it, and
+// none of it counts.
+//
+// Loss of contact is not loss of nodos. A few leases that end are nodos that died; many of one zone that end together
+// are a network, or this service. Where more than Part of a zone's leases end within the zone's longest lease, the
+// zone is held: its entries stay, and are let go one at a time, Pace of the zone in a lease's time, the longest silent
+// first. A renewal takes its entry out of the line. The hold ends when no lease of the zone is over.
+//
+// Rejected: to hold the whole list rather than a zone (a real loss of one zone's nodos would be hidden by the others'
+// size); to never let go (a zone that is gone for good would stay for ever).
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fernlanding/internal/roster/state"
+)
+
+// Config is what a table goes by.
+type Config struct {
+	Part  float64       // of a zone's leases that may end within one lease time and go at once; one always may
+	Pace  float64       // of a held zone, in one lease time, that are let go
+	Stall time.Duration // a gap between two looks over this is time that did not count
+}
+
+// Defaults are the stated figures.
+func Defaults() Config { return Config{Part: 0.25, Pace: 0.1, Stall: time.Second} }
+
+type term struct {
+	ref   state.Ref
+	zone  string
+	lease time.Duration
+	until time.Time
+}
+
+type zone struct {
+	let  []time.Time // when leases ended, of the last lease time
+	held bool
+	next time.Time // when a held one is let go
+}
+
+// Table is the leases. Its owner allows no two calls at once.
+type Table struct {
+	cfg   Config
+	terms map[string]*term // by name
+	zones map[string]*zone
+	last  time.Time // of the last look
+}
+
+// New is a table without leases.
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, terms: map[string]*term{}, zones: map[string]*zone{}}
+}
+
+// Reset has the table hold these, each with its whole lease from now on.
+func (t *Table) Reset(now time.Time, records []state.Record) {
+	clear(t.terms)
+	clear(t.zones)
+	t.last = now
+	for _, r := range records {
+		t.Put(now, r)
+	}
+}
+
+// Put begins a lease, or another in its place.
+func (t *Table) Put(now time.Time, r state.Record) {
+	lease := time.Duration(r.LeaseMs) * time.Millisecond
+	t.terms[r.Name] = &term{state.Ref{Name: r.Name, Instance: r.Instance}, r.Zone, lease, now.Add(lease)}
+}
+
+// Renew has a lease last from now on; false if there is none.
+func (t *Table) Renew(now time.Time, ref state.Ref) bool {
+	l := t.terms[ref.Name]
+	if l == nil || l.ref != ref {
+		return false
+	}
+	l.until = now.Add(l.lease)
+	return true
+}
+
+// Remove ends a lease whose nodo has gone from the list.
+func (t *Table) Remove(name string) { delete(t.terms, name) }
+
+// Left tells how long a lease lasts; negative if it is over and its nodo is held.
+func (t *Table) Left(now time.Time, name string) (time.Duration, bool) {
+	l := t.terms[name]
+	if l == nil {
+		return 0, false
+	}
+	return l.until.Sub(now), true
+}
+
+// Look is what a look at the table came to.
+type Look struct {
+	Gone    []state.Ref   // to be let go now
+	Begun   []string      // zones that are held from now on
+	Ended   []string      // and that no longer are
+	Overdue int           // leases that are over and held
+	Held    int           // zones held
+	Stalled time.Duration // that did not count
+}
+
+// Look tells which nodos have to go. Their leases are no more: where one could not be let go after all, Put begins another.
+func (t *Table) Look(now time.Time) (out Look) {
+	if gap := now.Sub(t.last); !t.last.IsZero() && gap > t.cfg.Stall {
+		out.Stalled = gap
+		for _, l := range t.terms {
+			l.until = l.until.Add(gap)
+		}
+		for _, z := range t.zones {
+			z.next = z.next.Add(gap)
+			for i := range z.let {
+				z.let[i] = z.let[i].Add(gap)
+			}
+		}
+	}
+	t.last = now
+	type tally struct {
+		over    []*term
+		size    int
+		longest time.Duration
+	}
+	zones := map[string]*tally{}
+	for _, l := range t.terms {
+		z := zones[l.zone]
+		if z == nil {
+			z = &tally{}
+			zones[l.zone] = z
+		}
+		z.size++
+		z.longest = max(z.longest, l.lease)
+		if !now.Before(l.until) {
+			z.over = append(z.over, l)
+		}
+	}
+	for name, z := range t.zones {
+		if zones[name] == nil { // its last lease has gone
+			if z.held {
+				out.Ended = append(out.Ended, name)
+			}
+			delete(t.zones, name)
+		}
+	}
+	for name, in := range zones {
+		z := t.zones[name]
+		if z == nil {
+			if len(in.over) == 0 {
+				continue
+			}
+			z = &zone{}
+			t.zones[name] = z
+		}
+		z.let = slices.DeleteFunc(z.let, func(at time.Time) bool { return now.Sub(at) >= in.longest })
+		switch {
+		case len(in.over) == 0:
+			if z.held {
+				out.Ended = append(out.Ended, name)
+			}
+			z.held = false
+			if len(z.let) == 0 {
+				delete(t.zones, name)
+			}
+			continue
+		case !z.held && len(z.let)+len(in.over) <= t.allowed(in.size+len(z.let)):
+			t.let(&out, z, now, in.over)
+			continue
+		}
+		pause := time.Duration(float64(in.longest) / max(1, t.cfg.Pace*float64(in.size)))
+		if !z.held {
+			z.held, z.next = true, now.Add(pause)
+			out.Begun = append(out.Begun, name)
+		}
+		out.Held++
+		out.Overdue += len(in.over)
+		if !now.Before(z.next) {
+			z.next = now.Add(pause)
+			slices.SortFunc(in.over, func(a, b *term) int {
+				return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.ref.Name, b.ref.Name))
+			})
+			t.let(&out, z, now, in.over[:1])
+		}
+	}
+	slices.Sort(out.Begun)
+	slices.Sort(out.Ended)
+	return out
+}
+
+func (t *Table) allowed(size int) int { return max(1, int(t.cfg.Part*float64(size))) }
+
+func (t *Table) let(out *Look, z *zone, now time.Time, over []*term) {
+	for _, l := range over {
+		delete(t.terms, l.ref.Name)
+		out.Gone = append(out.Gone, l.ref)
+		z.let = append(z.let, now)
+	}
+}
--- /dev/null
+++ b/internal/roster/member/member.go
@@ -0,0 +1,487 @@
+// Package member is one member of the list service: the state that consensus feeds, the leases while it leads, and what
+// it knows of how fresh its list is.
+//
+// Consensus is hashicorp/raft. What is decided here:
+//
+// Freshness. A member's list was current at some moment of its own clock, and Fresh tells the latest such moment: it
+// asked the leader for its version, the leader made sure with a majority that it still leads, and this member has come
+// up to there since. Each member asks every Poll; one that is older than Config.Stale answers nobody (the API
+// turns that into 503). So a member cut off, one on a minority's side, one that was stopped and one that is still
+// catching up all fall silent by one rule, and none needs a clock that agrees with another's. A read that must be
+// linearizable waits for a moment after its own beginning.
+//
+// Leading. A leader takes renewals and lets leases end only once a barrier has shown it all that was committed before
+// it, and while it is fresh itself: until then it cannot tell an unknown nodo from one it has not read of yet.
+//
+// Beginning. A member with an empty directory must not vote as if nothing had been: it may have voted, and have
+// acknowledged entries, before its disk was lost, and a majority that counts on it could then forget what was confirmed.
+// It starts a service only if it reaches all other members and all are as empty. If any has something, it abstains from
+// elections, over restarts too, until it holds all that the leader has committed.
+//
+// Rejected: trust in raft's LastContact for freshness (a member that is catching up hears from the leader all the time);
+// renewals in the log (a write and a sync for each nodo every few seconds, to keep what a new leader counts afresh anyway).
+package member
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"fernlanding/internal/roster/fanout"
+	"fernlanding/internal/roster/lease"
+	"fernlanding/internal/roster/state"
+	"fernlanding/internal/roster/store"
+)
+
+const (
+	// Poll is between two proofs of freshness.
+	Poll = 250 * time.Millisecond
+	tick = 100 * time.Millisecond // between two looks at the leases
+
+	applyWait     = 2 * time.Second // for a command to be committed
+	snapshotEvery = 2048            // entries
+	trailing      = 2048            // and are kept after it, for members that are behind
+	snapshotsKept = 2
+	poolSize      = 3
+	ioWait        = 5 * time.Second
+	shutdownWait  = 3 * time.Second
+	bootEntries   = 1 // of the log, that a member begins with: nothing was promised in them
+)
+
+// Peer is a member as others find it.
+type Peer struct {
+	Name string
+	Raft string // address of the consensus
+	API  string // address of the list
+}
+
+// Config is what a member is told.
+type Config struct {
+	Name     string
+	Dir      string
+	Listen   string        // of the consensus; empty: the peer's own address
+	Peers    []Peer        // all members, this one too; empty: it is the only one
+	Election time.Duration // without a word from the leader
+	Stale    time.Duration // a list that is older is not told
+	Lease    lease.Config
+	Log      *slog.Logger
+}
+
+// The ways in which a call can fail. The caller repeats it, elsewhere or later.
+var (
+	ErrNotLeading = errors.New("this member does not lead")
+	ErrNoLeader   = errors.New("no leader is known")
+	ErrStale      = errors.New("this member has lost the leader: its list may be old")
+	ErrUnsure     = errors.New("not confirmed in time; it may have happened: repeat it")
+)
+
+// Member is one member.
+type Member struct {
+	cfg    Config
+	log    *slog.Logger
+	store  *store.Store
+	raft   *raft.Raft
+	trans  raft.Transport
+	voice  *voice // nil for an only member
+	hub    *fanout.Hub
+	peers  *peers
+	ctx    context.Context
+	stop   context.CancelFunc
+	all    sync.WaitGroup
+	fresh  atomic.Pointer[time.Time]
+	newer  chan struct{} // told when freshness has moved on
+	waitMu sync.Mutex
+	waiter chan struct{} // closed at the next proof
+
+	mu      sync.Mutex // of what follows
+	state   *state.State
+	leases  *lease.Table
+	leading bool
+	look    lease.Look // the last one's figures
+	expired int64
+	moved   chan struct{} // closed when the state has moved
+}
+
+// Open opens a member's directory and joins the others. One whose directory is empty waits for them, for as long as the
+// context lasts; meanwhile its caller has to answer them with Waiting.
+func Open(ctx context.Context, cfg Config) (*Member, error) {
+	snaps, newest, err := snapshots(cfg.Dir, newLogger(cfg.Log))
+	if err != nil {
+		return nil, err
+	}
+	st, fresh, err := store.Open(cfg.Dir, cfg.Name, newest, cfg.Log)
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{cfg: cfg, log: cfg.Log, store: st, state: state.New(), leases: lease.New(cfg.Lease),
+		newer: make(chan struct{}, 1), waiter: make(chan struct{}), moved: make(chan struct{})}
+	m.hub = fanout.New(m)
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	m.peers = newPeers(cfg)
+	if err := m.join(ctx, snaps, fresh); err != nil {
+		m.stop()
+		st.Close()
+		return nil, err
+	}
+	m.all.Go(func() { m.hub.Run(m.ctx) })
+	m.all.Go(m.keepFresh)
+	m.all.Go(m.lead)
+	return m, nil
+}
+
+func (m *Member) join(ctx context.Context, snaps raft.SnapshotStore, fresh bool) error {
+	cfg := m.cfg
+	logger := newLogger(cfg.Log)
+	var err error
+	rc := raft.DefaultConfig()
+	rc.LocalID = raft.ServerID(cfg.Name)
+	rc.Logger = logger
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = cfg.Election, cfg.Election, cfg.Election/2
+	rc.SnapshotThreshold, rc.TrailingLogs = snapshotEvery, trailing
+	rc.SnapshotInterval = 30 * time.Second
+	servers := []raft.Server{{ID: rc.LocalID, Address: raft.ServerAddress(cfg.Name)}}
+	abstain := false
+	if len(cfg.Peers) == 0 {
+		_, m.trans = raft.NewInmemTransport(raft.ServerAddress(cfg.Name))
+	} else {
+		servers = nil
+		for _, p := range cfg.Peers {
+			servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Name)})
+		}
+		if abstain, err = m.abstains(ctx, fresh); err != nil {
+			return err
+		}
+		layer, err := listen(cfg)
+		if err != nil {
+			return err
+		}
+		m.voice = newVoice(raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: layer, MaxPool: poolSize,
+			Timeout: ioWait, Logger: logger, ServerAddressProvider: addresses(cfg.Peers)}), abstain)
+		m.trans = m.voice
+	}
+	if fresh && !abstain {
+		if err := raft.BootstrapCluster(rc, m.store, m.store, snaps, m.trans, raft.Configuration{Servers: servers}); err != nil {
+			return fmt.Errorf("begin the service: %w", err)
+		}
+	}
+	if m.raft, err = raft.NewRaft(rc, (*machine)(m), m.store, m.store, snaps, m.trans); err != nil {
+		return fmt.Errorf("start from %s: %w", cfg.Dir, err)
+	}
+	return nil
+}
+
+// snapshots opens the consensus's own snapshots, and reads each: the consensus would pass over a damaged one, and begin
+// with an older one and a gap. Newest is the index that the newest one reaches.
+func snapshots(dir string, logger *logger) (s *raft.FileSnapshotStore, newest uint64, err error) {
+	if s, err = raft.NewFileSnapshotStoreWithLogger(dir, snapshotsKept, logger); err != nil {
+		return nil, 0, fmt.Errorf("snapshots: %w", err)
+	}
+	below, err := os.ReadDir(filepath.Join(dir, "snapshots"))
+	if err != nil {
+		return nil, 0, fmt.Errorf("snapshots: %w", err)
+	}
+	for _, d := range below {
+		if !d.IsDir() || strings.HasSuffix(d.Name(), ".tmp") { // one that was being written when the process ended
+			continue
+		}
+		index, err := readable(s, d.Name())
+		if err != nil {
+			return nil, 0, fmt.Errorf("%s: %w: %w; nothing was changed. If the other members serve, move the member's "+
+				"directory away and start it empty", filepath.Join(dir, "snapshots", d.Name()), store.ErrDamaged, err)
+		}
+		newest = max(newest, index)
+	}
+	return s, newest, nil
+}
+
+func readable(s *raft.FileSnapshotStore, id string) (index uint64, err error) {
+	meta, r, err := s.Open(id)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Close()
+	_, err = state.Read(r)
+	return meta.Index, err
+}
+
+// Close leaves the others: one that leads hands over first.
+func (m *Member) Close() error {
+	if m.raft.State() == raft.Leader && len(m.cfg.Peers) > 1 {
+		if err := m.raft.LeadershipTransfer().Error(); err != nil {
+			m.log.Warn("the lead could not be handed over", "error", err)
+		}
+	}
+	m.stop()
+	m.all.Wait()
+	done := make(chan error, 1)
+	go func() { done <- m.raft.Shutdown().Error() }()
+	select {
+	case err := <-done:
+		if c, ok := m.trans.(io.Closer); ok {
+			err = errors.Join(err, c.Close())
+		}
+		return errors.Join(err, m.store.Close())
+	case <-time.After(shutdownWait):
+		return errors.New("the consensus did not end in time; its directory is as after a kill, which does no harm")
+	}
+}
+
+// Hub tells callers of changes.
+func (m *Member) Hub() *fanout.Hub { return m.hub }
+
+// Version implements fanout.Source.
+func (m *Member) Version() (string, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Line(), m.state.Index()
+}
+
+// Whole implements fanout.Source.
+func (m *Member) Whole() (string, int64, []state.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	records := m.state.Records()
+	out := make([]state.Entry, len(records))
+	for i, r := range records {
+		out[i] = r.Entry
+	}
+	return m.state.Line(), m.state.Index(), out
+}
+
+// Changes implements fanout.Source.
+func (m *Member) Changes(from int64) (string, int64, []state.Change, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changes, kept := m.state.Changes(from)
+	return m.state.Line(), m.state.Index(), changes, kept
+}
+
+// Do has the members agree on a command. Only the leader can. With ErrUnsure it may happen yet.
+func (m *Member) Do(c state.Command) (state.Result, error) {
+	if !m.isLeading() {
+		return state.Result{}, ErrNotLeading
+	}
+	return m.apply(c)
+}
+
+func (m *Member) apply(c state.Command) (state.Result, error) {
+	f := m.raft.Apply(c.Encode(), applyWait)
+	done := make(chan error, 1)
+	go func() { done <- f.Error() }()
+	select {
+	case err := <-done:
+		switch {
+		case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+			return state.Result{}, ErrNotLeading
+		case err != nil:
+			return state.Result{}, fmt.Errorf("%w (%w)", ErrUnsure, err)
+		}
+	case <-time.After(applyWait):
+		return state.Result{}, ErrUnsure
+	}
+	r, ok := f.Response().(state.Result)
+	if !ok {
+		return state.Result{}, fmt.Errorf("a command of the log cannot be read: %v", f.Response())
+	}
+	return r, nil
+}
+
+func (m *Member) isLeading() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leading
+}
+
+// Renew has a nodo's lease last on, and tells its record and the newest version. ErrStale: a leader that cannot tell
+// whether it still leads takes no renewal, since the next one would not know of it.
+func (m *Member) Renew(ref state.Ref) (r state.Record, index int64, end string, err error) {
+	if m.Age() > m.cfg.Stale {
+		return r, 0, "", ErrStale
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leading {
+		return r, 0, "", ErrNotLeading
+	}
+	r, ok := m.state.Get(ref.Name)
+	switch {
+	case !ok && m.state.IsEnded(ref):
+		return r, m.state.Index(), state.Ended, nil
+	case !ok:
+		return r, m.state.Index(), state.Unknown, nil
+	case r.Instance != ref.Instance:
+		return r, m.state.Index(), state.Replaced, nil
+	case !m.leases.Renew(time.Now(), ref): // it is being let go: the registration that follows comes after that
+		return r, m.state.Index(), state.Unknown, nil
+	}
+	return r, m.state.Index(), state.Done, nil
+}
+
+// Nodo is a record with what its lease has left, which only the leader knows.
+type Nodo struct {
+	state.Record
+	LeftMs *int64 `json:"lease_left_ms,omitempty"`
+}
+
+// Nodos are all records.
+func (m *Member) Nodos() []Nodo {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	records := m.state.Records()
+	out := make([]Nodo, len(records))
+	for i, r := range records {
+		out[i].Record = r
+		if left, ok := m.leases.Left(now, r.Name); ok && m.leading {
+			ms := left.Milliseconds()
+			out[i].LeftMs = &ms
+		}
+	}
+	return out
+}
+
+// Image copies the state.
+func (m *Member) Image() state.Image {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Image()
+}
+
+// Restore has all members hold an image in place of their list, as a new line of versions above all before it.
+func (m *Member) Restore(i state.Image) (line string, index int64, err error) {
+	if !m.isLeading() {
+		return "", 0, ErrNotLeading
+	}
+	_, now := m.Version()
+	i.Line, i.Index = newLine(), state.Base(time.Now(), max(i.Index, now))
+	text := &strings.Builder{}
+	if err := i.Write(text); err != nil {
+		return "", 0, err
+	}
+	meta := raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Size: int64(text.Len())}
+	if err := m.raft.Restore(&meta, strings.NewReader(text.String()), 10*applyWait); err != nil {
+		return "", 0, fmt.Errorf("%w (%w)", ErrUnsure, err)
+	}
+	m.mu.Lock()
+	m.leases.Reset(time.Now(), m.state.Records())
+	m.mu.Unlock()
+	m.log.Warn("the list was restored from a snapshot", "line", i.Line, "index", i.Index, "nodos", len(i.Records))
+	return i.Line, i.Index, nil
+}
+
+func newLine() string {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// Leader is the member that leads, as far as this one knows.
+func (m *Member) Leader() (Peer, bool) {
+	_, id := m.raft.LeaderWithID()
+	if id == "" {
+		return Peer{}, false
+	}
+	for _, p := range m.cfg.Peers {
+		if p.Name == string(id) {
+			return p, true
+		}
+	}
+	return Peer{Name: string(id)}, true
+}
+
+// Status is a member as operators see it.
+type Status struct {
+	Name     string `json:"name"`
+	Role     string `json:"role"`
+	Leader   string `json:"leader"`
+	Term     uint64 `json:"term"`
+	Line     string `json:"line"`
+	Index    int64  `json:"index"`
+	Nodos    int    `json:"nodos"`
+	AgeMs    int64  `json:"age_ms"` // since its list was last proved current; -1: never
+	Serving  bool   `json:"serving"`
+	Abstains bool   `json:"abstains"` // it has lost its directory and is catching up: it does not vote
+	Empty    bool   `json:"empty"`    // it holds nothing yet
+	Overdue  int    `json:"overdue"`  // leases that are over and held, on the leader
+	Held     int    `json:"held_zones"`
+	Expired  int64  `json:"expired"` // leases that this leader has let end
+}
+
+// Status tells how the member is.
+func (m *Member) Status() Status {
+	s := Status{Name: m.cfg.Name, Role: strings.ToLower(m.raft.State().String()), Term: m.raft.CurrentTerm(), AgeMs: -1,
+		Empty: m.raft.LastIndex() <= bootEntries, Abstains: m.voice != nil && m.voice.abstains.Load()}
+	if p, ok := m.Leader(); ok {
+		s.Leader = p.Name
+	}
+	if m.fresh.Load() != nil {
+		s.AgeMs = m.Age().Milliseconds()
+	}
+	s.Serving = m.Serving()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.Line, s.Index, s.Nodos = m.state.Line(), m.state.Index(), m.state.Len()
+	if m.leading {
+		s.Overdue, s.Held, s.Expired = m.look.Overdue, m.look.Held, m.expired
+	}
+	return s
+}
+
+// addresses finds members by name, each where this member's configuration has it.
+type addresses []Peer
+
+func (a addresses) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	for _, p := range a {
+		if p.Name == string(id) {
+			return raft.ServerAddress(p.Raft), nil
+		}
+	}
+	return "", fmt.Errorf("member %q is not in the configuration", id)
+}
+
+// stream is the consensus's connections: plain TCP.
+type stream struct{ net.Listener }
+
+func (stream) Dial(a raft.ServerAddress, patience time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", string(a), patience)
+}
+
+func listen(cfg Config) (stream, error) {
+	at := cfg.Listen
+	for _, p := range cfg.Peers {
+		if p.Name == cfg.Name && at == "" {
+			at = p.Raft
+		}
+	}
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return stream{}, fmt.Errorf("listen for the other members: %w", err)
+	}
+	return stream{l}, nil
+}
+
+// Check reads all that a member's directory holds, and changes nothing in it. Empty tells that it holds nothing.
+func Check(dir, name string, log *slog.Logger) (empty bool, err error) {
+	if _, err := os.Stat(dir); errors.Is(err, fs.ErrNotExist) {
+		return true, nil
+	}
+	_, newest, err := snapshots(dir, newLogger(log))
+	if err != nil {
+		return false, err
+	}
+	return store.Check(dir, name, newest, log)
+}
--- /dev/null
+++ b/internal/roster/member/peers.go
@@ -0,0 +1,66 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	peerWait   = time.Second
+	answerMost = 64 << 10
+)
+
+// Proof is a leader's word on what its list was when a majority confirmed that it leads.
+type Proof struct {
+	Line   string `json:"line"`
+	Index  int64  `json:"index"`
+	Commit uint64 `json:"commit"` // the consensus's index
+}
+
+// peers asks the other members, over the address of the list.
+type peers struct{ client *http.Client }
+
+func newPeers(cfg Config) *peers {
+	return &peers{&http.Client{Timeout: peerWait, Transport: &http.Transport{MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2,
+		IdleConnTimeout: time.Minute, DisableCompression: true}}}
+}
+
+func (p *peers) get(ctx context.Context, from Peer, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.API+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", from.Name, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", from.Name, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask %s: %s", from.Name, resp.Status)
+	}
+	if err := json.Unmarshal(text, out); err != nil {
+		return fmt.Errorf("ask %s: %w", from.Name, err)
+	}
+	return nil
+}
+
+func (p *peers) proof(ctx context.Context, leader Peer) (out Proof, err error) {
+	err = p.get(ctx, leader, "/v1/proof", &out)
+	return out, err
+}
+
+func (p *peers) status(ctx context.Context, of Peer) (out Status, err error) {
+	err = p.get(ctx, of, "/v1/member", &out)
+	if err == nil && out.Name != of.Name {
+		err = fmt.Errorf("%s answers as %q: the addresses of the configuration are mixed up", of.Name, out.Name)
+	}
+	return out, err
+}
--- /dev/null
+++ b/internal/roster/registrar/registrar.go
@@ -0,0 +1,199 @@
+// Package registrar keeps one nodo in the list: it registers it, renews its lease, and moves to another member of the
+// service when one does not answer. Its caller says what is to be; each call may be repeated by it until it is so.
+package registrar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"fernlanding/internal/roster/api"
+	"fernlanding/internal/roster/state"
+)
+
+const (
+	callWait   = 2 * time.Second
+	pauseFirst = 50 * time.Millisecond
+	pauseMost  = time.Second
+	answerMost = 64 << 10
+	renewPart  = 3 // of a lease passes between two renewals
+)
+
+// Client calls the service.
+type Client struct {
+	addrs  []string
+	http   *http.Client
+	next   atomic.Uint32 // the member that answered last
+	Missed atomic.Int64  // calls that a member did not answer
+}
+
+// New is a client of the service at these addresses.
+func New(addrs []string) *Client {
+	c := &Client{addrs: addrs, http: &http.Client{Timeout: callWait, Transport: &http.Transport{MaxIdleConnsPerHost: 16,
+		IdleConnTimeout: time.Minute, DisableCompression: true}}}
+	c.next.Store(rand.Uint32N(uint32(len(addrs))))
+	return c
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Refused is the service's no: trying the same again does not help.
+type Refused struct {
+	Status int
+	api.Fault
+}
+
+func (r *Refused) Error() string {
+	return fmt.Sprintf("the list service: %s (%d)", r.Fault.Error, r.Status)
+}
+
+// Call makes one call of one member, and moves on to the next if it does not answer. An error that is no Refused
+// leaves open whether it happened.
+func (c *Client) Call(ctx context.Context, method, path string, body, out any) error {
+	at := c.next.Load()
+	err := c.call(ctx, c.addrs[int(at)%len(c.addrs)], method, path, body, out)
+	var no *Refused
+	if err != nil && !errors.As(err, &no) && ctx.Err() == nil {
+		c.Missed.Add(1)
+		c.next.CompareAndSwap(at, (at+1)%uint32(len(c.addrs)))
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, addr, method, path string, body, out any) error {
+	var r io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		r = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, r)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return json.Unmarshal(text, out)
+	}
+	no := &Refused{Status: resp.StatusCode}
+	if json.Unmarshal(text, &no.Fault) != nil || no.Fault.Error == "" {
+		no.Fault.Error = resp.Status
+	}
+	if resp.StatusCode/100 == 5 && resp.StatusCode != http.StatusInsufficientStorage {
+		return fmt.Errorf("%s: %s", addr, no.Fault.Error)
+	}
+	return no
+}
+
+// Until repeats a call until it is answered yes or no.
+func (c *Client) Until(ctx context.Context, method, path string, body, out any) error {
+	for pause := pauseFirst; ; pause = min(2*pause, pauseMost) {
+		err := c.Call(ctx, method, path, body, out)
+		var no *Refused
+		if err == nil || errors.As(err, &no) {
+			return err
+		}
+		select {
+		case <-time.After(pause/2 + rand.N(pause)):
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
+func path(name, verb string) string {
+	p := "/catalog/members/" + url.PathEscape(name)
+	if verb != "" {
+		p += "/" + verb
+	}
+	return p
+}
+
+type instance struct {
+	Instance string `json:"instance"`
+}
+
+// Register has a nodo in the list, until its lease ends.
+func (c *Client) Register(ctx context.Context, r state.Record) (out api.Taken, err error) {
+	err = c.Until(ctx, http.MethodPut, path(r.Name, ""), r, &out)
+	return out, err
+}
+
+// Renew has its lease last on.
+func (c *Client) Renew(ctx context.Context, r state.Ref) (out api.Taken, err error) {
+	err = c.Call(ctx, http.MethodPost, path(r.Name, "renew"), instance{r.Instance}, &out)
+	return out, err
+}
+
+// Drain has it get nothing new.
+func (c *Client) Drain(ctx context.Context, r state.Ref) (out api.Taken, err error) {
+	err = c.Until(ctx, http.MethodPost, path(r.Name, "drain"), instance{r.Instance}, &out)
+	return out, err
+}
+
+// Deregister takes it out of the list.
+func (c *Client) Deregister(ctx context.Context, r state.Ref) (out api.Taken, err error) {
+	err = c.Until(ctx, http.MethodDelete, path(r.Name, "")+"?instance="+url.QueryEscape(r.Instance), nil, &out)
+	return out, err
+}
+
+// Keep registers a nodo and renews its lease until the context ends; it does not deregister. One that the service does
+// not know any more is registered again; one that it refuses is an error.
+func (c *Client) Keep(ctx context.Context, r state.Record, registered func(api.Taken)) error {
+	lease := time.Duration(r.LeaseMs) * time.Millisecond
+	for {
+		t, err := c.Register(ctx, r)
+		if err != nil {
+			return err
+		}
+		if registered != nil {
+			registered(t)
+		}
+		if err := c.renewals(ctx, r, lease); err != nil {
+			return err
+		}
+	}
+}
+
+// renewals renews until the service does not know the nodo.
+func (c *Client) renewals(ctx context.Context, r state.Record, lease time.Duration) error {
+	wait := lease / renewPart
+	for pause := pauseFirst; ; {
+		select {
+		case <-time.After(wait - wait/8 + rand.N(wait/4+1)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		_, err := c.Renew(ctx, state.Ref{Name: r.Name, Instance: r.Instance})
+		var no *Refused
+		switch {
+		case err == nil:
+			wait, pause = lease/renewPart, pauseFirst
+		case errors.As(err, &no) && no.End == state.Unknown:
+			return nil
+		case errors.As(err, &no):
+			return err
+		default:
+			wait, pause = pause, min(2*pause, lease/renewPart)
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/state/state.go
@@ -0,0 +1,381 @@
+// Package state is what the members of the list service agree on: the list of nodos, its versions, and what a command
+// makes of them. It is a deterministic machine without clock, network or files; consensus feeds every member the same
+// commands in the same order, and what leases do to it comes as commands too (package lease decides them, on the
+// leader alone).
+//
+// Versions. Each command that changes the list makes the next version, and versions never go back within a line. A line
+// is the life of one set of data: it begins when a service starts empty or from a restored snapshot, has a random
+// name, and its first version lies above all that the line before it can have reached (see Base). So versions grow over
+// restores too; the name is for callers that have to know that entries may be missing without having been taken out.
+//
+// A command may come twice: its caller repeats it when no answer came. Register, drain and deregister are all sayings
+// of a state to be, by (name, instance), so that the second changes nothing and makes no version. A late repeat of a
+// registration that was taken back since is told apart by its instance, which is remembered (Ended) for the last
+// EndedMost of them.
+package state
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The words of Status, as the platform's list has them.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+const (
+	// NodosMost bounds the list. It has to stay under what a proxy reads of an answer, 4 MiB: 300 bytes a nodo.
+	NodosMost = 13_000
+	// EndedMost is how many instances that were taken back are remembered.
+	EndedMost = 4096
+	// ChangesMost is how many versions are kept for watches; a caller that is further behind gets the whole list.
+	ChangesMost = 4096
+
+	nameMost    = 64
+	wordMost    = 128
+	LeaseLeast  = time.Second
+	LeaseMost   = 10 * time.Minute
+	baseShift   = 21 // versions a second that a line may make on average before the next line's first
+	versionMost = 1 << 53
+)
+
+// Entry is a nodo in the published form.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	Since   int64   `json:"since_ms"` // the last start, Unix time in ms; 0 is long ago
+}
+
+// Record is an entry with what the service keeps beside it.
+type Record struct {
+	Entry
+	Instance string `json:"instance"` // one process of the nodo; a restarted one has another
+	LeaseMs  int64  `json:"lease_ms"`
+}
+
+// Check tells what of a record cannot be taken, naming the key.
+func (r *Record) Check() error {
+	if r.Name == "" || len(r.Name) > nameMost || strings.ContainsAny(r.Name, "/ ?#%\r\n\t") {
+		return fmt.Errorf("name %q: 1 to %d characters without spaces, slashes, ?, # and %% are needed", r.Name, nameMost)
+	}
+	if _, _, err := net.SplitHostPort(r.Address); err != nil || len(r.Address) > wordMost {
+		return fmt.Errorf("address %q: HOST:PORT is needed, at most %d characters", r.Address, wordMost)
+	}
+	for key, word := range map[string]string{"zone": r.Zone, "type": r.Type, "instance": r.Instance} {
+		if len(word) > wordMost {
+			return fmt.Errorf("%s: at most %d characters", key, wordMost)
+		}
+	}
+	if r.Instance == "" {
+		return fmt.Errorf("instance: is missing; any word that is new with each start of the nodo's process")
+	}
+	if !(r.Weight > 0 && r.Weight <= 1e6) {
+		return fmt.Errorf("weight %v: over 0 and at most 1e6 is needed", r.Weight)
+	}
+	if r.Since < 0 || r.Group < 0 {
+		return fmt.Errorf("since_ms and group: 0 or more is needed")
+	}
+	if l := time.Duration(r.LeaseMs) * time.Millisecond; r.LeaseMs > LeaseMost.Milliseconds() || l < LeaseLeast {
+		return fmt.Errorf("lease_ms %d: from %d to %d is needed", r.LeaseMs, LeaseLeast.Milliseconds(), LeaseMost.Milliseconds())
+	}
+	if r.Status != Serving {
+		return fmt.Errorf("status %q: a nodo registers as %s", r.Status, Serving)
+	}
+	return nil
+}
+
+// Ref names one process of a nodo.
+type Ref struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"`
+}
+
+// The kinds of commands.
+const (
+	Begin      = "begin" // a line, unless there is one
+	Register   = "register"
+	Drain      = "drain"
+	Deregister = "deregister"
+	Expire     = "expire" // leases that ended
+)
+
+// Command is one change asked for. Members of another version of the program may know kinds that this one does not:
+// those change nothing.
+type Command struct {
+	Kind   string  `json:"kind"`
+	Line   string  `json:"line,omitempty"`
+	Base   int64   `json:"base,omitempty"`
+	Record *Record `json:"record,omitempty"`
+	Refs   []Ref   `json:"refs,omitempty"`
+}
+
+// The ends of a command.
+const (
+	Done     = "done"
+	Unknown  = "unknown"  // no such nodo in the list
+	Ended    = "ended"    // that instance was taken back: it does not return
+	Replaced = "replaced" // another instance, started later, has the name
+	Full     = "full"     // the list has NodosMost
+	Ignored  = "ignored"  // a kind that this version does not know
+)
+
+// Result is what a command came to.
+type Result struct {
+	End     string
+	Index   int64 // the version in which its effect is to be seen
+	Changed bool
+}
+
+// Change is one version: the entries that it changed, in the published form, DELETED ones included.
+type Change struct {
+	Index   int64   `json:"index"`
+	Entries []Entry `json:"entries"`
+}
+
+// State is the machine. Its owner allows no two calls at once.
+type State struct {
+	line    string
+	index   int64
+	records map[string]Record
+	ended   []Ref // the oldest first
+	isEnded map[Ref]bool
+	changes []Change // the last ones, not part of what is agreed on: a restored member has none
+}
+
+// New is a machine before its first line.
+func New() *State { return &State{records: map[string]Record{}, isEnded: map[Ref]bool{}} }
+
+// Base is the first version of a line that begins at some time above a former version. Over the time that lines last a
+// service makes far fewer than 2^21 versions a second, so that the clock alone keeps lines apart even where what came
+// before was lost; former keeps them so where it is known and the clock is wrong.
+func Base(at time.Time, former int64) int64 {
+	return max(at.Unix()<<baseShift, (former>>baseShift+1)<<baseShift)
+}
+
+// Line is the name of the line; empty before the first.
+func (s *State) Line() string { return s.line }
+
+// Index is the newest version.
+func (s *State) Index() int64 { return s.index }
+
+// Len is how many nodos the list has.
+func (s *State) Len() int { return len(s.records) }
+
+// Get is a nodo's record.
+func (s *State) Get(name string) (Record, bool) {
+	r, ok := s.records[name]
+	return r, ok
+}
+
+// Records are all nodos, by name.
+func (s *State) Records() []Record {
+	out := slices.Collect(maps.Values(s.records))
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// IsEnded tells whether an instance was taken back.
+func (s *State) IsEnded(r Ref) bool { return s.isEnded[r] }
+
+// Changes are the versions after from; false if they are not all kept.
+func (s *State) Changes(from int64) ([]Change, bool) {
+	if from > s.index {
+		return nil, false
+	}
+	if from == s.index {
+		return nil, true
+	}
+	if len(s.changes) == 0 || s.changes[0].Index > from+1 {
+		return nil, false
+	}
+	at, _ := slices.BinarySearchFunc(s.changes, from+1, func(c Change, i int64) int { return cmp.Compare(c.Index, i) })
+	return slices.Clone(s.changes[at:]), true
+}
+
+// Apply carries a command out.
+func (s *State) Apply(c Command) Result {
+	end, changed := s.apply(c)
+	if len(changed) > 0 {
+		s.index++
+		s.changes = append(s.changes, Change{s.index, changed})
+		if over := len(s.changes) - ChangesMost; over > ChangesMost/4 {
+			s.changes = slices.Clone(s.changes[over:])
+		}
+	}
+	return Result{End: end, Index: s.index, Changed: len(changed) > 0}
+}
+
+func (s *State) apply(c Command) (end string, changed []Entry) {
+	switch c.Kind {
+	case Begin:
+		if s.line == "" {
+			s.line, s.index = c.Line, max(c.Base, s.index)
+		}
+		return Done, nil
+	case Register:
+		if c.Record == nil || c.Record.Check() != nil {
+			return Ignored, nil
+		}
+		return s.register(*c.Record)
+	case Drain, Deregister, Expire:
+		end = Done
+		for _, ref := range c.Refs {
+			one, entry := s.take(c.Kind, ref)
+			if entry != nil {
+				changed = append(changed, *entry)
+			}
+			if one != Done {
+				end = one
+			}
+		}
+		return end, changed
+	}
+	return Ignored, nil
+}
+
+func (s *State) register(r Record) (string, []Entry) {
+	if s.isEnded[Ref{r.Name, r.Instance}] {
+		return Ended, nil
+	}
+	was, ok := s.records[r.Name]
+	switch {
+	case !ok && len(s.records) >= NodosMost:
+		return Full, nil
+	case ok && was.Instance != r.Instance && was.Since > r.Since:
+		return Replaced, nil
+	case ok && was.Instance == r.Instance:
+		r.Status = was.Status // one that drains goes on draining, however often it repeats that it began
+	}
+	s.records[r.Name] = r
+	if ok && was.Entry == r.Entry {
+		return Done, nil // a lease of another length is no news to a proxy
+	}
+	return Done, []Entry{r.Entry}
+}
+
+// take has one process of a nodo drain or go.
+func (s *State) take(kind string, ref Ref) (string, *Entry) {
+	was, ok := s.records[ref.Name]
+	switch {
+	case !ok && kind == Deregister && s.isEnded[ref]:
+		return Done, nil // said before
+	case !ok:
+		return Unknown, nil
+	case was.Instance != ref.Instance:
+		if s.isEnded[ref] {
+			return Done, nil
+		}
+		return Replaced, nil
+	}
+	if kind == Drain {
+		if was.Status == Draining {
+			return Done, nil
+		}
+		was.Status = Draining
+		s.records[ref.Name] = was
+		return Done, &was.Entry
+	}
+	delete(s.records, ref.Name)
+	if kind == Deregister { // one whose lease ended may come back: contact was lost, not the nodo
+		s.isEnded[ref] = true
+		s.ended = append(s.ended, ref)
+		if over := len(s.ended) - EndedMost; over > 0 {
+			for _, old := range s.ended[:over] {
+				delete(s.isEnded, old)
+			}
+			s.ended = slices.Clone(s.ended[over:])
+		}
+	}
+	was.Status = Deleted
+	return Done, &was.Entry
+}
+
+// Image is all of a state that is agreed on, for snapshots.
+type Image struct {
+	Line    string   `json:"line"`
+	Index   int64    `json:"index"`
+	Records []Record `json:"nodos"`
+	Ended   []Ref    `json:"ended"`
+}
+
+// Image copies the state.
+func (s *State) Image() Image {
+	return Image{s.line, s.index, s.Records(), slices.Clone(s.ended)}
+}
+
+// Check tells what is wrong with an image.
+func (i *Image) Check() error {
+	if i.Index < 0 || i.Index >= versionMost || (i.Line == "") != (i.Index == 0) {
+		return fmt.Errorf("index %d of line %q makes no sense", i.Index, i.Line)
+	}
+	if len(i.Records) > NodosMost || len(i.Ended) > EndedMost {
+		return fmt.Errorf("%d nodos and %d ended instances are more than a list holds", len(i.Records), len(i.Ended))
+	}
+	seen := map[string]bool{}
+	for n, r := range i.Records {
+		if seen[r.Name] {
+			return fmt.Errorf("nodos[%d]: %q stands twice", n, r.Name)
+		}
+		seen[r.Name] = true
+		if r.Status == Draining {
+			r.Status = Serving
+		}
+		if err := r.Check(); err != nil {
+			return fmt.Errorf("nodos[%d]: %w", n, err)
+		}
+	}
+	return nil
+}
+
+// Load has the machine hold an image in place of what it held.
+func (s *State) Load(i Image) error {
+	if err := i.Check(); err != nil {
+		return err
+	}
+	*s = *New()
+	s.line, s.index = i.Line, i.Index
+	for _, r := range i.Records {
+		s.records[r.Name] = r
+	}
+	s.ended = slices.Clone(i.Ended)
+	for _, r := range i.Ended {
+		s.isEnded[r] = true
+	}
+	return nil
+}
+
+// Decode reads a command of the log.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("a command of the log: %w", err)
+	}
+	return c, nil
+}
+
+// Encode is a command as the log holds it.
+func (c Command) Encode() []byte {
+	if r := c.Record; r != nil && (math.IsNaN(r.Weight) || math.IsInf(r.Weight, 0)) {
+		panic("a record that was not checked")
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // strings and checked numbers
+	}
+	return data
+}
--- /dev/null
+++ b/internal/roster/store/store_test.go
@@ -0,0 +1,194 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/hashicorp/raft"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+const entries = 60
+
+// written is a directory in which a term and some entries were confirmed.
+func written(t *testing.T) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	s, fresh, err := Open(dir, "r1", 0, quiet)
+	if err != nil || !fresh {
+		t.Fatal(fresh, err)
+	}
+	if err := s.SetUint64([]byte("CurrentTerm"), 7); err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(entries) {
+		if err := s.StoreLog(&raft.Log{Index: i + 1, Term: 7, Type: raft.LogCommand, Data: fmt.Appendf(nil, "entry %d %0200d", i+1, i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// whole tells whether a store has all that was confirmed in it.
+func whole(s *Store) error {
+	if term, err := s.GetUint64([]byte("CurrentTerm")); err != nil || term != 7 {
+		return fmt.Errorf("term %d, %v", term, err)
+	}
+	for i := range uint64(entries) {
+		var l raft.Log
+		if err := s.GetLog(i+1, &l); err != nil {
+			return err
+		}
+		if want := fmt.Sprintf("entry %d %0200d", i+1, i); string(l.Data) != want || l.Term != 7 || l.Index != i+1 {
+			return fmt.Errorf("entry %d is %+v", i+1, l)
+		}
+	}
+	return nil
+}
+
+// damage spoils a copy of a directory and opens it: it has to hold all, or be refused and left as it is.
+func damage(t *testing.T, dir, what string, spoil func(path string, text []byte) []byte) (refused bool) {
+	t.Helper()
+	copied := t.TempDir()
+	if err := os.CopyFS(copied, os.DirFS(dir)); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(copied, logFile)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = spoil(path, text)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, _, err := Open(copied, "r1", 0, quiet)
+	if err == nil {
+		defer s.Close()
+		if err := whole(s); err != nil {
+			t.Errorf("%s: taken, and %v", what, err)
+		}
+		return false
+	}
+	if !errors.Is(err, ErrDamaged) {
+		t.Errorf("%s: %v", what, err)
+	}
+	if after, err := os.ReadFile(path); err != nil || !bytes.Equal(after, text) {
+		t.Errorf("%s: the file was changed (%v)", what, err)
+	}
+	return true
+}
+
+// A log that was cut anywhere, or has a bit of a record wrong, is refused with all that it still holds left as it is.
+func TestDamageIsRefused(t *testing.T) {
+	dir := written(t)
+	info, err := os.Stat(filepath.Join(dir, logFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := int(info.Size())
+	r := rand.New(rand.NewPCG(1, 2))
+	refused := 0
+	for range 60 {
+		at := r.IntN(size)
+		if damage(t, dir, fmt.Sprintf("cut at %d of %d", at, size), func(_ string, b []byte) []byte { return b[:at] }) {
+			refused++
+		}
+	}
+	if refused < 40 {
+		t.Errorf("%d of 60 cuts were noticed", refused)
+	}
+	for range 60 {
+		damage(t, dir, "a bit", func(_ string, b []byte) []byte {
+			b[r.IntN(len(b))] ^= 1 << r.IntN(8)
+			return b
+		})
+	}
+	if !damage(t, dir, "an entry", func(_ string, b []byte) []byte {
+		return bytes.ReplaceAll(b, []byte(`"t":7`), []byte(`"t":8`))
+	}) {
+		t.Error("a wrong entry passed")
+	}
+}
+
+func TestOpening(t *testing.T) {
+	dir := written(t)
+	for name, c := range map[string]struct {
+		prepare func(dir string) error
+		member  string
+		after   uint64 // the snapshot's index
+		want    error
+	}{
+		"as it was":                  {nil, "r1", 0, nil},
+		"another's":                  {nil, "r2", 0, ErrForeign},
+		"the log is missing":         {func(d string) error { return os.Remove(filepath.Join(d, logFile)) }, "r1", 0, ErrDamaged},
+		"the log is empty":           {func(d string) error { return os.Truncate(filepath.Join(d, logFile), 0) }, "r1", 0, ErrDamaged},
+		"nobody's":                   {func(d string) error { return os.Remove(filepath.Join(d, identityFile)) }, "r1", 0, ErrDamaged},
+		"the name is cut off":        {func(d string) error { return os.Truncate(filepath.Join(d, identityFile), 9) }, "r1", 0, ErrDamaged},
+		"a snapshot reaches into it": {nil, "r1", entries - 3, nil},
+		"a gap before it":            {func(d string) error { return without(d, 1, 5) }, "r1", 0, ErrDamaged},
+		"a gap that a snapshot has":  {func(d string) error { return without(d, 1, 5) }, "r1", 9, nil},
+		"a gap in it":                {func(d string) error { return without(d, 20, 21) }, "r1", 9, ErrDamaged},
+	} {
+		copied := t.TempDir()
+		if err := os.CopyFS(copied, os.DirFS(dir)); err != nil {
+			t.Fatal(err)
+		}
+		if c.prepare != nil {
+			if err := c.prepare(copied); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s, fresh, err := Open(copied, c.member, c.after, quiet)
+		if !errors.Is(err, c.want) || fresh {
+			t.Errorf("%s: fresh %v, %v", name, fresh, err)
+		}
+		if err == nil {
+			s.Close()
+		}
+	}
+}
+
+// without deletes entries, as no consensus does.
+func without(dir string, first, last uint64) error {
+	s, _, err := Open(dir, "r1", 0, quiet)
+	if err != nil {
+		return err
+	}
+	return errors.Join(s.DeleteRange(first, last), s.Close())
+}
+
+// The log is what the consensus expects of one.
+func TestLog(t *testing.T) {
+	dir := written(t)
+	s, _, err := Open(dir, "r1", 0, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.DeleteRange(1, 10); err != nil {
+		t.Fatal(err)
+	}
+	first, _ := s.FirstIndex()
+	last, _ := s.LastIndex()
+	var l raft.Log
+	if first != 11 || last != entries || !errors.Is(s.GetLog(10, &l), raft.ErrLogNotFound) {
+		t.Errorf("from %d to %d", first, last)
+	}
+	if _, err := s.GetUint64([]byte("no such")); err == nil || err.Error() != "not found" {
+		t.Errorf("a word that was never set: %v", err)
+	}
+	if _, _, err := Open(dir, "r1", 0, quiet); err == nil || errors.Is(err, ErrDamaged) {
+		t.Errorf("opened twice: %v", err)
+	}
+}
