Move the list client into internal/discovery and have it follow several members

Need: the proxy hung on one address. discovery_members in the configuration names the members of the list service; the client moves between them with drawn pauses, takes nothing older within a line of versions, keeps what another line lacks for 30 s, serves on the last list without limit, and keeps it on disk if discovery_state names a folder. With only `discovery` set the calls are the ones before: platform.go is the former code.

Rejected: to tell the module of each failure (its back-off is made for one address), and to begin a start from the kept list by a watch (a known list may be partial).

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"net/url"
 	"os"
 	"os/signal"
@@ -19,6 +20,7 @@
 	"sync"
 	"syscall"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/mgmt"
 	"fernlanding/internal/proxy"
 	"fernlanding/internal/settings"
@@ -140,6 +142,8 @@
 	var file struct {
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Members   []string        `json:"discovery_members"` // of the project's list service, in place of discovery
+		Kept      string          `json:"discovery_state"`   // folder of the last list; with members
 		Mgmt      string          `json:"mgmt"`
 		Seed      string          `json:"seed"`
 		Limits    limits          `json:"limits"`
@@ -156,16 +160,25 @@
 	cfg.Watched = file.Limits.mgmt != ""
 	// Where the folder is not the proxy's own, as it is on the platform, its address tells it from others.
 	cfg.State = filepath.Join(cmp.Or(env("TMPDIR"), os.TempDir()), "fernlanding-"+url.PathEscape(cmp.Or(file.Listen, env("LB_LISTEN"))))
-	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
+	cfg.Listen, cfg.Sockets, cfg.Kept = file.Listen, file.Limits.Sockets, file.Kept
+	cfg.Discovery = discovery.Source{Address: file.Discovery, Members: file.Members}
 	if cfg.Listen == "" {
 		cfg.Listen = env("LB_LISTEN")
 	}
-	if cfg.Discovery == "" {
-		cfg.Discovery = env("LB_DISCOVERY")
+	if cfg.Discovery.Address == "" {
+		cfg.Discovery.Address = env("LB_DISCOVERY")
 	}
-	if cfg.Listen == "" || cfg.Discovery == "" {
+	if cfg.Listen == "" || cfg.Discovery.Address == "" && len(file.Members) == 0 {
 		return cfg, file.Limits, errors.New("listen or discovery is missing")
 	}
+	for i, m := range file.Members {
+		if _, _, err := net.SplitHostPort(m); err != nil {
+			return cfg, file.Limits, fmt.Errorf("discovery_members[%d]: %w", i, err)
+		}
+	}
+	if cfg.Kept != "" && len(file.Members) == 0 {
+		return cfg, file.Limits, errors.New("discovery_state: needs discovery_members; the platform's list is not kept")
+	}
 	if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return cfg, file.Limits, fmt.Errorf("seed: %w", err)
 	}
@@ -185,7 +198,7 @@
 		return cfg, file.Limits, fmt.Errorf("settings: %w", err)
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if cfg.Known, err = proxy.ParseList(file.Known); err != nil {
+		if cfg.Known, err = discovery.Parse(file.Known); err != nil {
 			return cfg, file.Limits, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/cmd/roster/calls.go
+++ b/cmd/roster/calls.go
@@ -15,11 +15,11 @@
 	"text/tabwriter"
 	"time"
 
+	"fernlanding/internal/durable"
 	"fernlanding/internal/roster/api"
 	"fernlanding/internal/roster/member"
 	"fernlanding/internal/roster/registrar"
 	"fernlanding/internal/roster/state"
-	"fernlanding/internal/roster/store"
 )
 
 const (
@@ -324,7 +324,7 @@
 	if err != nil {
 		return err
 	}
-	if err := store.WriteFile(c.File, text); err != nil {
+	if err := durable.WriteFile(c.File, text); err != nil {
 		return fmt.Errorf("save %s: %w", c.File, err)
 	}
 	fmt.Printf("%s: version %d of line %s, %d nodos\n", c.File, i.Index, i.Line, len(i.Records))
--- /dev/null
+++ b/internal/discovery/client.go
@@ -0,0 +1,221 @@
+// Package discovery follows the list of backends and tells what is new. There are two ways of it:
+//
+//   - The platform's list, at one address (Source.Address): one watch after another, and after a failure as the decision
+//     module says. See platform.go.
+//   - The project's own list service, at several (Source.Members): one watch at one of them, and at another when that
+//     fails, for as long as it takes. See members.go for what a failure costs and what is believed of whom.
+//
+// One goroutine, Run's, owns the calls; a second one, if there is a folder, writes the last list down (keep.go). The rest
+// of the program sees News, Ask, Move and Figures.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const maxList = 4 << 20
+
+// Source is where the list comes from: the members if there are any, else the address.
+type Source struct {
+	Address string
+	Members []string
+}
+
+func (s Source) String() string {
+	if len(s.Members) > 0 {
+		return strings.Join(s.Members, ",")
+	}
+	return s.Address
+}
+
+func (s Source) equal(o Source) bool {
+	if len(s.Members) > 0 || len(o.Members) > 0 {
+		return slices.Equal(s.Members, o.Members)
+	}
+	return s.Address == o.Address
+}
+
+// Config is what a client is told.
+type Config struct {
+	Source    Source
+	Subscribe bool   // with the first call, and with the platform's list the one after each failure, Ask is awaited
+	Seed      uint64 // of the order of members, and of pauses
+	State     string // folder in which the last list is kept, with Members; empty: none
+	Log       *slog.Logger
+}
+
+// News is what discovery answered; a nil list is a call that failed.
+type News struct{ List *List }
+
+// Client follows the list.
+type Client struct {
+	cfg   Config
+	log   *slog.Logger
+	http  *http.Client
+	news  chan News
+	asked chan struct{}
+	moved chan Source // the newest only
+	at    Source
+	rng   *rand.Rand
+	keep  *keeper // nil without a folder
+
+	followed // with Members
+
+	start                 time.Time
+	answered              atomic.Int64 // ns after start; 0: never
+	moves, failures, kept atomic.Int64
+	fromMembers           atomic.Bool
+}
+
+// New is a client; Run has it follow.
+func New(cfg Config) *Client {
+	c := &Client{cfg: cfg, log: cfg.Log, at: cfg.Source, news: make(chan News), asked: make(chan struct{}, 1),
+		moved: make(chan Source, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 23)), start: time.Now(),
+		http: newHTTP(cfg.Source)}
+	if cfg.State != "" && len(cfg.Source.Members) > 0 {
+		c.keep = newKeeper(cfg.State, cfg.Log)
+	}
+	c.fromMembers.Store(len(cfg.Source.Members) > 0)
+	return c
+}
+
+// newHTTP makes calls. A connection that does not come up is a failure of a member long before its call is one.
+func newHTTP(at Source) *http.Client {
+	t := &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}
+	if len(at.Members) > 0 {
+		t.DialContext = (&net.Dialer{Timeout: dialWait}).DialContext
+	}
+	return &http.Client{Transport: t}
+}
+
+// News is what is new. Its reader must not wait long: the next watch begins after it has read.
+func (c *Client) News() <-chan News { return c.news }
+
+// Ask is the module's word to open the watch.
+func (c *Client) Ask() {
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+}
+
+// Move has the list come from elsewhere from now on. What is known stands until that has answered.
+func (c *Client) Move(to Source) {
+	for {
+		select {
+		case c.moved <- to:
+			return
+		case <-c.moved: // an older one that was not taken yet
+		}
+	}
+}
+
+// Figures are the client's counts, with Members.
+type Figures struct {
+	Members  bool          // the rest is told
+	Age      time.Duration // since a member last answered; negative: none has
+	Moves    int64         // from one member to another
+	Failures int64         // calls that failed
+	Kept     int64         // entries that a new line of versions lacks, and that stand for a while
+}
+
+// Figures are the counts so far.
+func (c *Client) Figures() Figures {
+	f := Figures{Members: c.fromMembers.Load(), Age: -1, Moves: c.moves.Load(), Failures: c.failures.Load(), Kept: c.kept.Load()}
+	if at := c.answered.Load(); at != 0 {
+		f.Age = time.Since(c.start) - time.Duration(at)
+	}
+	return f
+}
+
+// Run follows the list until the context ends, at one source after another. A move ends the call that is out at the
+// old one, and the new one is asked for the whole list at once: what it has to tell counts as told soon.
+func (c *Client) Run(ctx context.Context) {
+	defer func() { c.http.CloseIdleConnections() }()
+	if c.keep != nil {
+		defer c.keep.run(ctx)()
+	}
+	for wait := c.cfg.Subscribe; ctx.Err() == nil; wait = false {
+		here, leave := context.WithCancel(ctx)
+		next := make(chan Source, 1)
+		go func() {
+			defer close(next)
+			for {
+				select {
+				case to := <-c.moved:
+					if to.equal(c.at) {
+						continue // the watch there goes on
+					}
+					next <- to
+					leave()
+				case <-here.Done():
+				}
+				return
+			}
+		}()
+		if len(c.at.Members) > 0 {
+			c.follow(here, wait)
+		} else {
+			c.watch(here, c.cfg.Subscribe, wait)
+		}
+		leave()
+		if to, ok := <-next; ok {
+			c.log.Info("discovery moved", "from", c.at, "to", to)
+			c.at = to
+			c.fromMembers.Store(len(to.Members) > 0)
+			c.elsewhere = true
+			c.http.CloseIdleConnections()
+			c.http = newHTTP(to)
+		}
+	}
+}
+
+func (c *Client) tell(ctx context.Context, n News) {
+	select {
+	case c.news <- n:
+	case <-ctx.Done():
+	}
+}
+
+var errBusy = errors.New("discovery is busy or down")
+
+// get makes one call and reads the list that it is answered with.
+func (c *Client) get(ctx context.Context, url string, patience time.Duration) (*List, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("ask for the list: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask for the list: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return nil, errBusy
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("ask for the list: status %s", resp.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return nil, fmt.Errorf("read the list: %w", err)
+	}
+	list, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("garbled list: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/discovery/members_test.go
@@ -0,0 +1,414 @@
+package discovery
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fernlanding/internal/durable"
+)
+
+// service stands in for the members, on the test's clock: a list of its own for each, and what is wrong with it.
+type service struct {
+	mu      sync.Mutex
+	members map[string]*fake
+	changed chan struct{}
+	calls   []time.Duration // since the start
+	start   time.Time
+}
+
+type fake struct {
+	line  string
+	index int64
+	names []string
+	kept  int64 // versions below this are no longer known
+	state string
+	last  int // call, by number
+}
+
+func newService(line string, index int64, names ...string) *service {
+	s := &service{members: map[string]*fake{}, changed: make(chan struct{}), start: time.Now()}
+	for _, m := range []string{"m1", "m2", "m3"} {
+		s.members[m] = &fake{line: line, index: index, names: names, kept: index}
+	}
+	return s
+}
+
+// set changes members and wakes those who watch.
+func (s *service) set(do func(name string, m *fake)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, m := range s.members {
+		do(name, m)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *service) RoundTrip(r *http.Request) (*http.Response, error) {
+	q := r.URL.Query()
+	hold, _ := strconv.Atoi(q.Get("hold_ms"))
+	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
+	until := time.After(time.Duration(hold) * time.Millisecond)
+	s.mu.Lock()
+	s.calls = append(s.calls, time.Since(s.start))
+	s.members[r.URL.Host].last = len(s.calls)
+	s.mu.Unlock()
+	for over := false; ; {
+		s.mu.Lock()
+		m, changed := *s.members[r.URL.Host], s.changed
+		s.mu.Unlock()
+		answer := func(status int, body string) (*http.Response, error) {
+			return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader(body))}, nil
+		}
+		switch {
+		case m.state == "dead":
+			return nil, errors.New("connection refused")
+		case m.state == "silent":
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		case m.state == "lost":
+			return answer(http.StatusServiceUnavailable, `{"error":"lost"}`)
+		case m.state == "garbled":
+			return answer(http.StatusOK, `{"index":9`)
+		case !q.Has("from") || q.Get("line") != m.line || from < min(m.kept, m.index) || from > m.index:
+			return answer(http.StatusOK, listOf(m, true, m.names))
+		case from < m.index:
+			return answer(http.StatusOK, listOf(m, false, m.names))
+		case over:
+			return answer(http.StatusOK, listOf(m, false, nil))
+		}
+		select {
+		case <-changed:
+		case <-until:
+			over = true
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+}
+
+func listOf(m fake, whole bool, names []string) string {
+	var b strings.Builder
+	for i, n := range names {
+		if i > 0 {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, `{"name":%q,"address":"127.0.0.1:1","zone":"a","status":"SERVING","weight":1,"since_ms":1}`, n)
+	}
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"line":%q,"endpoints":[%s]}`, m.index, whole, m.line, b.String())
+}
+
+// told is what a client has told so far, as the proxy would have it.
+type told struct {
+	mu    sync.Mutex
+	names map[string]bool
+	view
+}
+
+type view struct {
+	index int64
+	at    time.Duration // when, since the start
+	news  int
+	list  string // names in order
+}
+
+func (d *told) now() view {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.view
+	v.list = strings.Join(slices.Sorted(maps.Keys(d.names)), " ")
+	return v
+}
+
+// made are the calls so far.
+func (s *service) made() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
+// client runs a client of the service in the test's bubble.
+func (s *service) client(t *testing.T, seed uint64, known *List) (*Client, *told) {
+	c := New(Config{Source: Source{Members: []string{"m1", "m2", "m3"}}, Seed: seed, Log: slog.New(slog.DiscardHandler)})
+	c.http.Transport = s
+	if known != nil {
+		c.Known(known)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); c.Run(ctx) }()
+	d := &told{names: map[string]bool{}}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for {
+			select {
+			case n := <-c.News():
+				d.mu.Lock()
+				if n.List.Full {
+					clear(d.names)
+				}
+				for _, e := range n.List.Endpoints {
+					d.names[e.Name] = true
+					if e.Status == Deleted {
+						delete(d.names, e.Name)
+					}
+				}
+				d.index, d.at = n.List.Index, time.Since(s.start)
+				d.news++
+				d.mu.Unlock()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { stop(); <-ended; <-read })
+	return c, d
+}
+
+// bubble plays a test on its own clock.
+func bubble(t *testing.T, name string, f func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
+func sleep(d time.Duration) { time.Sleep(d); synctest.Wait() }
+
+func TestMembers(t *testing.T) {
+	const line = "one"
+	bubble(t, "news comes at once, also after a member's death, without the list being told again", func(t *testing.T) {
+		s := newService(line, 10, "a", "b")
+		_, d := s.client(t, 1, nil)
+		sleep(time.Second)
+		for i, state := range []string{"dead", "lost", "garbled", "silent"} {
+			s.set(func(name string, m *fake) {
+				if name == watched(s) {
+					m.state = state
+				} else {
+					m.state = ""
+				}
+			})
+			news := d.now().news
+			sleep(Hold + callSlack + 2*Spread)
+			at := time.Since(s.start)
+			s.set(func(_ string, m *fake) { m.index++; m.names = []string{"a", "b", fmt.Sprint("c", i)} })
+			sleep(Spread + time.Millisecond)
+			if d.now().index != 11+int64(i) || d.now().at-at > Spread || d.now().news != news+1 {
+				t.Errorf("%s: version %d after %v, %d news", state, d.now().index, d.now().at-at, d.now().news-news)
+			}
+		}
+	})
+	bubble(t, "nothing older is taken within a line", func(t *testing.T) {
+		s := newService(line, 10, "a", "b")
+		_, d := s.client(t, 1, nil)
+		sleep(time.Second)
+		s.set(func(name string, m *fake) {
+			if name == watched(s) {
+				m.state = "dead"
+			} else { // both others are behind, and do not know it
+				m.index, m.kept, m.names = 9, 0, []string{"a"}
+			}
+		})
+		sleep(time.Minute)
+		if d.now().list != "a b" || d.now().index != 10 {
+			t.Errorf("told %q, version %d", d.now().list, d.now().index)
+		}
+	})
+	bubble(t, "a wrong restore takes nothing at once, and what does not register again goes", func(t *testing.T) {
+		s := newService(line, 10, "a", "b", "c")
+		c, d := s.client(t, 1, nil)
+		sleep(time.Second)
+		s.set(func(_ string, m *fake) { m.line, m.index, m.kept, m.names = "two", 1000, 1000, nil })
+		sleep(time.Second)
+		if d.now().list != "a b c" || d.now().index != 1000 || c.Figures().Kept != 3 {
+			t.Errorf("told %q, version %d, %+v", d.now().list, d.now().index, c.Figures())
+		}
+		s.set(func(_ string, m *fake) { m.index, m.names = 1001, []string{"b"} }) // b registers again
+		sleep(time.Second)
+		s.set(func(_ string, m *fake) { m.index, m.kept, m.state = 1002, 1002, "dead" })
+		sleep(time.Second)
+		s.set(func(_ string, m *fake) { m.state = "" }) // and a whole list of the same line comes between
+		sleep(missingWait - 8*time.Second)
+		if d.now().list != "a b c" {
+			t.Errorf("told %q before %v", d.now().list, missingWait)
+		}
+		sleep(8*time.Second + 2*Hold)
+		if d.now().list != "b" || c.Figures().Kept != 0 {
+			t.Errorf("told %q after %v, %+v", d.now().list, missingWait, c.Figures())
+		}
+	})
+	bubble(t, "a line below is taken when nobody answers for the one before", func(t *testing.T) {
+		s := newService(line, 1000, "a")
+		_, d := s.client(t, 1, nil)
+		sleep(time.Second)
+		s.set(func(name string, m *fake) { m.line, m.index, m.kept, m.names = "zero", 5, 5, []string{"a", "z"} })
+		sleep(lineWait - 2*time.Second)
+		if d.now().index != 1000 {
+			t.Errorf("version %d of another line after %v", d.now().index, lineWait-2*time.Second)
+		}
+		sleep(2*time.Second + 2*pauseMost)
+		if d.now().index != 5 || d.now().list != "a z" {
+			t.Errorf("version %d, %q", d.now().index, d.now().list)
+		}
+	})
+	bubble(t, "the last list stands while nobody answers, and few calls are made", func(t *testing.T) {
+		s := newService(line, 10, "a", "b")
+		c, d := s.client(t, 1, nil)
+		sleep(time.Second)
+		s.set(func(_ string, m *fake) { m.state = "dead" })
+		sleep(time.Minute)
+		before := len(s.made())
+		sleep(time.Hour)
+		if n := len(s.made()) - before; d.now().list != "a b" || n < 700 || n > 1500 || c.Figures().Age < time.Hour {
+			t.Errorf("told %q, %d calls in an hour, %+v", d.now().list, n, c.Figures())
+		}
+		s.set(func(_ string, m *fake) { m.state, m.index, m.names = "", 11, []string{"a", "b", "c"} })
+		sleep(pauseMost + time.Millisecond)
+		if d.now().index != 11 || c.Figures().Age > pauseMost {
+			t.Errorf("version %d, %+v", d.now().index, c.Figures())
+		}
+	})
+	bubble(t, "a client that has kept a list goes on from there", func(t *testing.T) {
+		s := newService(line, 10, "a")
+		_, d := s.client(t, 1, &List{Index: 12, Full: true, Line: line})
+		sleep(time.Second)
+		if d.now().news != 0 {
+			t.Errorf("told %q, which is older than what was kept", d.now().list)
+		}
+		s.set(func(_ string, m *fake) { m.index = 13 })
+		sleep(2 * pauseMost)
+		if d.now().index != 13 {
+			t.Errorf("version %d", d.now().index)
+		}
+	})
+}
+
+// watched is the member that the only client watches: the last one that answered.
+func watched(s *service) (name string) {
+	last := -1
+	for n, m := range s.members {
+		if m.state == "" && m.last > last {
+			name, last = n, m.last
+		}
+	}
+	return name
+}
+
+// The callers of a member that dies come to the others over Spread, not together.
+func TestNoHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const clients = 300
+		s := newService("one", 10, "a")
+		var all []*told
+		for i := range clients {
+			_, d := s.client(t, uint64(i+1), nil)
+			all = append(all, d)
+			sleep(10 * time.Millisecond)
+		}
+		sleep(time.Minute)
+		before := len(s.made())
+		sleep(10 * time.Second)
+		usual := peak(s.made()[before:])
+		before = len(s.made())
+		died := time.Since(s.start)
+		s.set(func(name string, m *fake) {
+			if name == "m2" {
+				m.state = "dead"
+			}
+		})
+		sleep(10 * time.Second)
+		after := peak(s.made()[before:])
+		s.set(func(_ string, m *fake) { m.index++ })
+		sleep(Spread)
+		for i, d := range all {
+			if d.now().index != 11 {
+				t.Fatalf("client %d is at version %d, %v after the death", i, d.now().index, time.Since(s.start)-died)
+			}
+		}
+		t.Logf("%d clients: at most %d calls in 100 ms before the death, %d after it", clients, usual, after)
+		// A third has to come again; by chance at most some more than a sixth of these in 100 ms of the 600.
+		if after > usual+clients/3/6*2 {
+			t.Errorf("a herd: %d calls in 100 ms, %d before", after, usual)
+		}
+	})
+}
+
+// peak is the most calls in any 100 ms.
+func peak(calls []time.Duration) (most int) {
+	for i := range calls {
+		n := i
+		for n < len(calls) && calls[n]-calls[i] < 100*time.Millisecond {
+			n++
+		}
+		most = max(most, n-i)
+	}
+	return most
+}
+
+// What is kept is read again as it was, and nothing else is.
+func TestTheKeptList(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	if l, err := Kept(dir); l != nil || err != nil {
+		t.Errorf("of nothing came %+v, %v", l, err)
+	}
+	k := newKeeper(dir, slog.New(slog.DiscardHandler))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := k.run(ctx)
+	k.put(&List{Index: 7, Line: "l", Endpoints: []Endpoint{{Name: "a", Address: "127.0.0.1:1", Status: Serving}}})
+	k.put(&List{Index: 8, Line: "l", Endpoints: []Endpoint{{Name: "b", Address: "127.0.0.1:1", Status: Draining, SinceMs: 5}}})
+	stop()
+	ended() // what was put last is written first
+	l, err := Kept(dir)
+	if err != nil || l == nil || l.Index != 8 || l.Line != "l" || !l.Full || len(l.Endpoints) != 1 || l.Endpoints[0].SinceMs != 5 {
+		t.Fatalf("got %+v, %v", l, err)
+	}
+	path := filepath.Join(dir, keptFile)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range text {
+		if err := os.WriteFile(path, text[:at], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if l, err := Kept(dir); l != nil || !errors.Is(err, durable.ErrDamaged) {
+			t.Fatalf("cut at %d: %+v, %v", at, l, err)
+		}
+	}
+}
+
+func FuzzKept(f *testing.F) {
+	f.Add((&List{Index: 8, Line: "l", Endpoints: []Endpoint{{Name: "b", Address: "127.0.0.1:1", Status: Draining}}}).encode())
+	f.Add([]byte(`{"index":1,"snapshot":false,"endpoints":[{"name":"n","status":"DELETED"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := Parse(data)
+		if err != nil {
+			return
+		}
+		again, err := Parse(l.encode())
+		if err != nil || len(again.Endpoints) != len(l.Endpoints) || again.Index != l.Index || again.Line != l.Line {
+			t.Fatalf("%s was read as %+v, and that again as %+v, %v", data, l, again, err)
+		}
+		sealed := durable.Seal(keptKind, data)
+		if body, err := durable.Unseal(keptKind, bytes.NewReader(sealed), keptMost); err != nil || !bytes.Equal(body, data) {
+			t.Fatalf("sealed %q, unsealed %q, %v", data, body, err)
+		}
+		if _, err := durable.Unseal(keptKind, bytes.NewReader(data), keptMost); err == nil && !bytes.HasPrefix(data, []byte(keptKind)) {
+			t.Fatalf("%q passed unsealed", data)
+		}
+	})
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -46,6 +46,15 @@
 	Ejected     int   // listed nodos that get nothing, or only trials
 	Applied     int64 // configurations taken at SIGHUP
 	Rejected    int64 // and turned down
+	List        *List // of a list that several members keep; else nil
+}
+
+// List is how a proxy stands with the members of the list service.
+type List struct {
+	Age      time.Duration // since one last answered; negative: none has
+	Moves    int64         // from one to another
+	Failures int64         // calls that failed
+	Kept     int64         // nodos that a new line of versions lacks and that stand for a while
 }
 
 // Proxy is what the calls are about. Its methods are called from many goroutines and return soon.
@@ -180,6 +189,14 @@
 	fmt.Fprintf(&b, "app.outstanding=%d\napp.forwards=%d\napp.discovered=%d\napp.ejected=%d\n"+
 		"app.sighup_applied=%d\napp.sighup_rejected=%d\n",
 		f.Outstanding, f.Forwards, f.Discovered, f.Ejected, f.Applied, f.Rejected)
+	if l := f.List; l != nil {
+		age := int64(-1)
+		if l.Age >= 0 {
+			age = l.Age.Milliseconds()
+		}
+		fmt.Fprintf(&b, "app.list_age_ms=%d\napp.list_moves=%d\napp.list_failures=%d\napp.list_kept=%d\n", age, l.Moves, l.Failures,
+			l.Kept)
+	}
 	return b.Bytes()
 }
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/keepalive"
 	"fernlanding/logic"
 )
@@ -102,7 +103,7 @@
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
 // drained or gone are closed: nothing new is to go there, or the process at their other end is no more.
-func (p *backends) apply(full bool, entries []endpoint) {
+func (p *backends) apply(full bool, entries []discovery.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, listed := time.Now(), make(map[string]bool, len(entries))
@@ -116,12 +117,12 @@
 		if b.started != e.SinceMs {
 			p.trust.Died(now, e.Name)
 		}
-		if ready := e.Status == statusServing && !p.banned[e.Name]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
+		if ready := e.Status == discovery.Serving && !p.banned[e.Name]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
-		b.serving = e.Status == statusServing
-		if e.Status == statusDeleted {
+		b.serving = e.Status == discovery.Serving
+		if e.Status == discovery.Deleted {
 			p.trust.Died(now, e.Name)
 			delete(p.byName, e.Name)
 		}
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/logic"
 )
 
@@ -102,15 +103,15 @@
 	return func(io.Writer, *http.Request, int) bool { <-over; return false }
 }
 
-func entry(name, addr, status string) endpoint {
-	return endpoint{Name: name, Address: addr, Zone: "a", Status: status}
+func entry(name, addr, status string) discovery.Endpoint {
+	return discovery.Endpoint{Name: name, Address: addr, Zone: "a", Status: status}
 }
 
 func poolWith(most int, addrs ...string) *backends {
 	p := newBackends(5*time.Second, 40*time.Second, most, newFigures(nil))
-	var list []endpoint
+	var list []discovery.Endpoint
 	for i, a := range addrs {
-		list = append(list, entry(string(rune('a'+i)), a, statusServing))
+		list = append(list, entry(string(rune('a'+i)), a, discovery.Serving))
 	}
 	p.apply(true, list)
 	return p
@@ -300,12 +301,14 @@
 // A dial takes time. In it the backend may drain, or the request's time may run out; nothing is sent then.
 func TestNothingIsSentAfterADialThatTookTooLong(t *testing.T) {
 	for name, meanwhile := range map[string]func(p *backends, a *attempt){
-		"drained": func(p *backends, a *attempt) { p.apply(false, []endpoint{entry("a", a.addr, statusDraining)}) },
-		"gone":    func(p *backends, a *attempt) { p.apply(true, nil) },
+		"drained": func(p *backends, a *attempt) {
+			p.apply(false, []discovery.Endpoint{entry("a", a.addr, discovery.Draining)})
+		},
+		"gone": func(p *backends, a *attempt) { p.apply(true, nil) },
 		"restarted": func(p *backends, a *attempt) {
-			e := entry("a", a.addr, statusServing)
+			e := entry("a", a.addr, discovery.Serving)
 			e.SinceMs = 7
-			p.apply(false, []endpoint{e})
+			p.apply(false, []discovery.Endpoint{e})
 		},
 		"stopped": func(_ *backends, a *attempt) { a.stop() },
 		"late":    func(_ *backends, a *attempt) { a.deadline = time.Now() },
--- a/internal/proxy/bans_test.go
+++ b/internal/proxy/bans_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"testing"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/mgmt"
 )
 
@@ -14,7 +15,7 @@
 func TestABanHoldsAtEveryProcessUntilOneCallBack(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	d := startDiscovery(t)
-	known := listText(1, true, listed("a/1", b.addr, statusServing))
+	known := listText(1, true, listed("a/1", b.addr, discovery.Serving))
 	first := startProxy(t, d.addr, 200, known)
 	asks := func(p *running, id string) int {
 		c := connect(t, p)
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/mgmt"
 )
 
@@ -18,7 +19,7 @@
 func TestASuccessorTakesOverUnnoticed(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	d := startDiscovery(t)
-	known := listText(1, true, listed("a", b.addr, statusServing))
+	known := listText(1, true, listed("a", b.addr, discovery.Serving))
 	state := t.TempDir()
 	first := startProxyAt(t, d.addr, 400, known, state)
 	waitUntil(t, func() bool { return first.heirs.Load() != nil })
@@ -50,8 +51,8 @@
 			}
 		})
 	}
-	d.say <- listText(2, true, listed("a", b.addr, statusServing)) // whoever asks: the successor too
-	d.say <- listText(2, true, listed("a", b.addr, statusServing))
+	d.say <- listText(2, true, listed("a", b.addr, discovery.Serving)) // whoever asks: the successor too
+	d.say <- listText(2, true, listed("a", b.addr, discovery.Serving))
 	second := startProxyAt(t, d.addr, 400, known, state)
 	if second.Addr() != first.Addr() {
 		t.Fatalf("the successor listens at %s and not %s", second.Addr(), first.Addr())
@@ -108,7 +109,7 @@
 func TestTwoProcessesShareTheLimits(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	d := startDiscovery(t)
-	known := listText(1, true, listed("a", b.addr, statusServing))
+	known := listText(1, true, listed("a", b.addr, discovery.Serving))
 	state := t.TempDir()
 	first := startProxyAt(t, d.addr, 400, known, state)
 	waitUntil(t, func() bool { return first.heirs.Load() != nil })
@@ -156,7 +157,7 @@
 			state := t.TempDir()
 			leave(t, filepath.Join(state, handoverName))
 			b := startBackend(t, says(served, true))
-			p := startProxyAt(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, statusServing)), state)
+			p := startProxyAt(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, discovery.Serving)), state)
 			if p.elder != nil {
 				t.Error("it takes itself for a successor")
 			}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
@@ -98,10 +99,10 @@
 	figs   *figures
 	log    *slog.Logger
 	events chan func()
-	lists  chan listNews
+	lists  <-chan discovery.News
 	bans   chan banNews
 	seen   *seen
-	asked  chan struct{} // the module's word to subscribe
+	ask    func()        // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
 	fresh  chan struct{} // closed when there is one from discovery
 
@@ -121,7 +122,7 @@
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
 	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
-		lists: make(chan listNews), bans: make(chan banNews), seen: newSeen(), asked: make(chan struct{}, 1), listed: make(chan struct{}),
+		bans: make(chan banNews), seen: newSeen(), ask: func() {}, listed: make(chan struct{}),
 		fresh: make(chan struct{}),
 		reqs:  map[string]*request{}, done: make(chan struct{})}
 }
@@ -213,16 +214,16 @@
 }
 
 // list applies what discovery said, to the connections first and then to the module.
-func (l *loop) list(n listNews) {
+func (l *loop) list(n discovery.News) {
 	kind := logic.Delta
-	if n.list == nil {
+	if n.List == nil {
 		l.bal.List(l.clock.now(), l, logic.Failed, nil)
 		return
 	}
-	if n.list.full {
+	if n.List.Full {
 		kind = logic.Full
 	}
-	l.apply(kind, n.list)
+	l.apply(kind, n.List)
 	l.settle()
 	select {
 	case <-l.fresh:
@@ -231,19 +232,19 @@
 	}
 }
 
-func (l *loop) apply(kind logic.ListKind, list *List) {
-	names := make([]string, 0, len(list.endpoints))
-	for _, e := range list.endpoints {
+func (l *loop) apply(kind logic.ListKind, list *discovery.List) {
+	names := make([]string, 0, len(list.Endpoints))
+	for _, e := range list.Endpoints {
 		names = append(names, e.Name)
 	}
 	l.seen.add(names...)
-	l.pool.apply(kind != logic.Delta, list.endpoints)
-	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.endpoints))
+	l.pool.apply(kind != logic.Delta, list.Endpoints)
+	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.Endpoints))
 	l.figs.servers(l.bal.Servers())
 	select {
 	case <-l.listed:
 	default:
-		if kind == logic.Full || len(list.endpoints) > 0 {
+		if kind == logic.Full || len(list.Endpoints) > 0 {
 			close(l.listed)
 		}
 	}
@@ -473,12 +474,7 @@
 }
 
 // Watch implements logic.Host. Where the list is pushed the watch stands anyway.
-func (l *loop) Watch() {
-	select {
-	case l.asked <- struct{}{}:
-	default:
-	}
-}
+func (l *loop) Watch() { l.ask() }
 
 // Log implements logic.Host.
 func (l *loop) Log(line string) { l.log.Info(line) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/mgmt"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
@@ -43,12 +44,13 @@
 // Config is what a proxy is told at its start.
 type Config struct {
 	Listen    string
-	Discovery string
+	Discovery discovery.Source
 	Seed      uint64
-	Sockets   int    // descriptors that the process may hold
-	Known     *List  // the list as last known; may be nil
-	State     string // folder of what outlives the process; with Watched
-	Watched   bool   // there is a management address: figures are kept up and descriptors reserved for its callers
+	Sockets   int             // descriptors that the process may hold
+	Known     *discovery.List // the list as last known; may be nil
+	Kept      string          // folder of the last list, for a Discovery with members; empty: none
+	State     string          // folder of what outlives the process; with Watched
+	Watched   bool            // there is a management address: figures are kept up and descriptors reserved for its callers
 	Site      *settings.Site
 	Log       *slog.Logger
 
@@ -64,11 +66,11 @@
 	loop   *loop
 	front  *frontend
 	figs   *figures
+	lists  *discovery.Client
 	bans   *bans                                          // nil unless watched
 	elder  *elder                                         // the predecessor that lives, or nil
 	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
 	others atomic.Int32                                   // processes of this proxy that live beside this one
-	moved  chan string                                    // discovery's new address, the latest only
 	times  func([]logic.Class) (stay, left time.Duration) // of a drain
 
 }
@@ -99,7 +101,8 @@
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
-	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, moved: make(chan string, 1), times: drainTimes}
+	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, times: drainTimes}
+	p.follow()
 	p.front = newFrontend(cfg.Site, l, listener, cfg.Log)
 	p.share(false)
 	if before != nil {
@@ -107,8 +110,8 @@
 		l.seen.add(before.legacy.Seen...)
 		p.join(1)
 	}
-	if cfg.Known != nil {
-		l.apply(logic.Cached, cfg.Known)
+	if known := p.known(); known != nil {
+		l.apply(logic.Cached, known)
 	}
 	if cfg.Watched {
 		if p.bans, err = openBans(cfg.State, l); err != nil {
@@ -239,19 +242,31 @@
 		return errors.New("the proxy is at its end")
 	}
 	p.figs.name(cfg.Site.Classes)
-	p.moveDiscovery(cfg.Discovery)
+	p.lists.Move(cfg.Discovery)
 	return nil
 }
 
-// moveDiscovery has the list come from another address from now on. What is known stands until that has answered.
-func (p *Proxy) moveDiscovery(addr string) {
-	for {
-		select {
-		case p.moved <- addr:
-			return
-		case <-p.moved: // an older one that was not taken yet
-		}
+// follow has the loop hear of the list.
+func (p *Proxy) follow() {
+	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Subscribe: p.cfg.Site.Logic.Subscribe, Seed: p.cfg.Seed,
+		State: p.cfg.Kept, Log: p.cfg.Log})
+	p.loop.lists, p.loop.ask = p.lists.News(), p.lists.Ask
+}
+
+// known is the newest list that the proxy can begin with: what it kept itself, or what its configuration says.
+func (p *Proxy) known() *discovery.List {
+	if p.cfg.Kept == "" {
+		return p.cfg.Known
+	}
+	kept, err := discovery.Kept(p.cfg.Kept)
+	if err != nil { // it is of use, not needed: the members tell all
+		p.cfg.Log.Error("the list of the last run is not used", "error", err)
 	}
+	if kept == nil || p.cfg.Known != nil && p.cfg.Known.Index > kept.Index {
+		return p.cfg.Known
+	}
+	p.lists.Known(kept)
+	return kept
 }
 
 // Ready tells whether requests that come now are served: clients can connect and there is a list of servers.
@@ -265,7 +280,13 @@
 func (p *Proxy) Resume(server string) error { return p.bans.resume(server) }
 
 // Figures are the counts so far.
-func (p *Proxy) Figures() mgmt.Figures { return p.figs.snapshot() }
+func (p *Proxy) Figures() mgmt.Figures {
+	f := p.figs.snapshot()
+	if l := p.lists.Figures(); l.Members {
+		f.List = &mgmt.List{Age: l.Age, Moves: l.Moves, Failures: l.Failures, Kept: l.Kept}
+	}
+	return f
+}
 
 // Reloaded counts a configuration that came with SIGHUP.
 func (p *Proxy) Reloaded(taken bool) { p.figs.reloaded(taken) }
@@ -283,9 +304,7 @@
 	if p.bans != nil {
 		parts.Go(func() { p.bans.watch(inner) })
 	}
-	parts.Go(func() {
-		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked, p.moved).run(inner, p.cfg.Site.Logic.Subscribe)
-	})
+	parts.Go(func() { p.lists.Run(inner) })
 	if p.elder != nil {
 		parts.Go(func() { p.elder.wait(); p.join(-1) })
 		defer p.elder.conn.Close()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -13,9 +13,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
@@ -72,22 +72,22 @@
 	done chan error
 }
 
-func startProxy(t *testing.T, discovery string, sockets int, known string) *running {
+func startProxy(t *testing.T, list string, sockets int, known string) *running {
 	t.Helper()
-	return startProxyAt(t, discovery, sockets, known, t.TempDir())
+	return startProxyAt(t, list, sockets, known, t.TempDir())
 }
 
 // startProxyAt starts a proxy that keeps its bans in a folder.
-func startProxyAt(t *testing.T, discovery string, sockets int, known, state string) *running {
+func startProxyAt(t *testing.T, list string, sockets int, known, state string) *running {
 	t.Helper()
 	site, err := settings.Decode([]byte(siteText))
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site,
+	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery.Source{Address: list}, Seed: 7, Sockets: sockets, Site: site,
 		Watched: true, State: state, Log: slog.New(slog.DiscardHandler)}
 	if known != "" {
-		if cfg.Known, err = ParseList([]byte(known)); err != nil {
+		if cfg.Known, err = discovery.Parse([]byte(known)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -107,7 +107,7 @@
 func serving(t *testing.T, reply func(io.Writer, *http.Request, int) bool) (*running, *fakeBackend) {
 	t.Helper()
 	b := startBackend(t, reply)
-	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing))), b
+	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving))), b
 }
 
 // client is one connection of a client.
@@ -289,7 +289,7 @@
 		return says(served, true)(w, r, n)
 	})
 	d := startDiscovery(t)
-	p := startProxy(t, d.addr, 120, listText(1, true, listed("a", b.addr, statusServing)))
+	p := startProxy(t, d.addr, 120, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	most := int(p.front.flight.Load())
 	var conns []*client
 	for i := range most {
@@ -319,7 +319,7 @@
 // Connections that carry no request are no reason to refuse one.
 func TestIdleConnectionsAreNoReasonToRefuse(t *testing.T) {
 	b := startBackend(t, says(served, true))
-	p := startProxy(t, startDiscovery(t).addr, 120, listText(1, true, listed("a", b.addr, statusServing)))
+	p := startProxy(t, startDiscovery(t).addr, 120, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	for range p.front.most.Load() + 2 {
 		connect(t, p)
 	}
@@ -357,12 +357,12 @@
 	if got := health(); got != 503 {
 		t.Errorf("healthy without a list: %d", got)
 	}
-	d.say <- listText(5, true, listed("a", a.addr, statusServing))
+	d.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
 	query("from=5&hold_ms=10000")
 	if got := health(); got != 200 {
 		t.Errorf("not healthy with a list: %d", got)
 	}
-	for _, nonsense := range []string{`{"index":6,"snap`, listText(6, false, listed("a", "nowhere", statusServing)),
+	for _, nonsense := range []string{`{"index":6,"snap`, listText(6, false, listed("a", "nowhere", discovery.Serving)),
 		listText(6, false, listed("a", a.addr, "RESTING")), ""} {
 		d.say <- nonsense
 		if nonsense == "" {
@@ -370,13 +370,13 @@
 		} else {
 			query("")
 		}
-		d.say <- listText(5, true, listed("a", a.addr, statusServing))
+		d.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
 		query("from=5&hold_ms=10000")
 		if got := ask("x"); got != 200 {
 			t.Errorf("after %q: %d", nonsense, got)
 		}
 	}
-	d.say <- listText(7, false, listed("a", a.addr, statusDraining), listed("b", b.addr, statusServing))
+	d.say <- listText(7, false, listed("a", a.addr, discovery.Draining), listed("b", b.addr, discovery.Serving))
 	query("from=7&hold_ms=10000")
 	served := a.requests.Load()
 	for i := range 20 {
@@ -389,29 +389,6 @@
 	}
 }
 
-// roundTrip stands in for discovery and its network.
-type roundTrip func(*http.Request) (*http.Response, error)
-
-func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
-
-// A watch that hung was given up 3 s after its wait, when its news had counted as told for a second.
-func TestASilentWatchIsGivenUpBeforeItsNewsCountsAsTold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDiscovery("127.0.0.1:1", slog.New(slog.DiscardHandler), nil, nil, nil)
-		d.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
-			<-r.Context().Done()
-			return nil, r.Context().Err()
-		})
-		start := time.Now()
-		if _, err := d.call(t.Context(), 5); err == nil {
-			t.Error("a silent watch gave a list")
-		}
-		if took := time.Since(start); took <= watchHold || took >= watchHold+2*time.Second {
-			t.Errorf("given up after %v", took)
-		}
-	})
-}
-
 // A proxy whose discovery moves leaves the old one at once, in mid-watch, and takes the new one's whole list.
 func TestDiscoveryMoves(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
@@ -424,46 +401,24 @@
 		}
 	}
 	query(first, "")
-	first.say <- listText(5, true, listed("a", a.addr, statusServing))
+	first.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
 	query(first, "from=5&hold_ms=10000")
-	p.moveDiscovery(second.addr)
+	p.lists.Move(discovery.Source{Address: second.addr})
 	query(second, "")
-	second.say <- listText(3, true, listed("b", b.addr, statusServing)) // another count of versions
+	second.say <- listText(3, true, listed("b", b.addr, discovery.Serving)) // another count of versions
 	query(second, "from=3&hold_ms=10000")
 	c := connect(t, p)
 	c.send(t, look("1", 4000))
 	if resp, _ := c.answer(t); resp.StatusCode != 200 || a.requests.Load() != 0 || b.requests.Load() != 1 {
 		t.Errorf("got %s, %d and %d requests", resp.Status, a.requests.Load(), b.requests.Load())
 	}
-	p.moveDiscovery(third.addr) // and again
+	p.lists.Move(discovery.Source{Address: third.addr}) // and again
 	query(third, "")
 	if n := len(first.calls); n != 0 {
 		t.Errorf("%d more calls at the first address", n)
 	}
 }
 
-// With a subscription the module is not asked again: for all it knows the one that it asked for stands.
-func TestASubscriptionMovesUnasked(t *testing.T) {
-	first, second := startDiscovery(t), startDiscovery(t)
-	lists, asked, moved := make(chan listNews), make(chan struct{}, 1), make(chan string, 1)
-	d := newDiscovery(first.addr, slog.New(slog.DiscardHandler), lists, asked, moved)
-	ended := make(chan struct{})
-	ctx, stop := context.WithCancel(context.Background())
-	go func() { defer close(ended); d.run(ctx, true) }()
-	asked <- struct{}{}
-	wait(t, "call", first.calls)
-	first.say <- listText(5, true)
-	wait(t, "list", lists)
-	moved <- second.addr
-	wait(t, "call", second.calls)
-	second.say <- listText(3, true)
-	if n := wait(t, "list", lists); n.list == nil || n.list.index != 3 {
-		t.Errorf("got %v", n.list)
-	}
-	stop()
-	wait(t, "end of the watch", ended)
-}
-
 // After SIGTERM clients still come, on new connections and on old ones: all get their answer, on connections
 // that stay until the doors close, and then a close.
 func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
@@ -475,7 +430,7 @@
 		_, _ = io.WriteString(w, served)
 		return true
 	})
-	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	p.times = func([]logic.Class) (stay, left time.Duration) { // long enough for what is to be served on
 		return 2 * time.Second, 3500 * time.Millisecond
 	}
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/logic"
 )
 
@@ -35,7 +36,7 @@
 			var got bytes.Buffer
 			b.body = &got
 			b.begun = make(chan struct{})
-			p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+			p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)))
 			cl := connect(t, p)
 			cl.send(t, post("1", c.framing))
 			if strings.Contains(c.framing, "Expect") {
@@ -82,7 +83,7 @@
 func TestABackendThatBreaksUnderABodyIsAnsweredAtOnce(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	b.breaks = true
-	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	cl := connect(t, p)
 	cl.send(t, post("1", fmt.Sprintf("Content-Length: %d", 20<<20)))
 	piece := strings.Repeat("x", 64<<10)
@@ -113,7 +114,7 @@
 func TestAClientThatGoesInItsBodyLeavesNothing(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	b.begun = make(chan struct{})
-	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing)))
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	cl := connect(t, p)
 	cl.send(t, post("1", "Content-Length: 1000000")+strings.Repeat("x", holdMost+1))
 	wait(t, "the head at the backend", b.begun)
--- a/internal/roster/store/store.go
+++ b/internal/roster/store/store.go
@@ -33,6 +33,8 @@
 	"github.com/hashicorp/raft"
 	bolt "go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
+
+	"fernlanding/internal/durable"
 )
 
 const (
@@ -44,7 +46,7 @@
 )
 
 // ErrDamaged is a directory that does not hold what was written to it.
-var ErrDamaged = errors.New("damaged")
+var ErrDamaged = durable.ErrDamaged
 
 // ErrForeign is a directory of another member.
 var ErrForeign = errors.New("another member's directory")
@@ -99,7 +101,7 @@
 		return nil
 	})
 	if err == nil && !known {
-		err = WriteFile(filepath.Join(dir, identityFile), identity(member))
+		err = durable.WriteFile(filepath.Join(dir, identityFile), identity(member))
 	}
 	if err != nil {
 		db.Close()
@@ -456,31 +458,3 @@
 	}
 	return binary.BigEndian.Uint64(v), nil
 }
-
-// WriteFile puts a file in the place of another as one step that a power loss cannot split, and confirms it.
-func WriteFile(path string, data []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*.new")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name()) // nothing once it was renamed
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closed := f.Close(); err == nil {
-		err = closed
-	}
-	if err != nil {
-		return err
-	}
-	if err := os.Rename(f.Name(), path); err != nil {
-		return err
-	}
-	d, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
-}
