--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -53,6 +53,7 @@
 	Seed   *uint64 `help:"In place of the file's."`
 	Repeat int     `help:"Plays, in place of the file's."`
 	Proxy  string  `help:"Program to run as the proxy, with arguments." default:""`
+	Roster string  `help:"Program to run as a member of the list service." default:""`
 	Tries  int     `help:"How often a void play is played again." default:"1"`
 }
 
@@ -179,18 +180,18 @@
 	return report.Compare(os.Stdout, a, b)
 }
 
-// proxyCommand is the program to run: as told, or fernlanding beside this one.
-func (c *runCommand) proxyCommand() ([]string, error) {
-	if words := strings.Fields(c.Proxy); len(words) > 0 {
+// program is a program to run: as told, or one beside this.
+func program(told, flag, name string) ([]string, error) {
+	if words := strings.Fields(told); len(words) > 0 {
 		return words, nil
 	}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(filepath.Dir(self), "fernlanding")
+	path := filepath.Join(filepath.Dir(self), name)
 	if _, err := os.Stat(path); err != nil {
-		return nil, fmt.Errorf("no proxy to run: %w; build it beside this program, or name one with --proxy", err)
+		return nil, fmt.Errorf("no %s to run: %w; build it beside this program, or name one with %s", name, err, flag)
 	}
 	return []string{path}, nil
 }
@@ -200,10 +201,15 @@
 	if err != nil {
 		return err
 	}
-	command, err := c.proxyCommand()
-	if err != nil {
+	o := run.Options{Log: log}
+	if o.Command, err = program(c.Proxy, "--proxy", "fernlanding"); err != nil {
 		return err
 	}
+	if e.List.Members > 0 {
+		if o.Roster, err = program(c.Roster, "--roster", "roster"); err != nil {
+			return err
+		}
+	}
 	seed, repeat := e.Seed, e.Repeat
 	if c.Seed != nil {
 		seed = *c.Seed
@@ -223,10 +229,10 @@
 		return err
 	}
 	defer process.Release(c.Out)
-	r := &result.Result{Title: e.Title, File: file, Version: version(command[0]), Began: began.UTC(),
+	r := &result.Result{Title: e.Title, File: file, Version: version(o.Command[0]), Began: began.UTC(),
 		Machine: result.Machine{Cores: run.Cores(), LoadBefore: run.MachineLoad()}}
 	for i := range repeat {
-		if err := c.play(ctx, e, r, seed+uint64(i), command, log); err != nil {
+		if err := c.play(ctx, e, r, seed+uint64(i), o); err != nil {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -259,14 +265,14 @@
 
 // play plays one seed, again while it comes out void and there are tries left.
 func (c *runCommand) play(ctx context.Context, e *experiment.Experiment, r *result.Result, seed uint64,
-	command []string, log *slog.Logger) error {
+	o run.Options) error {
 	for try := 0; ; try++ {
 		fmt.Fprintf(os.Stderr, "seed %d: starting %d proxies\n", seed, len(e.ProxyNodes()))
-		p, err := run.Play(ctx, e, seed, run.Options{Command: command, Out: c.Out, Log: log,
-			Progress: func(at, of time.Duration, p run.Progress) {
-				fmt.Fprintf(os.Stderr, "seed %d: %4.0f of %.0f s, %d arrivals, the newest %v late\n", seed, at.Seconds(),
-					of.Seconds(), p.Arrived, p.Late.Round(10*time.Microsecond))
-			}})
+		o.Out, o.Progress = c.Out, func(at, of time.Duration, p run.Progress) {
+			fmt.Fprintf(os.Stderr, "seed %d: %4.0f of %.0f s, %d arrivals, the newest %v late\n", seed, at.Seconds(),
+				of.Seconds(), p.Arrived, p.Late.Round(10*time.Microsecond))
+		}
+		p, err := run.Play(ctx, e, seed, o)
 		if err != nil && ctx.Err() == nil {
 			return err
 		}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -164,6 +164,12 @@
 	RetainN int     `toml:"retain"`  // changes kept for watches; older ones get the whole list
 	MostN   int     `toml:"most"`    // calls that wait; more get 503 at once
 	Zone    string  `toml:"zone"`    // where it stands; empty: beside everybody
+
+	// With members the list is the project's own service, as real processes, and of the above nothing holds.
+	Members    int     `toml:"members"`     // 0: the stand-in
+	LeaseMs    float64 `toml:"lease_ms"`    // of a nodo
+	ElectionMs float64 `toml:"election_ms"` // of the members
+	StaleMs    float64 `toml:"stale_ms"`    // a list that is older is not told
 }
 
 // Fault is one thing that goes wrong.
@@ -175,10 +181,11 @@
 	Zone    string   `toml:"zone"`
 	Proxies []string `toml:"proxies"` // names; with share or none: drawn among those of the zone, or of all
 	Nodos   []string `toml:"nodos"`
+	Members []string `toml:"members"` // of the list service: r1 and on, leader, follower; none: all
 	Share   float64  `toml:"share"`
 	Spread  float64  `toml:"spread"` // seconds over which the targets' turns are spread
 
-	Link      string  `toml:"link"`      // client, nodo or list; empty: all three
+	Link      string  `toml:"link"`      // client, nodo, list or lease (from nodos to the list service); empty: all
 	Direction string  `toml:"direction"` // both, out (what callers send is lost) or back (answers are)
 	FromZone  string  `toml:"from_zone"`
 	ToZone    string  `toml:"to_zone"`
@@ -293,6 +300,11 @@
 	"loss":  {Links: true, Lasts: true, Needs: []string{"part"}, Text: "`part` of the writes come a retransmission later"},
 	"reset": {Links: true, Text: "open connections are reset; while it lasts new ones too, at their first byte"},
 
+	"member_kill":   {Members: true, Text: "members of the list service die in one instant; back after `for` with their directories"},
+	"member_stop":   {Members: true, Lasts: true, Text: "SIGSTOP, and SIGCONT after `for`"},
+	"member_cut":    {Members: true, Lasts: true, Text: "links between them and the other members fall silent, in `direction`"},
+	"member_damage": {Members: true, Text: "they die, a file of each is cut off at a random byte; one that refuses it starts empty"},
+
 	"list_down":       {Lasts: true, Text: "the list service refuses connections"},
 	"list_slow":       {Lasts: true, Needs: []string{"factor"}, Text: "calls take `factor` times as long"},
 	"list_stale":      {Lasts: true, Text: "it tells nothing that happened since"},
@@ -303,10 +315,10 @@
 
 // Kind says what a kind of fault needs.
 type Kind struct {
-	Proxies, Nodos, Zone, Links bool // what it is aimed at
-	Lasts                       bool // it holds for `for`
-	Needs                       []string
-	Text                        string
+	Proxies, Nodos, Zone, Links, Members bool // what it is aimed at
+	Lasts                                bool // it holds for `for`
+	Needs                                []string
+	Text                                 string
 }
 
 // KindNames are the kinds in order.
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -8,7 +8,7 @@
 )
 
 // Rules are the rules of service that the referee judges, by the names that figures and reports give them.
-var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged"}
+var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged", "list"}
 
 // RuleText says what a broken rule means.
 var RuleText = map[string]string{
@@ -18,6 +18,7 @@
 	"drain":   "a nodo got something new after the proxy had been told for the grace that it drains or is gone",
 	"tip":     "a cold nodo was sent more than it could stand",
 	"garbled": "an answer was not what a nodo made for that request, or a request reached a nodo changed",
+	"list":    "what members of the list service confirmed and read has no order, or one ended by itself",
 	"forged":  "a nodo got a request that no client had sent to that proxy",
 }
 
@@ -27,7 +28,8 @@
 var wholeFigures = []string{"requests", "tries", "attempts", "attempts_per_request", "cross_zone", "cross_zone_share",
 	"handshakes", "handshakes_per_request", "list_calls", "watch_breaks", "late_answers", "turned_back", "resent",
 	"tipped", "crashed", "waste_ms", "p50_ms", "p90_ms", "p99_ms", "max_ms", "recovery_s", "overhead_p50_ms",
-	"proxy_memory_mb", "proxy_cpu_s", "broken"}
+	"proxy_memory_mb", "proxy_cpu_s", "broken", "list_checked", "list_told_p50_ms", "list_told_p99_ms", "list_told_max_ms",
+	"list_refused"}
 
 // SpanFigure tells whether a figure can be asked of a span.
 func SpanFigure(name string) bool {
--- a/internal/lab/experiment/read.go
+++ b/internal/lab/experiment/read.go
@@ -127,7 +127,8 @@
 			Membership: "subscribe"},
 		Nodos: Nodos{StartCapacity: 0.32, ColdMs: 8800, TipMultiple: 3, FallMs: 2000, MaxConns: 64,
 			ConnectMs: 2, ConnectWork: 1, Cancelling: true},
-		List: List{LagMs: 1000, CallMs: 2, LineUs: 20, WaitMs: 2000, SyncMs: 500, RetainN: 200, MostN: 1000},
+		List: List{LagMs: 1000, CallMs: 2, LineUs: 20, WaitMs: 2000, SyncMs: 500, RetainN: 200, MostN: 1000,
+			LeaseMs: 5000, ElectionMs: 500, StaleMs: 2000},
 	}
 }
 
@@ -245,6 +246,7 @@
 	maxRequests = 1_000_000
 	maxProxies  = 400
 	maxNodos    = 2000
+	maxMembers  = 5
 )
 
 func (c *checker) check() {
@@ -413,7 +415,10 @@
 	for key, v := range map[string]float64{"lag_ms": l.LagMs, "call_ms": l.CallMs, "line_us": l.LineUs} {
 		c.notNegative("list."+key, v)
 	}
-	for key, v := range map[string]float64{"wait_ms": l.WaitMs, "sync_ms": l.SyncMs, "retain": float64(l.RetainN),
+	if l.Members < 0 || l.Members > maxMembers || l.Members > 0 && l.Members%2 == 0 {
+		c.problem("list.members", "1, 3 or 5, or 0 for the stand-in, not %d", l.Members)
+	}
+	for key, v := range map[string]float64{"lease_ms": l.LeaseMs, "election_ms": l.ElectionMs, "stale_ms": l.StaleMs, "wait_ms": l.WaitMs, "sync_ms": l.SyncMs, "retain": float64(l.RetainN),
 		"most": float64(l.MostN)} {
 		c.positive("list."+key, v)
 	}
@@ -449,9 +454,10 @@
 	}
 	c.checkNames(key+".proxies", f.Proxies, c.e.ProxyNodes(), kind.Proxies || kind.Links, f.Kind)
 	c.checkNames(key+".nodos", f.Nodos, c.e.NodoNodes(), kind.Nodos || kind.Links, f.Kind)
+	c.checkMembers(key, f, kind)
 	if kind.Links {
 		if f.Link != "" {
-			c.oneOf(key+".link", f.Link, "client", "nodo", "list")
+			c.oneOf(key+".link", f.Link, "client", "nodo", "list", "lease")
 		}
 		if f.Direction != "" {
 			c.oneOf(key+".direction", f.Direction, "both", "out", "back")
@@ -460,7 +466,7 @@
 			c.problem(key+".proxies", "over %d pairs of proxy and nodo links are told apart by zone only: use from_zone",
 				PairLinksMost)
 		}
-	} else if f.Link != "" || f.Direction != "" || f.FromZone != "" || f.ToZone != "" {
+	} else if f.Link != "" || f.Direction != "" && f.Kind != "member_cut" || f.FromZone != "" || f.ToZone != "" {
 		c.problem(key, "link, direction, from_zone and to_zone are for faults of links; %s is none", f.Kind)
 	}
 }
@@ -477,6 +483,28 @@
 	}
 }
 
+func (c *checker) checkMembers(key string, f Fault, kind Kind) {
+	switch {
+	case kind.Members && c.e.List.Members == 0:
+		c.problem(key+".kind", "%s is for a list service with members: list.members", f.Kind)
+	case !kind.Members && strings.HasPrefix(f.Kind, "list_") && c.e.List.Members > 0:
+		c.problem(key+".kind", "%s is for the stand-in: the list service has member_kill, member_stop, member_cut, member_damage",
+			f.Kind)
+	case !kind.Members && len(f.Members) > 0:
+		c.problem(key+".members", "%s is not aimed at any", f.Kind)
+	}
+	names := []string{"leader", "follower"}
+	for i := range c.e.List.Members {
+		names = append(names, fmt.Sprintf("r%d", i+1))
+	}
+	for _, m := range f.Members {
+		c.oneOf(key+".members", m, names...)
+	}
+	if f.Kind == "member_cut" && f.Direction != "" {
+		c.oneOf(key+".direction", f.Direction, "both", "out", "back")
+	}
+}
+
 func (c *checker) checkExpect(key string, x Expect) {
 	known := KnownFigure(x.Figure, c.e)
 	if !known {
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -34,6 +34,14 @@
 	Stall  time.Duration
 	Memory int64         // peak of a proxy's, bytes
 	CPU    time.Duration // of all proxies
+	List   *List         // of a list service with members; else nil
+}
+
+// List is what came of a list service.
+type List struct {
+	Checked int             // calls in its history
+	Told    []time.Duration // from a change's being confirmed to its being told, sorted
+	Refused int             // starts refused for a damaged directory
 }
 
 // client is an arrival with what came of all its tries.
@@ -149,6 +157,11 @@
 		"tipped": t.Tipped, "crashed": t.Crashed} {
 		f[name] = float64(n)
 	}
+	if l := in.List; l != nil {
+		f["list_checked"], f["list_refused"] = float64(l.Checked), float64(l.Refused)
+		f["list_told_p50_ms"], f["list_told_p99_ms"] = quantile(l.Told, 0.5), quantile(l.Told, 0.99)
+		f["list_told_max_ms"] = quantile(l.Told, 1)
+	}
 	f["handshakes_per_request"] = over(f["handshakes"], f["requests"])
 	f["proxy_memory_mb"], f["proxy_cpu_s"] = float64(in.Memory)/(1<<20), in.CPU.Seconds()
 	p.Late = lateness(in.Late, in.Stall)
--- a/internal/lab/run/block.go
+++ b/internal/lab/run/block.go
@@ -23,6 +23,7 @@
 	perOctet   = 250
 	proxyOctet = 1
 	listOctet  = 5
+	rosterIP   = 8
 	nodoOctet  = 10
 	lastOctet  = 254
 )
@@ -51,6 +52,28 @@
 func (b *block) mgmt(n, process int) string { return b.addr(proxyOctet, n, mgmtPort+process) }
 func (b *block) list(n int) string          { return b.addr(listOctet, n, listPort) }
 
+// The list service: member n's own address, that under which member from finds member to, a zone's nodos find one, and
+// a proxy does.
+const (
+	pairsFrom  = 10 // of the addresses below rosterIP
+	nearFrom   = 60
+	mostOfEach = 8
+)
+
+func (b *block) member(n, port int) string { return b.addr(rosterIP, n, port) }
+
+func (b *block) memberLink(from, to, port int) string {
+	return b.addr(rosterIP, pairsFrom+from*mostOfEach+to, port)
+}
+
+func (b *block) memberNear(zone, to, port int) string {
+	return b.addr(rosterIP, nearFrom+zone*mostOfEach+to, port)
+}
+
+func (b *block) listMember(proxy, member int) string {
+	return b.addr(listOctet, proxy, listPort+1+member)
+}
+
 func (b *block) nodo(n int) (string, error) {
 	if nodoOctet+n/perOctet > lastOctet {
 		return "", fmt.Errorf("over %d links from proxies to nodos", n)
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -25,6 +26,8 @@
 	"fernlanding/internal/lab/plan"
 	"fernlanding/internal/lab/process"
 	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/result"
+	"fernlanding/internal/lab/service"
 	"fernlanding/internal/lab/wait"
 )
 
@@ -86,11 +89,13 @@
 	exp     *experiment.Experiment
 	plan    *plan.Plan
 	command []string
+	roster  []string // the list service's program
 	log     *slog.Logger
 	block   *block
 	net     *link.Net
 	ref     *referee.Referee
-	list    *catalog.Catalog
+	list    *catalog.Catalog // the stand-in; nil with a service
+	service *service.Service // nil with the stand-in
 	front   *load.Front
 	client  *load.Client
 	starter *process.Starter
@@ -150,6 +155,9 @@
 		entries = append(entries, s.entry)
 	}
 	l := f.exp.List
+	if l.Members > 0 {
+		return f.buildService()
+	}
 	f.list = catalog.New(catalog.Config{Lag: experiment.Millis(l.LagMs), Call: experiment.Millis(l.CallMs),
 		Line: time.Duration(l.LineUs * float64(time.Microsecond)), Wait: experiment.Millis(l.WaitMs),
 		Sync: experiment.Millis(l.SyncMs), Retain: l.RetainN, Most: l.MostN, Seed: f.plan.Seed, Address: f.address,
@@ -165,6 +173,96 @@
 	return nil
 }
 
+// buildService makes the list service's members and links.
+func (f *fleet) buildService() (err error) {
+	l := f.exp.List
+	var proxies []service.Proxy
+	for _, m := range f.order {
+		proxies = append(proxies, service.Proxy{Name: m.node.Name, Zone: m.node.Zone})
+	}
+	f.service, err = service.New(service.Config{Members: l.Members, Zones: f.exp.ZoneNames(), Proxies: proxies, Command: f.roster,
+		Lease: experiment.Millis(l.LeaseMs), Election: experiment.Millis(l.ElectionMs), Stale: experiment.Millis(l.StaleMs),
+		Dir: filepath.Join(f.work, "roster"), Logs: f.logs, Seed: f.plan.Seed, Net: f.net, Ref: f.ref, Starter: f.starter,
+		Log: f.log, Delay: f.delay, Address: f.address, List: f.block.listMember, Own: f.block.member,
+		Between: f.block.memberLink, Near: f.block.memberNear})
+	return err
+}
+
+// startService starts the list service and has all nodos register.
+func (f *fleet) startService(ctx context.Context) error {
+	if f.service == nil {
+		return nil
+	}
+	if err := f.service.Start(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
+	f.mu.Lock()
+	all := slices.Collect(maps.Values(f.servers))
+	f.mu.Unlock()
+	var waits []func(context.Context) error
+	for _, s := range all {
+		waits = append(waits, f.service.Begin(serviceNodo(s.entry)))
+	}
+	patience, cancel := context.WithTimeout(ctx, experiment.Seconds(f.exp.Lab.ReadyWait))
+	defer cancel()
+	for _, registered := range waits {
+		if err := registered(patience); err != nil {
+			return fmt.Errorf("%w: %w", ErrEnvironment, err)
+		}
+	}
+	return nil
+}
+
+func serviceNodo(e catalog.Entry) service.Nodo {
+	return service.Nodo{Name: e.Name, Zone: e.Zone, Type: e.Type, Group: e.Group, Since: e.Since}
+}
+
+// change tells the list what a nodo is now. A nodo that dies tells nobody: its lease ends.
+func (f *fleet) change(e catalog.Entry) {
+	if f.service == nil {
+		f.list.Change(e)
+		return
+	}
+	switch e.Status {
+	case catalog.Serving:
+		f.service.Begin(serviceNodo(e))
+	case catalog.Draining:
+		f.service.Drain(e.Name)
+	default:
+		f.service.Die(e.Name)
+	}
+}
+
+// known is the list as a proxy is told it at its start.
+func (f *fleet) known(proxy string, part float64, r *rand.Rand) (json.RawMessage, []referee.Entry) {
+	if f.service != nil {
+		return f.service.Snapshot(proxy, func() bool { return r.Float64() < part })
+	}
+	return f.list.Snapshot(proxy, part, r)
+}
+
+// runList serves the list until the context ends.
+func (f *fleet) runList(ctx context.Context) {
+	if f.service != nil {
+		f.service.Run(ctx)
+		return
+	}
+	f.list.Run(ctx)
+}
+
+// listReport is what a list service leaves; what is wrong with it is a broken rule.
+func (f *fleet) listReport(rec *referee.Record) (*result.List, error) {
+	if f.service == nil {
+		return nil, nil
+	}
+	r, err := f.service.End()
+	if wrong := r.Wrong(); wrong != "" {
+		rec.Broken["list"]++
+		rec.Violations = append(rec.Violations, referee.Violation{Rule: "list", At: time.Now(), Text: wrong})
+	}
+	return &result.List{Checked: r.History.Calls, Told: r.Delays, Refused: r.Refused}, err
+}
+
 func terms(e *experiment.Experiment) referee.Terms {
 	t := referee.Terms{TryLimit: e.Proxy.TryLimit, SecondCopies: e.Proxy.SecondCopies,
 		DrainGrace: experiment.Millis(e.Proxy.DrainGraceMs), Slack: experiment.Millis(e.Proxy.SlackMs)}
@@ -278,7 +376,7 @@
 	e := s.entry
 	s.mu.Unlock()
 	f.ref.State(e.Name, e.Zone, e.Group, status == catalog.Serving, e.Since, time.Now())
-	f.list.Change(e)
+	f.change(e)
 }
 
 func to(name string) func(link.Ends) bool {
@@ -353,11 +451,11 @@
 	var known json.RawMessage
 	var told []referee.Entry
 	if part > 0 {
-		known, told = f.list.Snapshot(m.node.Name, part, knows)
+		known, told = f.known(m.node.Name, part, knows)
 	}
 	m.mgmt = f.block.mgmt(m.ordinal, m.count)
 	m.count++
-	text, err := configuration(f.exp, m, seed, m.mgmt, known)
+	text, err := configuration(f.exp, m, seed, m.mgmt, f.listMembers(m), known)
 	if err != nil {
 		return err
 	}
@@ -386,6 +484,14 @@
 	return nil
 }
 
+// listMembers are where a proxy finds the members of the list service; nil with the stand-in.
+func (f *fleet) listMembers(m *member) []string {
+	if f.service == nil {
+		return nil
+	}
+	return f.service.Lists(m.ordinal)
+}
+
 func over(p *process.Process) bool {
 	select {
 	case <-p.Ended():
--- a/internal/lab/run/play.go
+++ b/internal/lab/run/play.go
@@ -28,6 +28,7 @@
 // Options are what a run needs beside its experiment.
 type Options struct {
 	Command []string // a proxy
+	Roster  []string // a member of the list service; needed if the experiment has any
 	Out     string   // directory for the proxies' logs
 	Log     *slog.Logger
 	// Progress is told now and then how far the load is; may be nil.
@@ -58,7 +59,7 @@
 		return result.Play{}, err
 	}
 	out := result.Play{Seed: seed, Plan: sum}
-	f := &fleet{exp: e, plan: p, command: o.Command, log: o.Log, logs: filepath.Join(o.Out, "logs")}
+	f := &fleet{exp: e, plan: p, command: o.Command, roster: o.Roster, log: o.Log, logs: filepath.Join(o.Out, "logs")}
 	if err := os.MkdirAll(f.logs, 0o755); err != nil {
 		return out, fmt.Errorf("logs: %w", err)
 	}
@@ -81,7 +82,10 @@
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	served := make(chan struct{}, 2)
-	go func() { f.list.Run(inner); served <- struct{}{} }()
+	if err := f.startService(ctx); err != nil {
+		return out, err
+	}
+	go func() { f.runList(inner); served <- struct{}{} }()
 	go func() { f.front.Run(inner); served <- struct{}{} }()
 	if err := f.startProxies(ctx); err != nil {
 		return out, err
@@ -97,6 +101,8 @@
 	rest()
 	in := result.Input{Exp: e, Plan: p, Start: start, Record: f.ref.Close(), Events: events, Late: f.client.Late(),
 		Stall: <-stall}
+	in.List, err = f.listReport(&in.Record)
+	f.note(err)
 	for _, m := range f.order {
 		for _, proc := range m.processes() {
 			u := proc.Usage()
--- a/internal/lab/run/strike.go
+++ b/internal/lab/run/strike.go
@@ -16,6 +16,7 @@
 	"fernlanding/internal/lab/plan"
 	"fernlanding/internal/lab/process"
 	"fernlanding/internal/lab/result"
+	"fernlanding/internal/lab/service"
 	"fernlanding/internal/lab/wait"
 )
 
@@ -80,6 +81,8 @@
 		return t.each(ctx, s, func(turn plan.Turn) error { return t.nodo(ctx, s, turn) })
 	case kind.Links:
 		return t.links(ctx, s)
+	case kind.Members:
+		return t.listService(ctx, s)
 	case s.Fault.Kind == "zone_loss":
 		return t.loseZone(ctx, s)
 	case s.Fault.Kind == "zone_cut":
@@ -306,6 +309,10 @@
 		switch e.Kind {
 		case "client":
 			return len(f.Nodos) == 0 && one(f.Proxies, e.To)
+		case "member":
+			return false // member_cut has these
+		case "lease":
+			return len(f.Nodos) == 0 && len(f.Proxies) == 0
 		case "nodo":
 			return one(f.Nodos, e.To) && (shared && len(f.Proxies) == 0 || one(f.Proxies, e.From))
 		}
@@ -313,19 +320,23 @@
 	}
 }
 
+// cutEffect is a cut in a direction, as the dialling side sees it.
+func cutEffect(direction string) link.Effect {
+	switch direction {
+	case "out": // the first packet of a connection is lost too
+		return link.Effect{CutOut: true, NoConnect: true}
+	case "back": // connections come up: what answers is lost behind them
+		return link.Effect{CutBack: true}
+	}
+	return link.Silent
+}
+
 func (t *timeline) links(ctx context.Context, s plan.Strike) error {
 	f := s.Fault
 	match := matching(f, t.exp.SharedLinks())
 	switch f.Kind {
 	case "cut":
-		e := link.Silent
-		switch f.Direction {
-		case "out": // the first packet of a connection is lost too
-			e = link.Effect{CutOut: true, NoConnect: true}
-		case "back": // connections come up: what answers is lost behind them
-			e = link.Effect{CutBack: true}
-		}
-		return t.over(ctx, s, match, e)
+		return t.over(ctx, s, match, cutEffect(f.Direction))
 	case "delay":
 		return t.over(ctx, s, match, link.Effect{Delay: experiment.Millis(f.Ms)})
 	case "loss":
@@ -387,6 +398,47 @@
 	starts.Wait()
 }
 
+// listService carries out the faults of the list service's members.
+func (t *timeline) listService(ctx context.Context, s plan.Strike) error {
+	ms := t.service.Targets(s.Fault.Members)
+	t.log.Info("members struck", "n", s.N, "members", service.Names(ms))
+	back := func() bool { return s.For > 0 && t.until(ctx, s.At+s.For) }
+	switch s.Fault.Kind {
+	case "member_kill":
+		return t.service.Kill(ms, back)
+	case "member_stop":
+		return t.service.Stop(ms, func() { t.hold(ctx, s, s.At) })
+	case "member_damage":
+		return t.service.Damage(ms, back)
+	case "member_cut":
+		return t.cutMembers(ctx, s, service.Names(ms))
+	}
+	return fmt.Errorf("fault %d: no members' fault %q", s.N, s.Fault.Kind)
+}
+
+// cutMembers cuts members off from the others: both ways, only what they send (out), or only what they are sent (back).
+// Either side dials, so that what one sends is on some links what is dialled with and on others what is answered.
+func (t *timeline) cutMembers(ctx context.Context, s plan.Strike, names []string) error {
+	other := map[string]string{"out": "back", "back": "out"}
+	var ends []func() error
+	for _, dials := range []bool{true, false} {
+		direction := s.Fault.Direction
+		if !dials {
+			direction = other[direction]
+		}
+		end, err := t.net.Apply(func(e link.Ends) bool {
+			from, to := slices.Contains(names, e.From), slices.Contains(names, e.To)
+			return e.Kind == "member" && from != to && from == dials
+		}, cutEffect(direction))
+		if err != nil {
+			return err
+		}
+		ends = append(ends, end)
+	}
+	t.hold(ctx, s, s.At)
+	return errors.Join(ends[0](), ends[1]())
+}
+
 func (t *timeline) lists(ctx context.Context, s plan.Strike) error {
 	links := func(e link.Ends) bool { return e.Kind == "list" }
 	down := func() error {
--- /dev/null
+++ b/internal/lab/service/nodos.go
@@ -0,0 +1,208 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"fernlanding/internal/lab/linear"
+	"fernlanding/internal/lab/wait"
+	"fernlanding/internal/roster/registrar"
+	"fernlanding/internal/roster/state"
+)
+
+const (
+	readEvery  = 150 * time.Millisecond
+	readWait   = 3 * time.Second
+	renewPart  = 3 // of a lease passes between two renewals
+	againAfter = 100 * time.Millisecond
+	reader     = 0 // the reader's number in the history; nodos' are from 1 on
+)
+
+// nodos is the registrations: one goroutine for each process of a nodo, which registers it, renews its lease, and says
+// once that it drains or goes.
+type nodos struct {
+	s    *Service
+	ctx  context.Context
+	stop context.CancelFunc
+	all  sync.WaitGroup
+
+	mu    sync.Mutex
+	alive map[string]*life
+	names map[string]bool // all that there ever were, for the reader
+	next  int
+}
+
+// life is one process of a nodo.
+type life struct {
+	ref   state.Ref
+	rec   state.Record
+	n     int
+	words chan string // what it has to say: Draining, Deleted
+	die   context.CancelFunc
+}
+
+func newNodos(s *Service) *nodos {
+	n := &nodos{s: s, alive: map[string]*life{}, names: map[string]bool{}, next: reader}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	return n
+}
+
+func (n *nodos) close() {
+	n.stop()
+	n.all.Wait()
+}
+
+// Nodo is a nodo as the list is to have it.
+type Nodo struct {
+	Name, Zone, Type string
+	Group            int
+	Since            int64
+}
+
+// Begin has a process of a nodo register and renew until it drains and goes, or dies. The call that it gives waits until
+// it is in the list.
+func (s *Service) Begin(e Nodo) (registered func(ctx context.Context) error) {
+	n := s.nodos
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.next++
+	ctx, die := context.WithCancel(n.ctx)
+	// Each proxy has an address of its own for it (see readdress); this one is nobody's.
+	rec := state.Record{Entry: state.Entry{Name: e.Name, Address: "nodo.invalid:1", Zone: e.Zone, Type: e.Type, Group: e.Group,
+		Status: state.Serving, Weight: 1, Since: e.Since}, Instance: fmt.Sprint(e.Since, "-", n.next), LeaseMs: s.cfg.Lease.Milliseconds()}
+	l := &life{ref: state.Ref{Name: e.Name, Instance: rec.Instance}, rec: rec, n: n.next, words: make(chan string, 2), die: die}
+	n.alive[e.Name], n.names[e.Name] = l, true
+	first := make(chan struct{})
+	n.all.Go(func() { s.live(ctx, l, sync.OnceFunc(func() { close(first) })) })
+	return func(ctx context.Context) error {
+		select {
+		case <-first:
+			return nil
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not in the list: %w", e.Name, ctx.Err())
+		}
+	}
+}
+
+// Drain has a nodo say that it drains; Die ends its process: one that has drained says that it goes, another is silent.
+func (s *Service) Drain(name string) { s.say(name, state.Draining) }
+
+// Die ends a nodo's process.
+func (s *Service) Die(name string) { s.say(name, state.Deleted) }
+
+func (s *Service) say(name, word string) {
+	n := s.nodos
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.alive[name]; l != nil {
+		if word == state.Deleted {
+			delete(n.alive, name)
+		}
+		l.words <- word
+	}
+}
+
+// live is the life of one process of a nodo.
+func (s *Service) live(ctx context.Context, l *life, registered func()) {
+	defer l.die()
+	client := s.near[l.rec.Zone]
+	if !s.register(ctx, client, l) {
+		return
+	}
+	registered()
+	drains := false
+	// Its lease may end at any moment after the last renewal that is known to have been taken.
+	mayEnd := s.history.Begin(linear.Gone, l.ref.Name, l.value(), l.n)
+	for pause := s.cfg.Lease / renewPart; ; {
+		select {
+		case word := <-l.words:
+			switch {
+			case word == state.Draining:
+				drains = true
+				s.write(ctx, linear.Drain, l, func(ctx context.Context) error { _, err := client.Drain(ctx, l.ref); return err }, state.Draining)
+				continue
+			case drains:
+				s.write(ctx, linear.Gone, l, func(ctx context.Context) error { _, err := client.Deregister(ctx, l.ref); return err }, state.Deleted)
+			}
+			return
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+		begun := s.history.Begin(linear.Gone, l.ref.Name, l.value(), l.n)
+		_, err := client.Renew(ctx, l.ref)
+		var no *registrar.Refused
+		switch {
+		case err == nil:
+			mayEnd(false, true) // it did not
+			mayEnd, pause = begun, s.cfg.Lease/renewPart
+			continue
+		case errors.As(err, &no) && no.End == state.Unknown:
+			if drains || !s.register(ctx, client, l) {
+				return
+			}
+			mayEnd, pause = begun, s.cfg.Lease/renewPart // and the end before stays in the history
+			continue
+		case errors.As(err, &no):
+			s.log.Error("a nodo was refused", "nodo", l.ref.Name, "error", err)
+			return
+		}
+		begun(false, true)
+		pause = againAfter
+	}
+}
+
+// value names the process in the history: the published list tells its start, not its instance.
+func (l *life) value() string { return fmt.Sprint(l.rec.Since) }
+
+func (s *Service) register(ctx context.Context, client *registrar.Client, l *life) bool {
+	return s.write(ctx, linear.Register, l, func(ctx context.Context) error { _, err := client.Register(ctx, l.rec); return err }, state.Serving)
+}
+
+// write makes a call that is repeated until it is answered, and notes it.
+func (s *Service) write(ctx context.Context, kind linear.Kind, l *life, call func(context.Context) error, status string) bool {
+	end := s.history.Begin(kind, l.ref.Name, l.value(), l.n)
+	err := call(ctx)
+	var no *registrar.Refused
+	end(err == nil, errors.As(err, &no))
+	if err == nil {
+		s.delays.confirm(l.ref.Name, status, l.rec.Since, time.Now())
+	}
+	return err == nil
+}
+
+// read asks for the current list, of one member after another, until the context ends.
+func (s *Service) read(ctx context.Context) {
+	client := http.Client{Timeout: readWait}
+	for n := 0; wait.For(ctx, readEvery); n++ {
+		m := s.members[n%len(s.members)]
+		// Names that are not in the list count too: those that were there before the call.
+		s.nodos.mu.Lock()
+		values := map[string]string{}
+		for name := range s.nodos.names {
+			values[name] = linear.Absent
+		}
+		s.nodos.mu.Unlock()
+		begun := time.Now()
+		resp, err := client.Get("http://" + s.cfg.Own(m.n, listPort) + "/catalog/members?consistent=1")
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+		resp.Body.Close()
+		var l list
+		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(text, &l) != nil {
+			continue
+		}
+		for _, e := range l.Endpoints {
+			values[e.Name] = linear.Value(e.Status, fmt.Sprint(e.Since))
+		}
+		s.history.Seen(reader, begun, values)
+	}
+}
--- /dev/null
+++ b/internal/lab/service/relay.go
@@ -0,0 +1,236 @@
+package service
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/referee"
+)
+
+const (
+	dialWait = time.Second
+	maxList  = 8 << 20
+)
+
+// pass hands what comes over a link on to a member's own address, unread.
+func (s *Service) pass(to string) func(*link.Conn) {
+	return func(c *link.Conn) {
+		up, err := net.DialTimeout("tcp", to, dialWait)
+		if err != nil {
+			c.Reset()
+			return
+		}
+		var both sync.WaitGroup
+		both.Go(func() {
+			_, _ = io.Copy(up, c)
+			up.Close()
+		})
+		both.Go(func() {
+			_, _ = io.Copy(c, up)
+			c.Close()
+		})
+		both.Wait()
+	}
+}
+
+// tell hands a proxy's calls on, and notes what it is told.
+func (s *Service) tell(proxy, to string) func(*link.Conn) {
+	return func(c *link.Conn) {
+		defer c.Close()
+		client := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: (&net.Dialer{Timeout: dialWait}).DialContext}}
+		defer client.CloseIdleConnections()
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			s.cfg.Ref.Asks(proxy)
+			status, body, list := s.forward(client, c, "http://"+to+req.URL.RequestURI())
+			if status == 0 {
+				s.cfg.Ref.Told(proxy, nil, false, true, time.Now())
+				c.Reset()
+				return
+			}
+			if list != nil {
+				s.readdress(proxy, list)
+				body = list.encode()
+			}
+			head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", status,
+				http.StatusText(status), len(body))
+			note := func(at time.Time) {
+				if list == nil {
+					s.cfg.Ref.Told(proxy, nil, false, true, at)
+					return
+				}
+				s.cfg.Ref.Told(proxy, list.entries(), list.Snapshot, false, at)
+				s.delays.told(proxy, list, at)
+			}
+			if err := c.NoteThenWrite(append([]byte(head), body...), note); err != nil {
+				s.cfg.Ref.Told(proxy, nil, false, true, time.Now())
+				return
+			}
+		}
+	}
+}
+
+// forward makes a call of a member, until the caller has gone; status 0 is a call that failed.
+func (s *Service) forward(client *http.Client, c *link.Conn, url string) (status int, body []byte, l *list) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		if c.AwaitEnd(stop) {
+			cancel()
+		}
+	})
+	defer watch.Wait()
+	defer close(stop)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return http.StatusBadRequest, nil, nil
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer resp.Body.Close()
+	if body, err = io.ReadAll(io.LimitReader(resp.Body, maxList)); err != nil {
+		return 0, nil, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, body, nil
+	}
+	l = &list{}
+	if err := json.Unmarshal(body, l); err != nil {
+		return 0, nil, nil
+	}
+	return resp.StatusCode, body, l
+}
+
+// list is an answer.
+type list struct {
+	Index     int64      `json:"index"`
+	Snapshot  bool       `json:"snapshot"`
+	Line      string     `json:"line"`
+	Endpoints []endpoint `json:"endpoints"`
+}
+
+type endpoint struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	Since   int64   `json:"since_ms"`
+}
+
+func (l *list) entries() (out []referee.Entry) {
+	for _, e := range l.Endpoints {
+		out = append(out, referee.Entry{Nodo: e.Name, Serving: e.Status == "SERVING", Since: e.Since})
+	}
+	return out
+}
+
+// readdress has a list say where a proxy finds the nodos.
+func (s *Service) readdress(proxy string, l *list) {
+	for i, e := range l.Endpoints {
+		l.Endpoints[i].Address = s.cfg.Address(proxy, e.Name)
+	}
+}
+
+func (l *list) encode() []byte {
+	if l.Endpoints == nil {
+		l.Endpoints = []endpoint{}
+	}
+	text, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // words and numbers
+	}
+	return text
+}
+
+// Snapshot is the list as a proxy is told it at its start, with what the referee notes of it.
+func (s *Service) Snapshot(proxy string, keep func() bool) (text json.RawMessage, told []referee.Entry) {
+	for _, m := range s.members {
+		resp, err := s.http.Get("http://" + s.cfg.Own(m.n, listPort) + "/catalog/members")
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+		resp.Body.Close()
+		var l list
+		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(body, &l) != nil {
+			continue
+		}
+		l.Endpoints = slices.DeleteFunc(l.Endpoints, func(endpoint) bool { return !keep() })
+		s.readdress(proxy, &l)
+		return l.encode(), l.entries()
+	}
+	return nil, nil
+}
+
+// delays is how late proxies are told what was confirmed.
+type delays struct {
+	mu        sync.Mutex
+	confirmed map[string]time.Time            // by change
+	heard     map[string]map[string]time.Time // by proxy and change
+}
+
+func newDelays() *delays {
+	return &delays{confirmed: map[string]time.Time{}, heard: map[string]map[string]time.Time{}}
+}
+
+func change(name, status string, since int64) string {
+	return fmt.Sprint(name, " ", status, " ", since)
+}
+
+func (d *delays) confirm(name, status string, since int64, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if key := change(name, status, since); d.confirmed[key].IsZero() {
+		d.confirmed[key] = at
+	}
+}
+
+func (d *delays) told(proxy string, l *list, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	of := d.heard[proxy]
+	if of == nil {
+		of = map[string]time.Time{}
+		d.heard[proxy] = of
+	}
+	for _, e := range l.Endpoints {
+		if key := change(e.Name, e.Status, e.Since); of[key].IsZero() {
+			of[key] = at
+		}
+	}
+}
+
+// sum tells the delays of all changes to all proxies. A change that another overtook need not be told.
+func (d *delays) sum() (out []time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, of := range d.heard {
+		for key, at := range d.confirmed {
+			if t, ok := of[key]; ok {
+				out = append(out, max(0, t.Sub(at)))
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/lab/service/service.go
@@ -0,0 +1,457 @@
+// Package service is the list service under test: its members as real processes, the links between them, between them
+// and the nodos, and between them and the proxies, all over package link, so that each can be cut alone.
+//
+// Members find each other under addresses of the lab's, one for each pair and direction; so do the nodos of a zone, and
+// each proxy. What passes between members and from nodos goes through unread. A proxy's calls are read: its answers have
+// the nodos' addresses replaced by that proxy's own, as the published protocol allows, and the referee is told what the
+// proxy is told.
+//
+// Beside them runs a reader that asks for current lists, and the nodos' registrations; both go into a history that is
+// checked at the end (package linear).
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"fernlanding/internal/lab/linear"
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/process"
+	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/wait"
+	"fernlanding/internal/roster/config"
+	"fernlanding/internal/roster/member"
+	"fernlanding/internal/roster/registrar"
+)
+
+const (
+	callWait   = time.Second
+	readyWait  = 20 * time.Second
+	readyPoll  = 50 * time.Millisecond
+	refuseWait = 3 * time.Second // in which a member that is started says that it will not
+	checkWait  = 20 * time.Second
+)
+
+// Proxy is a caller of the list.
+type Proxy struct{ Name, Zone string }
+
+// Config is what a service is.
+type Config struct {
+	Members  int
+	Zones    []string // the members stand in them in turn
+	Proxies  []Proxy
+	Command  []string // the program
+	Lease    time.Duration
+	Election time.Duration
+	Stale    time.Duration
+	Dir      string // of the members' own
+	Logs     string
+	Seed     uint64
+
+	Net     *link.Net
+	Ref     *referee.Referee
+	Starter *process.Starter
+	Log     *slog.Logger
+	Delay   func(from, to string) time.Duration
+	Address func(proxy, nodo string) string     // where a proxy finds a nodo
+	List    func(proxy, member int) string      // where it finds a member
+	Own     func(member, port int) string       // a member's own address
+	Between func(from, to, port int) string     // where a member finds another
+	Near    func(zone, member, port int) string // where a zone's nodos find a member
+}
+
+// Ports of a member.
+const (
+	listPort = 8500
+	raftPort = 8600
+)
+
+// Member is a member over all its processes.
+type Member struct {
+	Name, Zone string
+	n          int
+	dir, file  string
+
+	mu    sync.Mutex
+	proc  *process.Process
+	dead  int // faults that keep it down
+	stops int
+}
+
+// Service is the service.
+type Service struct {
+	cfg     Config
+	log     *slog.Logger
+	members []*Member
+	http    *http.Client
+	history *linear.History
+	near    map[string]*registrar.Client // of each zone's nodos
+	nodos   *nodos
+	delays  *delays
+	all     sync.WaitGroup
+
+	mu      sync.Mutex
+	refused int // starts that a member refused for its directory
+	crashed int
+	rng     *rand.Rand
+}
+
+// New makes all but the processes.
+func New(cfg Config) (*Service, error) {
+	s := &Service{cfg: cfg, log: cfg.Log, http: &http.Client{Timeout: callWait}, history: linear.New(),
+		near: map[string]*registrar.Client{}, rng: rand.New(rand.NewPCG(cfg.Seed, 31)), delays: newDelays()}
+	s.nodos = newNodos(s)
+	for i := range cfg.Members {
+		m := &Member{Name: fmt.Sprintf("r%d", i+1), Zone: cfg.Zones[i%len(cfg.Zones)], n: i,
+			dir: filepath.Join(cfg.Dir, fmt.Sprintf("r%d", i+1))}
+		m.file = m.dir + ".toml"
+		s.members = append(s.members, m)
+	}
+	for _, m := range s.members {
+		if err := s.configure(m); err != nil {
+			return nil, err
+		}
+		for _, o := range s.members {
+			if o == m {
+				continue
+			}
+			ends := link.Ends{Kind: "member", From: m.Name, FromZone: m.Zone, To: o.Name, ToZone: o.Zone}
+			for _, port := range []int{listPort, raftPort} {
+				if err := s.listen(ends, cfg.Between(m.n, o.n, port), s.pass(cfg.Own(o.n, port))); err != nil {
+					return nil, err
+				}
+			}
+		}
+	}
+	for z, zone := range cfg.Zones {
+		var addrs []string
+		for _, m := range s.members {
+			ends := link.Ends{Kind: "lease", FromZone: zone, To: m.Name, ToZone: m.Zone}
+			addr := cfg.Near(z, m.n, listPort)
+			if err := s.listen(ends, addr, s.pass(cfg.Own(m.n, listPort))); err != nil {
+				return nil, err
+			}
+			addrs = append(addrs, addr)
+		}
+		s.near[zone] = registrar.New(addrs)
+	}
+	for p, proxy := range cfg.Proxies {
+		for _, m := range s.members {
+			ends := link.Ends{Kind: "list", From: proxy.Name, FromZone: proxy.Zone, To: m.Name, ToZone: m.Zone}
+			if err := s.listen(ends, cfg.List(p, m.n), s.tell(proxy.Name, cfg.Own(m.n, listPort))); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *Service) listen(ends link.Ends, addr string, accept func(*link.Conn)) error {
+	_, err := s.cfg.Net.Listen(ends, addr, s.cfg.Delay(ends.FromZone, ends.ToZone), accept)
+	return err
+}
+
+// configure writes a member's configuration.
+func (s *Service) configure(m *Member) error {
+	f := config.Default()
+	f.Name, f.Dir, f.Listen, f.Figures = m.Name, m.dir, s.cfg.Own(m.n, listPort), ""
+	f.ElectionMs, f.StaleMs = int(s.cfg.Election.Milliseconds()), int(s.cfg.Stale.Milliseconds())
+	for _, o := range s.members {
+		at := func(port int) string {
+			if o == m {
+				return s.cfg.Own(m.n, port)
+			}
+			return s.cfg.Between(m.n, o.n, port)
+		}
+		f.Members = append(f.Members, config.Member{Name: o.Name, Raft: at(raftPort), List: at(listPort)})
+	}
+	if err := os.MkdirAll(s.cfg.Dir, 0o755); err != nil {
+		return err
+	}
+	out, err := os.Create(m.file)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	return toml.NewEncoder(out).Encode(f)
+}
+
+// Start starts all members, and waits until one leads.
+func (s *Service) Start(ctx context.Context) error {
+	for _, m := range s.members {
+		m.mu.Lock()
+		err := s.start(m)
+		m.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(readyWait); time.Now().Before(end) && wait.For(ctx, readyPoll); {
+		n := 0
+		for _, m := range s.members {
+			if st, err := s.status(m); err == nil && st.Serving {
+				n++
+			}
+		}
+		if n == len(s.members) {
+			return nil
+		}
+	}
+	return fmt.Errorf("the list service did not serve within %v; its logs are %s", readyWait, filepath.Join(s.cfg.Logs, "r*.log"))
+}
+
+// Run has the reader read until the context ends, and then ends nodos' calls.
+func (s *Service) Run(ctx context.Context) {
+	s.read(ctx)
+	s.nodos.close()
+}
+
+// Lists are where a proxy finds the members.
+func (s *Service) Lists(proxy int) (addrs []string) {
+	for _, m := range s.members {
+		addrs = append(addrs, s.cfg.List(proxy, m.n))
+	}
+	return addrs
+}
+
+func (s *Service) start(m *Member) error {
+	p, err := s.cfg.Starter.Start(process.Spec{Name: m.Name, Command: append(slices.Clone(s.cfg.Command), "serve", "--config", m.file),
+		Env: os.Environ(), Log: filepath.Join(s.cfg.Logs, m.Name+".log")}, s.log)
+	if err != nil {
+		return err
+	}
+	m.proc = p
+	return nil
+}
+
+func (s *Service) status(m *Member) (st member.Status, err error) {
+	resp, err := s.http.Get("http://" + s.cfg.Own(m.n, listPort) + "/v1/member")
+	if err != nil {
+		return st, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return st, err
+	}
+	return st, json.Unmarshal(text, &st)
+}
+
+// Targets are the members that a fault names: "leader" is the one that leads now, a follower another; no name is all.
+func (s *Service) Targets(names []string) (out []*Member) {
+	for _, m := range s.members {
+		if len(names) == 0 || slices.Contains(names, m.Name) {
+			out = append(out, m)
+			continue
+		}
+		leads := func() bool {
+			st, err := s.status(m)
+			return err == nil && st.Role == "leader"
+		}
+		if slices.Contains(names, "leader") && leads() || slices.Contains(names, "follower") && len(out) == 0 && !leads() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Kill kills members in one instant, and starts each again after a time, unless another fault keeps it down.
+func (s *Service) Kill(ms []*Member, back func() bool) error {
+	for _, m := range ms {
+		m.mu.Lock()
+		m.dead++
+		err := m.proc.Signal(syscall.SIGKILL)
+		m.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	for _, m := range ms {
+		m.mu.Lock()
+		proc := m.proc
+		m.mu.Unlock()
+		<-proc.Ended()
+	}
+	if !back() {
+		return nil
+	}
+	for _, m := range ms {
+		if err := s.again(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Service) again(m *Member) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dead--; m.dead > 0 {
+		return nil
+	}
+	return s.start(m)
+}
+
+// Stop has members stand still for a time.
+func (s *Service) Stop(ms []*Member, hold func()) error {
+	for _, m := range ms {
+		m.mu.Lock()
+		m.stops++
+		err := m.proc.Signal(syscall.SIGSTOP)
+		m.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	hold()
+	for _, m := range ms {
+		m.mu.Lock()
+		m.stops--
+		var err error
+		if m.stops == 0 {
+			err = m.proc.Signal(syscall.SIGCONT)
+		}
+		m.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Damage kills members, cuts one file of each directory off at a random byte, and starts them again after a time. One
+// that refuses its directory is started with an empty one, as its word says.
+func (s *Service) Damage(ms []*Member, back func() bool) error {
+	return s.Kill(ms, func() bool {
+		for _, m := range ms {
+			path, at, err := s.cut(m)
+			s.log.Info("a file was cut off", "file", path, "at", at, "error", err)
+		}
+		if !back() {
+			return false
+		}
+		for _, m := range ms {
+			go s.mend(m)
+		}
+		return true
+	})
+}
+
+func (s *Service) cut(m *Member) (path string, at int64, err error) {
+	var files []string
+	err = filepath.WalkDir(m.dir, func(path string, d os.DirEntry, err error) error {
+		if err == nil && d.Type().IsRegular() {
+			files = append(files, path)
+		}
+		return err
+	})
+	if err != nil || len(files) == 0 {
+		return "", 0, err
+	}
+	s.mu.Lock()
+	path = files[s.rng.IntN(len(files))]
+	x := s.rng.Float64()
+	s.mu.Unlock()
+	info, err := os.Stat(path)
+	if err != nil {
+		return path, 0, err
+	}
+	at = int64(x * float64(info.Size()))
+	return path, at, os.Truncate(path, at)
+}
+
+// mend waits for a member's word on its damaged directory.
+func (s *Service) mend(m *Member) {
+	for end := time.Now().Add(refuseWait); time.Now().Before(end); time.Sleep(readyPoll) {
+		m.mu.Lock()
+		proc, dead := m.proc, m.dead
+		m.mu.Unlock()
+		if dead > 0 || !proc.Crashed() {
+			continue
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		s.mu.Lock()
+		s.refused++
+		s.mu.Unlock()
+		if err := os.Rename(m.dir, fmt.Sprintf("%s.damaged-%d", m.dir, time.Now().UnixNano())); err != nil {
+			s.log.Error("a damaged directory stays", "member", m.Name, "error", err)
+			return
+		}
+		if err := s.start(m); err != nil {
+			s.log.Error("a member does not start again", "member", m.Name, "error", err)
+		}
+		return
+	}
+}
+
+// Names are members' names.
+func Names(ms []*Member) (names []string) {
+	for _, m := range ms {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// Report is what a play leaves of the service.
+type Report struct {
+	History linear.Verdict
+	Delays  []time.Duration // from a change's being confirmed to its being told, for each proxy that was told
+	Refused int             // starts that a member refused for its directory
+	Ended   []string        // members that had ended by themselves at the end
+}
+
+// End kills all members and tells what came of them.
+func (s *Service) End() (Report, error) {
+	var r Report
+	var procs []*process.Process
+	for _, m := range s.members {
+		m.mu.Lock()
+		if m.proc != nil {
+			if m.proc.Crashed() {
+				r.Ended = append(r.Ended, m.Name)
+			}
+			procs = append(procs, m.proc)
+		}
+		m.mu.Unlock()
+	}
+	err := process.KillAll(procs)
+	for _, c := range s.near {
+		c.Close()
+	}
+	s.mu.Lock()
+	r.Refused = s.refused
+	s.mu.Unlock()
+	r.History = s.history.Check(checkWait)
+	r.Delays = s.delays.sum()
+	return r, err
+}
+
+// Wrong words what is wrong with a report.
+func (r Report) Wrong() string {
+	var out []string
+	if len(r.History.Wrong) > 0 {
+		out = append(out, "no order of the calls explains what was read of "+strings.Join(r.History.Wrong, ", "))
+	}
+	if len(r.History.Open) > 0 {
+		out = append(out, "the search for an order took too long for "+strings.Join(r.History.Open, ", "))
+	}
+	if len(r.Ended) > 0 {
+		out = append(out, "members ended by themselves: "+strings.Join(r.Ended, ", "))
+	}
+	return strings.Join(out, "; ")
+}
--- a/internal/roster/api/api.go
+++ b/internal/roster/api/api.go
@@ -158,6 +158,10 @@
 		if s.toLeader(w, r, m, nil) {
 			return
 		}
+		if err := m.AwaitFresh(r.Context()); err != nil {
+			s.turn(w, err)
+			return
+		}
 		answer(w, http.StatusOK, m.Nodos())
 	}))
 	mux.HandleFunc("GET /v1/snapshot", with(s.snapshot))
