--- a/cmd/roster/bench_test.go
+++ b/cmd/roster/bench_test.go
@@ -97,7 +97,9 @@
 		}
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
-	for name, call := range map[string]func(w int, i int64) error{
+	var since atomic.Int64 // over all runs: an earlier start would be refused
+	since.Store(1)
+	for name, call := range map[string]func(w int, i int64) error {
 		"whole": func(int, int64) error {
 			resp, err := client.Get("http://" + s.addrs[0] + "/catalog/members")
 			if err != nil {
@@ -111,8 +113,8 @@
 			_, err := c.Renew(context.Background(), state.Ref{Name: fmt.Sprint("n", i%100), Instance: "i1"})
 			return err
 		},
-		"register": func(w int, i int64) error {
-			_, err := c.Register(context.Background(), record(fmt.Sprint("w", w), i+2))
+		"register": func(w int, _ int64) error {
+			_, err := c.Register(context.Background(), record(fmt.Sprint("w", w), since.Add(1)))
 			return err
 		},
 	} {
