--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -48,6 +48,8 @@
 	for _, c := range []struct{ old, new, want string }{
 		{good, ``, "unexpected end"},
 		{`"listen":"127.0.0.1:0",`, ``, "listen or discovery"},
+		{`"seed"`, `"discovery_members":["127.0.0.1:1","here"],"seed"`, "discovery_members[1]"},
+		{`"seed"`, `"discovery_state":"/tmp/x","seed"`, "discovery_state: needs discovery_members"},
 		{`8c1f30d27a5be964`, `sesame`, "seed"},
 		{`"sockets":512`, `"sockets":-1`, "limits"},
 		{`"endpoints":[]`, `"endpoints":[{}]`, "known"},
--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -39,11 +39,11 @@
 	return cmd.ProcessState.ExitCode()
 }
 
-// proxy builds the program under test.
-func proxy(t *testing.T) string {
+// build builds a program under test.
+func build(t *testing.T, name string) string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "fernlanding")
-	if out, err := exec.Command("go", "build", "-o", path, "fernlanding/cmd/fernlanding").CombinedOutput(); err != nil {
+	path := filepath.Join(t.TempDir(), name)
+	if out, err := exec.Command("go", "build", "-o", path, "fernlanding/cmd/"+name).CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	return path
@@ -51,13 +51,14 @@
 
 // The present program, small: it keeps the rules, and a run leaves its files.
 func TestSmallRuns(t *testing.T) {
-	program := proxy(t)
+	program, roster := build(t, "fernlanding"), build(t, "roster")
 	t.Run("side by side", func(t *testing.T) {
-		for _, name := range []string{"calm", "kill-wave"} {
+		for _, name := range []string{"calm", "kill-wave", "roster"} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
 				dir := t.TempDir()
-				cmd, out := fleetlab("run", "testdata/"+name+".toml", "--proxy", program, "--out", dir, "--tries", "3")
+				cmd, out := fleetlab("run", "testdata/"+name+".toml", "--proxy", program, "--roster", roster, "--out", dir,
+					"--tries", "3")
 				err := cmd.Run()
 				if code := exit(t, cmd, err); code == exitUnable && strings.Contains(out.String(), "\nvoid: ") {
 					t.Skip("the machine was too busy to judge, four times:\n", out)
--- a/cmd/roster/bench_test.go
+++ b/cmd/roster/bench_test.go
@@ -99,7 +99,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	var since atomic.Int64 // over all runs: an earlier start would be refused
 	since.Store(1)
-	for name, call := range map[string]func(w int, i int64) error {
+	for name, call := range map[string]func(w int, i int64) error{
 		"whole": func(int, int64) error {
 			resp, err := client.Get("http://" + s.addrs[0] + "/catalog/members")
 			if err != nil {
--- /dev/null
+++ b/internal/roster/api/api_test.go
@@ -0,0 +1,211 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/roster/lease"
+	"fernlanding/internal/roster/member"
+	"fernlanding/internal/roster/state"
+)
+
+// open is an only member behind its address.
+func open(b testing.TB, watchers int) (*member.Member, *Server) {
+	b.Helper()
+	log := slog.New(slog.DiscardHandler)
+	s, err := Listen(Config{Listen: "127.0.0.1:0", Name: "r1", Watchers: watchers, Log: log})
+	if err != nil {
+		b.Fatal(err)
+	}
+	m, err := member.Open(b.Context(), member.Config{Name: "r1", Dir: b.TempDir(), Election: 100 * time.Millisecond,
+		Stale: time.Minute, Lease: lease.Defaults(), Log: log})
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.Open(m)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	b.Cleanup(func() {
+		s.End(time.Second)
+		if err := <-served; err != nil {
+			b.Error(err)
+		}
+		if err := m.Close(); err != nil {
+			b.Error(err)
+		}
+	})
+	for !m.Serving() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return m, s
+}
+
+// call makes a call and gives its answer.
+func call(t testing.TB, s *Server, method, path, body string) (status int, after, text string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get("Retry-After"), string(answer)
+}
+
+const body = `{"address":"127.0.0.1:1","zone":"a","instance":"i","lease_ms":60000}`
+
+// What is wrong is said, and changes nothing.
+func TestBadCalls(t *testing.T) {
+	m, s := open(t, 10)
+	_, before := m.Version()
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+		says               string
+	}{
+		{"PUT", "/catalog/members/n", "", 400, "body"},
+		{"PUT", "/catalog/members/n", `{"adress":"x"}`, 400, "adress"},
+		{"PUT", "/catalog/members/n", body + body, 400, "more than one"},
+		{"PUT", "/catalog/members/n", strings.Replace(body, "127.0.0.1:1", "here", 1), 400, "address"},
+		{"PUT", "/catalog/members/n", strings.Replace(body, "60000", "5", 1), 400, "lease_ms"},
+		{"PUT", "/catalog/members/n", strings.Replace(body, "60000", "9223372036854775807", 1), 400, "lease_ms"},
+		{"PUT", "/catalog/members/n", strings.Replace(body, "{", `{"name":"m",`, 1), 400, "name"},
+		{"PUT", "/catalog/members/a%20b", body, 400, "name"},
+		{"PUT", "/catalog/members/n", strings.Replace(body, `"i"`, `"`+strings.Repeat("i", bodyMost)+`"`, 1), 400, "too large"},
+		{"POST", "/catalog/members/n/renew", `{"instance":"i"}`, 404, "register it"},
+		{"POST", "/catalog/members/n/drain", `{}`, 400, "instance is missing"},
+		{"DELETE", "/catalog/members/n", "", 400, "instance is missing"},
+		{"GET", "/catalog/members?from=x", "", 400, "from"},
+		{"GET", "/catalog/members?from=-1", "", 400, "from"},
+		{"GET", "/catalog/members?from=1&hold_ms=soon", "", 400, "hold_ms"},
+		{"POST", "/v1/restore", "roster-snapshot 1 2 00000000\n{}", 400, "damaged"},
+		{"POST", "/v1/restore", "", 400, "damaged"},
+	} {
+		if status, _, text := call(t, s, c.method, c.path, c.body); status != c.want || !strings.Contains(text, c.says) {
+			t.Errorf("%s %s %.80s: %d %s, wanted %d and %q", c.method, c.path, c.body, status, text, c.want, c.says)
+		}
+	}
+	if _, after := m.Version(); after != before {
+		t.Errorf("version %d became %d", before, after)
+	}
+}
+
+// By from and line a caller gets changes, the whole list, or waits, and the published form is kept.
+func TestWatchAnswers(t *testing.T) {
+	m, s := open(t, 2)
+	line, base := m.Version()
+	register(t, m, "a", 1)
+	index := register(t, m, "b", 1)
+	for _, c := range []struct {
+		query        string
+		whole        bool
+		nodos, taken int
+	}{
+		{"", true, 2, 200},
+		{"?consistent=1", true, 2, 200},
+		{fmt.Sprint("?from=", index-1, "&hold_ms=1000"), false, 1, 200},
+		{fmt.Sprint("?from=", index, "&hold_ms=1"), false, 0, 200},
+		{fmt.Sprint("?from=", base, "&line=", line), false, 2, 200},
+		{"?from=5", true, 2, 200},                                                // before all that is kept
+		{fmt.Sprint("?from=", index+9, "&hold_ms=60000"), true, 2, 200},          // rolled back, as far as a caller without a line knows
+		{fmt.Sprint("?from=", index, "&line=other&hold_ms=60000"), true, 2, 200}, // another line
+		{fmt.Sprint("?from=", index+9, "&hold_ms=1&line=", line), false, 0, 503}, // this member is behind
+	} {
+		status, after, text := call(t, s, "GET", "/catalog/members"+c.query, "")
+		var l struct {
+			Index     *int64
+			Snapshot  *bool
+			Endpoints []state.Entry
+		}
+		if status != c.taken {
+			t.Errorf("%s: %d %s", c.query, status, text)
+			continue
+		}
+		if status != 200 {
+			if after == "" {
+				t.Errorf("%s: no Retry-After", c.query)
+			}
+			continue
+		}
+		if err := json.Unmarshal([]byte(text), &l); err != nil || l.Index == nil || *l.Index != index || *l.Snapshot != c.whole ||
+			len(l.Endpoints) != c.nodos {
+			t.Errorf("%s: %s (%v)", c.query, text, err)
+		}
+	}
+	// Two watches are held; a third is turned away at once, and the two are told.
+	held := []*caller{dial(t, s.Addr()), dial(t, s.Addr())}
+	for _, c := range held {
+		c.ask(index)
+	}
+	for s.Figures().Watching < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if status, after, _ := call(t, s, "GET", fmt.Sprint("/catalog/members?hold_ms=60000&from=", index), ""); status != 503 || after == "" {
+		t.Errorf("a third watch: %d, Retry-After %q", status, after)
+	}
+	register(t, m, "c", 1)
+	for _, c := range held {
+		if err := c.take(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A caller that does not read what it asked for delays nobody.
+func TestASlowReader(t *testing.T) {
+	m, s := open(t, 10)
+	i := m.Image()
+	for k := range 5000 {
+		i.Records = append(i.Records, state.Record{Entry: state.Entry{Name: fmt.Sprintf("s-%08x", k), Address: "10.1.0.18:8443", Zone: "a",
+			Status: state.Serving, Weight: 1}, Instance: "1", LeaseMs: 60_000})
+	}
+	if _, _, err := m.Restore(i); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		slow := dial(t, s.Addr())
+		for range 10 {
+			slow.ask(0)
+		}
+	}
+	_, index := m.Version()
+	quick := dial(t, s.Addr())
+	quick.ask(index)
+	register(t, m, "n", 1)
+	if err := quick.take(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Whatever comes as a registration, the list stays one that makes sense.
+func FuzzRegister(f *testing.F) {
+	m, s := open(f, 10)
+	f.Add([]byte(body))
+	f.Add([]byte(`{"address":":","instance":"\u0000","weight":1e300,"lease_ms":1000,"status":"DELETED"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w := httptest.NewRecorder()
+		s.http.Handler.ServeHTTP(w, httptest.NewRequest("PUT", "/catalog/members/n", bytes.NewReader(data)))
+		if w.Code != 200 && w.Code != 400 && w.Code != 409 {
+			t.Errorf("%q: %d %s", data, w.Code, w.Body)
+		}
+		i := m.Image()
+		if err := i.Check(); err != nil {
+			t.Errorf("%q left %v", data, err)
+		}
+	})
+}
--- a/internal/roster/api/bench_test.go
+++ b/internal/roster/api/bench_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -15,43 +14,11 @@
 	"time"
 
 	"fernlanding/internal/roster/fanout"
-	"fernlanding/internal/roster/lease"
 	"fernlanding/internal/roster/member"
 	"fernlanding/internal/roster/state"
 )
 
-// open is an only member behind its address.
-func open(b *testing.B) (*member.Member, *Server) {
-	b.Helper()
-	log := slog.New(slog.DiscardHandler)
-	s, err := Listen(Config{Listen: "127.0.0.1:0", Name: "r1", Watchers: 10_000, Log: log})
-	if err != nil {
-		b.Fatal(err)
-	}
-	m, err := member.Open(b.Context(), member.Config{Name: "r1", Dir: b.TempDir(), Election: 100 * time.Millisecond,
-		Stale: time.Minute, Lease: lease.Defaults(), Log: log})
-	if err != nil {
-		b.Fatal(err)
-	}
-	s.Open(m)
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
-	b.Cleanup(func() {
-		s.End(time.Second)
-		if err := <-served; err != nil {
-			b.Error(err)
-		}
-		if err := m.Close(); err != nil {
-			b.Error(err)
-		}
-	})
-	for !m.Serving() {
-		time.Sleep(10 * time.Millisecond)
-	}
-	return m, s
-}
-
-func register(b *testing.B, m *member.Member, name string, since int64) int64 {
+func register(b testing.TB, m *member.Member, name string, since int64) int64 {
 	b.Helper()
 	r, err := m.Do(state.Command{Kind: state.Register, Record: &state.Record{Entry: state.Entry{Name: name, Address: "127.0.0.1:1",
 		Zone: "a", Type: "t", Status: state.Serving, Weight: 1, Since: since}, Instance: fmt.Sprint(since),
@@ -101,7 +68,7 @@
 	r *bufio.Reader
 }
 
-func dial(b *testing.B, addr string) *caller {
+func dial(b testing.TB, addr string) *caller {
 	b.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -139,7 +106,7 @@
 	for _, n := range []int{300, 1000, 5000} {
 		for _, form := range []string{"shared", "naive"} {
 			b.Run(fmt.Sprintf("%s/%d", form, n), func(b *testing.B) {
-				m, s := open(b)
+				m, s := open(b, 10_000)
 				addr := s.Addr()
 				if form == "naive" {
 					addr = naive(b, m)
@@ -189,7 +156,7 @@
 	for _, n := range []int{300, 1000} {
 		for _, form := range []string{"shared", "naive"} {
 			b.Run(fmt.Sprintf("%s/%d", form, n), func(b *testing.B) {
-				m, s := open(b)
+				m, s := open(b, 10_000)
 				addr := s.Addr()
 				if form == "naive" {
 					addr = naive(b, m)
