Begin to lead again when the first attempt was not confirmed, and time news by who was there

Cause: begin() gave up for good if the barrier or the first line was not confirmed within its time; the member then led the consensus and answered 503 to all writes until an election came (lead.go, begin). It is tried again at each look now. Changes count for the proxies that were there.

--- a/internal/lab/service/relay.go
+++ b/internal/lab/service/relay.go
@@ -14,6 +14,7 @@
 
 	"fernlanding/internal/lab/link"
 	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/roster/state"
 )
 
 const (
@@ -120,21 +121,10 @@
 
 // list is an answer.
 type list struct {
-	Index     int64      `json:"index"`
-	Snapshot  bool       `json:"snapshot"`
-	Line      string     `json:"line"`
-	Endpoints []endpoint `json:"endpoints"`
-}
-
-type endpoint struct {
-	Name    string  `json:"name"`
-	Address string  `json:"address"`
-	Zone    string  `json:"zone"`
-	Type    string  `json:"type"`
-	Group   int     `json:"group"`
-	Status  string  `json:"status"`
-	Weight  float64 `json:"weight"`
-	Since   int64   `json:"since_ms"`
+	Index     int64         `json:"index"`
+	Snapshot  bool          `json:"snapshot"`
+	Line      string        `json:"line"`
+	Endpoints []state.Entry `json:"endpoints"`
 }
 
 func (l *list) entries() (out []referee.Entry) {
@@ -153,7 +143,7 @@
 
 func (l *list) encode() []byte {
 	if l.Endpoints == nil {
-		l.Endpoints = []endpoint{}
+		l.Endpoints = []state.Entry{}
 	}
 	text, err := json.Marshal(l)
 	if err != nil {
@@ -175,7 +165,7 @@
 		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(body, &l) != nil {
 			continue
 		}
-		l.Endpoints = slices.DeleteFunc(l.Endpoints, func(endpoint) bool { return !keep() })
+		l.Endpoints = slices.DeleteFunc(l.Endpoints, func(state.Entry) bool { return !keep() })
 		s.readdress(proxy, &l)
 		return l.encode(), l.entries()
 	}
@@ -187,10 +177,12 @@
 	mu        sync.Mutex
 	confirmed map[string]time.Time            // by change
 	heard     map[string]map[string]time.Time // by proxy and change
+	since     map[string]time.Time            // that each proxy hears anything
 }
 
 func newDelays() *delays {
-	return &delays{confirmed: map[string]time.Time{}, heard: map[string]map[string]time.Time{}}
+	return &delays{confirmed: map[string]time.Time{}, heard: map[string]map[string]time.Time{},
+		since: map[string]time.Time{}}
 }
 
 func change(name, status string, since int64) string {
@@ -211,7 +203,7 @@
 	of := d.heard[proxy]
 	if of == nil {
 		of = map[string]time.Time{}
-		d.heard[proxy] = of
+		d.heard[proxy], d.since[proxy] = of, at
 	}
 	for _, e := range l.Endpoints {
 		if key := change(e.Name, e.Status, e.Since); of[key].IsZero() {
@@ -220,13 +212,14 @@
 	}
 }
 
-// sum tells the delays of all changes to all proxies. A change that another overtook need not be told.
+// sum tells the delays of all changes to all proxies that were there when they were confirmed. A change that another
+// overtook need not be told.
 func (d *delays) sum() (out []time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, of := range d.heard {
+	for proxy, of := range d.heard {
 		for key, at := range d.confirmed {
-			if t, ok := of[key]; ok {
+			if t, ok := of[key]; ok && at.After(d.since[proxy]) {
 				out = append(out, max(0, t.Sub(at)))
 			}
 		}
--- a/internal/roster/member/lead.go
+++ b/internal/roster/member/lead.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"fernlanding/internal/roster/state"
 )
 
@@ -21,8 +23,11 @@
 			}
 			m.begin()
 		case <-looks.C:
-			if m.isLeading() {
+			switch {
+			case m.isLeading():
 				m.lookOver()
+			case m.raft.State() == raft.Leader: // what had to be confirmed first was not, in its time
+				m.begin()
 			}
 		case <-m.ctx.Done():
 			m.cease()
