Let a held zone of any size go at its pace, and count living nodos that the list lacks

Ruled out: the share that may go at once (one did), the stall rule (no gap in the log). Cause: lease.go, Look: the pause between two of a held zone had a floor of one nodo a lease time, a third of a zone of three. The pause now follows from the pace alone: a zone that is gone for good is gone after 1/pace lease times, whatever its size.

--- a/cmd/roster/main_test.go
+++ b/cmd/roster/main_test.go
@@ -86,7 +86,7 @@
 	}
 	for i := range members {
 		f := config.Default()
-		f.Name, f.Dir, f.Listen, f.Figures = fmt.Sprintf("r%d", i+1), s.path(i, ""), s.addrs[i], ""
+		f.Name, f.Dir, f.Listen, f.Figures = fmt.Sprintf("r%d", i+1), s.path(i, ""), s.addrs[i], at(i, 9500)
 		for j := range members {
 			if members > 1 {
 				f.Members = append(f.Members, config.Member{Name: fmt.Sprintf("r%d", j+1), Raft: at(j, 8600), List: s.addrs[j]})
@@ -418,6 +418,16 @@
 	call(0, "nodos", "register", at, "n1", "127.0.0.1:1", "--lease=10m")
 	call(1, "nodos", "register", at, "n 2", "127.0.0.1:1")
 	call(0, "members", at)
+	host, _, _ := net.SplitHostPort(s.addrs[0])
+	if text, err := get(t.Context(), time.Second, "http://"+host+":9500/readyz"); err != nil || string(text) != "yes\n" {
+		t.Errorf("readyz: %s, %v", text, err)
+	}
+	text, err := get(t.Context(), time.Second, "http://"+host+":9500/metrics")
+	for _, figure := range []string{"roster_serving 1\n", "roster_leads 1\n", "roster_nodos 1\n", "roster_leases_overdue 0\n"} {
+		if err != nil || !strings.Contains(string(text), figure) {
+			t.Errorf("figures lack %q: %v", figure, err)
+		}
+	}
 	line, before, _, err := s.list(t.Context(), 0)
 	if err != nil {
 		t.Fatal(err)
@@ -445,8 +455,7 @@
 	if err != nil || l == line || index <= before+3 || values["n1"] == "" || values["n2"] != "" {
 		t.Errorf("restored: line %q after %q, version %d after %d, %v, %v", l, line, index, before, values, err)
 	}
-	text, err := os.ReadFile(file)
-	if err != nil {
+	if text, err = os.ReadFile(file); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.WriteFile(file, slices.Concat(text[:len(text)-1], []byte("]")), 0o600); err != nil {
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -29,7 +29,7 @@
 	"handshakes", "handshakes_per_request", "list_calls", "watch_breaks", "late_answers", "turned_back", "resent",
 	"tipped", "crashed", "waste_ms", "p50_ms", "p90_ms", "p99_ms", "max_ms", "recovery_s", "overhead_p50_ms",
 	"proxy_memory_mb", "proxy_cpu_s", "broken", "list_checked", "list_told_p50_ms", "list_told_p99_ms", "list_told_max_ms",
-	"list_refused"}
+	"list_refused", "list_lacks"}
 
 // SpanFigure tells whether a figure can be asked of a span.
 func SpanFigure(name string) bool {
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -41,6 +41,7 @@
 type List struct {
 	Checked int             // calls in its history
 	Told    []time.Duration // from a change's being confirmed to its being told, sorted
+	Lacks   int             // living nodos that the list lacked, at most
 	Refused int             // starts refused for a damaged directory
 }
 
@@ -158,7 +159,7 @@
 		f[name] = float64(n)
 	}
 	if l := in.List; l != nil {
-		f["list_checked"], f["list_refused"] = float64(l.Checked), float64(l.Refused)
+		f["list_checked"], f["list_refused"], f["list_lacks"] = float64(l.Checked), float64(l.Refused), float64(l.Lacks)
 		f["list_told_p50_ms"], f["list_told_p99_ms"] = quantile(l.Told, 0.5), quantile(l.Told, 0.99)
 		f["list_told_max_ms"] = quantile(l.Told, 1)
 	}
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -260,7 +260,7 @@
 		rec.Broken["list"]++
 		rec.Violations = append(rec.Violations, referee.Violation{Rule: "list", At: time.Now(), Text: wrong})
 	}
-	return &result.List{Checked: r.History.Calls, Told: r.Delays, Refused: r.Refused}, err
+	return &result.List{Checked: r.History.Calls, Told: r.Delays, Lacks: r.Lacks, Refused: r.Refused}, err
 }
 
 func terms(e *experiment.Experiment) referee.Terms {
--- a/internal/lab/service/nodos.go
+++ b/internal/lab/service/nodos.go
@@ -36,6 +36,7 @@
 	alive map[string]*life
 	names map[string]bool // all that there ever were, for the reader
 	next  int
+	lacks int // of living nodos, the most that a read has lacked
 }
 
 // life is one process of a nodo.
@@ -44,6 +45,7 @@
 	rec   state.Record
 	n     int
 	words chan string // what it has to say: Draining, Deleted
+	known bool        // it is in the list, and has said nothing since that takes it out
 	die   context.CancelFunc
 }
 
@@ -104,10 +106,37 @@
 		if word == state.Deleted {
 			delete(n.alive, name)
 		}
+		l.known = false
 		l.words <- word
 	}
 }
 
+// living are the nodos that have to be in the list.
+func (n *nodos) living() map[string]*life {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[string]*life{}
+	for name, l := range n.alive {
+		if l.known {
+			out[name] = l
+		}
+	}
+	return out
+}
+
+// lack notes how many nodos a read lacked that lived before and after it.
+func (n *nodos) lack(before map[string]*life, values map[string]string) {
+	after, lacks := n.living(), 0
+	for name, l := range before {
+		if after[name] == l && values[name] == linear.Absent {
+			lacks++
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lacks = max(n.lacks, lacks)
+}
+
 // live is the life of one process of a nodo.
 func (s *Service) live(ctx context.Context, l *life, registered func()) {
 	defer l.die()
@@ -115,6 +144,9 @@
 	if !s.register(ctx, client, l) {
 		return
 	}
+	s.nodos.mu.Lock()
+	l.known = len(l.words) == 0
+	s.nodos.mu.Unlock()
 	registered()
 	drains := false
 	// Its lease may end at any moment after the last renewal that is known to have been taken.
@@ -189,6 +221,7 @@
 			values[name] = linear.Absent
 		}
 		s.nodos.mu.Unlock()
+		living := s.nodos.living()
 		begun := time.Now()
 		resp, err := client.Get("http://" + s.cfg.Own(m.n, listPort) + "/catalog/members?consistent=1")
 		if err != nil {
@@ -203,6 +236,7 @@
 		for _, e := range l.Endpoints {
 			values[e.Name] = linear.Value(e.Status, fmt.Sprint(e.Since))
 		}
+		s.nodos.lack(living, values)
 		s.history.Seen(reader, begun, values)
 	}
 }
--- a/internal/lab/service/service.go
+++ b/internal/lab/service/service.go
@@ -411,6 +411,7 @@
 type Report struct {
 	History linear.Verdict
 	Delays  []time.Duration // from a change's being confirmed to its being told, for each proxy that was told
+	Lacks   int             // living nodos that a read lacked, at most
 	Refused int             // starts that a member refused for its directory
 	Ended   []string        // members that had ended by themselves at the end
 }
@@ -438,6 +439,9 @@
 	s.mu.Unlock()
 	r.History = s.history.Check(checkWait)
 	r.Delays = s.delays.sum()
+	s.nodos.mu.Lock()
+	r.Lacks = s.nodos.lacks
+	s.nodos.mu.Unlock()
 	return r, err
 }
 
--- a/internal/roster/lease/lease.go
+++ b/internal/roster/lease/lease.go
@@ -8,7 +8,8 @@
 // Loss of contact is not loss of nodos. A few leases that end are nodos that died; many of one zone that end together
 // are a network, or this service. Where more than Part of a zone's leases end within the zone's longest lease, the
 // zone is held: its entries stay, and are let go one at a time, Pace of the zone in a lease's time, the longest silent
-// first. A renewal takes its entry out of the line. The hold ends when no lease of the zone is over.
+// first: a zone of any size that is gone for good is gone after 1/Pace lease times. A renewal takes its entry out of the
+// line. The hold ends when no lease of the zone is over.
 //
 // Rejected: to hold the whole list rather than a zone (a real loss of one zone's nodos would be hidden by the others'
 // size); to never let go (a zone that is gone for good would stay for ever).
@@ -42,6 +43,7 @@
 type zone struct {
 	let  []time.Time // when leases ended, of the last lease time
 	held bool
+	size int       // when the hold began
 	next time.Time // when a held one is let go
 }
 
@@ -171,7 +173,10 @@
 			t.let(&out, z, now, in.over)
 			continue
 		}
-		pause := time.Duration(float64(in.longest) / max(1, t.cfg.Pace*float64(in.size)))
+		if !z.held {
+			z.size = in.size
+		}
+		pause := time.Duration(float64(in.longest) / (t.cfg.Pace * float64(z.size)))
 		if !z.held {
 			z.held, z.next = true, now.Add(pause)
 			out.Begun = append(out.Begun, name)
--- a/internal/roster/lease/lease_test.go
+++ b/internal/roster/lease/lease_test.go
@@ -77,6 +77,15 @@
 			t.Errorf("%d of 20 went in 30 s", r.count["a"])
 		}
 	})
+	t.Run("a small zone is not let go faster", func(t *testing.T) {
+		for lasts, gone := range map[time.Duration]int{40 * second: 0, 50 * second: 1, 109 * second: 2, 111 * second: 3} {
+			table := New(Defaults())
+			fleet(table, begin, "a", 3)
+			if r := play(table, begin, lasts, never); r.count["a"] != gone || !r.held["a"] {
+				t.Errorf("after %v: %+v, wanted %d gone", lasts, r, gone)
+			}
+		}
+	})
 	t.Run("contact that comes back ends the hold", func(t *testing.T) {
 		table := New(Defaults())
 		fleet(table, begin, "a", 20)
