--- a/internal/discovery/members_test.go
+++ b/internal/discovery/members_test.go
@@ -29,6 +29,7 @@
 	changed chan struct{}
 	calls   []time.Duration // since the start
 	start   time.Time
+	watched string // the member that the only client watches, as set begins: the last one that answered
 }
 
 type fake struct {
@@ -52,6 +53,13 @@
 func (s *service) set(do func(name string, m *fake)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	last := -1
+	s.watched = ""
+	for name, m := range s.members {
+		if m.state == "" && m.last > last {
+			s.watched, last = name, m.last
+		}
+	}
 	for name, m := range s.members {
 		do(name, m)
 	}
@@ -196,7 +204,7 @@
 		sleep(time.Second)
 		for i, state := range []string{"dead", "lost", "garbled", "silent"} {
 			s.set(func(name string, m *fake) {
-				if name == watched(s) {
+				if name == s.watched {
 					m.state = state
 				} else {
 					m.state = ""
@@ -217,7 +225,7 @@
 		_, d := s.client(t, 1, nil)
 		sleep(time.Second)
 		s.set(func(name string, m *fake) {
-			if name == watched(s) {
+			if name == s.watched {
 				m.state = "dead"
 			} else { // both others are behind, and do not know it
 				m.index, m.kept, m.names = 9, 0, []string{"a"}
@@ -297,17 +305,6 @@
 	})
 }
 
-// watched is the member that the only client watches: the last one that answered.
-func watched(s *service) (name string) {
-	last := -1
-	for n, m := range s.members {
-		if m.state == "" && m.last > last {
-			name, last = n, m.last
-		}
-	}
-	return name
-}
-
 // The callers of a member that dies come to the others over Spread, not together.
 func TestNoHerd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
