Write the list's answer, its fetch and its no once each, and take out what nothing uses

Seen on a reading of the whole change: the published form was encoded in fanout and again in the lab's relay, and decoded into two structs more; lab/service fetched from a member in three places; the registrar and the roster command read a no's body alike; the stand-in list and the relay wrote the same head. Now fanout.Answer, service.get, api.FaultOf, wire.JSON.

Taken out: a counter, a method, two fields and a wrapper type that nothing read, a count that followed from the map beside it, an assignment that repeated begin's. Two comments said what the code does not (twenty wake-ups a second, not ten; Age, not Fresh).

--- a/cmd/roster/calls.go
+++ b/cmd/roster/calls.go
@@ -17,6 +17,7 @@
 
 	"fernlanding/internal/durable"
 	"fernlanding/internal/roster/api"
+	"fernlanding/internal/roster/fanout"
 	"fernlanding/internal/roster/member"
 	"fernlanding/internal/roster/registrar"
 	"fernlanding/internal/roster/state"
@@ -52,11 +53,7 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		var f api.Fault
-		if json.Unmarshal(text, &f) != nil || f.Error == "" {
-			f.Error = resp.Status
-		}
-		return nil, fmt.Errorf("%s: %w: %s", req.URL.Host, errNo, f.Error)
+		return nil, fmt.Errorf("%s: %w: %s", req.URL.Host, errNo, api.FaultOf(resp, text).Error)
 	}
 	return text, nil
 }
@@ -273,12 +270,7 @@
 	for ctx.Err() == nil && (c.Count == 0 || seen < c.Count) {
 		addrs := c.addrs()
 		text, err := get(ctx, watchHold+callWait, "http://"+addrs[at%len(addrs)]+"/catalog/members"+query)
-		var head struct {
-			Index     int64             `json:"index"`
-			Line      string            `json:"line"`
-			Snapshot  bool              `json:"snapshot"`
-			Endpoints []json.RawMessage `json:"endpoints"`
-		}
+		var head fanout.Answer
 		if err == nil {
 			err = json.Unmarshal(text, &head)
 		}
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -166,7 +166,6 @@
 	told.Endpoints = c.withMissing(l, now, !first && (l.Line != c.line || c.elsewhere))
 	c.elsewhere = false
 	c.begin(&told)
-	c.line, c.index = l.Line, l.Index
 	c.kept.Store(int64(len(c.missing)))
 	c.save()
 	c.tell(ctx, News{&told})
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -47,10 +47,7 @@
 				c.tell(ctx, News{}) // the module says when to ask again
 				continue
 			}
-			select {
-			case <-time.After(pause):
-			case <-ctx.Done():
-			}
+			c.wait(ctx, pause)
 			pause = min(2*pause, retryMost)
 			continue
 		}
--- a/internal/lab/catalog/catalog.go
+++ b/internal/lab/catalog/catalog.go
@@ -22,6 +22,7 @@
 	"fernlanding/internal/lab/disk"
 	"fernlanding/internal/lab/link"
 	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/wire"
 )
 
 // Entry is a nodo as the list has it; its address is each proxy's own.
@@ -417,8 +418,6 @@
 		}
 		c.ref.Asks(proxy)
 		status, body, q := c.handle(proxy, req, conn)
-		head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", status,
-			http.StatusText(status), len(body))
 		told := func(at time.Time) {
 			if q == nil {
 				c.ref.Told(proxy, nil, false, true, at)
@@ -426,7 +425,7 @@
 			}
 			c.ref.Told(proxy, q.lines, q.whole, false, at)
 		}
-		if err := conn.NoteThenWrite(append([]byte(head), body...), told); err != nil {
+		if err := conn.NoteThenWrite(wire.JSON(status, body), told); err != nil {
 			c.ref.Told(proxy, nil, false, true, time.Now())
 			return
 		}
--- a/internal/lab/service/nodos.go
+++ b/internal/lab/service/nodos.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
 	"fernlanding/internal/lab/linear"
 	"fernlanding/internal/lab/wait"
+	"fernlanding/internal/roster/fanout"
 	"fernlanding/internal/roster/registrar"
 	"fernlanding/internal/roster/state"
 )
@@ -211,7 +209,6 @@
 
 // read asks for the current list, of one member after another, until the context ends.
 func (s *Service) read(ctx context.Context) {
-	client := http.Client{Timeout: readWait}
 	for n := 0; wait.For(ctx, readEvery); n++ {
 		m := s.members[n%len(s.members)]
 		// Names that are not in the list count too: those that were there before the call.
@@ -223,14 +220,8 @@
 		s.nodos.mu.Unlock()
 		living := s.nodos.living()
 		begun := time.Now()
-		resp, err := client.Get("http://" + s.cfg.Own(m.n, listPort) + "/catalog/members?consistent=1")
-		if err != nil {
-			continue
-		}
-		text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-		resp.Body.Close()
-		var l list
-		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(text, &l) != nil {
+		var l fanout.Answer
+		if s.get(m, "/catalog/members?consistent=1", readWait, &l) != nil {
 			continue
 		}
 		for _, e := range l.Endpoints {
--- a/internal/lab/service/relay.go
+++ b/internal/lab/service/relay.go
@@ -14,6 +14,8 @@
 
 	"fernlanding/internal/lab/link"
 	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/wire"
+	"fernlanding/internal/roster/fanout"
 	"fernlanding/internal/roster/state"
 )
 
@@ -64,19 +66,17 @@
 			}
 			if list != nil {
 				s.readdress(proxy, list)
-				body = list.encode()
+				body = list.Encode()
 			}
-			head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", status,
-				http.StatusText(status), len(body))
 			note := func(at time.Time) {
 				if list == nil {
 					s.cfg.Ref.Told(proxy, nil, false, true, at)
 					return
 				}
-				s.cfg.Ref.Told(proxy, list.entries(), list.Snapshot, false, at)
+				s.cfg.Ref.Told(proxy, entries(list), list.Snapshot, false, at)
 				s.delays.told(proxy, list, at)
 			}
-			if err := c.NoteThenWrite(append([]byte(head), body...), note); err != nil {
+			if err := c.NoteThenWrite(wire.JSON(status, body), note); err != nil {
 				s.cfg.Ref.Told(proxy, nil, false, true, time.Now())
 				return
 			}
@@ -85,7 +85,7 @@
 }
 
 // forward makes a call of a member, until the caller has gone; status 0 is a call that failed.
-func (s *Service) forward(client *http.Client, c *link.Conn, url string) (status int, body []byte, l *list) {
+func (s *Service) forward(client *http.Client, c *link.Conn, url string) (status int, body []byte, l *fanout.Answer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	stop := make(chan struct{})
 	var watch sync.WaitGroup
@@ -112,62 +112,37 @@
 	if resp.StatusCode != http.StatusOK {
 		return resp.StatusCode, body, nil
 	}
-	l = &list{}
+	l = &fanout.Answer{}
 	if err := json.Unmarshal(body, l); err != nil {
 		return 0, nil, nil
 	}
 	return resp.StatusCode, body, l
 }
 
-// list is an answer.
-type list struct {
-	Index     int64         `json:"index"`
-	Snapshot  bool          `json:"snapshot"`
-	Line      string        `json:"line"`
-	Endpoints []state.Entry `json:"endpoints"`
-}
-
-func (l *list) entries() (out []referee.Entry) {
+func entries(l *fanout.Answer) (out []referee.Entry) {
 	for _, e := range l.Endpoints {
-		out = append(out, referee.Entry{Nodo: e.Name, Serving: e.Status == "SERVING", Since: e.Since})
+		out = append(out, referee.Entry{Nodo: e.Name, Serving: e.Status == state.Serving, Since: e.Since})
 	}
 	return out
 }
 
 // readdress has a list say where a proxy finds the nodos.
-func (s *Service) readdress(proxy string, l *list) {
+func (s *Service) readdress(proxy string, l *fanout.Answer) {
 	for i, e := range l.Endpoints {
 		l.Endpoints[i].Address = s.cfg.Address(proxy, e.Name)
 	}
 }
 
-func (l *list) encode() []byte {
-	if l.Endpoints == nil {
-		l.Endpoints = []state.Entry{}
-	}
-	text, err := json.Marshal(l)
-	if err != nil {
-		panic(err) // words and numbers
-	}
-	return text
-}
-
 // Snapshot is the list as a proxy is told it at its start, with what the referee notes of it.
 func (s *Service) Snapshot(proxy string, keep func() bool) (text json.RawMessage, told []referee.Entry) {
 	for _, m := range s.members {
-		resp, err := s.http.Get("http://" + s.cfg.Own(m.n, listPort) + "/catalog/members")
-		if err != nil {
-			continue
-		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-		resp.Body.Close()
-		var l list
-		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(body, &l) != nil {
+		var l fanout.Answer
+		if s.get(m, "/catalog/members", callWait, &l) != nil {
 			continue
 		}
 		l.Endpoints = slices.DeleteFunc(l.Endpoints, func(state.Entry) bool { return !keep() })
 		s.readdress(proxy, &l)
-		return l.encode(), l.entries()
+		return l.Encode(), entries(&l)
 	}
 	return nil, nil
 }
@@ -197,7 +172,7 @@
 	}
 }
 
-func (d *delays) told(proxy string, l *list, at time.Time) {
+func (d *delays) told(proxy string, l *fanout.Answer, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	of := d.heard[proxy]
--- a/internal/lab/service/service.go
+++ b/internal/lab/service/service.go
@@ -102,17 +102,15 @@
 	near    map[string]*registrar.Client // of each zone's nodos
 	nodos   *nodos
 	delays  *delays
-	all     sync.WaitGroup
 
 	mu      sync.Mutex
 	refused int // starts that a member refused for its directory
-	crashed int
 	rng     *rand.Rand
 }
 
 // New makes all but the processes.
 func New(cfg Config) (*Service, error) {
-	s := &Service{cfg: cfg, log: cfg.Log, http: &http.Client{Timeout: callWait}, history: linear.New(),
+	s := &Service{cfg: cfg, log: cfg.Log, http: &http.Client{}, history: linear.New(),
 		near: map[string]*registrar.Client{}, rng: rand.New(rand.NewPCG(cfg.Seed, 31)), delays: newDelays()}
 	s.nodos = newNodos(s)
 	for i := range cfg.Members {
@@ -239,16 +237,31 @@
 }
 
 func (s *Service) status(m *Member) (st member.Status, err error) {
-	resp, err := s.http.Get("http://" + s.cfg.Own(m.n, listPort) + "/v1/member")
+	err = s.get(m, "/v1/member", callWait, &st)
+	return st, err
+}
+
+// get asks a member at its own address.
+func (s *Service) get(m *Member, path string, patience time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.cfg.Own(m.n, listPort)+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := s.http.Do(req)
 	if err != nil {
-		return st, err
+		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return st, err
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s of %s: %s", path, m.Name, resp.Status)
 	}
-	return st, json.Unmarshal(text, &st)
+	return json.Unmarshal(text, out)
 }
 
 // Targets are the members that a fault names: "leader" is the one that leads now, a follower another; no name is all.
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -3,8 +3,10 @@
 package wire
 
 import (
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"net/http"
 )
 
 // Headers of the protocol.
@@ -33,3 +35,9 @@
 	}
 	return out
 }
+
+// JSON is a whole answer of the list's, head and body.
+func JSON(status int, body []byte) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status,
+		http.StatusText(status), len(body), body)
+}
--- a/internal/roster/api/api.go
+++ b/internal/roster/api/api.go
@@ -37,7 +37,7 @@
 )
 
 const (
-	HoldMost  = 60 * time.Second
+	holdMost  = 60 * time.Second
 	bodyMost  = 64 << 10
 	writeWait = 5 * time.Second // for a caller to take an answer
 	headWait  = 5 * time.Second
@@ -193,6 +193,14 @@
 	End   string `json:"end,omitempty"` // of a command, by package state
 }
 
+// FaultOf reads the body of an answer that is no yes; one that is none of the service's says as much as its status does.
+func FaultOf(resp *http.Response, body []byte) (f Fault) {
+	if json.Unmarshal(body, &f) != nil || f.Error == "" {
+		f.Error = resp.Status
+	}
+	return f
+}
+
 func fail(w http.ResponseWriter, status int, format string, args ...any) {
 	answer(w, status, Fault{Error: fmt.Sprintf(format, args...)})
 }
@@ -234,7 +242,7 @@
 			fail(w, http.StatusBadRequest, "hold_ms=%q: milliseconds are needed, 0 or more", q.Get("hold_ms"))
 			return
 		}
-		hold = min(HoldMost, time.Duration(min(ms, HoldMost.Milliseconds()))*time.Millisecond)
+		hold = time.Duration(min(ms, holdMost.Milliseconds())) * time.Millisecond
 	}
 	if n := s.watching.Add(1); n > int64(s.cfg.Watchers) {
 		s.watching.Add(-1)
--- a/internal/roster/api/bench_test.go
+++ b/internal/roster/api/bench_test.go
@@ -51,11 +51,11 @@
 		}
 		line, index, changes, kept := m.Changes(from)
 		if kept {
-			send(w, http.StatusOK, fanout.Encode(line, index, false, fanout.Merge(changes)))
+			send(w, http.StatusOK, fanout.Answer{Index: index, Line: line, Endpoints: fanout.Merge(changes)}.Encode())
 			return
 		}
 		line, index, all := m.Whole()
-		send(w, http.StatusOK, fanout.Encode(line, index, true, all))
+		send(w, http.StatusOK, fanout.Answer{Index: index, Snapshot: true, Line: line, Endpoints: all}.Encode())
 	})}
 	go func() { _ = s.Serve(l) }()
 	b.Cleanup(func() { s.Close() })
--- a/internal/roster/fanout/fanout.go
+++ b/internal/roster/fanout/fanout.go
@@ -3,7 +3,7 @@
 // slow reader delays nobody.
 //
 // A change wakes the callers at once if the last one did so at least Settle ago, and else with what else has changed by
-// then: a list that changes a hundred times a second is told ten times a second, and costs its callers that much.
+// then: a list that changes a hundred times a second is told twenty times a second, and costs its callers that much.
 package fanout
 
 import (
@@ -106,7 +106,7 @@
 	if h.whole == nil {
 		line, index, entries := h.src.Whole()
 		h.at(line, index)
-		h.whole = Encode(line, index, true, entries)
+		h.whole = Answer{index, true, line, entries}.Encode()
 		h.encoded++
 	}
 	return h.whole
@@ -128,7 +128,7 @@
 	}
 	defer h.mu.Unlock()
 	h.at(line, index)
-	body := Encode(line, index, false, Merge(changes))
+	body := Answer{index, false, line, Merge(changes)}.Encode()
 	h.encoded++
 	if len(h.bodies) < bodiesMost {
 		h.bodies[from] = body
@@ -167,20 +167,23 @@
 	return out
 }
 
-// Encode is an answer in the published form, with the line beside it.
-func Encode(line string, index int64, whole bool, entries []state.Entry) []byte {
-	if entries == nil {
-		entries = []state.Entry{}
+// Answer is an answer in the published form, with the line beside it.
+type Answer struct {
+	Index     int64         `json:"index"`
+	Snapshot  bool          `json:"snapshot"`
+	Line      string        `json:"line"`
+	Endpoints []state.Entry `json:"endpoints"`
+}
+
+// Encode is the answer's text.
+func (a Answer) Encode() []byte {
+	if a.Endpoints == nil {
+		a.Endpoints = []state.Entry{}
 	}
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
 	enc.SetEscapeHTML(false)
-	if err := enc.Encode(struct {
-		Index     int64         `json:"index"`
-		Snapshot  bool          `json:"snapshot"`
-		Line      string        `json:"line"`
-		Endpoints []state.Entry `json:"endpoints"`
-	}{index, whole, line, entries}); err != nil {
+	if err := enc.Encode(a); err != nil {
 		panic(err) // strings and checked numbers
 	}
 	return b.Bytes()
--- a/internal/roster/member/fresh.go
+++ b/internal/roster/member/fresh.go
@@ -35,9 +35,6 @@
 	return line != "" && m.Age() <= m.cfg.Stale
 }
 
-// Stale is how old a list may be that is told.
-func (m *Member) Stale() time.Duration { return m.cfg.Stale }
-
 // AwaitFresh waits until the list has been proved current at a moment after this call began.
 func (m *Member) AwaitFresh(ctx context.Context) error {
 	begun := time.Now()
--- a/internal/roster/member/log.go
+++ b/internal/roster/member/log.go
@@ -9,12 +9,10 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// logger has the consensus's lines go where the program's go.
-type logger struct{ hclog.Logger }
-
-func newLogger(log *slog.Logger) *logger {
-	return &logger{hclog.New(&hclog.LoggerOptions{Name: "consensus", Level: hclog.Info, JSONFormat: true, DisableTime: true,
-		Output: (*lines)(log)})}
+// newLogger has the consensus's lines go where the program's go.
+func newLogger(log *slog.Logger) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: "consensus", Level: hclog.Info, JSONFormat: true, DisableTime: true,
+		Output: (*lines)(log)})
 }
 
 type lines slog.Logger
@@ -27,14 +25,14 @@
 		log.Info(string(bytes.TrimSpace(text)))
 		return len(text), nil
 	}
-	level, message := slog.LevelDebug, "" // what it does by itself is of little interest to those on call
+	level := slog.LevelDebug // what it does by itself is of little interest to those on call
 	switch line["@level"] {
 	case "warn":
 		level = slog.LevelInfo
 	case "error":
 		level = slog.LevelWarn
 	}
-	message, _ = line["@message"].(string)
+	message, _ := line["@message"].(string)
 	args := []any{"part", "consensus"}
 	for key, v := range line {
 		if key[0] != '@' {
--- a/internal/roster/member/member.go
+++ b/internal/roster/member/member.go
@@ -3,7 +3,7 @@
 //
 // Consensus is hashicorp/raft. What is decided here:
 //
-// Freshness. A member's list was current at some moment of its own clock, and Fresh tells the latest such moment: it
+// Freshness. A member's list was current at some moment of its own clock, and Age counts from the latest such moment: it
 // asked the leader for its version, the leader made sure with a majority that it still leads, and this member has come
 // up to there since. Each member asks every Poll; one that is older than Config.Stale answers nobody (the API
 // turns that into 503). So a member cut off, one on a minority's side, one that was stopped and one that is still
@@ -39,6 +39,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 
 	"fernlanding/internal/roster/fanout"
@@ -103,7 +104,7 @@
 	stop   context.CancelFunc
 	all    sync.WaitGroup
 	fresh  atomic.Pointer[time.Time]
-	newer  chan struct{} // told when freshness has moved on
+	newer  chan struct{} // asks for a proof now, not at the next poll
 	waitMu sync.Mutex
 	waiter chan struct{} // closed at the next proof
 
@@ -186,7 +187,7 @@
 
 // snapshots opens the consensus's own snapshots, and reads each: the consensus would pass over a damaged one, and begin
 // with an older one and a gap. Newest is the index that the newest one reaches.
-func snapshots(dir string, logger *logger) (s *raft.FileSnapshotStore, newest uint64, err error) {
+func snapshots(dir string, logger hclog.Logger) (s *raft.FileSnapshotStore, newest uint64, err error) {
 	if s, err = raft.NewFileSnapshotStoreWithLogger(dir, snapshotsKept, logger); err != nil {
 		return nil, 0, fmt.Errorf("snapshots: %w", err)
 	}
--- a/internal/roster/member/voice.go
+++ b/internal/roster/member/voice.go
@@ -84,20 +84,18 @@
 		v, err := m.store.Get(abstainKey)
 		return err == nil && len(v) == 1 && v[0] == 1, nil // never set: it never had to
 	}
-	asked, empty := map[string]bool{}, 0
+	empty := map[string]bool{} // those that have told so
 	told := time.Now()
 	for {
-		empty = 0
 		for _, p := range m.cfg.Peers {
 			if p.Name == m.cfg.Name {
 				continue
 			}
 			s, err := m.peers.status(ctx, p)
 			if err != nil {
-				delete(asked, p.Name)
+				delete(empty, p.Name)
 				continue
 			}
-			asked[p.Name] = true
 			if !s.Empty {
 				m.log.Warn("this member's directory is empty and the service is not: it abstains until it has caught up",
 					"other", p.Name)
@@ -106,16 +104,16 @@
 				}
 				return true, nil
 			}
-			empty++
+			empty[p.Name] = true
 		}
-		if empty >= len(m.cfg.Peers)-1 {
+		if len(empty) == len(m.cfg.Peers)-1 {
 			return false, nil
 		}
 		if time.Since(told) > tellAgain {
 			told = time.Now()
 			var missing []string
 			for _, p := range m.cfg.Peers {
-				if p.Name != m.cfg.Name && !asked[p.Name] {
+				if p.Name != m.cfg.Name && !empty[p.Name] {
 					missing = append(missing, p.Name+" at "+p.API)
 				}
 			}
--- a/internal/roster/registrar/registrar.go
+++ b/internal/roster/registrar/registrar.go
@@ -29,10 +29,9 @@
 
 // Client calls the service.
 type Client struct {
-	addrs  []string
-	http   *http.Client
-	next   atomic.Uint32 // the member that answered last
-	Missed atomic.Int64  // calls that a member did not answer
+	addrs []string
+	http  *http.Client
+	next  atomic.Uint32 // the member that answered last
 }
 
 // New is a client of the service at these addresses.
@@ -63,7 +62,6 @@
 	err := c.call(ctx, c.addrs[int(at)%len(c.addrs)], method, path, body, out)
 	var no *Refused
 	if err != nil && !errors.As(err, &no) && ctx.Err() == nil {
-		c.Missed.Add(1)
 		c.next.CompareAndSwap(at, (at+1)%uint32(len(c.addrs)))
 	}
 	return err
@@ -94,10 +92,7 @@
 	if resp.StatusCode == http.StatusOK {
 		return json.Unmarshal(text, out)
 	}
-	no := &Refused{Status: resp.StatusCode}
-	if json.Unmarshal(text, &no.Fault) != nil || no.Fault.Error == "" {
-		no.Fault.Error = resp.Status
-	}
+	no := &Refused{Status: resp.StatusCode, Fault: api.FaultOf(resp, text)}
 	if resp.StatusCode/100 == 5 && resp.StatusCode != http.StatusInsufficientStorage {
 		return fmt.Errorf("%s: %s", addr, no.Fault.Error)
 	}
--- a/internal/roster/state/state.go
+++ b/internal/roster/state/state.go
@@ -143,8 +143,8 @@
 
 // Change is one version: the entries that it changed, in the published form, DELETED ones included.
 type Change struct {
-	Index   int64   `json:"index"`
-	Entries []Entry `json:"entries"`
+	Index   int64
+	Entries []Entry
 }
 
 // State is the machine. Its owner allows no two calls at once.
