Move the client side of the proxy into a file per concern

Its one block of constants is four, each where it is used.

Nothing but moves: the sorted lines of the former file and of the six differ by package, import and const lines alone. go test -race ./internal/proxy passes.

--- /dev/null
+++ b/internal/proxy/clients.go
@@ -0,0 +1,178 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// When connections run short, one without a whole request on it makes room: a kept one after idleLeast,
+	// which is how long clients may count on it, one whose request is not whole once nothing has come for
+	// stallLeast, or in its body for pauseLeast (a slow one may come in pieces some hundred milliseconds apart),
+	// and a new one that has sent nothing after muteLeast: it has waited to be accepted, too.
+	idleLeast  = 2 * time.Second
+	stallLeast = 250 * time.Millisecond
+	pauseLeast = 750 * time.Millisecond
+	muteLeast  = 50 * time.Millisecond
+	shedEvery  = 20 * time.Millisecond
+	shortPart  = 0.75        // of the clients' part: connections run short beyond it
+	shortQuiet = time.Second // between two lines in the log about that
+
+	overCap = 32 // connections beyond the clients' part, to refuse on, at most
+)
+
+type connState struct {
+	state http.ConnState
+	since time.Time
+	whole bool // the request on it has come in
+}
+
+func (f *frontend) connState(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s == http.StateClosed || s == http.StateHijacked {
+		if _, ok := f.conns[c]; ok {
+			delete(f.conns, c)
+			f.listener.free()
+		}
+		return
+	}
+	if fc, ok := c.(*framedConn); ok && s == http.StateIdle {
+		fc.answered()
+	}
+	f.conns[c] = connState{state: s, since: time.Now()}
+	if s == http.StateNew && f.short(len(f.conns)) {
+		f.shedLocked()
+	}
+}
+
+// short tells whether so many connections leave too little room for others.
+func (f *frontend) short(open int) bool { return float64(open) > shortPart*float64(f.most.Load()) }
+
+// limit sets how many connections of clients are served, with how many requests in flight, and how many
+// connections beyond these are taken to be refused.
+func (f *frontend) limit(most, flight, over int) {
+	f.most.Store(int64(most))
+	f.flight.Store(int64(flight))
+	f.listener.limit(most + over)
+}
+
+// cameWhole counts a request in that has come whole: it is owed its answer, and its connection is none to spare.
+// A further read is only there to notice a client that goes.
+func (f *frontend) cameWhole(w http.ResponseWriter, r *http.Request, req *request) *taken {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	if s, ok := f.conns[c]; ok {
+		s.whole = true
+		f.conns[c] = s
+	}
+	return f.loop.figs.take(req.class)
+}
+
+// shed closes the connection that can be spared best, if there is one.
+func (f *frontend) shed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shedLocked()
+}
+
+// shedLocked picks by how long a connection has been silent, not by its age: a slow client that keeps sending is
+// owed its answer, one that has stopped is not.
+func (f *frontend) shedLocked() {
+	var victim net.Conn
+	var over time.Duration
+	for c, s := range f.conns {
+		if d := s.spare(c); d > over && (s.state != http.StateIdle || quiet(c)) {
+			victim, over = c, d
+		}
+	}
+	if victim != nil {
+		victim.Close() // the server's read ends and reports it closed
+		f.shedded++
+		f.sayShort()
+	}
+}
+
+// spare tells for how long a connection could have been closed to make room; not at all if that is not positive.
+func (s connState) spare(c net.Conn) time.Duration {
+	fc, ok := c.(*framedConn)
+	switch {
+	case s.whole || !ok:
+		return 0
+	case fc.asked.Load() && s.state == http.StateActive:
+		return fc.silent() - pauseLeast
+	case fc.asked.Load():
+		return fc.silent() - stallLeast
+	case s.state == http.StateIdle:
+		return time.Since(s.since) - idleLeast
+	}
+	return fc.silent() - muteLeast
+}
+
+// sayShort tells the log what holds the connections, now and then while they are short.
+func (f *frontend) sayShort() {
+	if time.Since(f.said) < shortQuiet {
+		return
+	}
+	whole, idle := 0, 0
+	for _, s := range f.conns {
+		if s.whole {
+			whole++
+		} else if s.state == http.StateIdle {
+			idle++
+		}
+	}
+	f.log.Warn("client connections run short", "open", len(f.conns), "in_flight", whole, "idle", idle,
+		"incomplete", len(f.conns)-whole-idle, "shed", f.shedded, "refused", f.refused)
+	f.said, f.shedded, f.refused = time.Now(), 0, 0
+}
+
+// over tells whether more requests are in flight than there may be, and counts the refusal that follows.
+// Connections without a whole request are no reason to refuse one: they give way.
+func (f *frontend) over() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if int64(f.inFlight()) <= f.flight.Load() {
+		return false
+	}
+	f.refused++
+	f.sayShort()
+	return true
+}
+
+// inFlight counts the connections whose request has come whole and has no answer yet.
+func (f *frontend) inFlight() (n int) {
+	for _, s := range f.conns {
+		if s.whole {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *frontend) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// closeIdle closes the connections that have carried no request for some time, and returns how many others there
+// are. One on which a request has just come in is left alone: closing it would lose that request.
+func (f *frontend) closeIdle(idleFor, newFor time.Duration) (busy int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, s := range f.conns {
+		d := time.Since(s.since)
+		fc, ok := c.(*framedConn)
+		idle := s.state == http.StateIdle && d >= idleFor || s.state == http.StateNew && d > newFor
+		if idle && !(ok && fc.asked.Load()) && quiet(c) {
+			c.Close()
+		} else {
+			busy++
+		}
+	}
+	return busy
+}
--- /dev/null
+++ b/internal/proxy/listener.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// cappedListener accepts no more connections than there are slots; those beyond wait in the kernel, and
+// shed is called for as long as they must.
+type cappedListener struct {
+	net.Listener
+	shed   func()
+	freed  chan struct{} // holds a value after a slot came free
+	closed chan struct{}
+	once   sync.Once
+
+	mu         sync.Mutex
+	used, most int
+}
+
+func newCappedListener(l net.Listener, shed func()) *cappedListener {
+	return &cappedListener{Listener: l, shed: shed, freed: make(chan struct{}, 1), closed: make(chan struct{})}
+}
+
+// Accept takes a slot, which the connection gives back when the server reports it closed.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	if !l.slot() {
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.free()
+		return nil, err
+	}
+	return newFramedConn(c), nil
+}
+
+// slot waits for a slot; false if the listener was closed first.
+func (l *cappedListener) slot() bool {
+	if l.take() {
+		return true
+	}
+	again := time.NewTicker(shedEvery)
+	defer again.Stop()
+	for {
+		l.shed()
+		select {
+		case <-l.freed:
+		case <-l.closed:
+			return false
+		case <-again.C:
+		}
+		if l.take() {
+			return true
+		}
+	}
+}
+
+func (l *cappedListener) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.used >= l.most {
+		return false
+	}
+	l.used++
+	return true
+}
+
+func (l *cappedListener) free() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used--
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
+
+// limit sets how many slots there are. Connections that are open stay.
+func (l *cappedListener) limit(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+}
+
+func (l *cappedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
