Move connections to backends and attempts out of backend.go

Nothing but moves: the sorted lines of the former file and of the three differ by package and import lines alone. go test -race ./internal/proxy passes.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,12 +14,8 @@
 
 	"fernlanding/internal/discovery"
 	"fernlanding/internal/keepalive"
-	"fernlanding/logic"
 )
 
-// answerHead bounds what a backend's answer may hold before its body.
-const answerHead = 16 << 10
-
 // backends holds the connections to all backends of the list. It stands in for http.Transport, which by
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
@@ -47,9 +40,6 @@
 
 const brokenQuiet = time.Second // between two lines about broken answers
 
-// staleWithin is how soon a request on a kept connection that was closed breaks.
-const staleWithin = 100 * time.Millisecond
-
 // backend is one backend as the list now has it.
 type backend struct {
 	name    string
@@ -61,31 +51,6 @@
 	idle    []*conn // the most recently used last
 }
 
-// conn is a connection to a backend; it carries one request at a time.
-type conn struct {
-	net.Conn
-	r     *bufio.Reader
-	body  *bufio.Reader // of a head that was looked at, and then r
-	came  bool          // a byte of the present answer has
-	of    *backend
-	epoch int // of the backend when it was opened
-	since time.Time
-	idle  time.Duration // before its present request; 0 for its first
-}
-
-// counted reads from the connection and notes that something came.
-func (c *conn) counted() io.Reader { return readFunc(c.readOn) }
-
-func (c *conn) readOn(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.came = c.came || n > 0
-	return n, err
-}
-
-type readFunc func(p []byte) (int, error)
-
-func (f readFunc) Read(p []byte) (int, error) { return f(p) }
-
 func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
 	p := &backends{most: most, figs: figs, byName: map[string]*backend{}}
 	p.whole.Store(wholeMost)
@@ -317,255 +282,3 @@
 		b.idle = kept
 	}
 }
-
-// quiet tells whether a connection is open with nothing to read: an idle peer that has closed it, or sends
-// what nobody asked for, shows here without a wait.
-func quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	// Control, not Read: Read waits for any other reader, and the server always has one on an idle client.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
-}
-
-// attempt is one Send of the module on its way.
-type attempt struct {
-	req      *request
-	number   int
-	sent     int64 // when the module decided
-	deadline time.Time
-	pool     *backends
-	backend  *backend
-	addr     string
-	epoch    int
-	ctx      context.Context // its end stops the attempt
-	stop     context.CancelFunc
-
-	whole chan time.Time // of a request whose body is still coming: the deadline, once that is known
-
-	// stream hands an answer that is passed on as it comes to the client's side, and returns whether there is one.
-	stream func(answer) bool
-}
-
-// result is how an attempt ended.
-type result struct {
-	status  logic.Status
-	body    []byte // of a backend's 200
-	content string // and its Content-Type
-}
-
-// run carries the attempt out; it returns exactly one result, when nothing of the attempt is left.
-func (a *attempt) run() result {
-	c := a.pool.reuse(a.backend, a.epoch, a.req.unsafe)
-	if c == nil {
-		var err error
-		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil {
-				return result{status: logic.Moot} // stopped before anything was sent
-			}
-			return result{status: logic.ConnectFailed}
-		}
-	}
-	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
-		a.pool.keep(c)
-		return result{status: logic.Moot}
-	}
-	res, keep := a.exchange(c)
-	if keep {
-		a.pool.keep(c)
-	} else {
-		a.pool.drop(c)
-	}
-	return res
-}
-
-func (a *attempt) late() bool { return !time.Now().Before(a.deadline) }
-
-func (a *attempt) dial() (*conn, error) {
-	ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
-	defer cancel()
-	return a.pool.dial(ctx, a.backend, a.addr, a.epoch)
-}
-
-// exchange writes the request and reads the answer; keep tells whether the connection can serve again.
-func (a *attempt) exchange(c *conn) (res result, keep bool) {
-	// Stopping the attempt ends its reads and writes; the connection is then closed, never used again.
-	unhook := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	defer func() {
-		if !unhook() {
-			keep = false
-		}
-	}()
-	_ = c.SetDeadline(a.deadline)
-	if a.ctx.Err() != nil { // stopped while the deadline was set
-		return result{status: logic.Moot}, false
-	}
-	if a.whole != nil {
-		if status, ok := a.passOnBody(c); !ok {
-			return result{status: status}, false
-		}
-	} else {
-		head, err := a.encode()
-		if err != nil {
-			return result{status: logic.Moot}, true
-		}
-		if _, err := c.Write(head); err != nil {
-			// The last byte was not written, so the backend cannot have begun.
-			return result{status: logic.ConnectFailed}, false
-		}
-	}
-	wrote := time.Now()
-	a.pool.figs.forward()
-	c.came = false
-	res, keep, err := a.read(c)
-	switch {
-	case err == nil:
-		return res, keep
-	case a.late():
-		return result{status: logic.TimedOut}, false
-	case a.ctx.Err() != nil:
-		return result{status: logic.Cancelled}, false
-	}
-	a.pool.broken(a.backend, err)
-	if !c.came && time.Since(wrote) < staleWithin {
-		a.pool.stale(c)
-	}
-	return result{status: logic.Reset}, false
-}
-
-// encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
-func (a *attempt) encode() ([]byte, error) {
-	out := a.outgoing(time.Until(a.deadline))
-	if body := a.req.body; len(body) > 0 {
-		out.ContentLength, out.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
-	}
-	var buf bytes.Buffer
-	if err := out.Write(&buf); err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
-	}
-	return buf.Bytes(), nil
-}
-
-// response reads an answer's head. One whose body two readers could see end in two places is no answer:
-// net/http would settle that unseen, and the rest of it would be taken for the next answer.
-func (c *conn) response(method string) (*http.Response, error) {
-	var head []byte
-	for !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
-		line, err := c.r.ReadSlice('\n')
-		head = append(head, line...)
-		switch {
-		case errors.Is(err, io.EOF) && len(head) > 0:
-			return nil, io.ErrUnexpectedEOF
-		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
-			return nil, err
-		case len(head) > answerHead:
-			return nil, errors.New("head too long")
-		case err == nil && !bytes.HasSuffix(line, []byte("\r\n")):
-			return nil, errFraming
-		}
-	}
-	if _, _, err := framing(head); err != nil {
-		return nil, err
-	}
-	c.body.Reset(io.MultiReader(bytes.NewReader(head), c.r))
-	return http.ReadResponse(c.body, &http.Request{Method: method})
-}
-
-// read takes the answer. A small one is taken whole: one that breaks off has not been given. A larger one is
-// passed on as it comes, and so is one of untold length that is not here soon.
-func (a *attempt) read(c *conn) (res result, keep bool, err error) {
-	resp, err := c.response(a.req.method)
-	for err == nil && resp.StatusCode < 200 {
-		resp, err = c.response(a.req.method)
-	}
-	if err != nil {
-		return res, false, fmt.Errorf("read answer: %w", err)
-	}
-	defer resp.Body.Close()
-	clean := func() bool { return !resp.Close && c.body.Buffered() == 0 && c.r.Buffered() == 0 }
-	if resp.StatusCode != http.StatusOK {
-		return a.declined(resp, clean)
-	}
-	content := resp.Header.Get("Content-Type")
-	switch n := resp.ContentLength; {
-	case n > a.pool.whole.Load():
-		return a.passOn(resp.Body, n, content, c, clean)
-	case n >= 0:
-		body := make([]byte, n)
-		if _, err = io.ReadFull(resp.Body, body); err != nil {
-			return res, false, fmt.Errorf("read body: %w", err)
-		}
-		return result{status: logic.OK, body: body, content: content}, clean(), nil
-	}
-	ahead := newPrefetch(patientReader{resp.Body, c, a.ctx}, int(a.pool.whole.Load()))
-	defer ahead.close()
-	soon := time.NewTimer(min(wholeWait, time.Until(a.deadline)))
-	defer soon.Stop()
-	select {
-	case <-ahead.full:
-	case <-soon.C:
-	case <-a.ctx.Done():
-	}
-	body, err, ok := ahead.whole()
-	switch {
-	case !ok && a.ctx.Err() == nil:
-		return a.passOn(ahead, -1, content, c, clean)
-	case !ok:
-		return res, false, context.Cause(a.ctx)
-	case err != nil:
-		return res, false, fmt.Errorf("read body: %w", err)
-	}
-	return result{status: logic.OK, body: body, content: content}, clean(), nil
-}
-
-// declined takes an answer that serves nobody: only its status counts.
-func (a *attempt) declined(resp *http.Response, clean func() bool) (result, bool, error) {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeMost+1))
-	if err != nil {
-		return result{}, false, fmt.Errorf("read body: %w", err)
-	}
-	keep := n <= wholeMost && clean()
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("Not-Started") == "1" {
-			return result{status: logic.FullUp}, keep, nil
-		}
-	}
-	return result{status: logic.Error}, keep, nil // it may have run
-}
-
-// passOn has the client's side read the answer, and waits until it has.
-func (a *attempt) passOn(body io.Reader, length int64, content string, c *conn, clean func() bool) (result, bool, error) {
-	if length >= 0 {
-		body = patientReader{body, c, a.ctx}
-	}
-	d := &download{length: length, body: body, ended: make(chan error, 1), stop: a.stop}
-	if !a.stream(answer{status: http.StatusOK, content: content, stream: d}) {
-		return result{status: logic.Cancelled}, false, nil
-	}
-	select {
-	case err := <-d.ended:
-		switch {
-		case err == nil:
-			return result{status: logic.OK}, clean(), nil
-		case errors.Is(err, errClientGone):
-			return result{status: logic.Cancelled}, false, nil
-		}
-		a.pool.broken(a.backend, err)
-		return result{status: logic.Reset}, false, nil
-	case <-a.ctx.Done():
-		return result{status: logic.Cancelled}, false, nil
-	}
-}
