--- /dev/null
+++ b/internal/proxy/host.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"container/heap"
+	"context"
+	"net/http"
+	"time"
+
+	"fernlanding/logic"
+)
+
+// outcome tells the module how an attempt ended; a served request has its answer first.
+func (l *loop) outcome(a *attempt, res result) {
+	r := a.req
+	if r.current == a {
+		r.current = nil
+	}
+	if res.status == logic.OK {
+		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
+	}
+	now := l.clock.now()
+	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
+		Closed: r.over, Spent: r.spent})
+	l.forget(r)
+}
+
+// stream ends a request with an answer that is passed on as it comes; false if it has ended otherwise. The
+// attempt calls it and goes on until the answer has been passed on.
+func (l *loop) stream(a *attempt, ans answer) bool {
+	begun := make(chan bool, 1)
+	l.post(func() {
+		if a.req.over {
+			begun <- false
+			return
+		}
+		l.bal.Started(l.clock.now(), a.req.ID)
+		l.end(a.req, ans)
+		begun <- true
+	})
+	select {
+	case ok := <-begun:
+		return ok
+	case <-l.done:
+		return false
+	}
+}
+
+// Send implements logic.Host.
+func (l *loop) Send(id, server string, timeout int64) {
+	r := l.reqs[id]
+	if r == nil {
+		l.log.Error("send for an unknown request", "id", id)
+		return
+	}
+	now := l.clock.now()
+	until := r.GiveUp
+	if r.Uploading {
+		until = now + uploadMost.Microseconds()
+	} else if timeout != 0 {
+		until = min(until, now+timeout)
+	}
+	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
+	r.sends++
+	if r.Uploading {
+		a.whole = make(chan time.Time, 1)
+	}
+	var ok bool
+	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
+	if !ok || r.over || r.current != nil { // never two attempts of a request at once
+		l.unsent = append(l.unsent, a)
+		return
+	}
+	a.ctx, a.stop = context.WithCancel(l.ctx)
+	a.stream = func(ans answer) bool { return l.stream(a, ans) }
+	r.current = a
+	l.attempts.Add(1)
+	go func() {
+		defer l.attempts.Done()
+		res := a.run()
+		a.stop()
+		l.post(func() { l.outcome(a, res) })
+	}()
+}
+
+// Refuse implements logic.Host.
+func (l *loop) Refuse(id string, after int64) {
+	if r := l.reqs[id]; r != nil {
+		l.end(r, answer{status: http.StatusServiceUnavailable, after: after})
+	}
+}
+
+// Fail implements logic.Host.
+func (l *loop) Fail(id string) {
+	if r := l.reqs[id]; r != nil {
+		l.end(r, answer{status: http.StatusBadGateway})
+	}
+}
+
+// SetTimer implements logic.Host.
+func (l *loop) SetTimer(delay int64, token string) {
+	heap.Push(&l.timers, timer{at: l.clock.now() + delay, token: token})
+}
+
+// Watch implements logic.Host. Where the list is pushed the watch stands anyway.
+func (l *loop) Watch() { l.ask() }
+
+// Log implements logic.Host.
+func (l *loop) Log(line string) { l.log.Info(line) }
