Give the servers taken out by hand a package of their own, with errors of their own

Bans were part of the proxy, bound to its loop and to mgmt's error, and only the proxy's own folder could hold one. Suspensions of a whole tier need to be laid over them.

internal/bans keeps them in the same files as before (ban-ID, so that an upgrade may go either way), and knows neither proxy nor mgmt: it gives whole sets by a channel and is told that they hold. What holds is the union of the folder and of Outside, which never waits; Config.Told hears of each call that was kept. Where the folder cannot be read its part stands and the outside's still changes.

Shown to fail: without the union, the wake-up, the late timer, the call to Told at resume, the stand of the former part; with names escaped as in a query; with all names dropped. go test -race ./internal/bans ./internal/mgmt ./internal/proxy ./cmd/fernlanding passes. Rejected: mgmt's error mapped in proxy, a third word for the same fault.

--- /dev/null
+++ b/internal/bans/bans.go
@@ -0,0 +1,188 @@
+// Package bans keeps the servers that on-call staff has taken out by hand, and says which are out now: those in the
+// proxy's own folder and those that others have told of. It has one goroutine, Run, which its caller starts; calls
+// come from any. Who sends nothing to those servers takes each whole set from Sets and confirms it.
+package bans
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+)
+
+const (
+	pollEvery = 200 * time.Millisecond // a call at the other process of an upgrade binds this one within 1 s
+	actWithin = 800 * time.Millisecond // for a call to hold; its answer is owed in 1 s
+)
+
+// Config is what Bans are told at the start.
+type Config struct {
+	Dir   string          // folder of the bans; it exists
+	Names *Names          // servers that there may be calls on
+	Ended <-chan struct{} // closed once no set is taken any more, since nothing is sent: calls then hold
+	Log   *slog.Logger
+
+	// Told hears of each call here that was kept, before it holds; nil for nobody. It may set Outside, and the call
+	// then holds with that. An error of it is the call's. It is called from many goroutines.
+	Told func(nodo string, suspended bool) error
+}
+
+// Set is the whole set of servers that are out. Its reader must not change it.
+type Set struct {
+	IDs  map[string]bool
+	done chan struct{}
+}
+
+// Holds confirms that the set, and no other, is acted on; once for each.
+func (s Set) Holds() { close(s.done) }
+
+// Bans are the servers that are out.
+type Bans struct {
+	cfg   Config
+	store store
+	sets  chan Set
+	wake  chan struct{} // holds a value when Run is to look before its time
+
+	mu   sync.Mutex      // one reading of the store at a time, handed on in order
+	kept map[string]bool // the store's when it was last read
+
+	outsideMu sync.Mutex
+	outside   map[string]bool // replaced, never changed
+}
+
+// Open reads what is kept. Present is to hold before anything is sent; Run follows it.
+func Open(cfg Config) (*Bans, error) {
+	b := &Bans{cfg: cfg, store: store{cfg.Dir}, sets: make(chan Set), wake: make(chan struct{}, 1)}
+	var err error
+	if b.kept, err = b.store.load(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Sets gives the whole set each time that it may have changed.
+func (b *Bans) Sets() <-chan Set { return b.sets }
+
+// Present is the set that is to hold now. It waits for a set that is on its way, so it is not for the reader of Sets.
+func (b *Bans) Present() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.union()
+}
+
+func (b *Bans) union() map[string]bool {
+	ids := maps.Clone(b.kept)
+	b.outsideMu.Lock()
+	defer b.outsideMu.Unlock()
+	maps.Copy(ids, b.outside)
+	return ids
+}
+
+// Outside has these servers out beside those that are kept here, in place of the former such set. It does not wait,
+// so that even the reader of Sets may call it: Run hands the union on.
+func (b *Bans) Outside(ids map[string]bool) {
+	out := maps.Clone(ids)
+	maps.DeleteFunc(out, func(_ string, is bool) bool { return !is })
+	b.outsideMu.Lock()
+	same := maps.Equal(out, b.outside)
+	b.outside = out
+	b.outsideMu.Unlock()
+	if same {
+		return
+	}
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the store and what comes from outside until the context ends: another process of this proxy may
+// change the store.
+func (b *Bans) Run(ctx context.Context) {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for failed := false; ; {
+		select {
+		case <-tick.C:
+		case <-b.wake:
+		case <-ctx.Done():
+			return
+		}
+		err := b.apply()
+		if err != nil && !failed { // once, not five times a second
+			b.cfg.Log.Error("bans stand as they were", "error", err)
+		}
+		failed = err != nil
+	}
+}
+
+// apply reads the store and returns once the union holds. Where the store cannot be read its part stands as it was.
+func (b *Bans) apply() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	kept, err := b.store.load()
+	if err == nil {
+		b.kept = kept
+	}
+	return errors.Join(err, b.hand(b.union()))
+}
+
+// hand gives a set to its reader and returns once it holds, or a *LateError.
+func (b *Bans) hand(ids map[string]bool) error {
+	s := Set{ids, make(chan struct{})}
+	late := time.NewTimer(actWithin)
+	defer late.Stop()
+	select {
+	case b.sets <- s:
+	case <-b.cfg.Ended:
+		return nil
+	case <-late.C:
+		return &LateError{actWithin}
+	}
+	select {
+	case <-s.done:
+		return nil
+	case <-b.cfg.Ended:
+		return nil
+	case <-late.C:
+		return &LateError{actWithin}
+	}
+}
+
+// Suspend takes a server out until Resume, here or at another process with this folder. It returns once that is
+// kept and holds. Its errors are *UnknownError, *StoreError, *LateError and those of Config.Told; after each of the
+// others than the first the call may be repeated.
+func (b *Bans) Suspend(nodo string) error { return b.call(nodo, true) }
+
+// Resume ends that, with the same errors. What comes from outside stands until Outside says otherwise.
+func (b *Bans) Resume(nodo string) error { return b.call(nodo, false) }
+
+func (b *Bans) call(nodo string, suspended bool) error {
+	if !b.known(nodo) {
+		return &UnknownError{nodo}
+	}
+	keep := b.store.remove
+	if suspended {
+		keep = b.store.add
+	}
+	if err := keep(nodo); err != nil {
+		return err
+	}
+	var untold error
+	if b.cfg.Told != nil {
+		untold = b.cfg.Told(nodo, suspended)
+	}
+	return errors.Join(untold, b.apply()) // it is kept: it holds here even if others were not told
+}
+
+// known tells whether there may be a call on a server: a list has named it, or it is out.
+func (b *Bans) known(nodo string) bool {
+	if b.cfg.Names.Has(nodo) || b.store.has(nodo) {
+		return true
+	}
+	b.outsideMu.Lock()
+	defer b.outsideMu.Unlock()
+	return b.outside[nodo]
+}
--- /dev/null
+++ b/internal/bans/bans_test.go
@@ -0,0 +1,222 @@
+package bans
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// held notes the sets that a reader of Bans acts on.
+type held struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (h *held) is(ids ...string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Equal(slices.Sorted(maps.Keys(h.ids)), ids)
+}
+
+// acting opens Bans in a bubble, follows them and acts on their sets, all until the test ends.
+func acting(t *testing.T, cfg Config) (*Bans, *held) {
+	t.Helper()
+	ended := make(chan struct{})
+	cfg.Ended, cfg.Log = ended, slog.New(slog.DiscardHandler)
+	if cfg.Names == nil {
+		cfg.Names = NewNames()
+		cfg.Names.Add("a", "b", "c")
+	}
+	b, err := Open(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &held{ids: b.Present()}
+	ctx, stop := context.WithCancel(t.Context())
+	var parts sync.WaitGroup
+	parts.Go(func() { b.Run(ctx) })
+	parts.Go(func() {
+		defer close(ended)
+		for {
+			select {
+			case s := <-b.Sets():
+				h.mu.Lock()
+				h.ids = s.IDs
+				h.mu.Unlock()
+				s.Holds()
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	t.Cleanup(func() { stop(); parts.Wait() })
+	return b, h
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What holds is the union of what is kept here, by either process, and what comes from outside.
+func TestTheUnionHolds(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		b, here := acting(t, Config{Dir: dir})
+		other, there := acting(t, Config{Dir: dir})
+		must(t, b.Suspend("a"))
+		if !here.is("a") {
+			t.Errorf("after the answer: %v", here.ids)
+		}
+		time.Sleep(pollEvery + 1)
+		synctest.Wait()
+		if !there.is("a") {
+			t.Errorf("at the other process: %v", there.ids)
+		}
+		b.Outside(map[string]bool{"a": true, "x": true, "c": false})
+		synctest.Wait() // without a poll
+		if !here.is("a", "x") || !there.is("a") {
+			t.Errorf("with x from outside: %v, at the other process %v", here.ids, there.ids)
+		}
+		must(t, other.Resume("a"))
+		must(t, b.Resume("x")) // it is out, and so no stranger; to end that is the others' part
+		if !here.is("a", "x") {
+			t.Errorf("a resumed here but out by others: %v", here.ids)
+		}
+		b.Outside(nil)
+		synctest.Wait()
+		if !here.is() || !there.is() {
+			t.Errorf("all resumed: %v and %v", here.ids, there.ids)
+		}
+		again, err := Open(Config{Dir: dir})
+		if err != nil || len(again.Present()) != 0 {
+			t.Errorf("kept: %v, %v", again.Present(), err)
+		}
+	})
+}
+
+// A call is told once it is kept, and holds with what is set from outside meanwhile; others' silence is no reason to
+// send on.
+func TestCallsAreTold(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		var b *Bans
+		var here *held
+		var calls []string
+		deaf := errors.New("deaf")
+		b, here = acting(t, Config{Dir: dir, Told: func(nodo string, suspended bool) error {
+			calls = append(calls, nodo+" "+strconv.FormatBool(suspended))
+			if nodo == "c" {
+				return deaf
+			}
+			b.Outside(map[string]bool{"y": suspended})
+			return nil
+		}})
+		must(t, b.Suspend("a"))
+		if !here.is("a", "y") {
+			t.Errorf("suspended: %v", here.ids)
+		}
+		must(t, b.Resume("a"))
+		if !here.is() {
+			t.Errorf("resumed: %v", here.ids)
+		}
+		if err := b.Suspend("c"); !errors.Is(err, deaf) || !here.is("c") {
+			t.Errorf("untold: %v with %v", here.ids, err)
+		}
+		if err := b.Suspend("stranger"); err == nil {
+			t.Error("no error on a stranger")
+		}
+		if want := []string{"a true", "a false", "c true"}; !slices.Equal(calls, want) {
+			t.Errorf("told of %v", calls)
+		}
+	})
+}
+
+func TestErrorsNameWhatIsWrong(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "gone")
+	synctest.Test(t, func(t *testing.T) {
+		must(t, os.Mkdir(dir, 0o700))
+		b, here := acting(t, Config{Dir: dir})
+		must(t, b.Suspend("b"))
+		must(t, os.RemoveAll(dir))
+		b.Outside(map[string]bool{"x": true})
+		synctest.Wait()
+		if !here.is("b", "x") {
+			t.Errorf("with the folder gone: %v", here.ids)
+		}
+		var lost *StoreError
+		if err := b.Suspend("a"); !errors.As(err, &lost) || lost.Op != Keep || lost.Path != filepath.Join(dir, "ban-a") ||
+			!errors.Is(err, os.ErrNotExist) {
+			t.Errorf("suspend: %v", err)
+		}
+		var unknown *UnknownError
+		if err := b.Resume("stranger"); !errors.As(err, &unknown) || unknown.Nodo != "stranger" {
+			t.Errorf("a stranger: %v", err)
+		}
+		if _, err := Open(Config{Dir: dir}); !errors.As(err, &lost) || lost.Op != Read || lost.Path != dir {
+			t.Errorf("open: %v", err)
+		}
+	})
+}
+
+// A call that nobody acts on is a no in time, unless nothing is sent any more.
+func TestACallThatNobodyActsOnIsANo(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		names, ended := NewNames(), make(chan struct{})
+		names.Add("a")
+		b, err := Open(Config{Dir: dir, Names: names, Ended: ended})
+		must(t, err)
+		var late *LateError
+		if err := b.Suspend("a"); !errors.As(err, &late) || late.After >= time.Second || !b.Present()["a"] {
+			t.Errorf("got %v", err)
+		}
+		close(ended)
+		must(t, b.Suspend("a"))
+	})
+}
+
+// Names of all kinds are kept, in the form that former versions read.
+func TestBansKeepNamesOfAllKinds(t *testing.T) {
+	s := store{t.TempDir()}
+	files := map[string]string{"..": "ban-..", "a": "ban-a", "a b": "ban-a%20b", "a/b": "ban-a%2Fb", "ü%2F": "ban-%C3%BC%252F"}
+	for id, file := range files {
+		must(t, s.add(id))
+		if info, err := os.Stat(filepath.Join(s.dir, file)); err != nil || info.Size() != 0 {
+			t.Errorf("%q: %v", id, err)
+		}
+	}
+	must(t, os.WriteFile(filepath.Join(s.dir, "ban-%zz"), nil, 0o600)) // nobody's
+	got, err := s.load()
+	if err != nil || !maps.EqualFunc(got, files, func(is bool, _ string) bool { return is }) {
+		t.Fatalf("got %v, %v", got, err)
+	}
+	for id := range files {
+		must(t, errors.Join(s.remove(id), s.remove(id)))
+		if s.has(id) {
+			t.Errorf("%q stays", id)
+		}
+	}
+}
+
+func TestNamesOfServersThatLeftAreBounded(t *testing.T) {
+	s := NewNames()
+	for i := range 2 * maxNames {
+		s.Add("stays", strconv.Itoa(i))
+	}
+	ids := s.All()
+	if len(ids) > maxNames || !slices.Contains(ids, "stays") || s.Has("0") {
+		t.Errorf("%d names kept", len(ids))
+	}
+}
--- /dev/null
+++ b/internal/bans/errors.go
@@ -0,0 +1,51 @@
+package bans
+
+import (
+	"fmt"
+	"time"
+)
+
+// UnknownError is the answer to a call on a server that no list has named and that is not out.
+type UnknownError struct{ Nodo string }
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("no list has named this nodo: %q; look for its id in discovery's list", e.Nodo)
+}
+
+// Op is what was to be done with the store.
+type Op string
+
+// What a StoreError may be about.
+const (
+	Keep Op = "keep the ban"
+	Drop Op = "drop the ban"
+	Read Op = "read the bans"
+)
+
+// StoreError tells that the folder of the bans could not be read or changed.
+type StoreError struct {
+	Op   Op
+	Path string // of the ban's file, or of the folder
+	Err  error
+}
+
+func (e *StoreError) Error() string {
+	return fmt.Sprintf("%s: %s: %v; see to its folder (there, writable, room left), then repeat the call", e.Op, e.Path, e.Err)
+}
+
+func (e *StoreError) Unwrap() error { return e.Err }
+
+// failed is a *StoreError, or nil without err.
+func failed(op Op, path string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &StoreError{op, path, err}
+}
+
+// LateError tells that what a call says is kept and will hold, but does not yet.
+type LateError struct{ After time.Duration }
+
+func (e *LateError) Error() string {
+	return fmt.Sprintf("the proxy did not act on the call within %v; repeat it to learn when it does", e.After)
+}
--- /dev/null
+++ b/internal/bans/names.go
@@ -0,0 +1,56 @@
+package bans
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// maxNames bounds the names that are kept of servers that have left the list.
+const maxNames = 4096
+
+// Names are the servers that some list has named. It may be used from many goroutines.
+type Names struct {
+	mu    sync.Mutex
+	at    map[string]int // when it was last named, in lists
+	lists int
+}
+
+// NewNames has no names yet.
+func NewNames() *Names { return &Names{at: map[string]int{}} }
+
+// Add notes the servers of a list. Where there are too many the ones not named for the longest go.
+func (s *Names) Add(ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	for _, id := range ids {
+		s.at[id] = s.lists
+	}
+	for len(s.at) > max(maxNames, len(ids)) {
+		oldest := s.lists
+		for _, n := range s.at {
+			oldest = min(oldest, n)
+		}
+		for id, n := range s.at {
+			if n == oldest {
+				delete(s.at, id)
+			}
+		}
+	}
+}
+
+// Has tells whether a server is among them.
+func (s *Names) Has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.at[id]
+	return ok
+}
+
+// All are the names, in no order.
+func (s *Names) All() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.at))
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -17,6 +17,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"fernlanding/internal/bans"
 )
 
 const (
@@ -29,9 +31,6 @@
 	maxBody       = 4 << 10 // no call needs a body; one is read so that a call is known to be whole
 )
 
-// ErrUnknown is the answer to a call on a nodo that no list has named.
-var ErrUnknown = errors.New("no list has named this nodo")
-
 // Ends counts the requests of a class by how they ended.
 type Ends struct {
 	Succeeded, Declined, Aborted int64 // served, refused, failed
@@ -61,7 +60,8 @@
 type Proxy interface {
 	Ready() bool
 	Figures() Figures
-	// Suspend and Resume return once the proxy acts on it and the ban outlives the process.
+	// Suspend and Resume return once the proxy acts on it and the ban outlives the process. A *bans.UnknownError is a
+	// no for good; after others the call may be repeated.
 	Suspend(nodo string) error
 	Resume(nodo string) error
 }
@@ -205,8 +205,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
 		err := do(id)
+		var unknown *bans.UnknownError
 		switch {
-		case errors.Is(err, ErrUnknown):
+		case errors.As(err, &unknown):
 			http.Error(w, err.Error(), http.StatusNotFound)
 		case err != nil:
 			s.log.Error("management call", "call", verb, "nodo", id, "error", err)
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"fernlanding/internal/bans"
 )
 
 const patience = 20 * time.Second // for what has to come; only a failing test waits so long
@@ -29,7 +31,7 @@
 func (p *fakeProxy) do(verb, nodo string) error {
 	switch nodo {
 	case "stranger":
-		return ErrUnknown
+		return &bans.UnknownError{Nodo: nodo}
 	case "stuck":
 		return errors.New("no room")
 	}
--- a/internal/proxy/bans_test.go
+++ b/internal/proxy/bans_test.go
@@ -3,12 +3,11 @@
 import (
 	"errors"
 	"os"
-	"slices"
 	"strconv"
 	"testing"
 
+	"fernlanding/internal/bans"
 	"fernlanding/internal/discovery"
-	"fernlanding/internal/mgmt"
 )
 
 // A ban keeps a server out at both processes of a proxy, through lists and restarts, until one call back.
@@ -58,16 +57,16 @@
 func TestAServerThatNoListNamedIsUnknown(t *testing.T) {
 	p, _ := serving(t, says(served, true))
 	for _, do := range []func(string) error{p.Suspend, p.Resume} {
-		if err := do("stranger"); !errors.Is(err, mgmt.ErrUnknown) {
+		var unknown *bans.UnknownError
+		if err := do("stranger"); !errors.As(err, &unknown) {
 			t.Errorf("got %v", err)
 		}
 	}
 	if err := p.Resume("a"); err != nil { // nothing to end, and no harm
 		t.Error(err)
 	}
-	left, err := p.bans.store.load()
-	if err != nil || len(left) != 0 {
-		t.Errorf("left behind: %v, %v", left, err)
+	if left := p.bans.Present(); len(left) != 0 {
+		t.Errorf("left behind: %v", left)
 	}
 }
 
@@ -77,40 +76,8 @@
 	if err := os.RemoveAll(p.cfg.State); err != nil {
 		t.Fatal(err)
 	}
-	if err := p.Suspend("a"); err == nil {
-		t.Error("no error")
-	}
-}
-
-func TestBansKeepNamesOfAllKinds(t *testing.T) {
-	s := banStore{t.TempDir()}
-	names := []string{"..", "a", "a b", "a/b", "ü%2F"}
-	for _, id := range names {
-		if err := s.add(id); err != nil {
-			t.Fatal(err)
-		}
-	}
-	got, err := s.load()
-	if err != nil || len(got) != len(names) {
-		t.Fatalf("got %v, %v", got, err)
-	}
-	for _, id := range names {
-		if !got[id] {
-			t.Errorf("%q is lost", id)
-		}
-		if err := errors.Join(s.remove(id), s.remove(id)); err != nil {
-			t.Error(err)
-		}
-	}
-}
-
-func TestNamesOfServersThatLeftAreBounded(t *testing.T) {
-	s := newSeen()
-	for i := range 2 * maxSeen {
-		s.add("stays", strconv.Itoa(i))
-	}
-	ids := s.all()
-	if len(ids) > maxSeen || !slices.Contains(ids, "stays") || s.has("0") {
-		t.Errorf("%d names kept", len(ids))
+	var lost *bans.StoreError
+	if err := p.Suspend("a"); !errors.As(err, &lost) {
+		t.Errorf("got %v", err)
 	}
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/bans"
 	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
@@ -30,8 +31,8 @@
 	log    *slog.Logger
 	events chan func()
 	lists  <-chan discovery.News
-	bans   chan banNews
-	seen   *seen
+	bans   <-chan bans.Set // whole sets; nil: none come
+	seen   *bans.Names
 	ask    func()        // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
 	fresh  chan struct{} // closed when there is one from discovery
@@ -52,9 +53,8 @@
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
 	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
-		bans: make(chan banNews), seen: newSeen(), ask: func() {}, listed: make(chan struct{}),
-		fresh: make(chan struct{}),
-		reqs:  map[string]*request{}, done: make(chan struct{})}
+		seen: bans.NewNames(), ask: func() {}, listed: make(chan struct{}), fresh: make(chan struct{}),
+		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
 // run plays events until the context ends, and then until every attempt has.
@@ -83,8 +83,8 @@
 			l.list(n)
 			continue
 		case n := <-l.bans:
-			l.ban(n.ids)
-			close(n.done)
+			l.ban(n.IDs)
+			n.Holds()
 			continue
 		default:
 		}
@@ -92,8 +92,8 @@
 		case n := <-l.lists:
 			l.list(n)
 		case n := <-l.bans:
-			l.ban(n.ids)
-			close(n.done)
+			l.ban(n.IDs)
+			n.Holds()
 		case f := <-l.events:
 			f()
 		case <-alarm.C:
@@ -167,7 +167,7 @@
 	for _, e := range list.Endpoints {
 		names = append(names, e.Name)
 	}
-	l.seen.add(names...)
+	l.seen.Add(names...)
 	l.pool.apply(kind != logic.Delta, list.Endpoints)
 	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.Endpoints))
 	l.figs.servers(l.bal.Servers())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/bans"
 	"fernlanding/internal/discovery"
 	"fernlanding/internal/mgmt"
 	"fernlanding/internal/settings"
@@ -67,7 +68,7 @@
 	front  *frontend
 	figs   *figures
 	lists  *discovery.Client
-	bans   *bans                                          // nil unless watched
+	bans   *bans.Bans                                     // nil unless watched
 	elder  *elder                                         // the predecessor that lives, or nil
 	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
 	others atomic.Int32                                   // processes of this proxy that live beside this one
@@ -107,17 +108,20 @@
 	p.share(false)
 	if before != nil {
 		bal.Inherit(before.legacy.Spent)
-		l.seen.add(before.legacy.Seen...)
+		l.seen.Add(before.legacy.Seen...)
 		p.join(1)
 	}
 	if known := p.known(); known != nil {
 		l.apply(logic.Cached, known)
 	}
 	if cfg.Watched {
-		if p.bans, err = openBans(cfg.State, l); err != nil {
+		p.bans, err = bans.Open(bans.Config{Dir: cfg.State, Names: l.seen, Ended: l.done, Log: cfg.Log})
+		if err != nil {
 			listener.Close()
 			return nil, err
 		}
+		l.bans = p.bans.Sets()
+		l.ban(p.bans.Present())
 	}
 	return p, nil
 }
@@ -190,7 +194,7 @@
 func (p *Proxy) handOver() (legacy, error) {
 	out := make(chan legacy, 1)
 	p.loop.post(func() {
-		out <- legacy{Spent: p.loop.bal.HandOver(p.loop.clock.now()), Seen: p.loop.seen.all()}
+		out <- legacy{Spent: p.loop.bal.HandOver(p.loop.clock.now()), Seen: p.loop.seen.All()}
 	})
 	select {
 	case l := <-out:
@@ -273,11 +277,12 @@
 func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
 
 // Suspend has a server get nothing new, whatever the list says, until Resume. Any process of this proxy may be
-// told. The answer comes once this one acts on it; that of a server that no list has named is mgmt.ErrUnknown.
-func (p *Proxy) Suspend(server string) error { return p.bans.suspend(server) }
+// told. The answer comes once this one acts on it; its errors are those of
+// bans.Bans.Suspend.
+func (p *Proxy) Suspend(server string) error { return p.bans.Suspend(server) }
 
 // Resume ends the ban of a server.
-func (p *Proxy) Resume(server string) error { return p.bans.resume(server) }
+func (p *Proxy) Resume(server string) error { return p.bans.Resume(server) }
 
 // Figures are the counts so far.
 func (p *Proxy) Figures() mgmt.Figures {
@@ -302,7 +307,7 @@
 	defer stop()
 	parts.Go(func() { p.loop.run(inner) })
 	if p.bans != nil {
-		parts.Go(func() { p.bans.watch(inner) })
+		parts.Go(func() { p.bans.Run(inner) })
 	}
 	parts.Go(func() { p.lists.Run(inner) })
 	if p.elder != nil {
