Read the configuration in a package of its own, each fault with file, key and remedy

load was a part of the command's main file, its errors texts that tests searched. A section more needs a place, and on-call staff the key to correct.

internal/config holds Load and Reload; a fault is a *ConfigError{File, Key, Problem, Remedy}, in one line as before. The settings' faults are *settings.Error, so that the key is whole (settings.profiles[0].name). What a reload lacks came along from settings. The section fleet is kept as it was read. main wires only. What is taken and turned down is the same, but for "settings": null, which is now missing and no longer an unknown membership mode.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,170 @@
+// Package config reads the proxy's configuration: a JSON file, with words of the environment for what it lacks. Each
+// fault is a *ConfigError. Keys that it does not know are ignored.
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/proxy"
+	"fernlanding/internal/settings"
+)
+
+const defaultSockets = 1024
+
+// Config is what the file says.
+type Config struct {
+	Proxy    proxy.Config // without Log, Memory and Hold
+	Mgmt     string       // the management address; empty: none
+	Cores    float64      // 0: not told
+	MemoryMB float64      // likewise
+
+	Fleet json.RawMessage // the section fleet as it was read; nil: none
+
+	text []byte // of the whole file
+}
+
+// file is the configuration as it stands on disk.
+type file struct {
+	Listen    string   `json:"listen"`
+	Discovery string   `json:"discovery"`
+	Members   []string `json:"discovery_members"` // of the project's list service, in place of discovery
+	Kept      string   `json:"discovery_state"`   // folder of the last list; with members
+	Mgmt      string   `json:"mgmt"`
+	Seed      string   `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+	Fleet    json.RawMessage `json:"fleet"`
+}
+
+// given tells whether there is a section; null is none.
+func given(section json.RawMessage) bool { return len(section) > 0 && string(section) != "null" }
+
+// Load reads the file that LB_CONFIG names; LB_LISTEN, LB_DISCOVERY and LB_MGMT stand in for what it lacks.
+func Load(env func(string) string) (*Config, error) {
+	path := env("LB_CONFIG")
+	if path == "" {
+		return nil, &ConfigError{Key: "LB_CONFIG", Problem: "is not set", Remedy: "have it name the configuration file"}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var at *fs.PathError
+		if errors.As(err, &at) { // which names the file once more
+			err = at.Err
+		}
+		return nil, &ConfigError{File: path, Problem: err.Error(), Remedy: "have LB_CONFIG name a file that can be read"}
+	}
+	c, err := parse(text, env)
+	var fault *ConfigError
+	if errors.As(err, &fault) {
+		fault.File = path
+	}
+	return c, err
+}
+
+// Reload is Load for a configuration that takes the place of another. To lack a key that the former has is a fault
+// too, since a file cut short may make sense.
+func Reload(env func(string) string, former *Config) (*Config, error) {
+	c, err := Load(env)
+	if err != nil {
+		return nil, err
+	}
+	if fault := lacks(former.text, c.text); fault != nil {
+		fault.File = env("LB_CONFIG")
+		return nil, fault
+	}
+	return c, nil
+}
+
+// parse reads a configuration's text; its errors name no file yet.
+func parse(text []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, unreadable("", err)
+	}
+	c := &Config{Mgmt: cmp.Or(f.Mgmt, env("LB_MGMT")), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, text: text}
+	p := &c.Proxy
+	p.Listen = cmp.Or(f.Listen, env("LB_LISTEN"))
+	p.Discovery = discovery.Source{Address: cmp.Or(f.Discovery, env("LB_DISCOVERY")), Members: f.Members}
+	p.Kept, p.Watched = f.Kept, c.Mgmt != ""
+	// Where the folder is not the proxy's own, as it is on the platform, its address tells it from others.
+	p.State = filepath.Join(cmp.Or(env("TMPDIR"), os.TempDir()), "fernlanding-"+url.PathEscape(p.Listen))
+	p.Sockets = cmp.Or(f.Limits.Sockets, defaultSockets)
+	if err := f.addresses(p); err != nil {
+		return nil, err
+	}
+	var err error
+	if p.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, &ConfigError{Key: "seed", Problem: err.Error(), Remedy: "give 1 to 16 hexadecimal digits"}
+	}
+	for _, l := range []struct {
+		key string
+		n   float64
+	}{{"cores", c.Cores}, {"memory_mb", c.MemoryMB}, {"sockets", float64(f.Limits.Sockets)}} {
+		if l.n < 0 {
+			return nil, &ConfigError{Key: "limits." + l.key, Problem: "negative", Remedy: "give a limit, or leave it out"}
+		}
+	}
+	if p.Site, err = site(f.Settings); err != nil {
+		return nil, err
+	}
+	if given(f.Known) {
+		if p.Known, err = discovery.Parse(f.Known); err != nil {
+			return nil, unreadable("known", err)
+		}
+	}
+	if given(f.Fleet) {
+		c.Fleet = f.Fleet
+	}
+	return c, nil
+}
+
+// addresses checks where clients connect and where the list comes from.
+func (f *file) addresses(p *proxy.Config) error {
+	if p.Listen == "" {
+		return &ConfigError{Key: "listen", Problem: "is missing", Remedy: "give HOST:PORT there or in LB_LISTEN"}
+	}
+	if p.Discovery.Address == "" && len(f.Members) == 0 {
+		return &ConfigError{Key: "discovery", Problem: "is missing",
+			Remedy: "give HOST:PORT there or in LB_DISCOVERY, or discovery_members"}
+	}
+	for i, m := range f.Members {
+		if _, _, err := net.SplitHostPort(m); err != nil {
+			return &ConfigError{Key: fmt.Sprintf("discovery_members[%d]", i), Problem: err.Error(), Remedy: "give HOST:PORT"}
+		}
+	}
+	if f.Kept != "" && len(f.Members) == 0 {
+		return &ConfigError{Key: "discovery_state", Problem: "needs discovery_members; the platform's list is not kept",
+			Remedy: "give the members, or leave it out"}
+	}
+	return nil
+}
+
+// site reads the section settings.
+func site(section json.RawMessage) (*settings.Site, error) {
+	if !given(section) {
+		return nil, &ConfigError{Key: "settings", Problem: "is missing", Remedy: "give the rules of the tier"}
+	}
+	s, err := settings.Decode(section)
+	if err == nil {
+		err = s.CheckSockets()
+	}
+	if err != nil {
+		return nil, unreadable("settings", err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",` +
+	`"limits":{"cores":1.0,"memory_mb":192,"sockets":512},"known":{"index":4,"snapshot":true,"endpoints":[]},` +
+	`"later":1,"settings":{"contract":{},"failure_domains":["a"],"limits":{"dial_timeout_us":1,"idle_close_us":1,` +
+	`"try_limit":3},"membership_mode":"automatic","profiles":[{"give_up_us":8,"name":"look","objective_us":4,` +
+	`"repeat":"idempotent","worth":1}],"siblings":1}}`
+
+// from is an environment with a configuration of this text.
+func from(t *testing.T, text string, more map[string]string) func(string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func(name string) string {
+		if name == "LB_CONFIG" {
+			return path
+		}
+		return more[name]
+	}
+}
+
+func TestTheConfigurationIsRead(t *testing.T) {
+	env := map[string]string{"LB_LISTEN": "127.0.0.1:9", "LB_DISCOVERY": "127.0.0.1:6", "LB_MGMT": "127.0.0.1:8"}
+	for _, c := range []struct {
+		old, new                string
+		env                     map[string]string
+		listen, discovery, mgmt string
+	}{
+		{"", "", nil, "127.0.0.1:0", "127.0.0.1:1", ""},
+		{"", "", env, "127.0.0.1:0", "127.0.0.1:1", "127.0.0.1:8"},
+		{`"listen":"127.0.0.1:0","discovery":"127.0.0.1:1",`, "", env, "127.0.0.1:9", "127.0.0.1:6", "127.0.0.1:8"},
+		{"{", `{"mgmt":"127.0.0.1:7",`, env, "127.0.0.1:0", "127.0.0.1:1", "127.0.0.1:7"},
+	} {
+		got, err := Load(from(t, strings.Replace(good, c.old, c.new, 1), c.env))
+		if err != nil {
+			t.Fatalf("%+v: %v", c, err)
+		}
+		if p := got.Proxy; p.Listen != c.listen || p.Discovery.Address != c.discovery || got.Mgmt != c.mgmt ||
+			p.Watched != (c.mgmt != "") || p.Sockets != 512 || got.MemoryMB != 192 || p.Known.Index != 4 || got.Fleet != nil {
+			t.Errorf("%+v: got %+v", c, got)
+		}
+	}
+	got, err := Load(from(t, strings.Replace(good, `"later"`, `"fleet":{"bind":7},"later"`, 1), nil))
+	if err != nil || string(got.Fleet) != `{"bind":7}` {
+		t.Errorf("the fleet's section: %s, %v", got.Fleet, err)
+	}
+}
+
+func TestAFaultNamesFileKeyProblemAndRemedyInOneLine(t *testing.T) {
+	for _, c := range []struct{ old, new, key, problem string }{
+		{good, ``, "", "unexpected end"},
+		{`"listen":"127.0.0.1:0",`, ``, "listen", "missing"},
+		{`"discovery":"127.0.0.1:1",`, ``, "discovery", "missing"},
+		{`"seed"`, `"discovery_members":["127.0.0.1:1","here"],"seed"`, "discovery_members[1]", "missing port"},
+		{`"seed"`, `"discovery_state":"/tmp/x","seed"`, "discovery_state", "needs discovery_members"},
+		{`8c1f30d27a5be964`, `sesame`, "seed", "sesame"},
+		{`"sockets":512`, `"sockets":-1`, "limits.sockets", "negative"},
+		{`"sockets":512`, `"sockets":"many"`, "limits.sockets", "JSON string"},
+		{`"endpoints":[]`, `"endpoints":[{}]`, "known", "endpoints[0]"},
+		{`"name":"look",`, ``, "settings.profiles[0].name", "missing"},
+		{`"worth":1`, `"worth":"all"`, "settings.profiles.worth", "JSON string"},
+		{`"settings"`, `"setting"`, "settings", "missing"},
+		{`"automatic"`, `"never"`, "settings.membership_mode", `"never"`},
+	} {
+		env := from(t, strings.Replace(good, c.old, c.new, 1), nil)
+		_, err := Load(env)
+		var fault *ConfigError
+		if !errors.As(err, &fault) || fault.File != env("LB_CONFIG") || fault.Key != c.key ||
+			!strings.Contains(fault.Problem, c.problem) || fault.Remedy == "" || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q: got %v", c.new, c.old, err)
+		}
+	}
+	for _, path := range []string{"", filepath.Join(t.TempDir(), "none")} {
+		var fault *ConfigError
+		if _, err := Load(func(string) string { return path }); !errors.As(err, &fault) || fault.File != path || fault.Remedy == "" {
+			t.Errorf("from %q: got %v", path, err)
+		}
+	}
+}
+
+// A file that lacks what the one in force has may have been cut short; values may change, and the list go.
+func TestAReloadLacksNothingThatIsInForce(t *testing.T) {
+	former, err := Load(from(t, good, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, key string }{
+		{`"limits":{"cores":1.0,"memory_mb":192,"sockets":512},`, ``, "limits"},
+		{`,"worth":1`, ``, "settings.profiles[0].worth"},
+		{`"later":1,`, ``, "later"},
+		{`"known":{"index":4,"snapshot":true,"endpoints":[]},`, ``, ""},
+		{`"try_limit":3`, `"try_limit":4`, ""},
+	} {
+		next, err := Reload(from(t, strings.Replace(good, c.old, c.new, 1), nil), former)
+		var fault *ConfigError
+		if c.key == "" && (err != nil || next == nil) || c.key != "" && (!errors.As(err, &fault) || fault.Key != c.key || fault.File == "") {
+			t.Errorf("%q for %q: got %v", c.new, c.old, err)
+		}
+	}
+}
+
+// Whatever a file holds, it is read or its fault is a *ConfigError with a remedy.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"listen":"a:1","discovery":"a:2","seed":"1","settings":null,"fleet":null}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := parse(text, func(string) string { return "" })
+		var fault *ConfigError
+		switch {
+		case err == nil && (c == nil || c.Fleet != nil && !json.Valid(c.Fleet)):
+			t.Errorf("read as %+v", c)
+		case err != nil && (!errors.As(err, &fault) || c != nil || fault.Problem == "" || fault.Remedy == ""):
+			t.Errorf("got %+v, %v", c, err)
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,11 +4,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"fernlanding/logic"
@@ -25,6 +21,16 @@
 	IdleClose   time.Duration // a backend closes a connection that has been idle this long
 }
 
+// Error is a value that makes no sense.
+type Error struct {
+	Key     string // as in profiles[0].name
+	Problem string
+}
+
+func (e *Error) Error() string { return e.Key + ": " + e.Problem }
+
+func unknown(key, word string) error { return &Error{key, fmt.Sprintf("unknown word %q", word)} }
+
 // object is the settings object as it stands on the wire.
 type object struct {
 	Contract struct {
@@ -98,10 +104,10 @@
 // figures of its connections.
 func (s *Site) CheckSockets() error {
 	if s.DialTimeout <= 0 {
-		return errors.New("limits.dial_timeout_us: not positive")
+		return &Error{"limits.dial_timeout_us", "not positive"}
 	}
 	if s.IdleClose <= 0 {
-		return errors.New("limits.idle_close_us: not positive")
+		return &Error{"limits.idle_close_us", "not positive"}
 	}
 	if err := distinct("profiles", s.Classes); err != nil {
 		return err
@@ -113,7 +119,7 @@
 	seen := map[string]bool{}
 	for i, n := range names {
 		if n == "" || seen[n] {
-			return fmt.Errorf("%s[%d].name: missing or given twice", list, i)
+			return &Error{fmt.Sprintf("%s[%d].name", list, i), "missing or given twice"}
 		}
 		seen[n] = true
 	}
@@ -139,7 +145,7 @@
 		ByWork: o.CountedBy == "work",
 	}
 	if o.Membership != "automatic" && o.Membership != "subscribe" {
-		return s, fmt.Errorf("membership_mode: unknown word %q", o.Membership)
+		return s, unknown("membership_mode", o.Membership)
 	}
 	if o.Limits.RetryAfter {
 		s.MaxRetryAfter = o.Limits.MaxRetryAfter
@@ -147,11 +153,11 @@
 	for i, p := range o.Profiles {
 		repeat, ok := repeats[p.Repeat]
 		if !ok {
-			return s, fmt.Errorf("profiles[%d].repeat: unknown word %q", i, p.Repeat)
+			return s, unknown(fmt.Sprintf("profiles[%d].repeat", i), p.Repeat)
 		}
 		group, ok := groups[p.Scope]
 		if !ok {
-			return s, fmt.Errorf("profiles[%d].dedup_scope: unknown word %q", i, p.Scope)
+			return s, unknown(fmt.Sprintf("profiles[%d].dedup_scope", i), p.Scope)
 		}
 		s.Classes = append(s.Classes, logic.Class{Name: p.Name, Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
 			LateWorth: p.LateShare, Repeat: repeat, Group: group, Window: p.Window,
@@ -162,65 +168,3 @@
 	}
 	return s, nil
 }
-
-// Lacks tells of the first key that a former configuration has and the next one lacks: what a file that was cut
-// short, or saved in the middle, may show and still make sense. Entries of a list are compared by the keys that all
-// of them have. What the list of servers holds is discovery's and not compared.
-func Lacks(former, next []byte) error {
-	var a, b map[string]any
-	if err := errors.Join(json.Unmarshal(former, &a), json.Unmarshal(next, &b)); err != nil {
-		return err
-	}
-	delete(a, "known")
-	return lacks("", a, b)
-}
-
-func lacks(at string, former, next any) error {
-	switch a := former.(type) {
-	case map[string]any:
-		b, ok := next.(map[string]any)
-		if !ok {
-			return fmt.Errorf("%s: no object", strings.TrimPrefix(at, "."))
-		}
-		for _, key := range slices.Sorted(maps.Keys(a)) {
-			v, ok := b[key]
-			if !ok {
-				return fmt.Errorf("%s is missing", strings.TrimPrefix(at+"."+key, "."))
-			}
-			if err := lacks(at+"."+key, a[key], v); err != nil {
-				return err
-			}
-		}
-	case []any:
-		b, ok := next.([]any)
-		if !ok {
-			return fmt.Errorf("%s: no list", strings.TrimPrefix(at, "."))
-		}
-		common := commonKeys(a)
-		for i, entry := range b {
-			if err := lacks(fmt.Sprintf("%s[%d]", at, i), common, entry); len(common) > 0 && err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-// commonKeys are the keys that all entries of a list have.
-func commonKeys(list []any) map[string]any {
-	var common map[string]any
-	for _, entry := range list {
-		m, ok := entry.(map[string]any)
-		if !ok {
-			return nil
-		}
-		if common == nil {
-			common = maps.Clone(m)
-		}
-		maps.DeleteFunc(common, func(key string, _ any) bool { _, ok := m[key]; return !ok })
-	}
-	for key := range common {
-		common[key] = nil // their values are each entry's own
-	}
-	return common
-}
