--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -51,8 +51,15 @@
 
 var errBehind = errors.New("a member is behind what another has told")
 
-// Known has the client begin with a list that it did not hear itself.
-func (c *Client) Known(l *List) { c.begin(l) }
+// Known has the client begin with a whole list that it did not hear itself: with Members one that it kept, else the one
+// that the configuration came with, which the first call then goes on from. To be called before Run.
+func (c *Client) Known(l *List) {
+	if len(c.at.Members) > 0 {
+		c.begin(l)
+	} else if l.Full {
+		c.version = l.Index
+	}
+}
 
 func (c *Client) begin(l *List) {
 	c.line, c.index, c.list = l.Line, l.Index, map[string]Endpoint{}
--- a/internal/lab/catalog/catalog.go
+++ b/internal/lab/catalog/catalog.go
@@ -220,14 +220,18 @@
 func (c *Catalog) Snapshot(proxy string, part float64, r *rand.Rand) (list json.RawMessage, told []referee.Entry) {
 	c.on(func() {
 		lines, noted := c.wholeList(proxy)
-		kept := lines[:0]
+		whole, kept := len(lines), lines[:0]
 		for i, l := range lines {
 			if r.Float64() < part {
 				kept = append(kept, l)
 				told = append(told, noted[i])
 			}
 		}
-		list = encode(c.index, true, kept)
+		version := c.index
+		if len(kept) < whole { // no version of the list looked so: a caller must not go on from it
+			version = -1
+		}
+		list = encode(version, true, kept)
 	})
 	return list, told
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -260,6 +260,9 @@
 // known is the newest list that the proxy can begin with: what it kept itself, or what its configuration says.
 func (p *Proxy) known() *discovery.List {
 	if p.cfg.Kept == "" {
+		if p.cfg.Known != nil && len(p.cfg.Discovery.Members) == 0 {
+			p.lists.Known(p.cfg.Known)
+		}
 		return p.cfg.Known
 	}
 	kept, err := discovery.Kept(p.cfg.Kept)
