Wait for a long answer's first bytes before it is passed on, lest a request be lost

Where not one byte of the body has come with the head, the first read fails, and the answer's head is still in net/http's buffer as the connection is ended: the client sees a close without a word (attempt.go read, download.go passOn).

Change: an answer over the size that is held is passed on once its first kilobyte is here, or what has come within 100 ms; one that breaks off before is a reset, and the next attempt can still serve. Its first bytes are late by nothing else.

Measured: TestAnAnswerThatBreaksOffAtItsHeadIsTriedAgain fails without it: `no answer: unexpected EOF`. Rejected: the read-ahead of answers of untold length for all (a copy more of every long body).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"fernlanding/logic"
@@ -152,6 +153,9 @@
 	content := resp.Header.Get("Content-Type")
 	switch n := resp.ContentLength; {
 	case n > a.pool.whole.Load():
+		if err = a.begun(c); err != nil {
+			return res, false, fmt.Errorf("read body: %w", err)
+		}
 		return a.passOn(resp.Body, n, content, c, clean)
 	case n >= 0:
 		body := make([]byte, n)
@@ -181,6 +185,29 @@
 	return result{status: logic.OK, body: body, content: content}, clean(), nil
 }
 
+// begun waits until a long answer's body has begun: for its first kilobyte, or wholeWait and whatever has come by then.
+// Once an answer is passed on no other attempt can follow; one that breaks off before its first byte would even reach the
+// client as a connection that ends without a word, which loses the request.
+func (a *attempt) begun(c *conn) error {
+	soon := time.Now().Add(wholeWait)
+	if soon.After(a.deadline) {
+		soon = a.deadline
+	}
+	_ = c.SetReadDeadline(soon)
+	came, err := c.body.Peek(c.body.Size())
+	_ = c.SetReadDeadline(a.deadline)
+	if len(came) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && a.ctx.Err() == nil {
+		_, err = c.body.Peek(1)
+	}
+	switch {
+	case a.ctx.Err() != nil: // stopped, maybe before a deadline was set anew
+		return context.Cause(a.ctx)
+	case errors.Is(err, os.ErrDeadlineExceeded) && len(came) > 0:
+		return nil
+	}
+	return err
+}
+
 // declined takes an answer that serves nobody: only its status counts.
 func (a *attempt) declined(resp *http.Response, clean func() bool) (result, bool, error) {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeMost+1))
--- a/internal/proxy/download_test.go
+++ b/internal/proxy/download_test.go
@@ -94,6 +94,36 @@
 	}
 }
 
+// A long answer that breaks off before its first bytes is none: the next attempt can still serve, and where there is no
+// other the client hears so. It was a connection that ended without a word.
+func TestAnAnswerThatBreaksOffAtItsHeadIsTriedAgain(t *testing.T) {
+	for _, c := range []struct {
+		body string
+		good int // the first attempt that is served
+		want int
+	}{{"", 2, 200}, {"x", 2, 200}, {"", 99, 503}} {
+		tries := 0
+		p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+			if tries++; tries >= c.good {
+				_, _ = io.WriteString(w, served)
+				return true
+			}
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"+c.body)
+			return false
+		})
+		cl := connect(t, p)
+		cl.send(t, look("1", 4000))
+		resp, err := http.ReadResponse(cl.r, nil)
+		if err != nil {
+			t.Errorf("after %q: no answer: %v", c.body, err)
+			continue
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != c.want {
+			t.Errorf("after %q: got %s, %v", c.body, resp.Status, err)
+		}
+	}
+}
+
 // A client can tell an answer that broke off on its way, and it counts as failed.
 func TestAnAnswerThatBreaksOffShows(t *testing.T) {
 	for name, head := range map[string]string{
