--- /dev/null
+++ b/internal/lab/catalog/answer.go
@@ -0,0 +1,132 @@
+package catalog
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"fernlanding/internal/lab/referee"
+)
+
+// line is an entry on the wire.
+type line struct {
+	Entry
+	Address string  `json:"address"`
+	Weight  float64 `json:"weight"`
+}
+
+// step tells what is due and answers the calls whose turn it is; the next one is due after the time that it returns.
+func (c *Catalog) step(now time.Time) time.Duration {
+	if now.Sub(c.synced) >= c.cfg.Sync {
+		c.file.Sync()
+		c.synced = now
+	}
+	next := c.cfg.Sync
+	news := false
+	for len(c.pending) > 0 && c.stale == 0 && c.down == 0 {
+		if wait := c.pending[0].at.Sub(now); wait > 0 {
+			next = min(next, wait)
+			break
+		}
+		if !c.tell(c.pending[0].entry) {
+			break
+		}
+		c.pending = c.pending[1:]
+		news = true
+	}
+	kept := c.waiting[:0]
+	for _, w := range c.waiting {
+		if news || !now.Before(w.until) {
+			w.since = now
+			c.line = append(c.line, w)
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	c.waiting = kept
+	for len(c.line) > 0 {
+		if wait := c.busy.Sub(now); wait > 0 {
+			next = min(next, wait)
+			break
+		}
+		q := c.line[0]
+		c.line = c.line[1:]
+		if now.Sub(q.since) > c.cfg.Wait {
+			close(q.reply)
+			continue
+		}
+		c.busy = now.Add(c.answer(q, now))
+	}
+	for _, w := range c.waiting {
+		next = min(next, w.until.Sub(now))
+	}
+	return max(next, leastWait)
+}
+
+// answer answers a call and tells how long the service was busy with it.
+func (c *Catalog) answer(q *call, now time.Time) time.Duration {
+	var lines []line
+	q.whole = q.from < 0 || q.from > c.index || c.index > q.from && (len(c.changes) == 0 || c.changes[0].Index > q.from+1)
+	if q.whole {
+		lines, q.lines = c.wholeList(q.proxy)
+	} else {
+		if q.from == c.index && now.Before(q.until) {
+			c.waiting = append(c.waiting, q)
+			return time.Duration(float64(c.cfg.Call) * c.slow)
+		}
+		seen := map[string]bool{}
+		for _, v := range slices.Backward(c.changes) {
+			if v.Index > q.from && !seen[v.Entry.Name] {
+				seen[v.Entry.Name] = true
+				lines = append(lines, c.line1(q.proxy, v.Entry))
+				q.lines = append(q.lines, noted(v.Entry))
+			}
+		}
+	}
+	q.reply <- encode(c.index, q.whole, lines)
+	c.ended[q.proxy] = now
+	return time.Duration(c.slow * float64(c.cfg.Call+time.Duration(len(lines))*c.cfg.Line))
+}
+
+func (c *Catalog) line1(proxy string, e Entry) line { return line{e, c.cfg.Address(proxy, e.Name), 1} }
+
+func noted(e Entry) referee.Entry {
+	return referee.Entry{Nodo: e.Name, Serving: e.Status == Serving, Since: e.Since}
+}
+
+func (c *Catalog) wholeList(proxy string) ([]line, []referee.Entry) {
+	var lines []line
+	var told []referee.Entry
+	for _, e := range c.entries {
+		lines = append(lines, c.line1(proxy, e))
+	}
+	slices.SortFunc(lines, func(a, b line) int { return strings.Compare(a.Name, b.Name) })
+	for _, l := range lines {
+		told = append(told, noted(l.Entry))
+	}
+	return lines, told
+}
+
+func encode(index int64, whole bool, lines []line) []byte {
+	if lines == nil {
+		lines = []line{}
+	}
+	text, err := json.Marshal(struct {
+		Index     int64  `json:"index"`
+		Snapshot  bool   `json:"snapshot"`
+		Endpoints []line `json:"endpoints"`
+	}{index, whole, lines})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// drop ends all calls without an answer.
+func (c *Catalog) drop() {
+	for _, q := range append(c.line, c.waiting...) {
+		close(q.reply)
+	}
+	c.line, c.waiting = nil, nil
+}
--- /dev/null
+++ b/internal/lab/catalog/serve.go
@@ -0,0 +1,105 @@
+package catalog
+
+import (
+	"bufio"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/wire"
+)
+
+// call is a proxy's call.
+type call struct {
+	proxy string
+	from  int64 // -1: the whole list
+	until time.Time
+	since time.Time // that it stands in line
+	reply chan []byte
+	lines []referee.Entry
+	whole bool
+}
+
+// Serve serves one connection of a proxy until it ends.
+func (c *Catalog) Serve(proxy string, conn *link.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		c.ref.Asks(proxy)
+		status, body, q := c.handle(proxy, req, conn)
+		told := func(at time.Time) {
+			if q == nil {
+				c.ref.Told(proxy, nil, false, true, at)
+				return
+			}
+			c.ref.Told(proxy, q.lines, q.whole, false, at)
+		}
+		if err := conn.NoteThenWrite(wire.JSON(status, body), told); err != nil {
+			c.ref.Told(proxy, nil, false, true, time.Now())
+			return
+		}
+		if req.Close {
+			return
+		}
+	}
+}
+
+// handle answers one call: nil for the call if it failed.
+func (c *Catalog) handle(proxy string, req *http.Request, conn *link.Conn) (int, []byte, *call) {
+	if req.Method != http.MethodGet || req.URL.Path != "/catalog/members" {
+		return http.StatusNotFound, nil, nil
+	}
+	now := time.Now()
+	q := &call{proxy: proxy, from: -1, since: now, reply: make(chan []byte, 1)}
+	if from := req.URL.Query().Get("from"); from != "" {
+		n, err := strconv.ParseInt(from, 10, 64)
+		hold, err2 := strconv.ParseInt(req.URL.Query().Get("hold_ms"), 10, 64)
+		if err != nil || err2 != nil || n < 0 || hold < 0 {
+			return http.StatusBadRequest, nil, nil
+		}
+		q.from, q.until = n, now.Add(min(holdMost, time.Duration(hold)*time.Millisecond))
+	}
+	taken := false
+	c.on(func() {
+		if c.down > 0 || len(c.line)+len(c.waiting) >= c.cfg.Most {
+			return
+		}
+		if last, ok := c.ended[proxy]; ok && q.from >= 0 && now.Sub(last) > continueTime {
+			c.ref.Count(func(t *referee.Tally) { t.WatchBreaks++ })
+		}
+		taken = true
+		c.line = append(c.line, q)
+	})
+	if !taken {
+		return http.StatusServiceUnavailable, nil, nil
+	}
+	stop, gone := make(chan struct{}), make(chan struct{})
+	go func() {
+		if conn.AwaitEnd(stop) {
+			close(gone)
+		}
+	}()
+	defer close(stop)
+	select {
+	case body, ok := <-q.reply:
+		if !ok {
+			return http.StatusServiceUnavailable, nil, nil
+		}
+		return http.StatusOK, body, q
+	case <-gone: // its caller has given up or died: the call leaves the line
+		c.on(func() {
+			c.line = slices.DeleteFunc(c.line, func(o *call) bool { return o == q })
+			c.waiting = slices.DeleteFunc(c.waiting, func(o *call) bool { return o == q })
+		})
+		return http.StatusServiceUnavailable, nil, nil
+	case <-c.done:
+		return http.StatusServiceUnavailable, nil, nil
+	}
+}
--- /dev/null
+++ b/internal/lab/run/strike_nodos.go
@@ -0,0 +1,72 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fernlanding/internal/lab/catalog"
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/nodo"
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/wait"
+)
+
+func (t *timeline) nodo(ctx context.Context, s plan.Strike, turn plan.Turn) error {
+	srv, f := t.server(turn.Target), s.Fault
+	hamper := func(h nodo.Hamper) error {
+		end := srv.Hamper(h)
+		t.hold(ctx, s, turn.At)
+		end()
+		return nil
+	}
+	switch f.Kind {
+	case "nodo_kill":
+		if err := t.down(srv); err != nil || s.For <= 0 || !t.until(ctx, turn.At+s.For) {
+			return err
+		}
+		return t.up(srv)
+	case "nodo_silent":
+		end, err := t.net.Apply(to(turn.Target), link.Silent)
+		if err != nil {
+			return err
+		}
+		t.hold(ctx, s, turn.At)
+		t.net.Reset(to(turn.Target))
+		return end()
+	case "nodo_hang":
+		return hamper(nodo.Hamper{Hang: true})
+	case "nodo_slow":
+		return hamper(nodo.Hamper{Slow: f.Factor})
+	case "nodo_errors":
+		return hamper(nodo.Hamper{Errors: f.Part})
+	case "nodo_garble":
+		return hamper(nodo.Hamper{Garble: f.Part})
+	case "nodo_drain", "nodo_replace":
+		return t.drain(ctx, s, turn, srv)
+	}
+	return fmt.Errorf("fault %d: no nodos' fault %q", s.N, f.Kind)
+}
+
+// drain has a nodo drain, end, and come back cold; or another, cold, take its place at once.
+func (t *timeline) drain(ctx context.Context, s plan.Strike, turn plan.Turn, srv *server) error {
+	if s.Fault.Kind == "nodo_replace" {
+		next := srv.node
+		next.Name += "-r"
+		t.mu.Lock()
+		n := len(t.servers)
+		t.mu.Unlock()
+		fresh, err := t.addServer(next, n, time.Now(), true)
+		if err != nil {
+			return err
+		}
+		t.tell(fresh, catalog.Serving)
+	}
+	srv.Drain(true)
+	t.tell(srv, catalog.Draining)
+	wait.For(ctx, drainTime)
+	if err := t.down(srv); err != nil || s.Fault.Kind == "nodo_replace" || s.For <= 0 || !t.until(ctx, turn.At+s.For) {
+		return err
+	}
+	return t.up(srv)
+}
