Give the lab's links a relay for datagrams and connections of many senders

Members of a gossip know each other by one address each, so the lab cannot give each pair a listener of its own. A relay stands before a program's address, tells senders apart by their IP and puts a link between: cuts and losses drop datagrams, bounded in number and bytes and counted; connections go as on other links. The pass of the list service's links is now shared.

Seeded: with CutBack for CutOut the datagrams' test fails, with the program dialled before the first bytes the connections' one. go test -race -count=3 ./internal/lab/link passes.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -28,7 +28,7 @@
 
 // Ends tells a link's place. From is the side that dials.
 type Ends struct {
-	Kind     string // client, nodo or list
+	Kind     string // client, nodo, list, lease, member or gossip
 	From     string // a proxy's name, or empty for a zone's clients, or for all proxies of the zone
 	FromZone string
 	To       string
@@ -53,6 +53,7 @@
 	retransmit     = 200 * time.Millisecond // TCP's least on Linux
 	retransmitMost = 6                      // doublings
 	queueMost      = 1 << 20                // bytes that wait in one direction of one connection
+	acceptAgain    = 5 * time.Millisecond   // out of descriptors: the run says so by its lateness
 )
 
 func (e Effect) plus(o Effect) Effect {
@@ -85,6 +86,7 @@
 type Net struct {
 	mu      sync.Mutex
 	links   []*Link
+	relays  []*Relay
 	effects map[*applied]struct{}
 	seed    uint64
 }
@@ -227,6 +229,13 @@
 
 // Close ends all links.
 func (n *Net) Close() {
+	n.mu.Lock()
+	relays := n.relays
+	n.relays = nil
+	n.mu.Unlock()
+	for _, r := range relays {
+		r.close()
+	}
 	n.mu.Lock()
 	links := n.links
 	n.links = nil
@@ -358,7 +367,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			time.Sleep(5 * time.Millisecond) // out of descriptors: the run says so by its lateness
+			time.Sleep(acceptAgain)
 			continue
 		}
 		c := p.link.conn(raw.(*net.TCPConn), false)
--- /dev/null
+++ b/internal/lab/link/relay_test.go
@@ -0,0 +1,187 @@
+package link
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// program takes datagrams and echoes lines on one port, and counts its connections.
+type program struct {
+	addr  string
+	heard chan string
+	conns atomic.Int32
+}
+
+func newProgram(t *testing.T) *program {
+	t.Helper()
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	p := &program{heard: make(chan string, 100)}
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(l.Addr().String())))
+		if err != nil { // the port is another's in UDP
+			l.Close()
+			continue
+		}
+		p.addr = l.Addr().String()
+		go func() {
+			buf := make([]byte, 100)
+			for {
+				n, _, err := u.ReadFromUDP(buf)
+				if err != nil {
+					return
+				}
+				p.heard <- string(buf[:n])
+			}
+		}()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				p.conns.Add(1)
+				go func() {
+					defer c.Close()
+					for r := bufio.NewReader(c); ; {
+						line, err := r.ReadString('\n')
+						if err != nil {
+							return
+						}
+						_, _ = c.Write([]byte(line))
+					}
+				}()
+			}
+		}()
+		t.Cleanup(func() { l.Close(); u.Close() })
+		return p
+	}
+}
+
+// newRelay is a relay before a program that knows 127.0.0.2 and .3 as a and b.
+func newRelay(t *testing.T, p *program) (*Net, *Relay) {
+	t.Helper()
+	n := New(1)
+	t.Cleanup(n.Close)
+	names := map[string]string{"127.0.0.2": "a", "127.0.0.3": "b"}
+	for range 20 {
+		r, err := n.Relay("127.0.0.5:0", func(ip netip.Addr) (Ends, time.Duration, bool) {
+			name := names[ip.String()]
+			return Ends{Kind: "gossip", From: name, To: "p"}, 0, name != ""
+		})
+		if err != nil { // the port is another's in TCP
+			continue
+		}
+		if err := r.To(p.addr); err != nil {
+			t.Fatal(err)
+		}
+		return n, r
+	}
+	t.Fatal("no port is free in UDP and TCP")
+	return nil, nil
+}
+
+func fromA(e Ends) bool { return e.From == "a" }
+
+func datagram(t *testing.T, from, to, text string) {
+	t.Helper()
+	c, err := net.DialUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(from+":0")),
+		net.UDPAddrFromAddrPort(netip.MustParseAddrPort(to)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What a link does to datagrams, seen by the order in which they come: b's is sent after a's.
+func TestRelayDatagrams(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		effect Effect
+		want   string
+		passed Passed
+	}{
+		{"nothing", Effect{}, "ab", Passed{On: 2, Unknown: 1}},
+		{"what it sends is cut", Effect{CutOut: true}, "b", Passed{On: 1, Cut: 1, Unknown: 1}},
+		{"what it is sent is cut", Effect{CutBack: true}, "ab", Passed{On: 2, Unknown: 1}},
+		{"lost", Effect{Loss: 1}, "b", Passed{On: 1, Lost: 1, Unknown: 1}},
+		{"late", Effect{Delay: 2 * time.Second}, "ba", Passed{On: 2, Unknown: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newProgram(t)
+			n, r := newRelay(t, p)
+			if _, err := n.Apply(fromA, test.effect); err != nil {
+				t.Fatal(err)
+			}
+			for _, from := range []struct{ ip, text string }{{"127.0.0.4", "x"}, {"127.0.0.2", "a"}, {"127.0.0.3", "b"}} {
+				datagram(t, from.ip, r.Addr(), from.text)
+			}
+			got := ""
+			for range test.want {
+				select {
+				case text := <-p.heard:
+					got += text
+				case <-time.After(long):
+				}
+			}
+			if got != test.want || len(p.heard) > 0 {
+				t.Errorf("the program heard %q and %d more, want %q", got, len(p.heard), test.want)
+			}
+			if passed := r.Passed(); passed != test.passed {
+				t.Errorf("counted %+v, want %+v", passed, test.passed)
+			}
+		})
+	}
+}
+
+// Over a cut link a connection comes up and is silent, the program hears nothing of it, and another sender's passes;
+// what was held comes when the cut ends.
+func TestRelayConnections(t *testing.T) {
+	p := newProgram(t)
+	n, r := newRelay(t, p)
+	end, err := n.Apply(fromA, Silent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	from := func(ip string) net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}, Timeout: long}
+		c, err := d.Dial("tcp", r.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	a, b := from("127.0.0.2"), from("127.0.0.3")
+	defer a.Close()
+	defer b.Close()
+	if err := says(a, "held", short); err == nil {
+		t.Error("it passed over a cut link")
+	}
+	if err := says(b, "passes", long); err != nil {
+		t.Error(err)
+	}
+	if got := p.conns.Load(); got != 1 {
+		t.Errorf("%d connections at the program, want b's alone", got)
+	}
+	if err := end(); err != nil {
+		t.Fatal(err)
+	}
+	if err := hears(a, "held", long); err != nil {
+		t.Errorf("after the end: %v", err)
+	}
+	if n.Reset(fromA) != 1 {
+		t.Error("there was one connection of a's to reset")
+	}
+}
--- a/internal/lab/service/relay.go
+++ b/internal/lab/service/relay.go
@@ -26,23 +26,7 @@
 
 // pass hands what comes over a link on to a member's own address, unread.
 func (s *Service) pass(to string) func(*link.Conn) {
-	return func(c *link.Conn) {
-		up, err := net.DialTimeout("tcp", to, dialWait)
-		if err != nil {
-			c.Reset()
-			return
-		}
-		var both sync.WaitGroup
-		both.Go(func() {
-			_, _ = io.Copy(up, c)
-			up.Close()
-		})
-		both.Go(func() {
-			_, _ = io.Copy(c, up)
-			c.Close()
-		})
-		both.Wait()
-	}
+	return func(c *link.Conn) { link.Pass(c, to, nil) }
 }
 
 // tell hands a proxy's calls on, and notes what it is told.
