Let the lab's proxies gossip over links that faults cut, lose and delay

A section [fleet] of an experiment has each proxy told its own address, a relay's to be found by, a label and seeds spread over the zones; off, nothing changes. Faults of links reach gossip from the side that they name; a zone that is cut off or lost is so for gossip too. A process has a port of its own, so that a successor binds beside its predecessor.

Seeded: with the direction not turned for what the other side dials, four cases of TestFaultsOfGossip fail.

--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -72,6 +72,9 @@
 		c.part("proxy.known", *p.KnownPart)
 	}
 	c.checkNodos()
+	if c.positive("fleet.seeds", float64(e.Fleet.Seeds)); e.Fleet.Label == "" {
+		c.problem("fleet.label", "is empty: any fleet would be taken for this one")
+	}
 	for i, f := range e.Faults {
 		c.checkFault(fmt.Sprintf("fault[%d]", i+1), f)
 	}
--- a/internal/lab/experiment/check_fault.go
+++ b/internal/lab/experiment/check_fault.go
@@ -39,7 +39,10 @@
 	c.checkMembers(key, f, kind)
 	if kind.Links {
 		if f.Link != "" {
-			c.oneOf(key+".link", f.Link, "client", "nodo", "list", "lease")
+			c.oneOf(key+".link", f.Link, "client", "nodo", "list", "lease", "gossip")
+			if f.Link == "gossip" && len(f.Nodos) > 0 {
+				c.problem(key+".nodos", "gossip runs between proxies")
+			}
 		}
 		if f.Direction != "" {
 			c.oneOf(key+".direction", f.Direction, "both", "out", "back")
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -28,6 +28,7 @@
 	Proxy   Proxy    `toml:"proxy"`
 	Nodos   Nodos    `toml:"nodos"`
 	List    List     `toml:"list"`
+	Fleet   Fleet    `toml:"fleet"`
 	Faults  []Fault  `toml:"fault"`
 	Expect  []Expect `toml:"expect"`
 }
@@ -172,6 +173,13 @@
 	StaleMs    float64 `toml:"stale_ms"`    // a list that is older is not told
 }
 
+// Fleet is whether the proxies act as one.
+type Fleet struct {
+	On    bool   `toml:"on"`
+	Label string `toml:"label"`
+	Seeds int    `toml:"seeds"` // proxies that each is told to join at, spread over the zones
+}
+
 // Fault is one thing that goes wrong.
 type Fault struct {
 	At   float64 `toml:"at"`
@@ -185,7 +193,7 @@
 	Share   float64  `toml:"share"`
 	Spread  float64  `toml:"spread"` // seconds over which the targets' turns are spread
 
-	Link      string  `toml:"link"`      // client, nodo, list or lease (from nodos to the list service); empty: all
+	Link      string  `toml:"link"`      // client, nodo, list, lease (from nodos to the list service) or gossip; empty: all
 	Direction string  `toml:"direction"` // both, out (what callers send is lost) or back (answers are)
 	FromZone  string  `toml:"from_zone"`
 	ToZone    string  `toml:"to_zone"`
@@ -297,7 +305,7 @@
 
 	"cut":   {Links: true, Lasts: true, Text: "links fall silent, in `direction`; open connections stay open"},
 	"delay": {Links: true, Lasts: true, Needs: []string{"ms"}, Text: "`ms` more each way"},
-	"loss":  {Links: true, Lasts: true, Needs: []string{"part"}, Text: "`part` of the writes come a retransmission later"},
+	"loss":  {Links: true, Lasts: true, Needs: []string{"part"}, Text: "`part` of the writes come a retransmission later; of datagrams, never"},
 	"reset": {Links: true, Text: "open connections are reset; while it lasts new ones too, at their first byte"},
 
 	"member_kill":   {Members: true, Text: "members of the list service die in one instant; back after `for` with their directories"},
--- a/internal/lab/experiment/read.go
+++ b/internal/lab/experiment/read.go
@@ -126,6 +126,7 @@
 			Membership: "subscribe"},
 		Nodos: Nodos{StartCapacity: 0.32, ColdMs: 8800, TipMultiple: 3, FallMs: 2000, MaxConns: 64,
 			ConnectMs: 2, ConnectWork: 1, Cancelling: true},
+		Fleet: Fleet{Label: "lab", Seeds: 6},
 		List: List{LagMs: 1000, CallMs: 2, LineUs: 20, WaitMs: 2000, SyncMs: 500, RetainN: 200, MostN: 1000,
 			LeaseMs: 5000, ElectionMs: 500, StaleMs: 2000},
 	}
--- a/internal/lab/experiment/read_test.go
+++ b/internal/lab/experiment/read_test.go
@@ -55,6 +55,7 @@
 		{"seconds = 3000\n" + strings.Replace(strings.Replace(whole, "seconds = 10\n", "", 1), "[[0, 5]]", "[[0, 500]]", 1),
 			[]string{"f:21: load.rate: 1500000 requests in all"}},
 		{strings.Replace(whole, "seconds = 10", "seconds = ", 1), []string{"f:2:"}},
+		{whole + "[fleet]\non = true\nlabel = \"\"\nseeds = 0\n", []string{"f:25: fleet.seeds: has to be over 0", "f:24: fleet.label: is empty"}},
 		{whole + "[list]\nmembers = 2\n", []string{"f:23: list.members: 1, 3 or 5"}},
 		{whole + "[[fault]]\nkind = \"member_kill\"\nat = 1\n", []string{"f:23: fault[1].kind: member_kill is for a list service"}},
 		{whole + "[list]\nmembers = 3\n[[fault]]\nkind = \"list_down\"\nat = 1\n[[fault]]\nkind = \"member_cut\"\nmembers = [\"r4\"]\nat = 1\n",
--- a/internal/lab/run/block.go
+++ b/internal/lab/run/block.go
@@ -18,10 +18,13 @@
 	listPort   = 8500
 	proxyPort  = 8443
 	mgmtPort   = 9400 // and up, one for each process of a proxy
+	relayPort  = 7901
+	gossipPort = 10400 // and up, likewise
 	firstBlock = 16
 	lastBlock  = 250
 	perOctet   = 250
 	proxyOctet = 1
+	gossipOct  = 3
 	listOctet  = 5
 	rosterIP   = 8
 	nodoOctet  = 10
@@ -52,6 +55,10 @@
 func (b *block) mgmt(n, process int) string { return b.addr(proxyOctet, n, mgmtPort+process) }
 func (b *block) list(n int) string          { return b.addr(listOctet, n, listPort) }
 
+// Where a process of proxy n speaks to the others, by which address the lab knows it, and where the others find it.
+func (b *block) gossip(n, process int) string { return b.addr(gossipOct, n, gossipPort+process) }
+func (b *block) relay(n int) string           { return b.addr(listOctet, n, relayPort) }
+
 // The list service: member n's own address, that under which member from finds member to, a zone's nodos find one, and
 // a proxy does.
 const (
--- a/internal/lab/run/config.go
+++ b/internal/lab/run/config.go
@@ -56,7 +56,7 @@
 
 // configuration is a proxy's configuration file.
 func configuration(e *experiment.Experiment, m *member, seed uint64, mgmt string, members []string,
-	known json.RawMessage) ([]byte, error) {
+	known json.RawMessage, fleet map[string]any) ([]byte, error) {
 	c := map[string]any{"name": m.node.Name, "listen": m.listen, "mgmt": mgmt, "discovery": m.list,
 		"seed": fmt.Sprintf("%016x", seed), "settings": settings(e, m.ordinal, m.zone),
 		"limits": map[string]any{"cores": e.Proxy.Cores, "memory_mb": e.Proxy.MemoryMB, "sockets": e.Proxy.Sockets},
@@ -65,6 +65,9 @@
 		delete(c, "discovery")
 		c["discovery_members"] = members
 	}
+	if fleet != nil {
+		c["fleet"] = fleet
+	}
 	if known != nil {
 		c["known"] = known
 	}
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -96,6 +96,9 @@
 	}
 	f.front = load.NewFront(targets, f.net, f.delay, experiment.Millis(f.exp.Clients.NoticeMs),
 		f.exp.Clients.OtherZones, zones, f.plan.Source("front"))
+	if err := f.buildGossip(); err != nil {
+		return err
+	}
 	f.client = load.New(f.exp, f.plan, f.front, f.ref)
 	var entries []catalog.Entry
 	for i, n := range f.exp.NodoNodes() {
--- /dev/null
+++ b/internal/lab/run/gossip.go
@@ -0,0 +1,107 @@
+package run
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/link"
+)
+
+// buildGossip puts a relay before each proxy, by which the others find it.
+func (f *fleet) buildGossip() (err error) {
+	if !f.exp.Fleet.On {
+		return nil
+	}
+	by := map[netip.Addr]*member{}
+	for _, m := range f.order {
+		by[netip.MustParseAddrPort(f.block.gossip(m.ordinal, 0)).Addr()] = m
+	}
+	for _, to := range f.order {
+		to.relay, err = f.net.Relay(f.block.relay(to.ordinal), func(ip netip.Addr) (link.Ends, time.Duration, bool) {
+			from := by[ip]
+			if from == nil {
+				return link.Ends{}, 0, false
+			}
+			return link.Ends{Kind: "gossip", From: from.node.Name, FromZone: from.node.Zone, To: to.node.Name,
+				ToZone: to.node.Zone}, f.delay(from.node.Zone, to.node.Zone), true
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// speaks is a process's part of the configuration in which the proxies act as one; nil if they do not. From now on its
+// relay leads to that process, also while a predecessor still ends.
+func (f *fleet) speaks(m *member) (map[string]any, error) {
+	if m.relay == nil {
+		return nil, nil
+	}
+	bind := f.block.gossip(m.ordinal, m.count)
+	if err := m.relay.To(bind); err != nil {
+		return nil, err
+	}
+	return map[string]any{"bind": bind, "advertise": m.relay.Addr(), "label": f.exp.Fleet.Label, "seeds": f.seeds(m)}, nil
+}
+
+// seeds are the others that a proxy is told to join at: the first of each zone, then the second, and so on.
+func (f *fleet) seeds(m *member) []string {
+	order := slices.Clone(f.order)
+	nth := map[string]int{}
+	in := map[*member]int{}
+	for _, o := range order {
+		in[o] = nth[o.node.Zone]
+		nth[o.node.Zone]++
+	}
+	slices.SortStableFunc(order, func(a, b *member) int { return in[a] - in[b] })
+	var out []string
+	for _, o := range order {
+		if o != m && len(out) < f.exp.Fleet.Seeds {
+			out = append(out, o.relay.Addr())
+		}
+	}
+	return out
+}
+
+// gossips matches the gossip that a fault of links is aimed at, from the side that it names and to it: what one sends
+// on some links is what it is answered on others, since either dials. The side is that of from_zone, zone or proxies, and
+// the other one to_zone or all the rest; with no side named it is all of it.
+func gossips(f experiment.Fault) (out, back func(link.Ends) bool) {
+	if f.Link != "" && f.Link != "gossip" || len(f.Nodos) > 0 {
+		none := func(link.Ends) bool { return false }
+		return none, none
+	}
+	named := f.FromZone != "" || f.Zone != "" || len(f.Proxies) > 0
+	side := func(name, zone string) bool {
+		return (f.FromZone == "" || zone == f.FromZone) && (f.Zone == "" || zone == f.Zone) &&
+			(len(f.Proxies) == 0 || slices.Contains(f.Proxies, name))
+	}
+	other := func(name, zone string) bool {
+		if f.ToZone != "" {
+			return zone == f.ToZone
+		}
+		return !named || !side(name, zone)
+	}
+	out = func(e link.Ends) bool {
+		return e.Kind == "gossip" && side(e.From, e.FromZone) && other(e.To, e.ToZone)
+	}
+	back = func(e link.Ends) bool {
+		return e.Kind == "gossip" && side(e.To, e.ToZone) && other(e.From, e.FromZone)
+	}
+	return out, back
+}
+
+// toGossip is what a fault of links does to gossip.
+func toGossip(f experiment.Fault, e link.Effect) []reach {
+	out, back := gossips(f)
+	if f.Kind == "cut" {
+		other := map[string]string{"out": "back", "back": "out"}
+		return []reach{{out, cutEffect(f.Direction)}, {back, cutEffect(other[f.Direction])}}
+	}
+	return []reach{{func(l link.Ends) bool {
+		return f.Direction != "back" && out(l) || f.Direction != "out" && back(l)
+	}, e}}
+}
--- /dev/null
+++ b/internal/lab/run/gossip_test.go
@@ -0,0 +1,58 @@
+package run
+
+import (
+	"testing"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/link"
+)
+
+// What a fault takes from what one proxy sends to another: its datagrams, and its half of connections that either of
+// them dials.
+func TestFaultsOfGossip(t *testing.T) {
+	ends := func(from, to string) link.Ends {
+		return link.Ends{Kind: "gossip", From: from + "-p1", FromZone: from, To: to + "-p1", ToZone: to}
+	}
+	sum := func(f experiment.Fault, e link.Ends) (sum link.Effect) {
+		all := []reach{{between(f.Zone), link.Silent}}
+		if f.Kind != "zone_cut" {
+			all = toGossip(f, link.Effect{Loss: f.Part})
+		}
+		for _, r := range all {
+			if r.match(e) {
+				sum.CutOut, sum.CutBack = sum.CutOut || r.CutOut, sum.CutBack || r.CutBack
+				sum.Loss += r.Loss
+			}
+		}
+		return sum
+	}
+	for _, test := range []struct {
+		name     string
+		fault    experiment.Fault
+		from, to string
+		sent     bool // reaches it, on connections that from dials and on those that to does
+		loss     float64
+	}{
+		{"another kind of link", experiment.Fault{Kind: "cut", Link: "nodo"}, "a", "b", true, 0},
+		{"nodos' links of all kinds", experiment.Fault{Kind: "cut", Nodos: []string{"a-s1"}}, "a", "b", true, 0},
+		{"all", experiment.Fault{Kind: "cut"}, "a", "b", false, 0},
+		{"out of a zone", experiment.Fault{Kind: "cut", Link: "gossip", Zone: "a", Direction: "out"}, "a", "b", false, 0},
+		{"out of a zone, into it", experiment.Fault{Kind: "cut", Link: "gossip", Zone: "a", Direction: "out"}, "b", "a", true, 0},
+		{"into a zone", experiment.Fault{Kind: "cut", Link: "gossip", Zone: "a", Direction: "back"}, "b", "a", false, 0},
+		{"both ways, within the zone", experiment.Fault{Kind: "cut", Link: "gossip", Zone: "a"}, "a", "a", true, 0},
+		{"of a pair of zones", experiment.Fault{Kind: "cut", FromZone: "a", ToZone: "b", Direction: "out"}, "a", "b", false, 0},
+		{"of another pair", experiment.Fault{Kind: "cut", FromZone: "a", ToZone: "b"}, "a", "c", true, 0},
+		{"of a proxy", experiment.Fault{Kind: "cut", Link: "gossip", Proxies: []string{"a-p1"}, Direction: "out"}, "a", "b", false, 0},
+		{"of other proxies", experiment.Fault{Kind: "cut", Link: "gossip", Proxies: []string{"c-p1"}}, "a", "b", true, 0},
+		{"loss everywhere counts once", experiment.Fault{Kind: "loss", Link: "gossip", Part: 0.3}, "a", "b", true, 0.3},
+		{"loss one way", experiment.Fault{Kind: "loss", FromZone: "a", ToZone: "b", Direction: "out", Part: 0.3}, "b", "a", true, 0},
+		{"a zone cut off", experiment.Fault{Kind: "zone_cut", Zone: "a"}, "b", "a", false, 0},
+		{"another zone cut off", experiment.Fault{Kind: "zone_cut", Zone: "a"}, "b", "c", true, 0},
+	} {
+		dials, dialled := sum(test.fault, ends(test.from, test.to)), sum(test.fault, ends(test.to, test.from))
+		if dials.CutOut == test.sent || dialled.CutBack == test.sent || dials.Loss != test.loss {
+			t.Errorf("%s: %+v where it dials, %+v where it is dialled; want sent %v, loss %v", test.name, dials, dialled,
+				test.sent, test.loss)
+		}
+	}
+}
--- a/internal/lab/run/proxies.go
+++ b/internal/lab/run/proxies.go
@@ -15,6 +15,7 @@
 
 	"fernlanding/internal/lab/disk"
 	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/link"
 	"fernlanding/internal/lab/process"
 	"fernlanding/internal/lab/referee"
 	"fernlanding/internal/lab/wait"
@@ -28,6 +29,7 @@
 	listen  string
 	list    string
 	dir     string
+	relay   *link.Relay // of the fleet's gossip; nil if it is off
 
 	mu    sync.Mutex // of one fault at a time, and of what follows
 	proc  *process.Process
@@ -74,8 +76,12 @@
 		known, told = f.known(m.node.Name, part, knows)
 	}
 	m.mgmt = f.block.mgmt(m.ordinal, m.count)
+	speaks, err := f.speaks(m)
+	if err != nil {
+		return err
+	}
 	m.count++
-	text, err := configuration(f.exp, m, seed, m.mgmt, f.listMembers(m), known)
+	text, err := configuration(f.exp, m, seed, m.mgmt, f.listMembers(m), known, speaks)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/run/strike.go
+++ b/internal/lab/run/strike.go
@@ -80,7 +80,7 @@
 	case s.Fault.Kind == "zone_loss":
 		return t.loseZone(ctx, s)
 	case s.Fault.Kind == "zone_cut":
-		return t.over(ctx, s, between(s.Fault.Zone), link.Silent)
+		return t.over(ctx, s, reach{between(s.Fault.Zone), link.Silent})
 	}
 	return t.lists(ctx, s)
 }
--- a/internal/lab/run/strike_links.go
+++ b/internal/lab/run/strike_links.go
@@ -19,26 +19,39 @@
 	}
 }
 
-// over has an effect on links for a fault's time. Where it keeps clients from a proxy, that proxy is excused.
-func (t *timeline) over(ctx context.Context, s plan.Strike, match func(link.Ends) bool, e link.Effect) error {
+// reach is an effect and the links that it is for.
+type reach struct {
+	match func(link.Ends) bool
+	link.Effect
+}
+
+// over has effects on links for a fault's time. Where they keep clients from a proxy, that proxy is excused.
+func (t *timeline) over(ctx context.Context, s plan.Strike, reaches ...reach) error {
 	begun := time.Now()
 	var excused []func(time.Time)
-	for _, m := range t.order {
-		for _, z := range t.exp.ZoneNames() {
-			if match(link.Ends{Kind: "client", FromZone: z, To: m.node.Name, ToZone: m.node.Zone}) {
-				excused = append(excused, t.ref.Excuse(m.node.Name, begun))
+	var ends []func() error
+	var errs []error
+	for _, r := range reaches {
+		for _, m := range t.order {
+			for _, z := range t.exp.ZoneNames() {
+				if r.match(link.Ends{Kind: "client", FromZone: z, To: m.node.Name, ToZone: m.node.Zone}) {
+					excused = append(excused, t.ref.Excuse(m.node.Name, begun))
+				}
 			}
 		}
+		end, err := t.net.Apply(r.match, r.Effect)
+		ends, errs = append(ends, end), append(errs, err)
 	}
-	end, err := t.net.Apply(match, e)
-	if err == nil {
+	if errors.Join(errs...) == nil {
 		t.hold(ctx, s, s.At)
-		err = end()
+	}
+	for _, end := range ends {
+		errs = append(errs, end())
 	}
 	for _, end := range excused {
 		end(time.Now())
 	}
-	return err
+	return errors.Join(errs...)
 }
 
 // matching is the links that a fault of links is aimed at.
@@ -55,8 +68,8 @@
 		switch e.Kind {
 		case "client":
 			return len(f.Nodos) == 0 && one(f.Proxies, e.To)
-		case "member":
-			return false // member_cut has these
+		case "member", "gossip":
+			return false // member_cut and gossips have these
 		case "lease":
 			return len(f.Nodos) == 0 && len(f.Proxies) == 0
 		case "nodo":
@@ -80,24 +93,29 @@
 func (t *timeline) links(ctx context.Context, s plan.Strike) error {
 	f := s.Fault
 	match := matching(f, t.exp.SharedLinks())
+	over := func(e link.Effect) error { return t.over(ctx, s, append(toGossip(f, e), reach{match, e})...) }
 	switch f.Kind {
 	case "cut":
-		return t.over(ctx, s, match, cutEffect(f.Direction))
+		return over(cutEffect(f.Direction))
 	case "delay":
-		return t.over(ctx, s, match, link.Effect{Delay: experiment.Millis(f.Ms)})
+		return over(link.Effect{Delay: experiment.Millis(f.Ms)})
 	case "loss":
-		return t.over(ctx, s, match, link.Effect{Loss: f.Part})
+		return over(link.Effect{Loss: f.Part})
 	case "reset":
 		if s.For <= 0 {
 			for _, m := range t.order {
 				now := time.Now()
 				t.ref.Excuse(m.node.Name, now)(now)
 			}
-			t.net.Reset(match)
-			return nil
 		}
 		t.net.Reset(match)
-		return t.over(ctx, s, match, link.Effect{ResetNew: true})
+		for _, r := range toGossip(f, link.Effect{}) {
+			t.net.Reset(r.match)
+		}
+		if s.For <= 0 {
+			return nil
+		}
+		return over(link.Effect{ResetNew: true})
 	}
 	return fmt.Errorf("fault %d: no links' fault %q", s.N, f.Kind)
 }
@@ -105,7 +123,7 @@
 // loseZone has a zone's machines vanish, and come back cold.
 func (t *timeline) loseZone(ctx context.Context, s plan.Strike) error {
 	zone := s.Fault.Zone
-	into := func(e link.Ends) bool { return e.Kind == "nodo" && e.ToZone == zone }
+	into := func(e link.Ends) bool { return (e.Kind == "nodo" || e.Kind == "gossip") && e.ToZone == zone }
 	silent, err := t.net.Apply(into, link.Silent)
 	if err != nil {
 		return err
