Play an experiment with the fleet off and on in one sitting, and compare the two

The command run gets a file of its own. Rejected: a key in the experiment (the same file has to be played either way) and overlays of any key (nothing asks for them).

--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -95,6 +96,28 @@
 				t.Errorf("what was not held is not named:\n%s", out)
 			}
 		})
+		t.Run("both", func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			cmd, out := fleetlab("run", write(t, "title = \"t\"\nseconds = 2\nwarmup = 0\n[lab]\nlate_ms = 900\nstall_ms = 3000\n"+fleet),
+				"--both", "--repeat", "2", "--proxy", program, "--out", dir)
+			if err := cmd.Run(); err != nil && !strings.Contains(out.String(), "\nvoid: ") {
+				t.Fatalf("%v\n%s", err, out)
+			}
+			var seeds [2][]uint64
+			for i, name := range []string{"off", "on"} {
+				r, err := result.Read(filepath.Join(dir, name))
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, p := range r.Plays {
+					seeds[i] = append(seeds[i], p.Seed)
+				}
+			}
+			if !slices.Equal(seeds[0], seeds[1]) || len(seeds[0]) < 2 || !strings.Contains(out.String(), "A: the fleet off; B: on\n") {
+				t.Errorf("seeds %v off and %v on\n%s", seeds[0], seeds[1], out)
+			}
+		})
 		t.Run("interrupted", func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
--- /dev/null
+++ b/cmd/fleetlab/run.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/process"
+	"fernlanding/internal/lab/report"
+	"fernlanding/internal/lab/result"
+	"fernlanding/internal/lab/run"
+)
+
+type runCommand struct {
+	File   string  `arg:"" help:"The experiment's file, or the name of one that comes with the program."`
+	Out    string  `help:"Directory for result.json, report.html and logs. Default: found/NAME-TIME." type:"path"`
+	Seed   *uint64 `help:"In place of the file's."`
+	Repeat int     `help:"Plays, in place of the file's."`
+	Proxy  string  `help:"Program to run as the proxy, with arguments." default:""`
+	Roster string  `help:"Program to run as a member of the list service." default:""`
+	Tries  int     `help:"How often a void play is played again." default:"1"`
+	Both   bool    `help:"Play each seed with the fleet off and on, in turn, into OUT/off and OUT/on, and print the figures side by side. The exit status is that of on."`
+}
+
+// program is a program to run: as told, or one beside this.
+func program(told, flag, name string) ([]string, error) {
+	if words := strings.Fields(told); len(words) > 0 {
+		return words, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(filepath.Dir(self), name)
+	if _, err := os.Stat(path); err != nil {
+		return nil, fmt.Errorf("no %s to run: %w; build it beside this program, or name one with %s", name, err, flag)
+	}
+	return []string{path}, nil
+}
+
+// side is one of the ways that a run plays its seeds.
+type side struct {
+	dir string
+	exp *experiment.Experiment
+	*result.Result
+}
+
+// sides are a run's: the file as it is, or with the fleet off and on.
+func (c *runCommand) sides(e *experiment.Experiment, whole result.Result) []side {
+	if !c.Both {
+		return []side{{c.Out, e, &whole}}
+	}
+	var out []side
+	for _, name := range []string{"off", "on"} {
+		own, r := *e, whole
+		own.Fleet.On = name == "on"
+		out = append(out, side{filepath.Join(c.Out, name), &own, &r})
+	}
+	return out
+}
+
+func (c *runCommand) Run(ctx context.Context, log *slog.Logger) error {
+	e, file, err := open(c.File)
+	if err != nil {
+		return err
+	}
+	o := run.Options{Log: log}
+	if o.Command, err = program(c.Proxy, "--proxy", "fernlanding"); err != nil {
+		return err
+	}
+	if e.List.Members > 0 {
+		if o.Roster, err = program(c.Roster, "--roster", "roster"); err != nil {
+			return err
+		}
+	}
+	seed, repeat := e.Seed, e.Repeat
+	if c.Seed != nil {
+		seed = *c.Seed
+	}
+	if c.Repeat > 0 {
+		repeat = c.Repeat
+	}
+	began := time.Now()
+	if c.Out == "" {
+		name := strings.TrimSuffix(filepath.Base(file), ".toml")
+		c.Out = filepath.Join("found", name+"-"+began.Format("20060102T150405"))
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	if err := process.Hold(c.Out); err != nil {
+		return err
+	}
+	defer process.Release(c.Out)
+	sides := c.sides(e, result.Result{Title: e.Title, File: file, Version: version(o.Command[0]), Began: began.UTC(),
+		Machine: result.Machine{Cores: run.Cores(), LoadBefore: run.MachineLoad()}})
+	for i := range repeat {
+		for j := range sides {
+			s := sides[(i+j)%len(sides)] // in turn, so that what drifts meets both alike
+			if err := c.play(ctx, s, seed+uint64(i), o); err != nil {
+				return err
+			}
+		}
+		if ctx.Err() != nil {
+			for _, s := range sides {
+				s.Partial = fmt.Sprintf("interrupted in play %d of %d", i+1, repeat)
+			}
+			break
+		}
+	}
+	for _, s := range sides {
+		s.Machine.LoadAfter = run.MachineLoad()
+		s.Conclude(s.exp)
+		if err := errors.Join(s.Write(s.dir), report.HTML(s.dir, s.Result), report.Text(os.Stdout, s.Result)); err != nil {
+			return err
+		}
+		fmt.Printf("%s: result.json, report.html, logs/\n", s.dir)
+	}
+	if c.Both {
+		fmt.Println("\nA: the fleet off; B: on")
+		if err := report.Compare(os.Stdout, sides[0].Result, sides[1].Result); err != nil {
+			return err
+		}
+		if off := verdict(sides[0].Result); errors.Is(off, status(exitUnable)) {
+			return off
+		}
+	}
+	return verdict(sides[len(sides)-1].Result)
+}
+
+func verdict(r *result.Result) error {
+	switch {
+	case r.Partial != "":
+		fmt.Printf("partial: %s; nothing is judged\n", r.Partial)
+		return status(exitUnable)
+	case r.Void() != "":
+		fmt.Printf("void: %s\n", r.Void())
+		return status(exitUnable)
+	case !r.Held:
+		return status(exitFailed)
+	}
+	return nil
+}
+
+// play plays one seed, again while it comes out void and there are tries left.
+func (c *runCommand) play(ctx context.Context, s side, seed uint64, o run.Options) error {
+	what := fmt.Sprintf("seed %d", seed)
+	if c.Both {
+		what += ", fleet " + filepath.Base(s.dir)
+	}
+	for try := 0; ; try++ {
+		fmt.Fprintf(os.Stderr, "%s: starting %d proxies\n", what, len(s.exp.ProxyNodes()))
+		o.Out, o.Progress = s.dir, func(at, of time.Duration, p run.Progress) {
+			fmt.Fprintf(os.Stderr, "%s: %4.0f of %.0f s, %d arrivals, the newest %v late\n", what, at.Seconds(),
+				of.Seconds(), p.Arrived, p.Late.Round(10*time.Microsecond))
+		}
+		p, err := run.Play(ctx, s.exp, seed, o)
+		if err != nil && ctx.Err() == nil {
+			return err
+		}
+		if p.Figures != nil {
+			s.Plays = append(s.Plays, p)
+		}
+		if p.Void == "" || try >= c.Tries || ctx.Err() != nil {
+			return nil
+		}
+		fmt.Fprintf(os.Stderr, "%s: void: %s; played again\n", what, p.Void)
+	}
+}
+
+// version tells builds of the program under test apart: a digest of its file.
+func version(command string) string {
+	text, err := os.ReadFile(command)
+	if err != nil {
+		return "unknown"
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:6])
+}
