--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -48,73 +48,6 @@
 	violationTop = 20                     // of each rule are kept in full
 )
 
-// End is how a try ended for the client.
-type End int
-
-const (
-	Pending    End = iota
-	Served         // 200 and what a nodo made
-	Refused        // 429 or 503
-	Failed         // any other answer, or one that broke off in the middle
-	Unreached      // no connection, or one that ended before the request was taken
-	Unanswered     // nothing in its time
-)
-
-func (e End) String() string {
-	return [...]string{"pending", "served", "refused", "failed", "unreached", "unanswered"}[e]
-}
-
-// Try is one try of a client.
-type Try struct {
-	ID       string
-	Arrival  int // of the plan
-	N        int // 0 for the first
-	Class    int
-	Zone     string
-	Proxy    string
-	Sent     time.Time // when it was begun
-	Deadline time.Time
-	Method   string
-	Path     string
-	Key      string
-	Body     uint64 // digest
-
-	Taken  time.Time // last byte written to the proxy's socket; zero: it was not
-	Ended  time.Time
-	End    End
-	Status int
-	broken bool // its connection ended without an answer, after it was taken
-	turned bool // and it was the first on that connection
-
-	attempts []*Attempt
-}
-
-// Attempt is a request that reached a nodo whole.
-type Attempt struct {
-	try   *Try
-	Nodo  string
-	Zone  string
-	Cell  int
-	First time.Time // when its first byte left the proxy
-	Last  time.Time // when its last arrived
-	state attemptState
-	told  bool   // its outcome is written to the proxy
-	ended bool   // no longer out: told, or its connection has ended
-	Made  uint64 // digest of the answer's body
-	Work  time.Duration
-	Spent time.Duration // of work that the nodo did for it
-}
-
-type attemptState int
-
-const (
-	stateOut attemptState = iota
-	stateServed
-	stateError
-	stateTurned // never ran
-	stateDropped
-)
-
 // Violation is a broken rule.
 type Violation struct {
 	Rule  string    `json:"rule"`
@@ -270,9 +203,6 @@
 	}
 }
 
-// mayHaveRun tells whether the proxy cannot know that the attempt never ran.
-func (a *Attempt) mayHaveRun() bool { return a.state != stateTurned || !a.told }
-
 // Broke notes that a try's connection ended without an answer: before any of it came (unheard), or in the middle of
 // one. The first request on a connection that is closed unheard has been turned back rather than lost.
 func (r *Referee) Broke(t *Try, at time.Time, inAnswer, firstOn bool) {
@@ -411,9 +341,3 @@
 	r.judgeLost()
 	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.tally}
 }
-
-// Of is the try that an attempt belongs to.
-func (a *Attempt) Of() *Try { return a.try }
-
-// Served tells whether the nodo answered it 200.
-func (a *Attempt) Served() bool { return a.state == stateServed }
--- /dev/null
+++ b/internal/lab/result/aim.go
@@ -0,0 +1,88 @@
+package result
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/plan"
+)
+
+// aim is which calls a fault meets: those that a fleet does well to avoid while it holds.
+type aim struct {
+	meets func(call) bool // by proxies that live on
+	part  func(call) bool // all calls of its target, the callers' own zone included where that is lost with it
+}
+
+// call is an attempt, or a knock: what a proxy sent towards a nodo.
+type call struct {
+	at              float64 // seconds of the load
+	proxy, nodo     string
+	from, to        string // zones
+	served, arrived bool
+}
+
+// callsOf are all calls in order. Bytes that were held over a cut and came to the nodo after it count once.
+func (in *Input) callsOf() []call {
+	zoneOf := map[string]string{}
+	for _, n := range in.Exp.ProxyNodes() {
+		zoneOf[n.Name] = n.Zone
+	}
+	type key struct {
+		nodo string
+		at   time.Time
+	}
+	came := map[key]bool{}
+	var out []call
+	for _, a := range in.Record.Attempts {
+		came[key{a.Nodo, a.First}] = true
+		t := a.Of()
+		out = append(out, call{a.First.Sub(in.Start).Seconds(), t.Proxy, a.Nodo, zoneOf[t.Proxy], a.Zone, a.Served(), true})
+	}
+	for _, k := range in.Record.Knocks {
+		if !came[key{k.Nodo, k.At}] {
+			out = append(out, call{k.At.Sub(in.Start).Seconds(), k.Proxy, k.Nodo, k.FromZone, k.Zone, false, false})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b call) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+// aimOf tells which calls a strike meets; false if it is no fault that calls could avoid.
+func aimOf(s plan.Strike) (aim, bool) {
+	f := s.Fault
+	kind := experiment.Kinds[f.Kind]
+	one := func(names []string, name string) bool { return len(names) == 0 || slices.Contains(names, name) }
+	switch {
+	case f.Kind == "zone_loss":
+		return aim{func(c call) bool { return c.to == f.Zone && c.from != f.Zone },
+			func(c call) bool { return c.to == f.Zone }}, true
+	case f.Kind == "zone_cut":
+		meets := func(c call) bool { return (c.to == f.Zone) != (c.from == f.Zone) }
+		return aim{meets, meets}, true
+	case f.Kind == "nodo_drain" || f.Kind == "nodo_replace": // the list tells of these
+		return aim{}, false
+	case kind.Nodos:
+		struck := map[string]bool{}
+		for _, turn := range s.Turns {
+			struck[turn.Target] = true
+		}
+		meets := func(c call) bool { return struck[c.nodo] }
+		return aim{meets, meets}, true
+	case kind.Links && (f.Link == "" || f.Link == "nodo") && (f.ToZone != "" || f.Zone != "" || len(f.Nodos) > 0):
+		meets := func(c call) bool {
+			return (f.FromZone == "" || c.from == f.FromZone) && (f.ToZone == "" || c.to == f.ToZone) &&
+				(f.Zone == "" || c.from == f.Zone || c.to == f.Zone) && one(f.Proxies, c.proxy) && one(f.Nodos, c.nodo)
+		}
+		return aim{meets, meets}, true
+	}
+	return aim{}, false
+}
+
+// between is the calls from one moment up to another.
+func between(cs []call, from, to float64) []call {
+	i, _ := slices.BinarySearchFunc(cs, from, func(c call, at float64) int { return cmp.Compare(c.at, at) })
+	j, _ := slices.BinarySearchFunc(cs, to, func(c call, at float64) int { return cmp.Compare(c.at, at) })
+	return cs[i:max(i, j)]
+}
--- /dev/null
+++ b/internal/lab/result/room.go
@@ -0,0 +1,134 @@
+package result
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/referee"
+)
+
+const (
+	roomSpan = 10.0 // seconds after a fault's beginning
+	roomStep = 0.1
+)
+
+// hit is a span in which a nodo does a part of its work, and how long it is cold afterwards.
+type hit struct {
+	from, to, part float64
+	cold           bool
+}
+
+// hits are what the faults of a plan do to each nodo's room.
+func (in *Input) hits() map[string][]hit {
+	out := map[string][]hit{}
+	for _, s := range in.Plan.Strikes {
+		f := s.Fault
+		until := func(at time.Duration) float64 {
+			if s.For <= 0 {
+				return in.Exp.Seconds
+			}
+			return (at + s.For).Seconds()
+		}
+		part, cold := 0.0, false
+		switch f.Kind {
+		case "zone_loss":
+			for _, n := range in.Exp.NodoNodes() {
+				if n.Zone == f.Zone {
+					out[n.Name] = append(out[n.Name], hit{s.At.Seconds(), until(s.At), 0, true})
+				}
+			}
+			continue
+		case "nodo_kill", "nodo_drain":
+			cold = true
+		case "nodo_silent", "nodo_hang":
+		case "nodo_slow":
+			part = 1 / f.Factor
+		case "nodo_errors", "nodo_garble":
+			part = 1 - f.Part
+		default:
+			continue
+		}
+		for _, turn := range s.Turns {
+			out[turn.Target] = append(out[turn.Target], hit{turn.At.Seconds(), until(turn.At), part, cold})
+		}
+	}
+	return out
+}
+
+// share is a nodo's part of its whole room at a moment.
+func share(hits []hit, at float64, n experiment.Nodos) float64 {
+	part := 1.0
+	for _, h := range hits {
+		cold := n.ColdMs / 1000
+		switch {
+		case at < h.from:
+		case at < h.to:
+			part *= h.part
+		case h.cold && at < h.to+cold:
+			part *= n.StartCapacity + (1-n.StartCapacity)*(at-h.to)/cold
+		}
+	}
+	return part
+}
+
+// room is the work, in seconds of a slot of speed 1, that the nodos of some zones can do in a span.
+func (in *Input) room(from, to float64, zone func(string) bool) (work float64) {
+	hits := in.hits()
+	for _, n := range in.Exp.NodoNodes() {
+		if !zone(n.Zone) {
+			continue
+		}
+		for at := from; at < to; at += roomStep {
+			width := math.Min(roomStep, to-at)
+			work += n.Group.Speed * float64(n.Group.Slots) * width * share(hits[n.Name], at+width/2, in.Exp.Nodos)
+		}
+	}
+	return work
+}
+
+// roomWorth is the worth answered in time in the roomSpan after a fault's beginning, over the most that the room left
+// allows for what came: that of the requests of most worth for their work, until the room is full. What found no proxy is
+// left out of both. A zone that is cut off has its own room for its own callers.
+func (in *Input) roomWorth(cs []client, ev Event) float64 {
+	to := math.Min(ev.From+roomSpan, in.Exp.Seconds)
+	zones := in.Exp.ZoneNames()
+	sides := []func(string) bool{func(string) bool { return true }}
+	if s := in.Plan.Strikes[ev.N-1]; s.Fault.Kind == "zone_cut" {
+		to = math.Min(to, ev.To)
+		sides = []func(string) bool{func(z string) bool { return z == s.Fault.Zone }, func(z string) bool { return z != s.Fault.Zone }}
+	}
+	got, allowed := 0.0, 0.0
+	for _, side := range sides {
+		var came []*plan.Arrival
+		for _, c := range cs {
+			if at := c.At.Seconds(); at < ev.From || at >= to || c.end == referee.Unreached || !side(zones[c.Zone]) {
+				continue
+			}
+			came = append(came, c.Arrival)
+			if c.inTime {
+				got += in.Exp.Classes[c.Class].Worth
+			}
+		}
+		allowed += best(in.Exp.Classes, came, in.room(ev.From, to, side))
+	}
+	return over(got, allowed)
+}
+
+// best is the most worth that so much work can earn.
+func best(classes []experiment.Class, came []*plan.Arrival, work float64) (worth float64) {
+	dense := func(a *plan.Arrival) float64 { return classes[a.Class].Worth / math.Max(a.Work.Seconds(), 1e-6) }
+	slices.SortFunc(came, func(a, b *plan.Arrival) int { return cmp.Compare(dense(b), dense(a)) })
+	for _, a := range came {
+		part := math.Min(1, work/math.Max(a.Work.Seconds(), 1e-6))
+		if part <= 0 {
+			break
+		}
+		worth += part * classes[a.Class].Worth
+		work -= a.Work.Seconds()
+	}
+	return worth
+}
