Tell of each fault how soon the fleet left its target, and how much of what was left it earned

The lab did not see what proxies send into a black hole. Links now tell of bytes that come into a cut, and the kernel's table of connections, read every 25 ms while a link bars connections, of dials that do not come up.

--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -18,6 +18,8 @@
 	gone chan struct{}
 	once sync.Once
 
+	cutIn *state // of the newest bytes that came into a cut; fill's alone
+
 	mu       sync.Mutex
 	deadline time.Time
 	wake     chan struct{} // a new deadline
@@ -89,6 +91,7 @@
 		at := time.Now()
 		if n > 0 {
 			c.put(&c.in, piece{data: buf[:n], at: at})
+			c.unheard(at)
 		}
 		if err != nil {
 			c.put(&c.in, piece{end: err, at: at})
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -75,6 +75,7 @@
 	ends  Ends
 	delay time.Duration // one way, when nothing is wrong
 	now   atomic.Pointer[state]
+	cut   func(Ends, time.Time) // is told what came into a cut; may be nil
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -87,6 +88,7 @@
 	mu      sync.Mutex
 	links   []*Link
 	relays  []*Relay
+	cut     func(Ends, time.Time)
 	effects map[*applied]struct{}
 	seed    uint64
 }
@@ -103,7 +105,7 @@
 func (n *Net) add(ends Ends, delay time.Duration) *Link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &Link{ends: ends, delay: delay, conns: map[*Conn]struct{}{},
+	l := &Link{ends: ends, delay: delay, cut: n.cut, conns: map[*Conn]struct{}{},
 		rng: rand.New(rand.NewPCG(n.seed, uint64(len(n.links))))}
 	l.now.Store(&state{changed: make(chan struct{})})
 	n.links = append(n.links, l)
--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -78,6 +78,25 @@
 	r.connects = append(r.connects, at)
 }
 
+// Knock is what a proxy sent towards a nodo into silence, so that the nodo saw nothing of it.
+type Knock struct {
+	At       time.Time
+	Proxy    string // empty where proxies share their links
+	FromZone string
+	Nodo     string
+	Zone     string
+	Dial     bool // a connection that does not come up; else bytes on one that had
+}
+
+// Knocked notes a knock.
+func (r *Referee) Knocked(k Knock) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.knocks) < knocksMost {
+		r.knocks = append(r.knocks, k)
+	}
+}
+
 // Arrival is what a nodo sees of a request.
 type Arrival struct {
 	Nodo, ID          string
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -45,6 +45,7 @@
 	turnedFree   = 200                    // one request in so many may be turned back unheard
 	failedAsk    = 4                      // after a failed call the list need not be asked for so many times as long
 	tipInformed  = 2.0 / 3                // of the work, from proxies that knew of the start, breaks the rule
+	knocksMost   = 1_000_000              // 100 MB
 	violationTop = 20                     // of each rule are kept in full
 )
 
@@ -97,6 +98,7 @@
 	nodos    map[string]*nodo
 	counts   map[string]int
 	connects []time.Time
+	knocks   []Knock
 	first    []Violation
 	tally    Tally
 }
@@ -331,6 +333,7 @@
 	Broken     map[string]int
 	Violations []Violation // the first of each rule
 	Connects   []time.Time // of each connection to a nodo
+	Knocks     []Knock
 	Tally      Tally
 }
 
@@ -339,5 +342,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.judgeLost()
-	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.tally}
+	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.knocks, r.tally}
 }
--- a/internal/lab/result/avoid.go
+++ b/internal/lab/result/avoid.go
@@ -125,6 +125,7 @@
 
 // lastThere is the moment of the last call that a fault meets and that is no trial: of the calls from it on for
 // leftWindow, or for leftCalls if they take longer, over leftPart go there. Near the end earlier calls make up the number.
+// What a proxy means by a call is not to be seen: its very last in earnest is alone in its window, and taken for a trial.
 func lastThere(cs []call, a aim) float64 {
 	for i := len(cs) - 1; i >= 0; i-- {
 		if !a.meets(cs[i]) {
--- /dev/null
+++ b/internal/lab/result/avoid_test.go
@@ -0,0 +1,170 @@
+package result
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/referee"
+)
+
+// caller is a proxy that makes so many calls a second, every second one to zone z, until some second of a fault that
+// lasts from 10 to 20, and from then on one in so many.
+type caller struct {
+	name    string
+	rate    float64
+	until   float64
+	trialIn int
+}
+
+func during(callers ...caller) (out []call) {
+	for i := range 100_000 {
+		at := float64(i) / 10_000
+		for _, k := range callers {
+			every := int(10_000 / k.rate)
+			if i%every != 0 {
+				continue
+			}
+			n, to := i/every, "y"
+			if at <= k.until && n%2 == 0 || k.trialIn > 0 && n%k.trialIn == 0 {
+				to = "z"
+			}
+			out = append(out, call{at: 10 + at, proxy: k.name, from: k.name[:1], to: to, arrived: true})
+		}
+	}
+	return out
+}
+
+// The last calls in earnest are taken for trials: what is wanted lies one or two of them before `until`.
+func TestLeaving(t *testing.T) {
+	nan := math.NaN()
+	for _, test := range []struct {
+		name    string
+		callers []caller
+		want    left
+	}{
+		{"all at once", []caller{{"a1", 100, 0.3, 0}, {"a2", 100, 0.3, 0}}, left{0.28, 0.28, 0, 0.28, 0}},
+		{"one after another", []caller{{"a1", 100, 0.3, 0}, {"a2", 100, 0.9, 0}}, left{0.28, 0.88, 0.6, 0.86, 0}},
+		{"each zone by itself", []caller{{"a1", 100, 0.3, 0}, {"b1", 100, 0.9, 0}}, left{0.28, 0.88, 0, 0.86, 0}},
+		{"trials are no calls", []caller{{"a1", 100, 0.3, 50}, {"a2", 100, 0.5, 50}}, left{0.30, 0.48, 0.18, 0.48, 0}},
+		{"so many trials are", []caller{{"a1", 100, 0.3, 0}, {"a2", 100, 0.3, 10}}, left{0.28, 9.9, 9.62, 0, 1}},
+		{"few calls a second", []caller{{"a1", 10, 2, 0}, {"a2", 10, 2, 30}}, left{1.8, 2, 0.2, 2, 0}},
+		{"one that stays", []caller{{"a1", 100, 0.3, 0}, {"a2", 100, 10, 0}}, left{0.28, 9.98, 9.7, 9.98, 1}},
+		{"never there but for a trial", []caller{{"a1", 100, -1, 500}}, left{nan, nan, nan, 0, 0}},
+	} {
+		got := leaving(during(test.callers...), aim{meets: func(c call) bool { return c.to == "z" }}, Event{From: 10, To: 20})
+		if test.name == "so many trials are" { // of all calls they are 5 %
+			got.all = 0
+		}
+		text := func(l left) string {
+			return fmt.Sprintf("%.2f %.2f %.2f %.2f %d", l.first, l.last, l.spread, l.all, l.stayed)
+		}
+		if got, want := text(got), text(test.want); got != want {
+			t.Errorf("%s: %s, want %s (first, last, spread, all, stayed)", test.name, got, want)
+		}
+	}
+}
+
+// The lost zone's part of the calls is a half before a fault from 10 to 12 and rises evenly over 4 s after it.
+func TestReturned(t *testing.T) {
+	var calls []call
+	owed := 0.0
+	for i := range 3000 {
+		at := float64(i) / 100
+		part := 0.5
+		switch {
+		case at >= 10 && at < 12:
+			part = 0
+		case at >= 12 && at < 16:
+			part = 0.5 * (at - 12) / 4
+		}
+		to := "y"
+		if owed += part; owed >= 1 {
+			owed, to = owed-1, "z"
+		}
+		calls = append(calls, call{at: at, from: "a", to: to, arrived: true})
+	}
+	in := Input{Exp: &experiment.Experiment{Seconds: 30, Warmup: 2}}
+	a := aim{part: func(c call) bool { return c.to == "z" }}
+	ev := Event{N: 1, From: 10, To: 12}
+	// The window of 2 s has 95 % of its half once it begins 3.4 s after the end, the last 0.6 s of the rise making up for it.
+	if got := returned(in, calls, a, ev); got < 5 || got > 5.5 {
+		t.Errorf("back after %v s, want 5 to 5.5", got)
+	}
+	in.Events = []Event{ev, {N: 2, From: 15, To: 16}}
+	if got := returned(in, calls, a, ev); got != 3 {
+		t.Errorf("not back until the next fault: %v s, want the 3 s until that", got)
+	}
+}
+
+// Two nodos do a second of work a second each. One is gone for the 10 s after second 10, so of 1.5 s of work a second the
+// room left bears two thirds; the requests that earn most for their work go first.
+func TestRoomWorth(t *testing.T) {
+	group := experiment.NodoGroup{Count: 2, Speed: 1, Slots: 1}
+	e := &experiment.Experiment{Seconds: 30, Zones: []experiment.Zone{{Name: "a", Proxies: 1, Nodos: []experiment.NodoGroup{group}}},
+		Classes: []experiment.Class{{Worth: 10}, {Worth: 1}}, Nodos: experiment.Nodos{StartCapacity: 0.5, ColdMs: 4000}}
+	kill := func(from, lasts time.Duration) plan.Strike {
+		return plan.Strike{N: 1, Fault: experiment.Fault{Kind: "nodo_kill"}, At: from, For: lasts, Turns: []plan.Turn{{At: from, Target: "a-s1"}}}
+	}
+	var cs []client
+	for i := range 300 { // each tenth of a second one of 100 ms of each class, and every other one of no class twice
+		at := time.Duration(i) * 100 * time.Millisecond
+		cs = append(cs, client{Arrival: &plan.Arrival{At: at, Class: 0, Work: 50 * time.Millisecond}, end: referee.Served, inTime: true},
+			client{Arrival: &plan.Arrival{At: at, Class: 1, Work: 100 * time.Millisecond}, end: referee.Refused})
+	}
+	for _, test := range []struct {
+		name   string
+		strike plan.Strike
+		unseen bool // what was refused found no proxy
+		want   float64
+	}{
+		{"half of the room", kill(10*time.Second, 10*time.Second), false, 1000 / (1000 + 50.0)},
+		{"back cold in mid-span", kill(10*time.Second, 4*time.Second), false, 1000 / (1000 + 100.0)},
+		{"unreached is left out", kill(10*time.Second, 10*time.Second), true, 1},
+	} {
+		for i := range cs {
+			if cs[i].Class == 1 {
+				cs[i].end = map[bool]referee.End{false: referee.Refused, true: referee.Unreached}[test.unseen]
+			}
+		}
+		in := Input{Exp: e, Plan: &plan.Plan{Strikes: []plan.Strike{test.strike}}}
+		if got := in.roomWorth(cs, Event{N: 1, From: 10, To: 20}); math.Abs(got-test.want) > 1e-3 {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+	in := Input{Exp: e, Plan: &plan.Plan{Strikes: []plan.Strike{kill(10*time.Second, 4*time.Second)}}}
+	// 10 s of the one, 6 s of the other less the 0.25 that it lacks on average over its 4 cold seconds.
+	if got := in.room(10, 20, func(string) bool { return true }); math.Abs(got-15) > 0.01 {
+		t.Errorf("room of %v s, want 15", got)
+	}
+}
+
+// Bytes that were held and came after the cut count once, as what came; those that never came as a call that was wasted.
+func TestKnocksCountOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(experiment.Seconds(s)) }
+	r := referee.New(referee.Terms{Classes: []referee.Class{{Name: "c"}}, TryLimit: 3})
+	r.Send(&referee.Try{ID: "x", Sent: at(10)}, "a-p1")
+	r.State("b-s1", "b", 0, true, 0, start)
+	r.Begin(referee.Arrival{Nodo: "b-s1", ID: "x", First: at(10), Last: at(13)})
+	for _, s := range []float64{10, 11} {
+		r.Knocked(referee.Knock{At: at(s), Proxy: "a-p1", FromZone: "a", Nodo: "b-s1", Zone: "b", Dial: s == 11})
+	}
+	e := &experiment.Experiment{Seconds: 20, Zones: []experiment.Zone{{Name: "a", Proxies: 1}, {Name: "b"}}}
+	in := Input{Exp: e, Start: start, Record: r.Close(), Events: []Event{{N: 1, From: 9, To: 12}}, Plan: &plan.Plan{Strikes: []plan.Strike{
+		{N: 1, Fault: experiment.Fault{Kind: "zone_cut", Zone: "b"}, At: 9 * time.Second, For: 3 * time.Second}}}}
+	f := map[string]float64{}
+	(&Play{}).avoidance(in, nil, f)
+	if f["wasted.1"] != 2 || f["dials_lost"] != 1 || f["left_last_s.1"] != 2 {
+		t.Errorf("got %v, want 2 wasted of which 1 a dial, the last after 2 s", f)
+	}
+	for name := range f {
+		e.Faults = []experiment.Fault{{}}
+		if !experiment.KnownFigure(name, e) {
+			t.Errorf("%s cannot be expected of a run", name)
+		}
+	}
+}
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -152,6 +152,7 @@
 	p.Broken, p.Violations = in.Record.Broken, in.Record.Violations
 	p.windows(in, cs)
 	p.recovery(in, f)
+	p.avoidance(in, cs, f)
 	t := in.Record.Tally
 	for name, n := range map[string]int{"handshakes": len(in.Record.Connects), "list_calls": t.ListCalls,
 		"watch_breaks": t.WatchBreaks, "late_answers": t.Late, "turned_back": t.TurnedBack, "resent": t.Resent,
--- a/internal/lab/result/result_test.go
+++ b/internal/lab/result/result_test.go
@@ -17,6 +17,9 @@
 	e.Seconds, e.Zones = 20, []experiment.Zone{{Name: "z", Proxies: 1}}
 	e.Classes = []experiment.Class{{Name: "c", AimMs: 100, Worth: 2}}
 	in := Input{Exp: e, Plan: &plan.Plan{}, Start: start, Events: events}
+	for _, ev := range events {
+		in.Plan.Strikes = append(in.Plan.Strikes, plan.Strike{N: ev.N})
+	}
 	for i := range 200 {
 		at := time.Duration(i) * 100 * time.Millisecond
 		in.Plan.Arrivals = append(in.Plan.Arrivals, plan.Arrival{N: i, At: at})
--- a/internal/lab/result/room.go
+++ b/internal/lab/result/room.go
@@ -59,8 +59,8 @@
 	return out
 }
 
-// share is a nodo's part of its whole room at a moment.
-func share(hits []hit, at float64, n experiment.Nodos) float64 {
+// partOf is a nodo's part of its whole room at a moment.
+func partOf(hits []hit, at float64, n experiment.Nodos) float64 {
 	part := 1.0
 	for _, h := range hits {
 		cold := n.ColdMs / 1000
@@ -84,7 +84,7 @@
 		}
 		for at := from; at < to; at += roomStep {
 			width := math.Min(roomStep, to-at)
-			work += n.Group.Speed * float64(n.Group.Slots) * width * share(hits[n.Name], at+width/2, in.Exp.Nodos)
+			work += n.Group.Speed * float64(n.Group.Slots) * width * partOf(hits[n.Name], at+width/2, in.Exp.Nodos)
 		}
 	}
 	return work
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -83,6 +83,7 @@
 func (f *fleet) build() error {
 	f.net = link.New(f.plan.Seed)
 	f.ref = referee.New(terms(f.exp))
+	f.net.Watch(func(e link.Ends, at time.Time) { f.knock(e, at, false) })
 	f.members, f.servers, f.addrs = map[string]*member{}, map[string]*server{}, map[string]string{}
 	f.rng = f.plan.Source("fleet")
 	zones := f.exp.ZoneNames()
--- /dev/null
+++ b/internal/lab/run/knocks.go
@@ -0,0 +1,92 @@
+package run
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/wait"
+)
+
+// dialsEvery is how often the kernel is asked which connections wait to come up: a dial that is given up sooner may be
+// missed, and one is noted up to this late.
+const dialsEvery = 25 * time.Millisecond
+
+// knock notes what a proxy sent a nodo into silence.
+func (f *fleet) knock(e link.Ends, at time.Time, dial bool) {
+	if e.Kind == "nodo" {
+		f.ref.Knocked(referee.Knock{At: at, Proxy: e.From, FromZone: e.FromZone, Nodo: e.To, Zone: e.ToZone, Dial: dial})
+	}
+}
+
+// watchDials notes the dials over links on which none comes up. The lab's listener does not see them: the kernel drops
+// them, and tells of them only in its table of connections, which is read while there is such a link.
+func (f *fleet) watchDials(ctx context.Context) {
+	seen := map[dial]bool{}
+	for wait.For(ctx, dialsEvery) {
+		barred := f.net.Barred()
+		if len(barred) == 0 {
+			continue
+		}
+		text, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			f.note(err)
+			return
+		}
+		at, now := time.Now(), map[dial]bool{}
+		for _, d := range dialsOf(text) {
+			e, ok := barred[d.to.String()]
+			if !ok {
+				continue
+			}
+			now[d] = true
+			if !seen[d] {
+				f.knock(e, at, true)
+			}
+		}
+		seen = now
+	}
+}
+
+// dial is a connection that waits to come up.
+type dial struct{ from, to netip.AddrPort }
+
+const synSent = "02"
+
+// dialsOf reads the kernel's table of connections (proc_net_tcp(5)).
+func dialsOf(table []byte) (out []dial) {
+	for lines := bufio.NewScanner(bytes.NewReader(table)); lines.Scan(); {
+		words := strings.Fields(lines.Text())
+		if len(words) < 4 || words[3] != synSent {
+			continue
+		}
+		from, ok := hexAddr(words[1])
+		to, ok2 := hexAddr(words[2])
+		if ok && ok2 {
+			out = append(out, dial{from, to})
+		}
+	}
+	return out
+}
+
+// hexAddr reads an address as the table has it: the IP a number in the machine's order of bytes, the port a number.
+func hexAddr(text string) (netip.AddrPort, bool) {
+	ip, port, _ := strings.Cut(text, ":")
+	raw, err := hex.DecodeString(ip)
+	n, err2 := strconv.ParseUint(port, 16, 16)
+	if err != nil || err2 != nil || len(raw) != 4 {
+		return netip.AddrPort{}, false
+	}
+	var b [4]byte
+	binary.NativeEndian.PutUint32(b[:], binary.BigEndian.Uint32(raw))
+	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(n)), true
+}
