Judge a fault that begins before the figures do, rather than end in a panic

Without a span before it service is taken to have been whole. The table of TestRecovery has the case, and panics without the mend.

--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -299,7 +299,8 @@
 // share is the worth in time of the windows from one up to another.
 func (p *Play) share(from, to int) float64 {
 	worth, in := 0.0, 0.0
-	for _, w := range p.Windows[max(from, 0):min(to, len(p.Windows))] {
+	to = min(to, len(p.Windows))
+	for _, w := range p.Windows[min(max(from, 0), to):to] {
 		worth, in = worth+w.Worth, in+w.InTime
 	}
 	return over(in, worth)
--- a/internal/lab/result/result_test.go
+++ b/internal/lab/result/result_test.go
@@ -44,11 +44,12 @@
 		below    bool // the last of them
 	}{
 		{"never under", 20, 20, []Event{fault(1, 8)}, []float64{0}, false},
+		{"in the warmup", 8, 11, []Event{fault(1, 0)}, []float64{11}, false},
 		{"under for 3 s", 8, 11, []Event{fault(1, 8)}, []float64{3}, false},
 		{"never back", 8, 20, []Event{fault(1, 8)}, []float64{12}, true},
 		{"of the second fault, not the first", 13, 14, []Event{fault(1, 5), fault(2, 12)}, []float64{0, 2}, false},
 	} {
-		p := fill(t, test.from, test.to, &experiment.Experiment{}, test.events...)
+		p := fill(t, test.from, test.to, &experiment.Experiment{Warmup: 4}, test.events...)
 		for i, want := range test.want {
 			if got := p.Events[i].Recovery; math.Abs(got-want) > 1e-9 {
 				t.Errorf("%s: fault %d: %v s, want %v", test.name, i+1, got, want)
