Count what the proxies' gossip costs on the lab's links

gossip_packets_s and gossip_kb_s, a proxy and second, from what the relays handed on. A relay that had no room for a datagram voids the run: the loss would be the lab's. Relays know members by a table that can grow in a run.

--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -29,7 +29,7 @@
 	"handshakes", "handshakes_per_request", "list_calls", "watch_breaks", "late_answers", "turned_back", "resent",
 	"tipped", "crashed", "waste_ms", "p50_ms", "p90_ms", "p99_ms", "max_ms", "overhead_p50_ms",
 	"proxy_memory_mb", "proxy_cpu_s", "broken", "list_checked", "list_told_p50_ms", "list_told_p99_ms", "list_told_max_ms",
-	"list_refused", "list_lacks", "dials_lost"}
+	"list_refused", "list_lacks", "dials_lost", "gossip_packets_s", "gossip_kb_s"}
 
 // faultFigures are of one fault with `.N`, and of all together without.
 var faultFigures = []string{"recovery_s", "left_first_s", "left_last_s", "left_spread_ms", "stayed", "avoid_s", "wasted",
--- a/internal/lab/link/relay.go
+++ b/internal/lab/link/relay.go
@@ -38,11 +38,12 @@
 // Sender tells whose address this is, and the delay from there one way; false if nobody's.
 type Sender func(netip.Addr) (Ends, time.Duration, bool)
 
-// Passed counts datagrams.
+// Passed counts datagrams, and bytes of datagrams and connections that were handed on, either way.
 type Passed struct {
 	On, Cut, Lost int
 	Over          int // dropped since too many waited
 	Unknown       int // of a sender that nobody knows
+	Bytes         int64
 }
 
 const (
@@ -115,7 +116,7 @@
 	return nil
 }
 
-// Passed tells what became of the datagrams so far.
+// Passed tells what became of what came so far; of connections, once they have ended.
 func (r *Relay) Passed() Passed {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -186,6 +187,7 @@
 		r.counts.Over++
 	default:
 		r.counts.On++
+		r.counts.Bytes += int64(len(data))
 		r.bytes += len(data)
 		heap.Push(&r.packets, packet{time.Now().Add(l.delay + now.Delay), r.counts.On, append([]byte(nil), data...)})
 		select {
@@ -268,27 +270,33 @@
 		c.Reset()
 		return
 	}
-	Pass(c, to.String(), first[:n])
+	passed := Pass(c, to.String(), first[:n])
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Bytes += passed
 }
 
 // Pass hands what comes over a connection on to a program's address, unread, and what that answers back; first goes
-// before all else.
-func Pass(c *Conn, to string, first []byte) {
+// before all else. It tells how many bytes there were, both ways.
+func Pass(c *Conn, to string, first []byte) (passed int64) {
 	up, err := net.DialTimeout("tcp", to, relayDialWait)
 	if err != nil {
 		c.Reset()
-		return
+		return 0
 	}
 	var both sync.WaitGroup
+	var there, back int64
 	both.Go(func() {
-		if _, err := up.Write(first); err == nil {
-			_, _ = io.Copy(up, c)
+		if n, err := up.Write(first); err == nil {
+			there, _ = io.Copy(up, c)
+			there += int64(n)
 		}
 		up.Close()
 	})
 	both.Go(func() {
-		_, _ = io.Copy(c, up)
+		back, _ = io.Copy(c, up)
 		c.Close()
 	})
 	both.Wait()
+	return there + back
 }
--- a/internal/lab/link/relay_test.go
+++ b/internal/lab/link/relay_test.go
@@ -139,6 +139,7 @@
 			if got != test.want || len(p.heard) > 0 {
 				t.Errorf("the program heard %q and %d more, want %q", got, len(p.heard), test.want)
 			}
+			test.passed.Bytes = int64(test.passed.On) // of one byte each
 			if passed := r.Passed(); passed != test.passed {
 				t.Errorf("counted %+v, want %+v", passed, test.passed)
 			}
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -35,6 +35,13 @@
 	Memory int64         // peak of a proxy's, bytes
 	CPU    time.Duration // of all proxies
 	List   *List         // of a list service with members; else nil
+	Gossip *Gossip       // nil if the fleet is off
+}
+
+// Gossip is what the proxies sent each other.
+type Gossip struct {
+	Packets int   // datagrams that were handed on
+	Bytes   int64 // of these and of connections
 }
 
 // List is what came of a list service.
@@ -164,6 +171,10 @@
 		f["list_told_p50_ms"], f["list_told_p99_ms"] = quantile(l.Told, 0.5), quantile(l.Told, 0.99)
 		f["list_told_max_ms"] = quantile(l.Told, 1)
 	}
+	if g := in.Gossip; g != nil {
+		each := e.Seconds * float64(len(e.ProxyNodes()))
+		f["gossip_packets_s"], f["gossip_kb_s"] = float64(g.Packets)/each, float64(g.Bytes)/1000/each
+	}
 	f["handshakes_per_request"] = over(f["handshakes"], f["requests"])
 	f["proxy_memory_mb"], f["proxy_cpu_s"] = float64(in.Memory)/(1<<20), in.CPU.Seconds()
 	p.Late = lateness(in.Late, in.Stall)
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -56,12 +57,14 @@
 	members map[string]*member
 	order   []*member
 
-	mu      sync.Mutex
-	servers map[string]*server
-	addrs   map[string]string // of each group and nodo
-	links   int
-	rng     *rand.Rand
-	faults  []error
+	mu       sync.Mutex
+	servers  map[string]*server
+	addrs    map[string]string              // of each group and nodo
+	speakers map[netip.Addr]experiment.Node // of the gossip, by their own addresses
+	links    int
+	liars    int
+	rng      *rand.Rand
+	faults   []error
 }
 
 // group names the proxies that share their links to nodos.
@@ -85,6 +88,7 @@
 	f.ref = referee.New(terms(f.exp))
 	f.net.Watch(func(e link.Ends, at time.Time) { f.knock(e, at, false) })
 	f.members, f.servers, f.addrs = map[string]*member{}, map[string]*server{}, map[string]string{}
+	f.speakers = map[netip.Addr]experiment.Node{}
 	f.rng = f.plan.Source("fleet")
 	zones := f.exp.ZoneNames()
 	var targets []load.Target
--- a/internal/lab/run/gossip.go
+++ b/internal/lab/run/gossip.go
@@ -1,12 +1,14 @@
 package run
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
 
 	"fernlanding/internal/lab/experiment"
 	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/result"
 )
 
 // buildGossip puts a relay before each proxy, by which the others find it.
@@ -14,26 +16,46 @@
 	if !f.exp.Fleet.On {
 		return nil
 	}
-	by := map[netip.Addr]*member{}
 	for _, m := range f.order {
-		by[netip.MustParseAddrPort(f.block.gossip(m.ordinal, 0)).Addr()] = m
-	}
-	for _, to := range f.order {
-		to.relay, err = f.net.Relay(f.block.relay(to.ordinal), func(ip netip.Addr) (link.Ends, time.Duration, bool) {
-			from := by[ip]
-			if from == nil {
-				return link.Ends{}, 0, false
-			}
-			return link.Ends{Kind: "gossip", From: from.node.Name, FromZone: from.node.Zone, To: to.node.Name,
-				ToZone: to.node.Zone}, f.delay(from.node.Zone, to.node.Zone), true
-		})
-		if err != nil {
+		if m.relay, err = f.relay(m.node, m.ordinal); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// relay puts a relay before a member of the gossip, and has those of all others know it by its own address.
+func (f *fleet) relay(to experiment.Node, ordinal int) (*link.Relay, error) {
+	own := netip.MustParseAddrPort(f.block.gossip(ordinal, 0)).Addr()
+	f.mu.Lock()
+	f.speakers[own] = to
+	f.mu.Unlock()
+	return f.net.Relay(f.block.relay(ordinal), func(ip netip.Addr) (link.Ends, time.Duration, bool) {
+		f.mu.Lock()
+		from, ok := f.speakers[ip]
+		f.mu.Unlock()
+		return link.Ends{Kind: "gossip", From: from.Name, FromZone: from.Zone, To: to.Name, ToZone: to.Zone},
+			f.delay(from.Zone, to.Zone), ok
+	})
+}
+
+// gossipReport is what the relays of proxies passed on. Where one had no room, the lab took part in the loss.
+func (f *fleet) gossipReport() (*result.Gossip, error) {
+	if !f.exp.Fleet.On {
+		return nil, nil
+	}
+	var out result.Gossip
+	over := 0
+	for _, m := range f.order {
+		p := m.relay.Passed()
+		out.Packets, out.Bytes, over = out.Packets+p.On, out.Bytes+p.Bytes, over+p.Over
+	}
+	if over > 0 {
+		return &out, fmt.Errorf("%d datagrams of the gossip found no room in the lab", over)
+	}
+	return &out, nil
+}
+
 // speaks is a process's part of the configuration in which the proxies act as one; nil if they do not. From now on its
 // relay leads to that process, also while a predecessor still ends.
 func (f *fleet) speaks(m *member) (map[string]any, error) {
@@ -44,11 +66,11 @@
 	if err := m.relay.To(bind); err != nil {
 		return nil, err
 	}
-	return map[string]any{"bind": bind, "advertise": m.relay.Addr(), "label": f.exp.Fleet.Label, "seeds": f.seeds(m)}, nil
+	return map[string]any{"bind": bind, "advertise": m.relay.Addr(), "label": f.exp.Fleet.Label, "seeds": f.seeds(m.node)}, nil
 }
 
-// seeds are the others that a proxy is told to join at: the first of each zone, then the second, and so on.
-func (f *fleet) seeds(m *member) []string {
+// seeds are the proxies that another member is told to join at: the first of each zone, then the second, and so on.
+func (f *fleet) seeds(of experiment.Node) []string {
 	order := slices.Clone(f.order)
 	nth := map[string]int{}
 	in := map[*member]int{}
@@ -59,7 +81,7 @@
 	slices.SortStableFunc(order, func(a, b *member) int { return in[a] - in[b] })
 	var out []string
 	for _, o := range order {
-		if o != m && len(out) < f.exp.Fleet.Seeds {
+		if o.node.Name != of.Name && len(out) < f.exp.Fleet.Seeds {
 			out = append(out, o.relay.Addr())
 		}
 	}
--- a/internal/lab/run/play.go
+++ b/internal/lab/run/play.go
@@ -104,6 +104,8 @@
 		Stall: <-stall}
 	in.List, err = f.listReport(&in.Record)
 	f.note(err)
+	in.Gossip, err = f.gossipReport()
+	f.note(err)
 	for _, m := range f.order {
 		for _, proc := range m.processes() {
 			u := proc.Usage()
--- a/internal/lab/service/relay.go
+++ b/internal/lab/service/relay.go
@@ -26,7 +26,7 @@
 
 // pass hands what comes over a link on to a member's own address, unread.
 func (s *Service) pass(to string) func(*link.Conn) {
-	return func(c *link.Conn) { link.Pass(c, to, nil) }
+	return func(c *link.Conn) { _ = link.Pass(c, to, nil) }
 }
 
 // tell hands a proxy's calls on, and notes what it is told.
