--- /dev/null
+++ b/internal/lab/nodo/serve.go
@@ -0,0 +1,205 @@
+package nodo
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/referee"
+	"fernlanding/internal/lab/wire"
+)
+
+// Serve serves one connection until it ends.
+func (n *Nodo) Serve(c *link.Conn) {
+	defer c.Close()
+	n.mu.Lock()
+	n.conns++
+	over, life := n.conns > n.spec.MaxConns, n.life
+	n.mu.Unlock()
+	defer n.with(func() { n.conns-- })
+	n.ref.Connected(time.Now())
+	r := bufio.NewReader(c)
+	for first := true; ; first = false {
+		_ = c.SetReadDeadline(time.Now().Add(n.spec.IdleClose))
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		begun := c.ReadAt()
+		_ = c.SetReadDeadline(time.Now().Add(readMost))
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		_ = c.SetReadDeadline(time.Time{})
+		if !n.one(c, req, body, begun, first, over, life) || req.Close {
+			return
+		}
+	}
+}
+
+const readMost = 30 * time.Second // for a whole request
+
+// one answers one request; false ends the connection.
+func (n *Nodo) one(c *link.Conn, req *http.Request, body []byte, begun time.Time, first, over bool, life int) bool {
+	id := req.Header.Get(wire.RequestID)
+	what, known := n.world.Job(id)
+	at := n.ref.Begin(referee.Arrival{Nodo: n.spec.Name, ID: id, First: begun, Last: time.Now(), Method: req.Method,
+		Path: req.URL.RequestURI(), Key: req.Header.Get(wire.IdempotencyKey), Body: wire.Digest(body)})
+	if at == nil || !known {
+		return n.answer(c, nil, 400, nil, false)
+	}
+	work := what.Work
+	if first {
+		time.Sleep(n.spec.ConnectDelay)
+		work += n.spec.ConnectWork
+	}
+	j, turned, fell := n.admit(work, what.Proxy, over, life, patience(req))
+	if fell != nil {
+		n.ref.Tipped(n.spec.Name, n.sinceMs(), fell, time.Now())
+		n.world.Fell(n.spec.Name)
+		return false
+	}
+	if turned {
+		n.ref.Turn(at)
+		return n.answer(c, at, 503, nil, true) && !over
+	}
+	if j == nil { // ended meanwhile, or hanging
+		c.AwaitEnd(nil)
+		n.ref.Drop(at, 0)
+		return false
+	}
+	return n.work(c, j, at, id, what, life)
+}
+
+func (n *Nodo) sinceMs() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.since.UnixMilli()
+}
+
+// patience is when the caller will have given up.
+func patience(req *http.Request) time.Time {
+	ms, err := strconv.ParseFloat(req.Header.Get(wire.Timeout), 64)
+	if err != nil || ms <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
+}
+
+// work waits for a job's slot and its time, and answers. What its caller has left is dropped.
+func (n *Nodo) work(c *link.Conn, j *job, at *referee.Attempt, id string, what Job, life int) bool {
+	stop := make(chan struct{})
+	left := make(chan struct{})
+	watch := make(chan struct{})
+	go func() {
+		defer close(watch)
+		if c.AwaitEnd(stop) {
+			close(left)
+		}
+	}()
+	end := func() {
+		close(stop)
+		<-watch
+	}
+	select {
+	case ok := <-j.start:
+		if !ok {
+			end()
+			n.ref.Drop(at, 0)
+			return false
+		}
+	case <-left:
+		n.with(func() { j.gone = true; n.sweep() })
+		select {
+		case ok := <-j.start: // it had begun in that moment
+			if ok {
+				n.release(life, time.Now())
+			}
+		default:
+		}
+		end()
+		n.ref.Drop(at, 0)
+		return false
+	}
+	if !j.until.IsZero() && j.begun.After(j.until) { // over before it began
+		n.release(life, j.begun)
+		end()
+		n.ref.Turn(at)
+		return n.answer(c, at, 504, nil, true)
+	}
+	done := time.NewTimer(time.Until(j.begun.Add(j.held)))
+	defer done.Stop()
+	gone := left
+	if !n.spec.Cancelling {
+		gone = nil
+	}
+	select {
+	case <-done.C:
+	case <-gone:
+		n.release(life, time.Now())
+		end()
+		n.ref.Drop(at, time.Since(j.begun))
+		return false
+	}
+	n.release(life, j.begun.Add(j.held))
+	end()
+	n.mu.Lock()
+	alive := n.life == life && n.up && !n.now.Hang
+	fails, spoils := n.rng.Float64() < n.now.Errors, n.rng.Float64() < n.now.Garble
+	n.mu.Unlock()
+	select {
+	case <-left:
+		n.ref.Drop(at, j.held)
+		return false
+	default:
+	}
+	switch {
+	case !alive:
+		c.AwaitEnd(nil)
+		n.ref.Drop(at, j.held)
+		return false
+	case fails:
+		n.ref.Err(at, j.held)
+		return n.answer(c, at, 500, nil, false)
+	}
+	made := wire.Make(id, n.spec.Name, what.Answer)
+	n.ref.Serve(at, wire.Digest(made), j.held)
+	if spoils {
+		n.spoil(c, at, made)
+		return false
+	}
+	return n.answer(c, at, 200, made, false)
+}
+
+func (n *Nodo) answer(c *link.Conn, at *referee.Attempt, status int, body []byte, notStarted bool) bool {
+	head := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nContent-Length: " +
+		strconv.Itoa(len(body)) + "\r\n"
+	if notStarted {
+		head += wire.NotStarted + ": 1\r\n"
+	}
+	return c.NoteThenWrite(append([]byte(head+"\r\n"), body...), func(time.Time) { n.ref.Wrote(at) }) == nil
+}
+
+// spoil sends an answer that cannot be read as the protocol requires, and closes.
+func (n *Nodo) spoil(c *link.Conn, at *referee.Attempt, body []byte) {
+	n.mu.Lock()
+	kind := n.rng.IntN(3)
+	n.mu.Unlock()
+	text := ""
+	switch kind {
+	case 0:
+		text = "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(2*len(body)+9) + "\r\n\r\n" + string(body)
+	case 1:
+		text = "HTTP/1.1\r\n\r\n" + string(body)
+	default:
+		text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\n" + string(body)
+	}
+	_ = c.NoteThenWrite([]byte(text), func(time.Time) { n.ref.Wrote(at) })
+}
