--- /dev/null
+++ b/internal/fleet/view/entry.go
@@ -0,0 +1,162 @@
+package view
+
+import (
+	"cmp"
+	"math"
+	"unicode/utf8"
+)
+
+// Kind is what an entry tells. The zero and the numbers from kinds on are unknown here.
+type Kind uint8
+
+// The numbers are the wire's: they are never given anew.
+const (
+	ServerBad  Kind = 1 + iota // the observer's calls to a server fail
+	ServerWell                 // its calls to a server that others call bad are answered
+	ZoneBad                    // as seen from the observer's zone; the subject is the zone that is seen
+	ZoneWell
+	ServerFlap // transitions of a server's health
+	ServerLoad // a summary of load and time
+	Hand       // a suspension by hand
+	kinds
+)
+
+// A term is what holds for a kind. Times are in microseconds.
+type term struct {
+	name string
+	life int64 // from Made to the end, at most
+	pace int64 // numbers that moved are told no sooner after what was told before
+	most int   // of one observer
+}
+
+var terms = [kinds]term{
+	ServerBad:  {"server-bad", 3 * second, 300 * milli, 256},
+	ServerWell: {"server-well", 3 * second, 300 * milli, 256},
+	ZoneBad:    {"zone-bad", 3 * second, 300 * milli, 32},
+	ZoneWell:   {"zone-well", 3 * second, 300 * milli, 32},
+	ServerFlap: {"server-flap", 60 * second, 0, 128},
+	ServerLoad: {"server-load", 5 * second, second, 256},
+	Hand:       {"hand", resumedLife, 0, 0},
+}
+
+const (
+	milli  = 1000 // microseconds
+	second = 1000 * milli
+
+	mostStamp  = 1 << 53 // of an Incarnation, a Start, a Seq and a Hand's version: what a float64 holds exactly
+	mostNumber = 1e12    // of Calls and Value
+)
+
+// Known says whether the kind is one of this version.
+func (k Kind) Known() bool { return k > 0 && k < kinds }
+
+// String is the kind's name in figures and logs.
+func (k Kind) String() string {
+	if !k.Known() {
+		return "unknown"
+	}
+	return terms[k].name
+}
+
+// Life is the longest life of the kind's entries, in microseconds: for a Hand, of a resumption, since a suspension
+// has no end.
+func (k Kind) Life() int64 {
+	if !k.Known() {
+		return 0
+	}
+	return terms[k].life
+}
+
+// Body is what an entry says of its subject. The numbers keep 11 bits: three bytes on the wire, and a last digit that
+// moves is no news.
+type Body struct {
+	Cause uint8   // as logic counts them; unknown ones are passed on
+	Of    string  // a zone's name, where the kind has a second one; else empty
+	Calls float64 // evidence: calls in the span that the entry rests on; 0 to 1e12
+	Bad   float64 // part of them that were bad, 0 to 1
+	Value float64 // by kind: microseconds, a penalty; 0 to 1e12
+}
+
+// Item is what this proxy says now.
+type Item struct {
+	Kind    Kind
+	Subject string // a server's or a zone's name
+	Start   int64  // when the subject was launched, ms; 0 where it has none
+	Body    Body
+}
+
+// Entry is an item as one observer told it. Times without a unit are microseconds on the local clock.
+type Entry struct {
+	Kind        Kind
+	Gone        bool // withdrawn: it beats what was said before, until that would have ended; of a Hand: resumed
+	Subject     string
+	Start       int64  // when the subject was launched, ms
+	Observer    string // of a Hand: who acted last
+	Zone        string // the observer's
+	Incarnation int64  // the observer's start, ms; of a Hand: 0
+	Seq         uint64 // grows with all that the observer tells; of a Hand: its version
+	Made        int64  // when it was last true; an age on the wire
+	Life        int64  // it ends at Made+Life; 0, and no end, for a suspension by hand
+	Body        Body
+}
+
+// End is when the entry ends; the end of time for a suspension by hand.
+func (e *Entry) End() int64 {
+	if e.Kind == Hand && !e.Gone {
+		return math.MaxInt64
+	}
+	return e.Made + e.Life
+}
+
+// compare orders what was told of one key: the greater wins. Only one who tells two things under one number, a twin or
+// a forger, gets beyond Seq; the rest makes even that come out alike everywhere. Made does not count.
+func compare(a, b *Entry) int {
+	if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Seq, b.Seq); c != 0 {
+		return c
+	}
+	if a.Gone == b.Gone && a.Start == b.Start && a.Life == b.Life && a.Body == b.Body && a.Zone == b.Zone {
+		return 0
+	}
+	if a.Gone != b.Gone {
+		if a.Gone {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Zone, b.Zone),
+		cmp.Compare(a.Body.Cause, b.Body.Cause), cmp.Compare(a.Body.Of, b.Body.Of),
+		cmp.Compare(a.Body.Calls, b.Body.Calls), cmp.Compare(a.Body.Bad, b.Body.Bad),
+		cmp.Compare(a.Body.Value, b.Body.Value))
+}
+
+// number keeps 11 significant bits, so that most numbers fit a half float.
+func number(x float64) float64 {
+	const drop = 52 - 10
+	return math.Float64frombits((math.Float64bits(x) + 1<<(drop-1)) &^ (1<<drop - 1))
+}
+
+func within(x, most float64) bool { return x >= 0 && x <= most } // no NaN is
+
+func (b *Body) valid(name int) bool {
+	return len(b.Of) <= name && utf8.ValidString(b.Of) &&
+		within(b.Calls, mostNumber) && within(b.Bad, 1) && within(b.Value, mostNumber)
+}
+
+func validName(s string, most int) bool { return s != "" && len(s) <= most && utf8.ValidString(s) }
+
+// valid says whether an entry may be looked at further; its end is not part of that.
+func (e *Entry) valid(now int64, name int) bool {
+	if !e.Kind.Known() || e.Made > now || !validName(e.Subject, name) || !validName(e.Observer, name) ||
+		len(e.Zone) > name || !utf8.ValidString(e.Zone) || !e.Body.valid(name) ||
+		e.Start < 0 || e.Start > mostStamp || e.Incarnation < 0 || e.Incarnation > mostStamp ||
+		e.Seq == 0 || e.Seq > mostStamp {
+		return false
+	}
+	if e.Kind == Hand && !e.Gone {
+		return e.Life == 0
+	}
+	return e.Life > 0 && e.Life <= terms[e.Kind].life
+}
--- /dev/null
+++ b/internal/fleet/view/view.go
@@ -0,0 +1,110 @@
+// Package view is what the proxies of a fleet know of each other, as one proxy holds it: pure state, without clock,
+// socket or goroutine. Events go in with the time, entries to spread come out. One goroutine owns a View.
+//
+// Each observer tells items (Say). Each view holds, for each (observer, kind, subject), the one with the highest
+// (Incarnation, Seq); of copies of one telling, the oldest Made. A new incarnation of an observer takes the place of
+// all that the former one told. That is a join of ordered sets, so merging commutes, associates and is idempotent, and
+// views that heard the same hold the same, in whatever order and however often they heard it.
+//
+// An entry ends at Made+Life on the clock of its reader, whatever is heard after. The wire carries its age, rounded up,
+// so a relayed copy never gets younger, except by the time the packet was under way: a reader takes an entry for as
+// much younger as the sum of its hops took, and holds it for so much longer. What is still true is told anew at half
+// its life: unless packets are lost, what others know is at most half a life older than what this one said last, and
+// nothing outlives its observer by more than a life and the time under way. Numbers that moved are told within the
+// kind's pace.
+//
+// What ended does not come back. A key's last entry is kept for the kind's whole life, and when it is forgotten its Seq
+// becomes the floor of that observer's kind: as Seq grows with Made, all of that kind at or under the floor was made
+// earlier and has ended too. The floor and the incarnation are kept for tenMinutes after the observer's last entry.
+//
+// Suspensions by hand are one register for each server, the last writer by (Lamport version, actor): no clock takes
+// part. A suspension has no end; a resumption is kept for 24 hours, and a view that was cut off for longer than that
+// may bring an older suspension back.
+//
+// All is bounded (Limits). Over a bound the entry nearest its end goes, of the observer that told the most, so that one
+// who floods crowds out itself; own entries never go. Within the bounds no order of events matters; beyond them what
+// went is told anew at half its life.
+package view
+
+// Self is the proxy that holds the view.
+type Self struct {
+	Name, Zone string
+	Start      int64 // ms; must grow from one start of the process to the next
+}
+
+// Limits bound a view. A zero is the default.
+type Limits struct {
+	Entries   int // of others, in all: 20,000
+	Observer  int // entries of one observer, and of this one: 512
+	Observers int // observers remembered: 1,024
+	Name      int // bytes of a name: 128
+	Hands     int // servers suspended or resumed by hand: 4,096
+}
+
+// Counts are totals since New, and below them what is held. All that comes in by Merge is counted once among New,
+// Doubled, Late, Superseded, Foreign, Refused and Over.
+type Counts struct {
+	Told       uint64 // own entries told since they are new or moved
+	Renewed    uint64 // own entries told again at half life
+	Withdrawn  uint64 // own entries taken back
+	Unsaid     uint64 // own items not told: over a bound, doubled in one set, or not valid
+	New        uint64 // entries of others that were news
+	Doubled    uint64 // known already, own ones included
+	Late       uint64 // ended when they came
+	Superseded uint64 // beaten by what was known
+	Foreign    uint64 // under this one's name, and not told by it: of a former life of it, or a twin's
+	Refused    uint64 // not valid: a name, a number, an age or a life out of bounds, or a kind unknown
+	Over       uint64 // went or were not taken in, for a bound
+	Ended      uint64 // of others, ended without having been withdrawn
+
+	Own       int // own entries, withdrawn ones included
+	Entries   int // of others, with those kept after their end
+	Observers int
+	Suspended int // by hand
+	Resumed   int // by hand, and remembered
+}
+
+// View is what one proxy knows of the fleet.
+type View struct {
+	self   Self
+	limits Limits
+	now    int64
+	counts Counts
+}
+
+// New makes an empty view.
+func New(self Self, limits Limits) *View {
+	return &View{self: self, limits: limits.orDefault()}
+}
+
+func (l Limits) orDefault() Limits {
+	or := func(n *int, value int) {
+		if *n <= 0 {
+			*n = value
+		}
+	}
+	or(&l.Entries, 20_000)
+	or(&l.Observer, 512)
+	or(&l.Observers, 1024)
+	or(&l.Name, 128)
+	or(&l.Hands, 4096)
+	return l
+}
+
+// Say takes the whole set of what this proxy says now and gives what is to be spread: what is new or moved, what is
+// renewed, and what is withdrawn since it is no longer in the set.
+func (v *View) Say(now int64, items []Item) []Entry { return nil }
+
+// Merge takes entries of others and gives those that were new, to be spread on. With an entry under this proxy's name
+// that it did not tell, it gives own entries that beat it.
+func (v *View) Merge(now int64, in []Entry) (news []Entry) { return nil }
+
+// Known gives what others say and has neither ended nor been withdrawn, without suspensions by hand, by observer, kind
+// and subject.
+func (v *View) Known(now int64) []Entry { return nil }
+
+// All gives all that has not ended, own, withdrawn and by hand included, for a full exchange.
+func (v *View) All(now int64) []Entry { return nil }
+
+// Counts gives totals and what is held.
+func (v *View) Counts() Counts { return v.counts }
