Merge, say, keep by hand and encode what the fleet's proxies know

The view's insides: entries by (observer, kind, subject), the highest in a total order wins; what ended does not come back, since a key's last entry is kept for its kind's life and then leaves its sequence as a floor; Lamport registers by hand; packets of CBOR, read part by part where they are not in full of the known shape. A proxy whose clock was set back over a restart is told so and outbids its former life (found by the property test: with all of the former life ended, nobody had an entry to show, and it was not heard for ten minutes).

--- a/internal/fleet/view/codec.go
+++ b/internal/fleet/view/codec.go
@@ -1,21 +1,85 @@
 package view
 
-import "fmt"
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
 
 const (
 	MostPacket   = 64 << 10 // bytes that Decode reads
 	MostSequence = 4 << 20  // bytes that DecodeAll reads
 	LeastPacket  = 1024     // bytes that hold any entry whose names are within the default bound
+
+	version     = 1
+	mostEntries = 1 << 15 // of a sequence
+	mostArray   = 1 << 13 // elements: of a packet's groups and of a group's entries
+	bare        = 7       // bytes of a packet without groups, at most
 )
 
+// A packet is a map by small integers, so that a later version may add fields; entries share their observer's head.
+// Numbers of fields are never given anew. A packet uses no tag and no item of indefinite length, nor may later ones.
+type packet[G any] struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Groups  []G    `cbor:"2,keyasint"`
+}
+
+type group[E any] struct {
+	Observer    string `cbor:"1,keyasint"`
+	Zone        string `cbor:"2,keyasint,omitempty"`
+	Incarnation int64  `cbor:"3,keyasint,omitempty"` // ms
+	Entries     []E    `cbor:"4,keyasint"`
+}
+
+type wire struct {
+	Kind    uint64  `cbor:"1,keyasint"`
+	Seq     uint64  `cbor:"2,keyasint"`
+	Subject string  `cbor:"3,keyasint"`
+	Age     int64   `cbor:"4,keyasint,omitempty"` // ms, rounded up
+	Life    int64   `cbor:"5,keyasint,omitempty"` // ms; without: the kind's
+	Gone    bool    `cbor:"6,keyasint,omitempty"`
+	Since   int64   `cbor:"7,keyasint,omitempty"` // the subject's start, ms after the observer's
+	Start   int64   `cbor:"8,keyasint,omitempty"` // the same as it is, where the two are one
+	Cause   uint8   `cbor:"9,keyasint,omitempty"`
+	Of      string  `cbor:"10,keyasint,omitempty"`
+	Calls   float64 `cbor:"11,keyasint,omitempty"`
+	Bad     float64 `cbor:"12,keyasint,omitempty"`
+	Value   float64 `cbor:"13,keyasint,omitempty"`
+}
+
+var (
+	encoding      = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.UserBufferEncMode())
+	strict, loose = decoding(cbor.ExtraDecErrorUnknownField), decoding(cbor.ExtraDecErrorNone)
+)
+
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err) // the options above are constants
+	}
+	return mode
+}
+
+func decoding(extra cbor.ExtraDecErrorCond) cbor.DecMode {
+	return must(cbor.DecOptions{
+		MaxArrayElements: mostArray, MaxMapPairs: 64, MaxNestedLevels: 16, ExtraReturnErrors: extra,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode())
+}
+
 // Skipped counts what Decode left out of a packet that it could read.
 type Skipped struct {
 	Kinds  int // entries of an unknown kind
-	Fields int // maps with unknown fields, that were read as far as known
-	Bad    int // entries or groups that are not of the known shape
+	Fields int // packets, groups and entries with unknown fields, that were read as far as known
+	Bad    int // groups and entries that are not of the known shape, or over the bound
 	Newer  int // packets of a newer version, that were read as far as known
 }
 
+func (s *Skipped) add(o Skipped) {
+	s.Kinds, s.Fields, s.Bad, s.Newer = s.Kinds+o.Kinds, s.Fields+o.Fields, s.Bad+o.Bad, s.Newer+o.Newer
+}
+
 // PacketError is a packet that was not read at all.
 type PacketError struct {
 	Size  int
@@ -27,13 +91,230 @@
 		e.Size, e.Cause)
 }
 
-// Encode puts entries into packets of at most so many bytes. An entry that fits none is left out: that needs names
-// over the default bound or most under LeastPacket.
-func Encode(now int64, entries []Entry, most int) [][]byte { return nil }
+// Encode puts entries into packets of at most so many bytes, and never of more than MostPacket. Left out is what ends
+// within a millisecond, what is not valid, and an entry that fits no packet: that needs names over the default bound, or
+// most under LeastPacket.
+func Encode(now int64, entries []Entry, most int) [][]byte {
+	most = min(most, MostPacket)
+	var (
+		packets [][]byte
+		one     bytes.Buffer
+		w       wire
+		size    int
+		body    = make([]byte, 0, max(most, 0)) // never grows: what lies in it is kept by reference
+		p       = packet[group[cbor.RawMessage]]{Version: version}
+	)
+	flush := func() {
+		if data, err := encoding.Marshal(&p); err == nil && len(p.Groups) > 0 {
+			packets = append(packets, data)
+		}
+		p.Groups, body, size = nil, body[:0], bare
+	}
+	flush()
+	for i := range entries {
+		e := &entries[i]
+		w.from(now, e)
+		one.Reset()
+		if !e.valid(now, most) || w.ended(e) || encoding.MarshalToBuffer(&w, &one) != nil {
+			continue
+		}
+		g := group[cbor.RawMessage]{Observer: e.Observer, Zone: e.Zone, Incarnation: e.Incarnation}
+		head := 0
+		if len(p.Groups) == 0 || !g.same(&p.Groups[len(p.Groups)-1]) {
+			head = g.head()
+		}
+		if size+head+one.Len() > most {
+			flush()
+			if head = g.head(); size+head+one.Len() > most {
+				continue
+			}
+		}
+		if head > 0 {
+			p.Groups = append(p.Groups, g)
+		}
+		size += head + one.Len()
+		from := len(body)
+		body = append(body, one.Bytes()...)
+		last := &p.Groups[len(p.Groups)-1]
+		last.Entries = append(last.Entries, body[from:len(body):len(body)])
+	}
+	flush()
+	return packets
+}
+
+func (g *group[E]) same(o *group[E]) bool {
+	return g.Observer == o.Observer && g.Zone == o.Zone && g.Incarnation == o.Incarnation
+}
+
+// head is how many bytes a group without entries takes, at most.
+func (g *group[E]) head() int {
+	data, _ := encoding.Marshal(g)
+	return len(data) + 2 // a longer array's head
+}
+
+func (w *wire) from(now int64, e *Entry) {
+	*w = wire{
+		Kind: uint64(e.Kind), Seq: e.Seq, Subject: e.Subject, Age: age(now, e), Gone: e.Gone,
+		Cause: e.Body.Cause, Of: e.Body.Of, Calls: e.Body.Calls, Bad: e.Body.Bad, Value: e.Body.Value,
+	}
+	if e.Life != e.Kind.Life() {
+		w.Life = e.Life / milli
+	}
+	switch {
+	case e.Start == 0:
+	case e.Start == e.Incarnation:
+		w.Start = e.Start
+	default:
+		w.Since = e.Start - e.Incarnation
+	}
+}
 
-// Decode reads one packet of at most MostPacket bytes. Any bytes are safe. The error is a *PacketError.
-func Decode(now int64, packet []byte) ([]Entry, Skipped, error) { return nil, Skipped{}, nil }
+// ended says whether a reader would find the entry ended.
+func (w *wire) ended(e *Entry) bool { return (e.Kind != Hand || e.Gone) && w.Age*milli >= e.Life }
+
+// entry is what a wire says, if its numbers can be held; whether they are valid is Merge's to say.
+func (w *wire) entry(now int64, observer, zone string, incarnation int64) (Entry, bool) {
+	e := Entry{
+		Kind: Kind(w.Kind), Seq: w.Seq, Subject: w.Subject, Made: now - w.Age*milli, Gone: w.Gone, Start: w.Start,
+		Observer: observer, Zone: zone, Incarnation: incarnation, Life: w.Life * milli,
+		Body: Body{Cause: w.Cause, Of: w.Of, Calls: w.Calls, Bad: w.Bad, Value: w.Value},
+	}
+	if w.Life == 0 && (e.Kind != Hand || e.Gone) {
+		e.Life = e.Kind.Life()
+	}
+	if w.Since != 0 {
+		e.Start = incarnation + w.Since
+	}
+	return e, w.Age >= 0 && w.Age <= mostAge && w.Life >= 0 && w.Life <= mostAge &&
+		incarnation >= 0 && incarnation <= mostStamp && -mostStamp <= w.Since && w.Since <= mostStamp
+}
+
+func known(kind uint64) bool { return kind < uint64(kinds) && Kind(kind).Known() }
+
+// Decode reads one packet of at most MostPacket bytes. Any bytes are safe: for a moment they take at most some 8 MB,
+// and one packet gives at most some 8,000 entries. The error is a *PacketError.
+func Decode(now int64, data []byte) ([]Entry, Skipped, error) {
+	var s Skipped
+	if len(data) > MostPacket {
+		return nil, s, &PacketError{len(data), fmt.Sprintf("over %d bytes", MostPacket)}
+	}
+	var p packet[group[wire]]
+	if strict.Unmarshal(data, &p) != nil {
+		return decodeOdd(now, data)
+	}
+	if err := s.version(len(data), p.Version); err != nil {
+		return nil, s, err
+	}
+	n := 0
+	for i := range p.Groups {
+		n += len(p.Groups[i].Entries)
+	}
+	entries := make([]Entry, 0, n)
+	for i := range p.Groups {
+		g := &p.Groups[i]
+		for j := range g.Entries {
+			entries = s.put(entries, now, g.Observer, g.Zone, g.Incarnation, &g.Entries[j])
+		}
+	}
+	return entries, s, nil
+}
 
-// DecodeAll reads packets laid end to end, as a full exchange sends them, of at most MostSequence bytes together. It
-// gives what came before an error too.
-func DecodeAll(now int64, sequence []byte) ([]Entry, Skipped, error) { return nil, Skipped{}, nil }
+func (s *Skipped) version(size int, of uint64) error {
+	if of == 0 {
+		return &PacketError{size, "it names no version"}
+	}
+	if of > version {
+		s.Newer++
+	}
+	return nil
+}
+
+func (s *Skipped) put(to []Entry, now int64, observer, zone string, incarnation int64, w *wire) []Entry {
+	if !known(w.Kind) {
+		s.Kinds++
+	} else if e, ok := w.entry(now, observer, zone, incarnation); ok {
+		return append(to, e)
+	} else {
+		s.Bad++
+	}
+	return to
+}
+
+// decodeOdd reads a packet that is not in full of the known shape, part by part.
+func decodeOdd(now int64, data []byte) ([]Entry, Skipped, error) {
+	var (
+		s       Skipped
+		p       packet[cbor.RawMessage]
+		entries []Entry
+	)
+	if err := s.read(data, &p); err != nil {
+		return nil, Skipped{}, &PacketError{len(data), err.Error()}
+	}
+	if err := s.version(len(data), p.Version); err != nil {
+		return nil, Skipped{}, err
+	}
+	for _, raw := range p.Groups {
+		var g group[cbor.RawMessage]
+		if s.read(raw, &g) != nil {
+			s.Bad++
+			continue
+		}
+		for _, raw := range g.Entries {
+			var kind struct {
+				Kind uint64 `cbor:"1,keyasint"`
+			}
+			var w wire
+			switch {
+			case loose.Unmarshal(raw, &kind) != nil:
+				s.Bad++
+			case !known(kind.Kind):
+				s.Kinds++
+			case s.read(raw, &w) != nil:
+				s.Bad++
+			default:
+				entries = s.put(entries, now, g.Observer, g.Zone, g.Incarnation, &w)
+			}
+		}
+	}
+	return entries, s, nil
+}
+
+// read reads into a zero value, and counts it if it has unknown fields.
+func (s *Skipped) read(data []byte, to any) error {
+	err := strict.Unmarshal(data, to)
+	if unknown := (*cbor.UnknownFieldError)(nil); errors.As(err, &unknown) {
+		s.Fields++
+		err = loose.Unmarshal(data, to)
+	}
+	return err
+}
+
+// DecodeAll reads packets laid end to end, as a full exchange sends them, of at most MostSequence bytes and some 32,000
+// entries together. It gives what came before an error too. The error is a *PacketError.
+func DecodeAll(now int64, sequence []byte) ([]Entry, Skipped, error) {
+	var (
+		s   Skipped
+		all []Entry
+		raw cbor.RawMessage
+	)
+	if len(sequence) > MostSequence {
+		return nil, s, &PacketError{len(sequence), fmt.Sprintf("over %d bytes", MostSequence)}
+	}
+	for rest := sequence; len(rest) > 0; {
+		next, err := loose.UnmarshalFirst(rest, &raw)
+		if err != nil {
+			return all, s, &PacketError{len(rest), err.Error()}
+		}
+		if len(all) > mostEntries {
+			return all, s, &PacketError{len(rest), fmt.Sprintf("after %d entries", len(all))}
+		}
+		entries, skipped, err := Decode(now, raw)
+		if err != nil {
+			return all, s, err
+		}
+		all = append(all, entries...)
+		s.add(skipped)
+		rest = next
+	}
+	return all, s, nil
+}
--- a/internal/fleet/view/entry.go
+++ b/internal/fleet/view/entry.go
@@ -43,8 +43,9 @@
 	milli  = 1000 // microseconds
 	second = 1000 * milli
 
-	mostStamp  = 1 << 53 // of an Incarnation, a Start, a Seq and a Hand's version: what a float64 holds exactly
-	mostNumber = 1e12    // of Calls and Value
+	mostAge    = 1 << 43 // ms: 279 years
+	mostStamp  = 1 << 53 // of an Incarnation, a Start, a Seq, and a Hand's version
+	mostNumber = 1 << 40 // of Calls and Value: a power of two, which rounding does not exceed
 )
 
 // Known says whether the kind is one of this version.
@@ -72,9 +73,9 @@
 type Body struct {
 	Cause uint8   // as logic counts them; unknown ones are passed on
 	Of    string  // a zone's name, where the kind has a second one; else empty
-	Calls float64 // evidence: calls in the span that the entry rests on; 0 to 1e12
+	Calls float64 // evidence: calls in the span that the entry rests on; 0 to 2^40
 	Bad   float64 // part of them that were bad, 0 to 1
-	Value float64 // by kind: microseconds, a penalty; 0 to 1e12
+	Value float64 // by kind: microseconds, a penalty; 0 to 2^40
 }
 
 // Item is what this proxy says now.
@@ -108,8 +109,12 @@
 	return e.Made + e.Life
 }
 
-// compare orders what was told of one key: the greater wins. Only one who tells two things under one number, a twin or
-// a forger, gets beyond Seq; the rest makes even that come out alike everywhere. Made does not count.
+// age is how old an entry is, in milliseconds, rounded up: a relayed one never gets younger.
+func age(now int64, e *Entry) int64 { return max(0, (now-e.Made+milli-1)/milli) }
+
+// compare orders what was told of one key: the greatest wins, of equal copies the oldest. Only one who tells two things
+// under one number, a twin or a forger, gets beyond Seq (a Hand: beyond Observer); the rest of this total order makes
+// even that come out alike everywhere.
 func compare(a, b *Entry) int {
 	if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
 		return c
@@ -117,19 +122,27 @@
 	if c := cmp.Compare(a.Seq, b.Seq); c != 0 {
 		return c
 	}
-	if a.Gone == b.Gone && a.Start == b.Start && a.Life == b.Life && a.Body == b.Body && a.Zone == b.Zone {
-		return 0
+	if c := cmp.Compare(a.Observer, b.Observer); c != 0 {
+		return c
 	}
-	if a.Gone != b.Gone {
-		if a.Gone {
-			return 1
+	if !a.same(b) {
+		if a.Gone != b.Gone {
+			if a.Gone {
+				return 1
+			}
+			return -1
 		}
-		return -1
+		return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Zone, b.Zone),
+			cmp.Compare(a.Body.Cause, b.Body.Cause), cmp.Compare(a.Body.Of, b.Body.Of),
+			cmp.Compare(a.Body.Calls, b.Body.Calls), cmp.Compare(a.Body.Bad, b.Body.Bad),
+			cmp.Compare(a.Body.Value, b.Body.Value))
 	}
-	return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Zone, b.Zone),
-		cmp.Compare(a.Body.Cause, b.Body.Cause), cmp.Compare(a.Body.Of, b.Body.Of),
-		cmp.Compare(a.Body.Calls, b.Body.Calls), cmp.Compare(a.Body.Bad, b.Body.Bad),
-		cmp.Compare(a.Body.Value, b.Body.Value))
+	return cmp.Compare(b.Made, a.Made)
+}
+
+// same says whether two tellings of one number say the same.
+func (e *Entry) same(o *Entry) bool {
+	return e.Gone == o.Gone && e.Start == o.Start && e.Life == o.Life && e.Body == o.Body && e.Zone == o.Zone
 }
 
 // number keeps 11 significant bits, so that most numbers fit a half float.
@@ -149,12 +162,15 @@
 
 // valid says whether an entry may be looked at further; its end is not part of that.
 func (e *Entry) valid(now int64, name int) bool {
-	if !e.Kind.Known() || e.Made > now || !validName(e.Subject, name) || !validName(e.Observer, name) ||
-		len(e.Zone) > name || !utf8.ValidString(e.Zone) || !e.Body.valid(name) ||
+	if !e.Kind.Known() || e.Made > now || e.Made < now-mostAge*milli ||
+		!validName(e.Subject, name) || !validName(e.Observer, name) || len(e.Zone) > name || !utf8.ValidString(e.Zone) || !e.Body.valid(name) ||
 		e.Start < 0 || e.Start > mostStamp || e.Incarnation < 0 || e.Incarnation > mostStamp ||
 		e.Seq == 0 || e.Seq > mostStamp {
 		return false
 	}
+	if e.Kind == Hand && (e.Incarnation != 0 || e.Start != 0) {
+		return false
+	}
 	if e.Kind == Hand && !e.Gone {
 		return e.Life == 0
 	}
--- a/internal/fleet/view/hand.go
+++ b/internal/fleet/view/hand.go
@@ -1,6 +1,9 @@
 package view
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 const resumedLife = 24 * 3600 * second
 
@@ -20,7 +23,8 @@
 }
 
 func (e *FullError) Error() string {
-	return fmt.Sprintf("suspend %q: %d servers are suspended by hand, and no more are kept: resume some first", e.Subject, e.Most)
+	return fmt.Sprintf("suspend %q: %d servers are suspended by hand, and no more are kept: resume some first",
+		e.Subject, e.Most)
 }
 
 // NameError is a name that no entry may carry.
@@ -35,17 +39,107 @@
 
 // Suspend suspends a server by hand for the whole fleet, and gives what is to be spread: nothing if it is suspended
 // already. The error is a *NameError or a *FullError.
-func (v *View) Suspend(now int64, nodo string) ([]Entry, error) { return nil, nil }
+func (v *View) Suspend(now int64, nodo string) ([]Entry, error) { return v.act(now, nodo, true) }
 
 // Resume ends a suspension. It gives nothing for a server that is not suspended as far as is known here. The error is
 // a *NameError.
-func (v *View) Resume(now int64, nodo string) ([]Entry, error) { return nil, nil }
+func (v *View) Resume(now int64, nodo string) ([]Entry, error) { return v.act(now, nodo, false) }
+
+func (v *View) act(now int64, nodo string, suspend bool) ([]Entry, error) {
+	now = v.tick(now)
+	if !validName(nodo, v.limits.Name) {
+		return nil, &NameError{nodo, v.limits.Name}
+	}
+	if i, known := v.hands.find(Hand, nodo); suspend == (known && !v.hands.held[i].Gone) {
+		return nil, nil
+	}
+	e := Entry{Kind: Hand, Subject: nodo, Gone: !suspend, Observer: v.self.Name, Seq: min(v.version+1, mostStamp), Made: now}
+	if e.Gone {
+		e.Life = resumedLife
+	}
+	if v.mergeHand(now, &e) == &v.counts.Over {
+		return nil, &FullError{nodo, v.limits.Hands}
+	}
+	return []Entry{e}, nil
+}
+
+// mergeHand merges a valid Hand, and gives what it is to be counted as.
+func (v *View) mergeHand(now int64, e *Entry) *uint64 {
+	v.version = max(v.version, e.Seq)
+	i, known := v.hands.find(Hand, e.Subject)
+	if known {
+		held := v.hands.held[i]
+		same := e.Seq == held.Seq && e.Observer == held.Observer && e.same(held)
+		switch wins := compare(e, held) > 0; {
+		case same && wins:
+			held.Made = e.Made
+			return &v.counts.Doubled
+		case wins:
+			*held = *e
+			return &v.counts.New
+		case same:
+			return &v.counts.Doubled
+		}
+		return &v.counts.Superseded
+	}
+	kept := new(*e)
+	v.hands.insert(i, kept)
+	if len(v.hands.held) > v.limits.Hands {
+		v.hands.sweep(now)
+	}
+	if len(v.hands.held) > v.limits.Hands {
+		oldest := v.hands.evict(0, func(e *Entry) bool { return e.Gone })
+		if oldest == nil {
+			i, _ = v.hands.find(Hand, e.Subject)
+			v.hands.held = slices.Delete(v.hands.held, i, i+1)
+		}
+		if oldest == nil || oldest == kept {
+			return &v.counts.Over
+		}
+		v.counts.Crowded++
+	}
+	return &v.counts.New
+}
 
 // Hand gives the servers that are suspended by hand.
-func (v *View) Hand(now int64) map[string]bool { return nil }
+func (v *View) Hand(now int64) map[string]bool {
+	v.tick(now)
+	suspended := make(map[string]bool)
+	for _, e := range v.hands.held {
+		if !e.Gone {
+			suspended[e.Subject] = true
+		}
+	}
+	return suspended
+}
 
 // Hands gives all that is known by hand, resumptions included, by subject.
-func (v *View) Hands(now int64) []HandRecord { return nil }
+func (v *View) Hands(now int64) []HandRecord {
+	now = v.tick(now)
+	v.hands.sweep(now)
+	records := make([]HandRecord, 0, len(v.hands.held))
+	for _, e := range v.hands.held {
+		records = append(records, HandRecord{e.Subject, !e.Gone, e.Seq, e.Observer, age(now, e)})
+	}
+	return records
+}
 
 // Restore takes in what Hands gave, and gives how many records were not taken in, as not valid, ended or over the bound.
-func (v *View) Restore(now int64, records []HandRecord) (refused int) { return 0 }
+func (v *View) Restore(now int64, records []HandRecord) (refused int) {
+	now = v.tick(now)
+	for _, r := range records {
+		e := Entry{Kind: Hand, Subject: r.Subject, Gone: !r.Suspended, Observer: r.Actor, Seq: r.Version}
+		if e.Gone {
+			e.Life = resumedLife
+		}
+		ok := r.Age >= 0 && r.Age <= mostAge
+		if ok {
+			e.Made = now - r.Age*milli
+			ok = e.valid(now, v.limits.Name) && e.End() > now && v.mergeHand(now, &e) != &v.counts.Over
+		}
+		if !ok {
+			refused++
+		}
+	}
+	return refused
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -2,8 +2,8 @@
 // socket or goroutine. Events go in with the time, entries to spread come out. One goroutine owns a View.
 //
 // Each observer tells items (Say). Each view holds, for each (observer, kind, subject), the one with the highest
-// (Incarnation, Seq); of copies of one telling, the oldest Made. A new incarnation of an observer takes the place of
-// all that the former one told. That is a join of ordered sets, so merging commutes, associates and is idempotent, and
+// (Incarnation, Seq), and of copies of one telling the oldest. A new incarnation of an observer takes the place of
+// all that the former one told. Each is the greatest in a total order, so merging commutes, associates and is idempotent, and
 // views that heard the same hold the same, in whatever order and however often they heard it.
 //
 // An entry ends at Made+Life on the clock of its reader, whatever is heard after. The wire carries its age, rounded up,
@@ -15,7 +15,7 @@
 //
 // What ended does not come back. A key's last entry is kept for the kind's whole life, and when it is forgotten its Seq
 // becomes the floor of that observer's kind: as Seq grows with Made, all of that kind at or under the floor was made
-// earlier and has ended too. The floor and the incarnation are kept for tenMinutes after the observer's last entry.
+// earlier and has ended too. The floor and the incarnation are kept for ten minutes after the observer's last entry.
 //
 // Suspensions by hand are one register for each server, the last writer by (Lamport version, actor): no clock takes
 // part. A suspension has no end; a resumption is kept for 24 hours, and a view that was cut off for longer than that
@@ -26,6 +26,8 @@
 // went is told anew at half its life.
 package view
 
+import "math"
+
 // Self is the proxy that holds the view.
 type Self struct {
 	Name, Zone string
@@ -54,7 +56,8 @@
 	Superseded uint64 // beaten by what was known
 	Foreign    uint64 // under this one's name, and not told by it: of a former life of it, or a twin's
 	Refused    uint64 // not valid: a name, a number, an age or a life out of bounds, or a kind unknown
-	Over       uint64 // went or were not taken in, for a bound
+	Over       uint64 // not taken in, for a bound
+	Crowded    uint64 // had been taken in, and went for a bound
 	Ended      uint64 // of others, ended without having been withdrawn
 
 	Own       int // own entries, withdrawn ones included
@@ -64,17 +67,33 @@
 	Resumed   int // by hand, and remembered
 }
 
+// remembered is how long an observer without entries is kept, for its incarnation and its floors.
+const remembered = 600 * second
+
 // View is what one proxy knows of the fleet.
 type View struct {
 	self   Self
 	limits Limits
-	now    int64
+	now    int64 // the latest time given: none before it counts
 	counts Counts
+
+	own    observer
+	seq    uint64 // of the last own entry
+	raised int64  // when a twin last made the own incarnation grow
+	wanted []Item // room for Say
+
+	others  []*observer // by name
+	entries int         // that others hold
+
+	hands   observer // kind Hand alone
+	version uint64   // the highest of any Hand
 }
 
 // New makes an empty view.
 func New(self Self, limits Limits) *View {
-	return &View{self: self, limits: limits.orDefault()}
+	self.Start = min(max(self.Start, 0), mostStamp-1)
+	return &View{self: self, limits: limits.orDefault(), raised: math.MinInt64 / 2,
+		own: observer{name: self.Name, zone: self.Zone, incarnation: self.Start}}
 }
 
 func (l Limits) orDefault() Limits {
@@ -91,20 +110,57 @@
 	return l
 }
 
-// Say takes the whole set of what this proxy says now and gives what is to be spread: what is new or moved, what is
-// renewed, and what is withdrawn since it is no longer in the set.
-func (v *View) Say(now int64, items []Item) []Entry { return nil }
-
-// Merge takes entries of others and gives those that were new, to be spread on. With an entry under this proxy's name
-// that it did not tell, it gives own entries that beat it.
-func (v *View) Merge(now int64, in []Entry) (news []Entry) { return nil }
+func (v *View) tick(now int64) int64 {
+	v.now = max(v.now, now)
+	return v.now
+}
 
 // Known gives what others say and has neither ended nor been withdrawn, without suspensions by hand, by observer, kind
 // and subject.
-func (v *View) Known(now int64) []Entry { return nil }
+func (v *View) Known(now int64) []Entry {
+	now = v.tick(now)
+	v.sweep(now)
+	known := make([]Entry, 0, v.entries)
+	for _, o := range v.others {
+		for _, e := range o.held {
+			if !e.Gone && e.End() > now {
+				known = append(known, *e)
+			}
+		}
+	}
+	return known
+}
 
 // All gives all that has not ended, own, withdrawn and by hand included, for a full exchange.
-func (v *View) All(now int64) []Entry { return nil }
+func (v *View) All(now int64) []Entry {
+	now = v.tick(now)
+	v.sweep(now)
+	all := make([]Entry, 0, len(v.own.held)+v.entries+len(v.hands.held))
+	add := func(o *observer) {
+		for _, e := range o.held {
+			if e.End() > now {
+				all = append(all, *e)
+			}
+		}
+	}
+	add(&v.own)
+	for _, o := range v.others {
+		add(o)
+	}
+	add(&v.hands)
+	return all
+}
 
 // Counts gives totals and what is held.
-func (v *View) Counts() Counts { return v.counts }
+func (v *View) Counts() Counts {
+	c := v.counts
+	c.Own, c.Entries, c.Observers = len(v.own.held), v.entries, len(v.others)
+	for _, e := range v.hands.held {
+		if e.Gone {
+			c.Resumed++
+		} else {
+			c.Suspended++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/fleet/view/view_test.go
@@ -0,0 +1,220 @@
+package view
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const at = 100 * second // the time of the tests that need but one
+
+// entries draws valid entries of few keys, so that they meet: with copies of other ages, incarnations, withdrawals,
+// hands, and twins that tell different things under one number.
+func entries(names int) *rapid.Generator[[]Entry] {
+	name := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("n", rapid.IntRange(1, names).Draw(t, "name")) })
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Entry {
+		e := Entry{
+			Kind: Kind(rapid.IntRange(1, int(kinds)-1).Draw(t, "kind")), Subject: name.Draw(t, "subject"),
+			Gone: rapid.IntRange(0, 3).Draw(t, "gone") == 0, Observer: name.Draw(t, "observer"),
+			Zone: "z", Seq: rapid.Uint64Range(1, 4).Draw(t, "seq"),
+			Body: Body{Cause: rapid.Uint8Range(0, 1).Draw(t, "cause")},
+		}
+		if e.Kind != Hand {
+			e.Start = rapid.Int64Range(0, 2).Draw(t, "start")
+			e.Incarnation = rapid.Int64Range(1, 2).Draw(t, "incarnation")
+		}
+		if e.Kind != Hand || e.Gone {
+			e.Life = rapid.Int64Range(1, e.Kind.Life()/milli).Draw(t, "life") * milli
+		}
+		e.Made = at - rapid.Int64Range(0, max(e.Life, second)/milli).Draw(t, "age")*milli
+		return e
+	}), 0, 40)
+}
+
+func TestMergeIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := entries(3).Draw(t, "in")
+		one, two := New(Self{Name: "a"}, Limits{}), New(Self{Name: "b"}, Limits{})
+		for _, e := range in {
+			one.Merge(at, []Entry{e})
+		}
+		want := one.All(at)
+		cut := rapid.IntRange(0, len(in)).Draw(t, "cut")
+		two.Merge(at, in[cut:])
+		for range 2 {
+			three := New(Self{Name: "c"}, Limits{})
+			three.Merge(at, rapid.Permutation(in[:cut]).Draw(t, "order"))
+			two.Merge(at, rapid.Permutation(three.All(at)).Draw(t, "relayed"))
+			if got := two.All(at); !slices.Equal(got, want) {
+				t.Fatalf("in another order, by relay, doubled:\n%v\n%v", got, want)
+			}
+		}
+		if news := two.Merge(at, want); len(news) != 0 {
+			t.Fatalf("known, and news: %v", news)
+		}
+	})
+}
+
+// Under a flood nothing passes its bound, own entries stay, all is counted, and in the end all is given back.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lim := Limits{Entries: 12, Observer: 5, Observers: 4, Hands: 3}
+		v := New(Self{Name: "self", Start: 1}, lim)
+		var said []Item
+		merged := uint64(0)
+		now := int64(at)
+		for range rapid.IntRange(1, 15).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "say") {
+				said = nil
+				for i := range rapid.IntRange(0, 9).Draw(t, "items") {
+					said = append(said, Item{Kind: ServerFlap, Subject: fmt.Sprint(i * rapid.IntRange(1, 3).Draw(t, "of"))})
+				}
+				v.Say(now, said)
+			}
+			in := entries(8).Draw(t, "in")
+			for i := range in {
+				in[i].Made += now - at
+			}
+			v.Merge(now, in)
+			merged += uint64(len(in))
+			now += rapid.Int64Range(0, 2*second).Draw(t, "wait")
+			c := v.Counts()
+			sum, own := 0, 0
+			for _, o := range v.others {
+				sum += len(o.held)
+				if len(o.held) > lim.Observer {
+					t.Fatalf("%d entries of one observer", len(o.held))
+				}
+			}
+			if c.Entries > lim.Entries || c.Own > lim.Observer || c.Observers > lim.Observers || sum != c.Entries ||
+				c.Suspended+c.Resumed > lim.Hands {
+				t.Fatalf("%d entries held, %+v", sum, c)
+			}
+			if n := c.New + c.Doubled + c.Late + c.Superseded + c.Foreign + c.Refused + c.Over; n != merged {
+				t.Fatalf("%d of %d counted: %+v", n, merged, c)
+			}
+			for _, e := range v.own.held {
+				if !e.Gone {
+					own++
+				}
+			}
+			if want := len(v.admit(said)); own != want {
+				t.Fatalf("%d own entries of %d", own, want)
+			}
+		}
+		v.Say(now, nil)
+		now += remembered + 2*60*second
+		v.Known(now)
+		v.Say(now, nil)
+		if c := v.Counts(); c.Own+c.Entries+c.Observers != 0 {
+			t.Fatalf("kept: %+v", c)
+		}
+	})
+}
+
+func TestNotValid(t *testing.T) {
+	good := Entry{Kind: ServerBad, Subject: "s", Observer: "o", Incarnation: 1, Seq: 1, Made: at, Life: 3 * second}
+	long := string(make([]byte, 129))
+	for name, spoil := range map[string]func(*Entry){
+		"kind 0": func(e *Entry) { e.Kind = 0 }, "kind unknown": func(e *Entry) { e.Kind = kinds },
+		"age under 0": func(e *Entry) { e.Made++ }, "age without end": func(e *Entry) { e.Made = math.MinInt64 },
+		"life over the kind's": func(e *Entry) { e.Life++ }, "no life": func(e *Entry) { e.Life = 0 },
+		"no subject": func(e *Entry) { e.Subject = "" }, "long subject": func(e *Entry) { e.Subject = long },
+		"no observer": func(e *Entry) { e.Observer = "" }, "long zone": func(e *Entry) { e.Zone = long },
+		"long of": func(e *Entry) { e.Body.Of = long }, "no text": func(e *Entry) { e.Subject = "\xff" },
+		"bad over 1": func(e *Entry) { e.Body.Bad = 1.1 }, "NaN": func(e *Entry) { e.Body.Calls = math.NaN() },
+		"infinite": func(e *Entry) { e.Body.Value = math.Inf(1) }, "under 0": func(e *Entry) { e.Body.Calls = -1 },
+		"seq 0": func(e *Entry) { e.Seq = 0 }, "start": func(e *Entry) { e.Start = -1 },
+		"incarnation":    func(e *Entry) { e.Incarnation = mostStamp + 1 },
+		"hand with life": func(e *Entry) { *e = Entry{Kind: Hand, Subject: "s", Observer: "o", Seq: 1, Made: at, Life: 1} },
+	} {
+		e := good
+		spoil(&e)
+		v := New(Self{Name: "self"}, Limits{})
+		if news := v.Merge(at, []Entry{e, good}); len(news) != 1 || v.Counts().Refused != 1 {
+			t.Errorf("%s: %v %+v", name, news, v.Counts())
+		}
+	}
+}
+
+// What is still true is told again at half its life, numbers that moved within the kind's pace, all else at once.
+func TestWhenToSay(t *testing.T) {
+	v := New(Self{Name: "self"}, Limits{})
+	it := Item{Kind: ServerBad, Subject: "s", Body: Body{Cause: 1, Bad: 0.5}}
+	say := func(now int64, items ...Item) int { return len(v.Say(now, items)) }
+	moved, other, load := it, it, Item{Kind: ServerLoad, Subject: "s"}
+	moved.Body.Bad, other.Body.Cause = 0.7, 2
+	for i, step := range []struct {
+		now   int64
+		items []Item
+		told  int
+	}{
+		{0, []Item{it}, 1}, {1500 * milli, []Item{it}, 0}, {1501 * milli, []Item{it}, 1}, // renewed
+		{1800 * milli, []Item{moved}, 0}, {1801 * milli, []Item{moved}, 1}, // numbers, at their pace
+		{1802 * milli, []Item{other}, 1}, {1803 * milli, []Item{other, load, load}, 1},
+		{1804 * milli, nil, 2}, {1805 * milli, nil, 0}, {1806 * milli, []Item{other}, 1}, // withdrawn, and said again
+	} {
+		if n := say(step.now, step.items...); n != step.told {
+			t.Errorf("step %d: %d told, not %d", i, n, step.told)
+		}
+	}
+	if c := v.Counts(); c.Told != 5 || c.Renewed != 1 || c.Withdrawn != 2 || c.Unsaid != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestHandIsBounded(t *testing.T) {
+	v := New(Self{Name: "self"}, Limits{Hands: 2})
+	for i, nodo := range []string{"a", "b", "c"} { // each resumption makes room for the next
+		v.Suspend(int64(i), nodo)
+		v.Resume(int64(i), nodo)
+	}
+	if c := v.Counts(); c.Resumed != 2 || c.Crowded != 1 {
+		t.Fatalf("%+v", c)
+	}
+	if entries, err := v.Resume(3, "never"); entries != nil || err != nil {
+		t.Fatal(entries, err)
+	}
+	v.Suspend(4, "d")
+	v.Suspend(4, "e")
+	before := v.Hands(5)
+	var full *FullError
+	if _, err := v.Suspend(5, "f"); !errors.As(err, &full) || full.Subject != "f" || !slices.Equal(v.Hands(5), before) {
+		t.Fatalf("%v %v", err, v.Hands(5))
+	}
+	var name *NameError
+	if _, err := v.Suspend(5, ""); !errors.As(err, &name) {
+		t.Fatal(err)
+	}
+	v.Resume(6, "d")
+	again := New(Self{Name: "self"}, Limits{})
+	if n := again.Restore(0, append(v.Hands(6), HandRecord{"x", true, 9, "y", -1}, HandRecord{Subject: "z"})); n != 2 {
+		t.Fatalf("%d refused", n)
+	}
+	if hand := again.Hand(0); len(hand) != 1 || !hand["e"] || again.version != v.version {
+		t.Fatal(hand, again.version)
+	}
+	again.Hands(resumedLife)
+	if c := again.Counts(); c.Suspended != 1 || c.Resumed != 0 {
+		t.Fatalf("a day later %+v", c)
+	}
+}
+
+// A proxy that starts anew drives out what a former life of it told, though it says nothing itself.
+func TestRestarted(t *testing.T) {
+	for _, start := range []int64{1, 9} { // the clock went back, or on
+		old, other, again := New(Self{Name: "p", Start: 5}, Limits{}), New(Self{Name: "o"}, Limits{}), New(Self{Name: "p", Start: start}, Limits{})
+		other.Merge(at, old.Say(at, []Item{{Kind: ServerFlap, Subject: "s"}, {Kind: ServerBad, Subject: "s"}}))
+		other.Merge(at, again.Merge(at, other.All(at)))
+		if known := other.Known(at); len(known) != 0 {
+			t.Errorf("start %d: %v", start, known)
+		}
+		if c := again.Counts(); c.Foreign != 2 || c.Own != 1 {
+			t.Errorf("start %d: %+v", start, c)
+		}
+	}
+}
