Link the proxies of a fleet: memberlist beneath, one owner of the view above

The transport is our own: memberlist's leaves 64 KiB of garbage a datagram, dials from any address and counts nothing. It checks the label itself, bounds connections and their bytes, and leaves unread what lay in the kernel for over 500 ms, as after a stop, since its ages are wrong by that. Entries wait in a queue of our own, as entries: memberlist's queue holds bytes, whose ages would stand still.

Proven in process: go test -race ./internal/fleet/link (three find each other from a seed that starts last, strangers, random bytes, kept suspensions, a stop; goleak). Each was seen to fail on a seeded fault: no label check (UDP, TCP), no tier check, no bound on connections, ended entries kept, sent once too often, no word of a stop (either half), nothing taken back when the disk fails, nothing restored, seeds tried once, no shutdown, dials from any address, hands not published.

Not taken: memberlist's NetTransport (above); DNS names as seeds (addresses only: no resolver in the start's way).

--- /dev/null
+++ b/internal/fleet/link/delegate.go
@@ -0,0 +1,88 @@
+package link
+
+import (
+	"bytes"
+	"time"
+
+	"fernlanding/internal/fleet/view"
+)
+
+// delegate is what memberlist calls to carry entries. It calls from goroutines of its own, some of them the ones that
+// read the network, so nothing here waits for long.
+type delegate struct{ l *Link }
+
+func (d delegate) NodeMeta(limit int) []byte {
+	c := &d.l.cfg
+	return meta{Version: protocol, Zone: c.Zone, Tier: c.Tier, Start: c.Start}.encode(limit)
+}
+
+// NotifyMsg takes one packet of entries. The bytes are memberlist's.
+func (d delegate) NotifyMsg(b []byte) { d.l.come(b, false) }
+
+// GetBroadcasts gives what is to go out with the next datagram.
+func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	if p := d.l.out.take(d.l.cfg.Now(), limit-overhead); p != nil {
+		return [][]byte{p}
+	}
+	return nil
+}
+
+// LocalState gives all that the view holds, or nothing if the owner has no time: a later exchange makes up for it.
+func (d delegate) LocalState(bool) []byte {
+	l := d.l
+	late := time.NewTimer(askWait)
+	defer late.Stop()
+	said := make(chan []byte, 1)
+	ask := func() {
+		now := l.cfg.Now()
+		said <- state(now, l.own.view.All(now))
+	}
+	select {
+	case l.calls <- ask:
+		return <-said
+	case <-l.done:
+	case <-late.C:
+	}
+	return nil
+}
+
+// state lays packets end to end, up to stateMost bytes of them.
+func state(now int64, entries []view.Entry) []byte {
+	packets := view.Encode(now, entries, view.MostPacket)
+	size := 0
+	for i, p := range packets {
+		if size += len(p); size > stateMost {
+			packets = packets[:i]
+			break
+		}
+	}
+	return bytes.Join(packets, nil)
+}
+
+func (d delegate) MergeRemoteState(b []byte, _ bool) { d.l.come(b, true) }
+
+// come hands what came to the owner, with the time at which it did.
+func (l *Link) come(b []byte, state bool) {
+	now := l.cfg.Now()
+	switch {
+	case len(b) == 0:
+		return
+	case len(b) > stateMost:
+		l.refused.add(tooLong)
+		return
+	case l.stalled(now):
+		l.refused.add(tooLate)
+		return
+	}
+	select {
+	case l.in <- incoming{now, state, bytes.Clone(b)}:
+	default:
+		l.drops.Add(1)
+	}
+}
+
+// stalled tells whether this process is only just awake after a stop: what memberlist still holds from before it is
+// older than its ages say.
+func (l *Link) stalled(now int64) bool {
+	return now < l.late.Load() || now-l.ticked.Load() > waitMost.Microseconds()
+}
--- /dev/null
+++ b/internal/fleet/link/errors.go
@@ -0,0 +1,58 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// OpenError tells why the fleet's own address could not be opened. Err is the cause.
+type OpenError struct {
+	Addr string
+	Err  error
+}
+
+func (e *OpenError) Error() string {
+	return fmt.Sprintf("fleet address %s cannot be opened: %v; give fleet.bind an address of this machine that no other process "+
+		"listens on, for UDP and TCP", e.Addr, e.Err)
+}
+
+func (e *OpenError) Unwrap() error { return e.Err }
+
+// JoinError tells that none of the fleet's seeds took this proxy in. It is tried again, so nothing needs to be done
+// where the seeds are merely late.
+type JoinError struct {
+	Seeds []string
+	Err   error
+}
+
+func (e *JoinError) Error() string {
+	return fmt.Sprintf("no member of the fleet answers at %s: %v; it is tried again, and until then the proxy decides alone; "+
+		"if it stays, see that fleet.seeds names members' addresses and fleet.label is theirs, and that UDP and TCP pass",
+		strings.Join(e.Seeds, ", "), e.Err)
+}
+
+func (e *JoinError) Unwrap() error { return e.Err }
+
+// KeepError tells that what must outlive the process could not be put on disk or read from it.
+type KeepError struct {
+	Path string
+	Err  error
+}
+
+func (e *KeepError) Error() string {
+	return fmt.Sprintf("%s, the fleet's suspensions by hand: %v; see that the disk has room and the folder can be written, "+
+		"and give the call again", e.Path, e.Err)
+}
+
+func (e *KeepError) Unwrap() error { return e.Err }
+
+// ConfigError tells which part of a Config cannot be used.
+type ConfigError struct{ Key, Cause, Remedy string }
+
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("fleet.%s: %s; %s", e.Key, e.Cause, e.Remedy)
+}
+
+// ErrEnded is the answer to a call on a link that has ended, or that did not come in time.
+var ErrEnded = errors.New("the fleet's link does not answer")
--- /dev/null
+++ b/internal/fleet/link/hands.go
@@ -0,0 +1,186 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"time"
+
+	"fernlanding/internal/durable"
+	"fernlanding/internal/fleet/view"
+)
+
+const (
+	handsFile = "fleet-hands"
+	handsKind = "fleet-hands"
+	handsMost = 4 << 20 // bytes; a view's 4,096 records take a quarter
+)
+
+// kept is the file's body. At is the wall clock's, since no other outlives a reboot: a clock that was set changes how
+// long a resumption is remembered and nothing else.
+type kept struct {
+	At    int64             `json:"at_ms"`
+	Hands []view.HandRecord `json:"hands"`
+}
+
+// keeper puts what is suspended by hand on disk, in its own goroutine: a disk that hangs must not stop the owner.
+type keeper struct {
+	path string
+	work chan keepTask
+}
+
+type keepTask struct {
+	hands []view.HandRecord
+	then  func(error)
+}
+
+func newKeeper(path string) *keeper { return &keeper{path: path, work: make(chan keepTask, 8)} }
+
+func (k *keeper) run(ctx context.Context) {
+	for {
+		select {
+		case t := <-k.work:
+			t.then(k.write(t.hands))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+var errBehind = errors.New("the disk is behind with earlier calls")
+
+// add hands a task over without a wait; false if the disk is behind.
+func (k *keeper) add(t keepTask) bool {
+	select {
+	case k.work <- t:
+		return true
+	default:
+		return false
+	}
+}
+
+func (k *keeper) write(hands []view.HandRecord) error {
+	body, err := json.Marshal(kept{time.Now().UnixMilli(), hands})
+	if err == nil {
+		err = durable.WriteFile(k.path, durable.Seal(handsKind, body))
+	}
+	if err != nil {
+		return &KeepError{k.path, err}
+	}
+	return nil
+}
+
+// read gives what was kept, aged by the time since; nothing where there is no file.
+func (k *keeper) read() ([]view.HandRecord, error) {
+	f, err := os.Open(k.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &KeepError{k.path, err}
+	}
+	defer f.Close()
+	body, err := durable.Unseal(handsKind, f, handsMost)
+	if err != nil {
+		return nil, &KeepError{k.path, err}
+	}
+	var was kept
+	if err := json.Unmarshal(body, &was); err != nil {
+		return nil, &KeepError{k.path, err}
+	}
+	down := max(0, time.Now().UnixMilli()-was.At)
+	for i := range was.Hands {
+		was.Hands[i].Age += down
+	}
+	return was.Hands, nil
+}
+
+// restore takes in what the last process kept. A file that is damaged is put aside: the others know what it said.
+func (l *Link) restore() error {
+	hands, err := l.keep.read()
+	if errors.Is(err, durable.ErrDamaged) {
+		aside := l.keep.path + ".damaged"
+		l.cfg.Log.Error("fleet: a damaged file is put aside, the other members tell what is suspended", "error", err, "as", aside)
+		if err := os.Rename(l.keep.path, aside); err != nil {
+			return &KeepError{l.keep.path, err}
+		}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if n := l.own.view.Restore(l.cfg.Now(), hands); n > 0 {
+		l.cfg.Log.Warn("fleet: suspensions by hand that are not taken up", "records", n, "file", l.keep.path)
+	}
+	return nil
+}
+
+// setHand carries a call out. It is the owner's. What it changes is spread once it is on disk, and taken back if it
+// cannot be put there.
+func (l *Link) setHand(nodo string, suspend bool, said chan<- error) {
+	now := l.cfg.Now()
+	do, undo := l.own.view.Suspend, l.own.view.Resume
+	if !suspend {
+		do, undo = undo, do
+	}
+	news, err := do(now, nodo)
+	if err != nil {
+		said <- err
+		return
+	}
+	finish := func(err error) {
+		l.own.moved = true
+		if err != nil {
+			l.cfg.Log.Error("fleet: a call by hand is not carried out", "nodo", nodo, "error", err)
+			if len(news) > 0 { // it was as the call would have it before
+				if back, undone := undo(l.cfg.Now(), nodo); undone == nil {
+					l.out.add(back)
+				}
+			}
+			said <- err
+			return
+		}
+		l.out.add(news)
+		said <- nil
+		l.poke()
+	}
+	if l.keep == nil {
+		finish(nil)
+		return
+	}
+	then := func(err error) { l.later(func() { finish(err) }) }
+	if !l.keep.add(keepTask{l.own.view.Hands(now), then}) {
+		finish(&KeepError{l.keep.path, errBehind})
+	}
+}
+
+// later has the owner do something, unless it has ended.
+func (l *Link) later(f func()) {
+	select {
+	case l.calls <- f:
+	case <-l.done:
+	}
+}
+
+// keepHands puts on disk what others told.
+func (l *Link) keepHands(now int64) {
+	if l.keep == nil || !l.own.unkept || now < l.own.keepAt {
+		return
+	}
+	l.own.keepAt = now + keepEvery.Microseconds()
+	then := func(err error) {
+		if err != nil {
+			l.later(func() {
+				if !l.own.unkept {
+					l.cfg.Log.Error("fleet: suspensions by hand that others told of are not kept", "error", err)
+				}
+				l.own.unkept = true
+			})
+		}
+	}
+	if l.keep.add(keepTask{l.own.view.Hands(now), then}) {
+		l.own.unkept = false
+	}
+}
