--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -37,6 +37,7 @@
 	maxProxies  = 400
 	maxNodos    = 2000
 	maxMembers  = 5
+	maxLiars    = 90 // of one fault
 )
 
 func (c *checker) check() {
--- a/internal/lab/experiment/check_fault.go
+++ b/internal/lab/experiment/check_fault.go
@@ -18,10 +18,14 @@
 	c.notNegative(key+".for", f.For)
 	c.notNegative(key+".spread", f.Spread)
 	c.part(key+".share", f.Share)
-	needs := map[string]float64{"factor": f.Factor, "part": f.Part, "ms": f.Ms, "versions": float64(f.Versions)}
+	needs := map[string]float64{"factor": f.Factor, "part": f.Part, "ms": f.Ms, "versions": float64(f.Versions),
+		"liars": float64(f.Liars)}
 	for _, need := range kind.Needs {
 		c.positive(key+"."+need, needs[need])
 	}
+	if f.Liars > maxLiars {
+		c.problem(key+".liars", "at most %d", maxLiars)
+	}
 	if slices.Contains(kind.Needs, "part") {
 		c.part(key+".part", f.Part)
 	}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -201,6 +201,7 @@
 	Part      float64 `toml:"part"`
 	Factor    float64 `toml:"factor"`
 	Versions  int     `toml:"versions"`
+	Liars     int     `toml:"liars"`
 	Keep      bool    `toml:"keep"` // a restarted proxy finds its directory as it was
 }
 
@@ -308,6 +309,8 @@
 	"loss":  {Links: true, Lasts: true, Needs: []string{"part"}, Text: "`part` of the writes come a retransmission later; of datagrams, never"},
 	"reset": {Links: true, Text: "open connections are reset; while it lasts new ones too, at their first byte"},
 
+	"gossip_lie": {Nodos: true, Lasts: true, Needs: []string{"liars"}, Text: "so many more members join the fleet and say that the nodos and all other zones fail"},
+
 	"member_kill":   {Members: true, Text: "members of the list service die in one instant; back after `for` with their directories"},
 	"member_stop":   {Members: true, Lasts: true, Text: "SIGSTOP, and SIGCONT after `for`"},
 	"member_cut":    {Members: true, Lasts: true, Text: "links between them and the other members fall silent, in `direction`"},
--- a/internal/lab/result/aim.go
+++ b/internal/lab/result/aim.go
@@ -61,7 +61,7 @@
 	case f.Kind == "zone_cut":
 		meets := func(c call) bool { return (c.to == f.Zone) != (c.from == f.Zone) }
 		return aim{meets, meets}, true
-	case f.Kind == "nodo_drain" || f.Kind == "nodo_replace": // the list tells of these
+	case f.Kind == "nodo_drain" || f.Kind == "nodo_replace" || f.Kind == "gossip_lie": // the list tells of these, or nothing is wrong
 		return aim{}, false
 	case kind.Nodos:
 		struck := map[string]bool{}
--- a/internal/lab/run/config.go
+++ b/internal/lab/run/config.go
@@ -33,7 +33,7 @@
 			"retry_after": x.RetryAfterMs > 0, "second_copies": x.SecondCopies, "try_limit": x.TryLimit,
 			"streams_per_conn": 1, "peers": false, "probes": false},
 		"ordinal": ordinal, "siblings": len(e.ProxyNodes()), "profiles": profiles, "tenants": []any{},
-		"tiers": []string{"lab"}, "stage": 0, "weights": "off",
+		"tiers": []string{tier}, "stage": 0, "weights": "off",
 	}
 	lay(s, x.Settings)
 	return s
--- /dev/null
+++ b/internal/lab/run/lies.go
@@ -0,0 +1,65 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/liar"
+	"fernlanding/internal/lab/plan"
+)
+
+const (
+	firstLiar = 400 // of the ordinals: above those of proxies
+	tier      = "lab"
+)
+
+// lie has liars join the gossip for a fault's time, one in each zone in turn.
+func (t *timeline) lie(ctx context.Context, s plan.Strike) error {
+	if !t.exp.Fleet.On {
+		return nil
+	}
+	zones := t.exp.ZoneNames()
+	victims := func() (out []liar.Victim) {
+		for _, turn := range s.Turns {
+			srv := t.server(turn.Target)
+			srv.mu.Lock()
+			out = append(out, liar.Victim{Name: srv.entry.Name, Launched: srv.entry.Since})
+			srv.mu.Unlock()
+		}
+		return out
+	}
+	var errs []error
+	for i := range s.Fault.Liars {
+		zone := zones[i%len(zones)]
+		l, err := t.join(experiment.Node{Name: fmt.Sprintf("%s-liar%d.%d", zone, s.N, i+1), Zone: zone}, victims)
+		if err != nil {
+			errs = append(errs, err)
+			break
+		}
+		defer l.Leave()
+	}
+	if len(errs) == 0 {
+		t.hold(ctx, s, s.At)
+	}
+	return errors.Join(errs...)
+}
+
+// join has one liar join, behind a relay of its own.
+func (t *timeline) join(node experiment.Node, victims func() []liar.Victim) (*liar.Liar, error) {
+	t.mu.Lock()
+	n := firstLiar + t.liars
+	t.liars++
+	t.mu.Unlock()
+	r, err := t.relay(node, n)
+	if err != nil {
+		return nil, err
+	}
+	bind := t.block.gossip(n, 0)
+	if err := r.To(bind); err != nil {
+		return nil, err
+	}
+	return liar.Join(liar.Config{Name: node.Name, Zone: node.Zone, Tier: tier, Bind: bind, Advertise: r.Addr(),
+		Label: t.exp.Fleet.Label, Seeds: t.seeds(node), Log: t.log}, victims, t.exp.ZoneNames())
+}
--- a/internal/lab/run/strike.go
+++ b/internal/lab/run/strike.go
@@ -71,6 +71,8 @@
 	switch {
 	case kind.Proxies:
 		return t.proxies(ctx, s)
+	case s.Fault.Kind == "gossip_lie":
+		return t.lie(ctx, s)
 	case kind.Nodos:
 		return t.each(ctx, s, func(turn plan.Turn) error { return t.nodo(ctx, s, turn) })
 	case kind.Links:
