--- a/internal/lab/run/config.go
+++ b/internal/lab/run/config.go
@@ -8,6 +8,8 @@
 	"fernlanding/internal/lab/experiment"
 )
 
+const stage = 0 // of the one tier
+
 func micros(ms float64) int64 { return int64(ms * 1000) }
 
 // settings is the settings object that a proxy is told, in the platform's words.
@@ -33,7 +35,7 @@
 			"retry_after": x.RetryAfterMs > 0, "second_copies": x.SecondCopies, "try_limit": x.TryLimit,
 			"streams_per_conn": 1, "peers": false, "probes": false},
 		"ordinal": ordinal, "siblings": len(e.ProxyNodes()), "profiles": profiles, "tenants": []any{},
-		"tiers": []string{tier}, "stage": 0, "weights": "off",
+		"tiers": []string{"lab"}, "stage": stage, "weights": "off",
 	}
 	lay(s, x.Settings)
 	return s
--- a/internal/lab/run/lies.go
+++ b/internal/lab/run/lies.go
@@ -4,16 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 
 	"fernlanding/internal/lab/experiment"
 	"fernlanding/internal/lab/liar"
 	"fernlanding/internal/lab/plan"
 )
 
-const (
-	firstLiar = 400 // of the ordinals: above those of proxies
-	tier      = "lab"
-)
+const firstLiar = 400 // of the ordinals: above those of proxies
 
 // lie has liars join the gossip for a fault's time, one in each zone in turn.
 func (t *timeline) lie(ctx context.Context, s plan.Strike) error {
@@ -60,6 +58,6 @@
 	if err := r.To(bind); err != nil {
 		return nil, err
 	}
-	return liar.Join(liar.Config{Name: node.Name, Zone: node.Zone, Tier: tier, Bind: bind, Advertise: r.Addr(),
+	return liar.Join(liar.Config{Name: node.Name, Zone: node.Zone, Tier: strconv.Itoa(stage), Bind: bind, Advertise: r.Addr(),
 		Label: t.exp.Fleet.Label, Seeds: t.seeds(node), Log: t.log}, victims, t.exp.ZoneNames())
 }
