--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -101,16 +101,20 @@
 // New is a network without links.
 func New(seed uint64) *Net { return &Net{effects: map[*applied]struct{}{}, seed: seed} }
 
-// add makes a link, under the effects that hold.
-func (n *Net) add(ends Ends, delay time.Duration) *Link {
+// add makes a link, under the effects that hold; p is its listener, or nil. A fault that begins or ends meanwhile waits.
+func (n *Net) add(ends Ends, delay time.Duration, p *port) (*Link, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &Link{ends: ends, delay: delay, cut: n.cut, conns: map[*Conn]struct{}{},
+	l := &Link{ends: ends, delay: delay, cut: n.cut, conns: map[*Conn]struct{}{}, port: p,
 		rng: rand.New(rand.NewPCG(n.seed, uint64(len(n.links))))}
-	l.now.Store(&state{changed: make(chan struct{})})
+	now := &state{n.sum(ends), make(chan struct{})}
+	l.now.Store(now)
 	n.links = append(n.links, l)
-	l.set(n.sum(ends))
-	return l
+	if p == nil {
+		return l, nil
+	}
+	p.link = l
+	return l, p.to(now.Effect)
 }
 
 func (n *Net) sum(ends Ends) Effect {
@@ -125,19 +129,17 @@
 
 // Listen opens a link that is dialled at addr. Each connection goes to accept, in a goroutine of its own.
 func (n *Net) Listen(ends Ends, addr string, delay time.Duration, accept func(*Conn)) (*Link, error) {
-	l := n.add(ends, delay)
-	l.port = &port{addr: addr, link: l, accept: accept}
-	if err := l.port.to(l.now.Load().Effect); err != nil {
-		return nil, err
-	}
-	return l, nil
+	return n.add(ends, delay, &port{addr: addr, accept: accept})
 }
 
 // Dialer is a link on which this process dials a program's own address.
 type Dialer struct{ link *Link }
 
 // Dialer makes such a link.
-func (n *Net) Dialer(ends Ends, delay time.Duration) *Dialer { return &Dialer{n.add(ends, delay)} }
+func (n *Net) Dialer(ends Ends, delay time.Duration) *Dialer {
+	l, _ := n.add(ends, delay, nil)
+	return &Dialer{l}
+}
 
 // ErrRefused is a connection that the link did not let come up.
 var ErrRefused = errors.New("connection refused")
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -190,6 +190,52 @@
 	}
 }
 
+// A link that is made while faults begin and end is what they leave it.
+func TestLinksAreMadeUnderFaults(t *testing.T) {
+	const host = "127.0.0.6" // where nobody else's connections take a port while it is closed
+	n, _, _ := newEcho(t)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			end, err := n.Apply(func(e Ends) bool { return e.To == "" }, Effect{Refuse: true})
+			if err != nil {
+				t.Error(err)
+			}
+			n.Barred()
+			if err := end(); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	var addrs []string
+	for range 20 {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, l.Addr().String())
+		l.Close()
+		if _, err := n.Listen(Ends{}, addrs[len(addrs)-1], 0, func(c *Conn) { c.Close() }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(stop)
+	<-stopped
+	for _, a := range addrs {
+		c, err := net.DialTimeout("tcp", a, long)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+}
+
 // The word of a close does not cross a cut; it comes when that ends.
 func TestCloseOverCut(t *testing.T) {
 	n, addr, _ := newEcho(t)
--- a/internal/lab/link/relay.go
+++ b/internal/lab/link/relay.go
@@ -142,7 +142,7 @@
 	if !ok {
 		return nil
 	}
-	l = r.net.add(ends, delay)
+	l, _ = r.net.add(ends, delay, nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if other, known := r.links[ip]; known { // the other of the two that take in was first
