--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -45,76 +45,10 @@
 	turnedFree   = 200                    // one request in so many may be turned back unheard
 	failedAsk    = 4                      // after a failed call the list need not be asked for so many times as long
 	tipInformed  = 2.0 / 3                // of the work, from proxies that knew of the start, breaks the rule
+	knocksMost   = 1_000_000              // 100 MB
 	violationTop = 20                     // of each rule are kept in full
 )
 
-// End is how a try ended for the client.
-type End int
-
-const (
-	Pending    End = iota
-	Served         // 200 and what a nodo made
-	Refused        // 429 or 503
-	Failed         // any other answer, or one that broke off in the middle
-	Unreached      // no connection, or one that ended before the request was taken
-	Unanswered     // nothing in its time
-)
-
-func (e End) String() string {
-	return [...]string{"pending", "served", "refused", "failed", "unreached", "unanswered"}[e]
-}
-
-// Try is one try of a client.
-type Try struct {
-	ID       string
-	Arrival  int // of the plan
-	N        int // 0 for the first
-	Class    int
-	Zone     string
-	Proxy    string
-	Sent     time.Time // when it was begun
-	Deadline time.Time
-	Method   string
-	Path     string
-	Key      string
-	Body     uint64 // digest
-
-	Taken  time.Time // last byte written to the proxy's socket; zero: it was not
-	Ended  time.Time
-	End    End
-	Status int
-	broken bool // its connection ended without an answer, after it was taken
-	turned bool // and it was the first on that connection
-
-	attempts []*Attempt
-}
-
-// Attempt is a request that reached a nodo whole.
-type Attempt struct {
-	try   *Try
-	Nodo  string
-	Zone  string
-	Cell  int
-	First time.Time // when its first byte left the proxy
-	Last  time.Time // when its last arrived
-	state attemptState
-	told  bool   // its outcome is written to the proxy
-	ended bool   // no longer out: told, or its connection has ended
-	Made  uint64 // digest of the answer's body
-	Work  time.Duration
-	Spent time.Duration // of work that the nodo did for it
-}
-
-type attemptState int
-
-const (
-	stateOut attemptState = iota
-	stateServed
-	stateError
-	stateTurned // never ran
-	stateDropped
-)
-
 // Violation is a broken rule.
 type Violation struct {
 	Rule  string    `json:"rule"`
@@ -164,6 +98,7 @@
 	nodos    map[string]*nodo
 	counts   map[string]int
 	connects []time.Time
+	knocks   []Knock
 	first    []Violation
 	tally    Tally
 }
@@ -270,9 +205,6 @@
 	}
 }
 
-// mayHaveRun tells whether the proxy cannot know that the attempt never ran.
-func (a *Attempt) mayHaveRun() bool { return a.state != stateTurned || !a.told }
-
 // Broke notes that a try's connection ended without an answer: before any of it came (unheard), or in the middle of
 // one. The first request on a connection that is closed unheard has been turned back rather than lost.
 func (r *Referee) Broke(t *Try, at time.Time, inAnswer, firstOn bool) {
@@ -401,6 +333,7 @@
 	Broken     map[string]int
 	Violations []Violation // the first of each rule
 	Connects   []time.Time // of each connection to a nodo
+	Knocks     []Knock
 	Tally      Tally
 }
 
@@ -409,11 +342,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.judgeLost()
-	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.tally}
+	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.knocks, r.tally}
 }
-
-// Of is the try that an attempt belongs to.
-func (a *Attempt) Of() *Try { return a.try }
-
-// Served tells whether the nodo answered it 200.
-func (a *Attempt) Served() bool { return a.state == stateServed }
