Split the decisions by concern; a golden hash holds them to what they were

Functions and constants moved, nothing else: the sorted lines of the old file and of the new ones differ in package clauses, imports and headings only.

--- a/logic/api.go
+++ b/logic/api.go
@@ -1,6 +1,6 @@
 // Package logic decides, for one proxy of one tier, which server gets each call and which calls are
 // refused. This file is its interface: settings, events and actions. It holds no decisions; those are
-// all in logic.go.
+// in the files that deploy/balancer.toml names under policy.
 //
 // One Balancer serves one proxy. It is not safe for concurrent use: the owner calls one event method at
 // a time, in the order in which the events happened, each with the time of the owner's clock. Times and
--- /dev/null
+++ b/logic/attempts.go
@@ -0,0 +1,287 @@
+package logic
+
+// What becomes of a request: sent, refused, sent again, answered. Rules 1, 2, 5 and 6 are kept here.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+)
+
+const (
+	hintPart = 0.5 // of the aim: the longest hint
+
+	hangMeans  = 12.0    // an attempt is given up after this many mean times
+	leastMeans = 0.5     // a request with less time left than this many mean times cannot make it
+	heldToken  = "held " // and a request
+	turnToken  = "turn " // and a key
+)
+
+// Timer takes a timer that was asked for.
+func (b *Balancer) Timer(now int64, h Host, token string) {
+	if token == watchToken && !b.asked {
+		b.asked = true
+		h.Watch()
+	} else if id, ok := strings.CutPrefix(token, heldToken); ok {
+		if q := b.reqs[id]; q != nil && !q.over && len(q.attempts) == 0 {
+			b.refuse(now, h, q)
+		}
+	} else if key, ok := strings.CutPrefix(token, turnToken); ok && b.turns[key] != nil {
+		b.next(now, h, b.turns[key])
+	}
+}
+
+// Request takes a request, and sends or refuses it at once: none is held unsent but those that must wait
+// for their key's turn (rule 5), and these no longer than they can still make it.
+func (b *Balancer) Request(now int64, h Host, r Request) {
+	if b.reqs[r.ID] != nil {
+		return
+	}
+	under := cmp.Or(r.Under, b.s)
+	if r.Class < 0 || r.Class >= len(under.Classes) {
+		h.Fail(r.ID)
+		return
+	}
+	b.watch(now)
+	b.born = cmp.Or(b.born, now)
+	b.taken.add(now, b.s.BudgetSpan)
+	b.came.add(now)
+	q := &request{Request: r, s: under, came: now}
+	if t := b.origin(q); t != nil {
+		t.came.add(now)
+	}
+	b.reqs[r.ID] = q
+	if r.Key == "" || !under.Classes[r.Class].ByArrival {
+		b.start(now, h, q)
+		return
+	}
+	b.join(q)
+	if b.next(now, h, q.turn); len(q.attempts) > 0 || q.over {
+		return
+	}
+	last := float64(b.deadline(q)-now) - leastMeans*b.classes[r.Class].mean
+	if float64(len(q.turn.line)-1)*b.classes[r.Class].mean > last { // this also bounds the line
+		b.refuse(now, h, q)
+		return
+	}
+	h.SetTimer(max(int64(last), 0), heldToken+q.ID)
+}
+
+// start checks the rules and sends a request's first attempt, or refuses it.
+func (b *Balancer) start(now int64, h Host, q *request) {
+	if !b.canPass(now, q) || !b.inTime(now, q) || !b.send(now, h, q) {
+		b.refuse(now, h, q)
+	} else if t := b.origin(q); t != nil {
+		t.pass.add(now)
+	}
+}
+
+// next starts the request whose turn it is, unless its key rests: an attempt may then still be running.
+func (b *Balancer) next(now int64, h Host, t *turn) {
+	for len(t.line) > 0 && len(t.line[0].attempts) == 0 && now >= t.rest {
+		b.start(now, h, t.line[0])
+	}
+	b.tidy(now, t)
+}
+
+// refuse gives a hint spread so that clients do not return together, nor so late that an answer then misses
+// its aim.
+func (b *Balancer) refuse(now int64, h Host, q *request) {
+	most := min(q.s.MaxRetryAfter, int64(hintPart*float64(q.s.Classes[q.Class].Aim)))
+	h.Refuse(q.ID, most/2+b.rnd.Int64N(most/2+1))
+	b.finish(now, h, q)
+}
+
+// deadline is when an answer stops being worth anything.
+func (b *Balancer) deadline(q *request) int64 {
+	k := q.s.Classes[q.Class]
+	if q.Uploading {
+		return math.MaxInt64 / 2
+	}
+	if b.s.Stage == 0 && k.LateWorth == 0 {
+		return min(q.GiveUp, q.came+k.Aim)
+	}
+	return q.GiveUp
+}
+
+// inTime tells whether a request can still be answered while that is worth something.
+func (b *Balancer) inTime(now int64, q *request) bool {
+	return float64(b.deadline(q)-now) > leastMeans*b.classes[q.Class].mean
+}
+
+// send draws a server and sends an attempt there; false if there is none to send to.
+func (b *Balancer) send(now int64, h Host, q *request) bool {
+	s := b.draw(now, q)
+	if s == nil {
+		return false
+	}
+	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
+	q.attempts = append(q.attempts, a)
+	q.out++
+	b.tier.pass.add(now)
+	if !q.Uploading {
+		b.count(q, a)
+	}
+	h.Send(q.ID, s.ID, b.timeout(now, q))
+	return true
+}
+
+// timeout gives an attempt up when its answer would be worth nothing, and before that where another may
+// follow, so that a hung server frees its slot.
+func (b *Balancer) timeout(now int64, q *request) int64 {
+	if q.Uploading {
+		return 0
+	}
+	left := b.deadline(q) - now
+	if q.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < q.s.MaxAttempts {
+		left = min(left, int64(hangMeans*b.classes[q.Class].mean))
+	}
+	return max(left, 1)
+}
+
+// mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
+// keyed one only to the group that drops its repeats, while that remembers it.
+func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
+	k := q.s.Classes[q.Class]
+	for _, a := range q.attempts {
+		if !a.mayRun || k.Repeat == Safe {
+			continue
+		}
+		if k.Repeat == Unsafe || now-a.sent >= k.Window ||
+			k.Group == GroupZone && a.zone != s.Zone || k.Group == GroupCell && a.cell != s.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
+func (b *Balancer) mayRefuse(q *request) bool {
+	k := q.s.Classes[q.Class]
+	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
+		return true
+	}
+	for _, a := range q.attempts {
+		if a.mayRun {
+			return false
+		}
+	}
+	return true
+}
+
+// Started takes the news that a streamed answer has begun: from now on that attempt is the client's, whose
+// pace says nothing of the server. What is learned from is the time that this took.
+func (b *Balancer) Started(now int64, id string) {
+	q := b.reqs[id]
+	if q == nil || q.over {
+		return
+	}
+	q.over = true
+	for _, a := range q.attempts {
+		if a.out {
+			a.started = true
+			b.leave(q, a)
+			b.learn(now, q, a, Outcome{Status: OK, Took: now - a.sent})
+		}
+	}
+}
+
+// Uploaded takes the news that a request whose body was still coming is whole: its time begins now. It
+// returns the time-out of the attempt that is out, if one is; no other can follow that.
+func (b *Balancer) Uploaded(now int64, id string, giveUp int64) (timeout int64) {
+	q := b.reqs[id]
+	if q == nil || q.over {
+		return 0
+	}
+	q.Uploading, q.GiveUp, q.came = false, giveUp, now
+	for _, a := range q.attempts {
+		if a.out {
+			a.sent = now
+			b.count(q, a)
+		}
+	}
+	return max(b.deadline(q)-now, 1)
+}
+
+// Withdrawn takes the news that nobody waits for a request any more.
+func (b *Balancer) Withdrawn(now int64, h Host, id string) {
+	if q := b.reqs[id]; q != nil {
+		b.finish(now, h, q)
+	}
+}
+
+// Outcome takes the end of an attempt; where the request is still owed an answer it gets a further
+// attempt or its final answer at once.
+func (b *Balancer) Outcome(now int64, h Host, o Outcome) {
+	q := b.reqs[o.ID]
+	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || !q.attempts[o.Attempt].out {
+		return
+	}
+	b.watch(now)
+	a := q.attempts[o.Attempt]
+	a.out = false
+	if q.out--; a.started { // learned from already, but for an answer that breaks off
+		if o.Status != OK && o.Status != Cancelled {
+			b.judge(a.srv, q.Class, o.Status)
+		}
+		b.finish(now, h, q)
+		return
+	}
+	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || q.s.FullMayRun)
+	b.leave(q, a)
+	b.learn(now, q, a, o)
+	b.report(now, h)
+	if q.turn != nil && slices.Contains([]Status{TimedOut, Reset, Cancelled}, o.Status) { // it may still run
+		q.turn.rest = now + q.s.OrderSettle
+		h.SetTimer(q.s.OrderSettle, turnToken+q.Key)
+	}
+	if o.Closed || q.over {
+		b.finish(now, h, q)
+	} else if q.out > 0 || !o.Spent && b.again(now, h, q) {
+		return
+	} else if b.mayRefuse(q) {
+		b.refuse(now, h, q)
+	} else {
+		h.Fail(q.ID)
+		b.finish(now, h, q)
+	}
+}
+
+// again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget is
+// exact in the window that ends now: an attempt at its far edge counts, a request taken there does not.
+func (b *Balancer) again(now int64, h Host, q *request) bool {
+	u, rule, from, free := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan, b.s.BudgetFree
+	if now < b.free {
+		free = 0
+	}
+	if len(q.attempts) >= q.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
+		b.further.since(from)+1 > free+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
+		return false
+	}
+	b.further.add(now, b.s.BudgetSpan)
+	return true
+}
+
+// HandOver tells a successor, which serves beside this Balancer from now on, what has been used of the
+// allowance for further attempts. The free part of it and what was earned are the successor's then; this one
+// keeps what further requests earn it, so that the two together stay within the rule in every window.
+func (b *Balancer) HandOver(now int64) Spent {
+	b.taken.since(now - b.s.BudgetSpan)
+	b.further.since(now - b.s.BudgetSpan)
+	s := Spent{Taken: b.taken, Further: b.further}
+	b.taken, b.further, b.free, b.shared = nil, nil, math.MaxInt64, true
+	return s
+}
+
+// Inherit takes what a predecessor handed over, before the first request. It may send on for a while.
+func (b *Balancer) Inherit(s Spent) { b.taken, b.further, b.shared = s.Taken, s.Further, true }
+
+// Alone takes the news that the other process has ended. A predecessor that outlives its successor has the
+// free part of the allowance again when no window holds what that one may have used of it.
+func (b *Balancer) Alone(now int64) {
+	b.shared = false
+	if b.free == math.MaxInt64 {
+		b.free = now + b.s.BudgetSpan
+	}
+}
--- /dev/null
+++ b/logic/draw.go
@@ -0,0 +1,103 @@
+package logic
+
+// Which server a call goes to.
+
+import (
+	"math"
+)
+
+const (
+	heldPower  = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
+	triedPart  = 1e-6 // weight left to a server that the request has tried, for when there is no other
+	riskPart   = 0.2  // of the trials of a silent server go on with calls that cannot be made again
+	wellPart   = 0.5  // of its health left: a server below it only gets trials
+	coldMargin = 0.6  // part of its least capacity that a cold server is given
+)
+
+// draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
+// subset grows where it has too few warm and healthy servers, or none that the request may go to. A server
+// that is back from a ban gets the first call that may go there: it may be cold, in another zone or outside
+// the subset, and who called it back wants to see it serve.
+func (b *Balancer) draw(now int64, q *request) *server {
+	for _, s := range b.ready {
+		if s.owed && b.mayGo(now, q, s) {
+			s.owed = false
+			return s
+		}
+	}
+	b.weights = b.weights[:0]
+	total, best, room := 0.0, 0.0, b.subset(now)
+	for _, s := range b.ready {
+		if room <= 0 && total > 0 {
+			break
+		}
+		room -= s.healthFor(q.Class) * b.warmth(now, s)
+		w := 0.0
+		if b.mayGo(now, q, s) {
+			w = b.weigh(now, s, q.Class)
+		}
+		if q.tried(s) {
+			w *= triedPart
+		}
+		total += w
+		if s.healthFor(q.Class) >= wellPart {
+			best = max(best, w)
+		}
+		b.weights = append(b.weights, w)
+	}
+	// One that fails fast holds few calls, and these weigh heavily: by that alone it would draw the most. Its
+	// trials are a part of what goes to those that are well.
+	for i, w := range b.weights {
+		part := b.ready[i].healthFor(q.Class)
+		if b.ready[i].whole.left < wellPart && q.s.Classes[q.Class].Repeat == Unsafe {
+			part *= riskPart
+		}
+		if best > 0 && part < wellPart && w > part*best {
+			total -= w - part*best
+			b.weights[i] = part * best
+		}
+	}
+	return b.pick(b.rnd.Float64() * total)
+}
+
+// pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
+func (b *Balancer) pick(x float64) (last *server) {
+	for i, w := range b.weights {
+		if w > 0 {
+			last = b.ready[i]
+			if x -= w; x < 0 {
+				break
+			}
+		}
+	}
+	return last
+}
+
+// weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
+// of this copy that it already holds.
+func (b *Balancer) weigh(now int64, s *server, class int) float64 {
+	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
+	w /= math.Pow(float64(1+s.inflight), heldPower)
+	if b.s.SizeHints && s.Size > 0 {
+		w *= s.Size
+	}
+	if s.Zone != b.s.Zone { // calls stay at home while home copes
+		w *= b.spill
+	}
+	return w
+}
+
+// warmth guards against pushing a cold server over (rule 4): its weight is under the least capacity that
+// a server of its age has.
+func (b *Balancer) warmth(now int64, s *server) float64 {
+	age := now - s.Launched
+	if s.Launched == 0 || age >= b.s.Cold {
+		return 1
+	}
+	part := float64(max(age, 0)) / float64(b.s.Cold)
+	margin := coldMargin
+	if b.shared { // the other process sends there too
+		margin /= 2
+	}
+	return margin * (b.s.StartCapacity + (1-b.s.StartCapacity)*part)
+}
