Verdicts and zones that copies share: a zone is left and returned to as one

Proxies of a zone each found out for themselves that another zone, or their own, was lost, and came back each at its own pace. Now each tells what its calls show of servers and zones (Seen) and hears the others (Peers); how a zone stands is a function of the sum of what the copies of this zone tell, with a bound on what one copy's word weighs. Rejected: one agreed holder for each zone, who decides for all. It needs an election of its own or the list's leader, and the loss of a zone is when that fails, too; copies with the same evidence agree without it, and those that lack some join what most others give the zone after a second.

Not told of others nothing changes: the golden hash stands.

--- a/logic/api.go
+++ b/logic/api.go
@@ -129,6 +129,81 @@
 	Uploading bool
 }
 
+// NoticeKind tells what a Notice says.
+type NoticeKind int
+
+// The kinds of notice.
+const (
+	ServerBad  NoticeKind = iota // the observer's calls to a server fail: Cause says how
+	ServerWell                   // the observer's calls to a server that others call bad are answered
+	ZoneBad                      // most of what was sent lately from the observer's zone to the zone Of failed
+	ZoneWell                     // most of it was answered, or nothing was sent; Slow: it is, by the observer's measure
+	ServerFlap                   // transitions of a server's health: Value is the penalty that they add up to
+	ServerLoad                   // a summary of a server's load and time
+)
+
+// Cause tells how calls fail.
+type Cause int
+
+// The causes.
+const (
+	NoCause Cause = iota
+	Failing       // answered with an error
+	Silent        // no answer, no connection, or one that broke
+	Slow          // answered, but late
+	Crowded       // turned away unrun
+)
+
+// Notice is something that one proxy saw, told to others with its age.
+type Notice struct {
+	Kind     NoticeKind
+	Cause    Cause
+	Observer string  // the proxy's name; empty: this one
+	Zone     int     // the observer's
+	Server   string  // of Server...: its ID
+	Launched int64   // of Server...: Server.Launched as the observer's list has it
+	Of       int     // of Zone...: the zone that is seen
+	Calls    float64 // evidence: the calls that the notice rests on; they fade over about a second
+	Bad      float64 // the part of them that were bad, 0 to 1
+	Value    float64 // Zone...: the part that the observer gives it; ServerLoad: mean time; ServerFlap: penalty
+	At       int64   // when it was last true, on the reader's clock of events
+}
+
+// Peers is what the other proxies of the tier tell. Without any, or Alone, a Balancer decides by itself.
+type Peers struct {
+	Living  int      // proxies of the tier that are alive, this one included, as far as is known
+	Near    int      // those of them in this one's zone, this one included
+	Alone   bool     // nobody was heard for so long that what they said is worth nothing
+	Notices []Notice // all that is known of others and has not ended; the former set is replaced
+}
+
+// Standing is how a zone stands as seen from this proxy's own.
+type Standing int
+
+// The standings of a zone.
+const (
+	Well      Standing = iota
+	Pressed            // home is slow: other zones get a part of its calls
+	Leaving            // most calls fail; it gets less until that is sure
+	Away               // it gets trials only
+	Returning          // it gets its fair part by steps
+	Drained            // suspended by hand: it gets nothing
+)
+
+// ZoneState tells on-call staff and figures how a zone stands and why.
+type ZoneState struct {
+	Zone     int
+	Standing Standing
+	Share    float64 // the part of its fair weight that it gets, 0 to 1
+	Epoch    int     // how often its standing changed
+	Since    int64   // when it last did
+	Cause    Cause   // of its bad calls, as of then
+	Calls    float64 // the evidence of all copies of this zone at the last look: calls, and their bad part
+	Bad      float64
+	Say      int // copies of this zone that have evidence
+	SayBad   int // and those of them that call it bad
+}
+
 // Status is how an attempt ended.
 type Status int
 
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -25,11 +25,23 @@
 			return s
 		}
 	}
-	b.weights = b.weights[:0]
+	if s := b.trial(now, q); s != nil {
+		return s
+	}
+	b.drawn, b.weights = b.drawn[:0], b.weights[:0]
 	total, best, room := 0.0, 0.0, b.subset(now)
-	for _, s := range b.ready {
-		if room <= 0 && total > 0 {
+	beyond := max(1, room*b.beyond())
+	for i, s := range b.ready {
+		if i == b.near {
+			room = max(room, beyond)
+		}
+		if i == b.far {
+			room = 0
+		}
+		if room <= 0 && total > 0 && (i >= b.near || b.near == len(b.ready)) {
 			break
+		} else if room <= 0 && total > 0 {
+			continue
 		}
 		room -= s.healthFor(q.Class) * b.warmth(now, s)
 		w := 0.0
@@ -43,13 +55,13 @@
 		if s.healthFor(q.Class) >= wellPart {
 			best = max(best, w)
 		}
-		b.weights = append(b.weights, w)
+		b.drawn, b.weights = append(b.drawn, s), append(b.weights, w)
 	}
 	// One that fails fast holds few calls, and these weigh heavily: by that alone it would draw the most. Its
 	// trials are a part of what goes to those that are well.
 	for i, w := range b.weights {
-		part := b.ready[i].healthFor(q.Class)
-		if b.ready[i].whole.left < wellPart && q.s.Classes[q.Class].Repeat == Unsafe {
+		part := b.drawn[i].healthFor(q.Class)
+		if b.drawn[i].whole.left*b.drawn[i].told < wellPart && q.s.Classes[q.Class].Repeat == Unsafe {
 			part *= riskPart
 		}
 		if best > 0 && part < wellPart && w > part*best {
@@ -60,11 +72,11 @@
 	return b.pick(b.rnd.Float64() * total)
 }
 
-// pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
+// pick returns the drawn server at which the sum of weights passes x, or nil if none has weight.
 func (b *Balancer) pick(x float64) (last *server) {
 	for i, w := range b.weights {
 		if w > 0 {
-			last = b.ready[i]
+			last = b.drawn[i]
 			if x -= w; x < 0 {
 				break
 			}
@@ -82,7 +94,10 @@
 		w *= s.Size
 	}
 	if s.Zone != b.s.Zone { // calls stay at home while home copes
-		w *= b.spill
+		w *= b.beyond()
+	}
+	if z := b.zone(s.Zone); z != nil && z.Standing != Away { // one that is away is drawn where nothing else is
+		w *= z.Share
 	}
 	return w
 }
--- /dev/null
+++ b/logic/fleet_test.go
@@ -0,0 +1,191 @@
+package logic
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// world plays many Balancers, which tell each other what they see every 100 ms, on one clock.
+type world struct {
+	t       testing.TB
+	rnd     *rand.Rand
+	now     int64
+	queue   events
+	seq     int
+	copies  []*copyOf
+	servers []Server
+	fate    func(c *copyOf, s Server) (Status, int64) // how and when an attempt ends
+	hear    func(from, to *copyOf) bool               // whether what one tells reaches the other; nil: always
+	lie     func(c *copyOf, tells []Notice) []Notice
+	on      bool // they hear each other
+	said    map[*copyOf][]Notice
+}
+
+// copyOf is one Balancer and what it did.
+type copyOf struct {
+	w          *world
+	n          int
+	b          *Balancer
+	name       string
+	deaf       bool // hears nobody
+	reqs       map[string]*int
+	sends      []sendTo
+	done, lost int
+	lines      []string
+}
+
+type sendTo struct {
+	at     int64
+	server string
+	zone   int
+	repeat Repeat
+}
+
+type event struct {
+	at  int64
+	seq int
+	do  func()
+}
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+func (w *world) after(d int64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+}
+
+func (w *world) run(until int64) {
+	for len(w.queue) > 0 && w.queue[0].at <= start+until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = start + until
+}
+
+func (c *copyOf) Send(id, server string, timeout int64) {
+	w, s := c.w, c.b.byID[server].Server
+	q := c.b.reqs[id]
+	k := q.s.Classes[q.Class]
+	c.sends = append(c.sends, sendTo{w.now, server, s.Zone, k.Repeat})
+	status, took := w.fate(c, s)
+	if took > timeout {
+		status, took = TimedOut, timeout
+	}
+	try := *c.reqs[id]
+	*c.reqs[id]++
+	w.after(took, func() {
+		if status == OK {
+			c.done++
+		}
+		c.b.Outcome(w.now, c, Outcome{ID: id, Attempt: try, Status: status, Took: took, Closed: status == OK})
+	})
+}
+func (c *copyOf) Refuse(string, int64) { c.lost++ }
+func (c *copyOf) Fail(string)          { c.lost++ }
+func (c *copyOf) SetTimer(d int64, token string) {
+	c.w.after(d, func() { c.b.Timer(c.w.now, c, token) })
+}
+func (c *copyOf) Watch() {}
+func (c *copyOf) Log(l string) {
+	c.lines = append(c.lines, fmt.Sprintf("%.2f %s: %s", float64(c.w.now-start)/1e6, c.name, l))
+}
+
+// laid sets up zones of so many copies and servers, each copy with a rate of requests a second; 60 % of these must
+// not run twice, a quarter only in their zone.
+func laid(t testing.TB, zones, copies, servers int, rate float64, on bool) *world {
+	w := &world{t: t, rnd: rand.New(rand.NewPCG(5, uint64(zones*1000+copies*10+servers))), now: start, on: on,
+		said: map[*copyOf][]Notice{}}
+	set := Settings{Siblings: zones * copies, Zones: zones, MaxAttempts: 3, DrainGrace: second, StartCapacity: 0.3,
+		Cold: 8 * second, MaxRetryAfter: second, Classes: []Class{
+			{Aim: 600_000, Deadline: 1_600_000, Worth: 10, Repeat: Unsafe},
+			{Aim: 800_000, Deadline: 2_000_000, Worth: 3, Repeat: Keyed, Group: GroupZone, Window: 3 * second},
+			{Aim: 900_000, Deadline: 2_500_000, Worth: 1, Repeat: Safe},
+		}}
+	for i := range zones * servers {
+		w.servers = append(w.servers, Server{ID: fmt.Sprint("s", i), Zone: i % zones, State: Ready, Size: 1})
+	}
+	w.fate = w.well
+	for i := range zones * copies {
+		set.Ordinal, set.Zone = i, i%zones
+		b, err := New(set, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &copyOf{w: w, n: i, b: b, name: fmt.Sprint("p", i), reqs: map[string]*int{}}
+		w.copies = append(w.copies, c)
+		b.List(start, c, Full, w.servers)
+		w.after(w.rnd.Int64N(second/10), c.tell)
+		w.after(int64(float64(w.rnd.Int64N(second))/rate), func() { c.ask(rate, 0) })
+	}
+	return w
+}
+
+// well answers in 30 to 90 ms.
+func (w *world) well(*copyOf, Server) (Status, int64) { return OK, 30_000 + w.rnd.Int64N(60_000) }
+
+func (c *copyOf) ask(rate float64, n int) {
+	id := fmt.Sprint(n)
+	class := []int{0, 0, 0, 0, 0, 0, 1, 1, 1, 2}[c.w.rnd.IntN(10)]
+	c.reqs[id] = new(int)
+	c.b.Request(c.w.now, c, Request{ID: id, Class: class, GiveUp: c.w.now + c.b.s.Classes[class].Deadline})
+	c.w.after(int64(c.w.rnd.ExpFloat64()*1e6/rate), func() { c.ask(rate, n+1) })
+}
+
+// tell is what the owner of a copy does: every 100 ms it takes what others said and says what this one sees.
+func (c *copyOf) tell() {
+	w := c.w
+	w.after(second/10, c.tell)
+	if !w.on {
+		return
+	}
+	tells := c.b.Seen(w.now)
+	if w.lie != nil {
+		tells = w.lie(c, tells)
+	}
+	w.said[c] = tells
+	p := Peers{Living: len(w.copies), Alone: c.deaf}
+	for _, o := range w.copies {
+		if o.b.s.Zone == c.b.s.Zone {
+			p.Near++
+		}
+		if o == c || c.deaf || w.hear != nil && !w.hear(o, c) {
+			continue
+		}
+		for _, n := range w.said[o] {
+			n.Observer = o.name
+			p.Notices = append(p.Notices, n)
+		}
+	}
+	c.b.Peers(w.now, c, p)
+}
+
+// part is the part of the attempts from some copies' zone within a span that went to a zone; to -1: across zones.
+func (w *world) part(from, to int, since, until int64) float64 {
+	n, of := 0.0, 0.0
+	for _, c := range w.copies {
+		for _, s := range c.sends {
+			if at := s.at - start; at >= since && at < until && (from < 0 || c.b.s.Zone == from) {
+				of++
+				n += partOf(s.zone == to || to < 0 && s.zone != c.b.s.Zone)
+			}
+		}
+	}
+	return n / max(of, 1)
+}
+
+func (w *world) failed() (n int) {
+	for _, c := range w.copies {
+		n += c.lost
+	}
+	return n
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -109,6 +109,10 @@
 	inflight int
 	hash     uint64
 	owed     bool // back from a ban and not tried since
+	seen     evidence
+	okAt     int64   // when this copy was last answered by it
+	told     float64 // part of its weight that the verdicts of others leave
+	verdict  verdict // what copies say of it now
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -117,6 +121,7 @@
 // forget drops what was learned of a server.
 func (s *server) forget(classes int) {
 	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
+	s.seen, s.okAt, s.told, s.verdict = evidence{}, 0, 1, verdict{}
 	for i := range s.classes {
 		s.classes[i].left = 1
 	}
@@ -130,7 +135,7 @@
 	return 0
 }
 
-func (s *server) healthFor(class int) float64 { return s.whole.left * s.classes[class].left }
+func (s *server) healthFor(class int) float64 { return s.whole.left * s.classes[class].left * s.told }
 
 type attempt struct {
 	srv     *server
@@ -138,6 +143,7 @@
 	zone    int // as listed at the time of sending
 	cell    int
 	slow    bool // counted as slow before its end
+	quiet   bool // counted as bad before its end
 	started bool // its answer has begun
 	counted bool // in flight, see count
 	mayRun  bool // outstanding, or ended without proof that it never ran
@@ -238,16 +244,22 @@
 	shareEv   round
 	spill     float64 // weight of servers in other zones
 	spillEv   round
-	errs      float64  // running part of failed calls over all servers
-	taken     timeline // requests
-	came      tally    // requests, over a longer time
-	further   timeline // attempts beyond each request's first
-	free      int64    // the free part of the allowance for further attempts is this Balancer's from then on
-	shared    bool     // another process of this proxy sends too
-	born      int64    // when the first request came
-	backoff   int64    // before the next try at a subscription
-	asked     bool     // a subscription was asked for
-	weights   []float64
+	errs      float64   // running part of failed calls over all servers
+	taken     timeline  // requests
+	came      tally     // requests, over a longer time
+	further   timeline  // attempts beyond each request's first
+	free      int64     // the free part of the allowance for further attempts is this Balancer's from then on
+	shared    bool      // another process of this proxy sends too
+	born      int64     // when the first request came
+	backoff   int64     // before the next try at a subscription
+	asked     bool      // a subscription was asked for
+	weights   []float64 // of drawn
+	drawn     []*server // those that the present draw is among
+	near, far int       // ready[:near] are at home, ready[far:] in zones that are away
+	zones     []zone    // nil until others are to be told or heard
+	peers     Peers     // what others told last
+	tells     []Notice  // what this copy told last
+	drained   map[int]bool
 	reported  int64 // when the last log line was written
 }
 
