--- /dev/null
+++ b/logic/books.go
@@ -0,0 +1,293 @@
+package logic
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// The data that verdicts and zones are decided by: what this copy saw and tells, the sum of what all tell, and
+// how zones stand. This file keeps books; it decides nothing.
+
+// evidence counts calls and how many of them were bad. Both fade, with time and with each further call, so that
+// the part is that of the latest: it must also tell of a zone that calls have begun to avoid.
+type evidence struct {
+	calls, bad float64 // as of last
+	last       int64
+	cause      Cause // of the latest that was bad
+	badAt      int64 // when that was
+}
+
+// add takes the end of a call: NoCause for one that was answered.
+func (e *evidence) add(now, span int64, most float64, cause Cause) {
+	keep := math.Exp(-float64(now-e.last) / float64(span))
+	keep *= min(1, (most-1)/max(keep*e.calls, 1))
+	e.calls, e.bad, e.last = e.calls*keep+1, e.bad*keep, now
+	if cause != NoCause {
+		e.bad, e.cause, e.badAt = e.bad+1, cause, now
+	}
+}
+
+// amend takes back that a call was bad: it was answered after all.
+func (e *evidence) amend() { e.bad = max(0, e.bad-1) }
+
+func (e *evidence) part() float64 { return e.bad / max(e.calls, 1e-9) }
+
+// zone is how another zone, or home, stands as seen from home.
+type zone struct {
+	ZoneState
+	fresh, long evidence // this copy's own
+	step        int      // of Returning
+	flaps       int      // times that it was left lately
+	left        int64    // when it was last left
+	trial       int64    // when this copy may next try it
+	said        int64    // when its last log line was written
+	sum         zoneSum
+}
+
+// zone is the state of a zone, nil of one that the settings have not or before others were told or heard.
+func (b *Balancer) zone(i int) *zone {
+	if i < 0 || i >= len(b.zones) {
+		return nil
+	}
+	return &b.zones[i]
+}
+
+// open opens the books that are needed to tell others and to hear them.
+func (b *Balancer) open() {
+	if len(b.zones) == b.s.Zones {
+		return
+	}
+	b.zones = make([]zone, b.s.Zones)
+	for i := range b.zones {
+		b.zones[i].ZoneState = ZoneState{Zone: i, Share: 1}
+		if b.drained[i] {
+			b.zones[i].Standing, b.zones[i].Share = Drained, 0
+		}
+	}
+	b.relist()
+}
+
+// note takes the end of an attempt as evidence on its server and zone. One that was turned away says nothing of a
+// zone: it is there, and has no room.
+func (b *Balancer) note(now int64, a *attempt, cause Cause) {
+	z := cmp.Or(b.zone(a.zone), &zone{})
+	if cause == NoCause {
+		a.srv.okAt, a.srv.told = now, 1
+	}
+	if a.quiet && cause == NoCause {
+		a.srv.seen.amend()
+		z.fresh.amend()
+		z.long.amend()
+	}
+	if a.quiet {
+		return
+	}
+	a.srv.seen.add(now, freshSpan, serverCalls, cause)
+	if cause == Crowded {
+		cause = NoCause
+	}
+	z.fresh.add(now, freshSpan, zoneMost, cause)
+	z.long.add(now, trialSpan, zoneMost, cause)
+}
+
+// listen notes calls that are out for too long.
+func (b *Balancer) listen(now int64) {
+	for _, q := range b.reqs {
+		for _, a := range q.attempts {
+			if a.out && a.counted && !a.started && !a.quiet && b.quiet(now, q.Class, a) {
+				b.note(now, a, Silent)
+				a.quiet = true
+			}
+		}
+	}
+}
+
+// tried counts the servers that this copy tried, and those of them that it tried very lately.
+type tried struct{ all, bad, badZones, late, lateBad int }
+
+// Seen is what this copy tells others now; what is not said again is taken back. It is also what this copy itself
+// goes by, as the others do.
+func (b *Balancer) Seen(now int64) []Notice {
+	b.open()
+	b.listen(now)
+	b.tells = nil
+	var sum tried
+	of := map[int]tried{}
+	for _, s := range b.all {
+		if s.State != Ready || s.seen.last == 0 || now-s.seen.last > serverFresh {
+			continue
+		}
+		t, latest := of[s.Zone], serversSince(b.zone(s.Zone))
+		t.all++
+		t.late += int(partOf(now-s.seen.last <= latest))
+		n := Notice{Zone: b.s.Zone, Server: s.ID, Launched: s.Launched, Calls: s.seen.calls, Bad: s.seen.part()}
+		if s.callsBad() {
+			t.bad++
+			t.lateBad += int(partOf(now-s.seen.last <= latest))
+			n.Kind, n.Cause, n.At = ServerBad, s.seen.cause, s.seen.badAt
+			b.tells = append(b.tells, n)
+		} else if s.verdict.others > 0 && now-s.okAt <= serverFresh {
+			n.Kind, n.At = ServerWell, s.okAt
+			b.tells = append(b.tells, n)
+		}
+		of[s.Zone] = t
+	}
+	anyWell := false
+	for i := range b.zones {
+		e, ok := b.zones[i].evidence(now)
+		anyWell = anyWell || ok && e.part() < zoneBad
+		if n := b.tellZone(now, i, of[i], e, ok); ok || n.Value < 1 {
+			b.tells = append(b.tells, n)
+		}
+	}
+	for _, t := range of {
+		sum.all, sum.bad, sum.badZones = sum.all+t.all, sum.bad+t.bad, sum.badZones+int(partOf(t.bad > 0))
+	}
+	if ownLink(&sum, anyWell) {
+		b.tells = nil
+	}
+	return slices.Clone(b.tells)
+}
+
+// evidence is what this copy has lately seen of a zone, if anything.
+func (z *zone) evidence(now int64) (e evidence, ok bool) {
+	if z.Standing == Away {
+		return z.long, z.long.last != 0 && now-z.long.last <= trialFresh
+	}
+	return z.fresh, z.fresh.last != 0 && now-z.fresh.last <= zoneFresh
+}
+
+// tellZone is what this copy tells of a zone.
+func (b *Balancer) tellZone(now int64, i int, t tried, e evidence, ok bool) Notice {
+	n := Notice{Kind: ZoneWell, Zone: b.s.Zone, Of: i, Value: b.zones[i].Share, At: now}
+	if b.zones[i].Standing == Leaving { // not yet left
+		n.Value = 1
+	}
+	if ok {
+		n.Calls, n.Bad, n.At = e.calls, e.part(), e.last
+	}
+	if ok && callsZoneBad(e, t) {
+		n.Kind, n.Cause = ZoneBad, e.cause
+	} else if i == b.s.Zone && b.spill > pressBar {
+		n.Cause = Slow
+	}
+	return n
+}
+
+// Peers takes what others tell now.
+func (b *Balancer) Peers(now int64, h Host, p Peers) {
+	b.open()
+	if p.Near = max(p.Near, 1); p.Alone {
+		p.Notices, p.Near = nil, max(p.Near, b.peers.Near)
+	}
+	b.peers = p
+	b.condemn(now)
+	b.sumZones(zoneLeast, zoneMost)
+	changed := false
+	for i := range b.zones {
+		z := &b.zones[i]
+		was := z.Standing
+		b.lookAt(now, h, z)
+		changed = changed || (was == Away) != (z.Standing == Away)
+	}
+	if changed {
+		b.relist()
+	}
+}
+
+// Drain has these zones and no others suspended by hand: their servers get nothing, not even trials. One that is
+// restored is returned to by steps.
+func (b *Balancer) Drain(now int64, h Host, zones map[int]bool) {
+	was := b.drained
+	if b.drained = zones; len(zones) > 0 || len(was) > 0 {
+		b.open()
+	}
+	b.relist()
+	for i := range b.zones {
+		if z := &b.zones[i]; zones[i] && !was[i] {
+			b.stand(now, h, z, Drained, 0)
+		} else if was[i] && !zones[i] {
+			b.returnTo(now, h, z, 0)
+		}
+	}
+	b.relist()
+}
+
+// readyIn are the ready servers of a zone.
+func (b *Balancer) readyIn(z *zone) (of []*server) {
+	for _, s := range b.ready {
+		if s.Zone == z.Zone {
+			of = append(of, s)
+		}
+	}
+	return of
+}
+
+// openBeside tells whether there is a zone to go to instead of another.
+func (b *Balancer) openBeside(z *zone) (open bool) {
+	for i := range b.zones {
+		open = open || &b.zones[i] != z && b.zones[i].open()
+	}
+	return open
+}
+
+// badBeside is the part of bad calls in the zones that could be gone to instead; 0 if nobody calls them.
+func (b *Balancer) badBeside(z *zone) float64 {
+	var sum zoneSum
+	for i := range b.zones {
+		if o := &b.zones[i]; o != z && o.open() {
+			sum.calls, sum.bad = sum.calls+o.sum.calls, sum.bad+o.sum.bad
+		}
+	}
+	return sum.part()
+}
+
+// stand puts a zone in a standing and tells on-call staff: of those that last a second or more each time, of the
+// others at most once a second.
+func (b *Balancer) stand(now int64, h Host, z *zone, to Standing, share float64) {
+	from := z.Standing
+	z.Standing, z.Share, z.Since, z.Cause = to, share, now, z.sum.cause
+	if from == to {
+		return
+	}
+	z.Epoch++
+	if from < Away && to < Away && now-z.said < second && z.said != 0 || to == Leaving {
+		return
+	}
+	z.said = now
+	h.Log(fmt.Sprintf("zone %d as seen from zone %d: %v, before %v; gets %.2f of its fair part; %.0f%% of %.0f calls "+
+		"%v, %d of %d copies of this zone call it bad; change %d", z.Zone, b.s.Zone, to, from, share, 100*z.sum.part(),
+		z.sum.calls, z.sum.cause, z.sum.against, z.sum.say, z.Epoch))
+}
+
+// ZoneStates tells how each zone stands, in the order of their numbers; nothing before others were told or heard.
+func (b *Balancer) ZoneStates(now int64) []ZoneState {
+	var out []ZoneState
+	for i := range b.zones {
+		z := &b.zones[i]
+		s := z.ZoneState
+		s.Calls, s.Bad, s.Say, s.SayBad = z.sum.calls, z.sum.part(), z.sum.say, z.sum.against
+		out = append(out, s)
+	}
+	return out
+}
+
+// String names a standing for log lines and figures.
+func (s Standing) String() string {
+	names := []string{"well", "pressed", "leaving", "away", "returning", "drained"}
+	if s < 0 || int(s) >= len(names) {
+		return fmt.Sprintf("standing %d", int(s))
+	}
+	return names[s]
+}
+
+// String names a cause for log lines and figures.
+func (c Cause) String() string {
+	names := []string{"bad", "failing", "silent", "slow", "crowded"}
+	if c < 0 || int(c) >= len(names) {
+		return fmt.Sprintf("cause %d", int(c))
+	}
+	return names[c]
+}
