Have a proxy be one of a fleet where its configuration has the section fleet

Each 100 ms the loop tells the link what the module saw (bal.Seen) and the module what others said (bal.Peers), zones by name on the way (internal/fleet/words). Calls by hand go to the whole fleet: kept here, then told; what the fleet has suspended is out here too, and what it resumed no longer stays kept here (bans.Lift). Figures app.fleet_* with a fleet only. A bad key is a ConfigError with key, cause and remedy. An address that another process has, a predecessor mostly, is tried again each 200 ms: a start waits for nothing, and a proxy leaves the fleet as it begins to drain.

Seen to fail without the union of bans and with ended entries counted.

--- /dev/null
+++ b/cmd/fernlanding/fleet_test.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fernlanding/internal/lab/process"
+)
+
+// The test binary is also the program, so that it runs as the real one does.
+func TestMain(m *testing.M) {
+	if os.Getenv("FERNLANDING_RUNS") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const patience = 60 * time.Second // for what takes seconds; only a failing test waits so long
+
+const fleetText = `{"name":%q,"listen":%q,"mgmt":%q,"discovery":"127.0.0.1:1","seed":"1",` +
+	`"fleet":{"bind":%q,"label":%q,"seeds":[%q]},"limits":{"cores":1.0,"memory_mb":192,"sockets":512},` +
+	`"known":{"index":4,"snapshot":true,"endpoints":[{"name":"n/1","address":"127.0.0.1:1","zone":"a","status":"SERVING",` +
+	`"since_ms":5},{"name":"n/2","address":"127.0.0.1:1","zone":"a","status":"SERVING","since_ms":5}]},` +
+	`"settings":{"contract":{},"failure_domains":["a"],"limits":{"dial_timeout_us":100000,"idle_close_us":1000000,` +
+	`"try_limit":3},"membership_mode":"automatic","profiles":[{"give_up_us":800000,"name":"look","objective_us":400000,` +
+	`"repeat":"idempotent","worth":1}],"siblings":3}}`
+
+// member is one process.
+type member struct {
+	*process.Process
+	name, listen, mgmt, bind, dir string
+}
+
+// free is an address that nobody listens at now, for UDP and TCP.
+func free(t *testing.T) string {
+	t.Helper()
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close() // not before the others are chosen
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		if err == nil {
+			u.Close()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
+func newMember(t *testing.T, name string) *member {
+	return &member{name: name, listen: free(t), mgmt: free(t), bind: free(t), dir: t.TempDir()}
+}
+
+// start starts the process, or starts it again.
+func (m *member) start(t *testing.T, s *process.Starter, label, seed string) {
+	t.Helper()
+	path := filepath.Join(m.dir, "config.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, fleetText, m.name, m.listen, m.mgmt, m.bind, label, seed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log := filepath.Join(m.dir, "log")
+	p, err := s.Start(process.Spec{Name: m.name, Command: []string{os.Args[0]}, Dir: m.dir, Log: log,
+		Env: []string{"FERNLANDING_RUNS=1", "LB_CONFIG=" + path, "TMPDIR=" + m.dir}}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Process = p
+	t.Cleanup(func() {
+		_ = p.Kill()
+		if text, err := os.ReadFile(log); t.Failed() && err == nil {
+			t.Logf("%s:\n%s", m.name, text)
+		}
+	})
+}
+
+// figures are what the management address shows; nothing while it does not answer.
+func (m *member) figures() map[string]int {
+	out := map[string]int{}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.mgmt+"/v1/metrics", nil)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return out
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		key, value, _ := strings.Cut(lines.Text(), "=")
+		out[strings.TrimPrefix(key, "app.")], _ = strconv.Atoi(value)
+	}
+	return out
+}
+
+func (m *member) until(t *testing.T, what string, holds func(f map[string]int) bool) {
+	t.Helper()
+	f := m.figures()
+	for end := time.Now().Add(patience); !holds(f); f = m.figures() {
+		if time.Now().After(end) {
+			t.Fatalf("%s: waited in vain for %s: %v", m.name, what, f)
+		}
+		if f["fleet_oldest_ms"] > 3000 { // the longest life of what they tell here
+			t.Errorf("%s acts on what is %d ms old", m.name, f["fleet_oldest_ms"])
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func is(key string, want int) func(map[string]int) bool {
+	return func(f map[string]int) bool { n, told := f[key]; return told && n == want }
+}
+
+// call is given until it is confirmed: on a busy disk it may be late, as the answer says.
+func (m *member) call(t *testing.T, verb, nodo string) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; {
+		resp, err := http.Post("http://"+m.mgmt+"/v1/nodos/"+nodo+"/"+verb, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		switch {
+		case resp.StatusCode == http.StatusOK:
+			return
+		case resp.StatusCode != http.StatusServiceUnavailable || time.Now().After(end):
+			t.Fatalf("%s at %s: %d %s", verb, m.name, resp.StatusCode, text)
+		}
+		t.Logf("%s at %s: %s", verb, m.name, text)
+	}
+}
+
+// ask makes a client's call, whatever comes of it.
+func (m *member) ask(id int) {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+m.listen+"/look/k", nil)
+	req.Header = http.Header{"Request-Id": {strconv.Itoa(id)}, "Request-Class": {"look"}, "Request-Timeout-Ms": {"800"}}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// Three processes of the program are one fleet, whatever one of them goes through.
+func TestThreeProcessesAreAFleet(t *testing.T) {
+	s := process.NewStarter()
+	defer s.Close()
+	a, b, c := newMember(t, "a"), newMember(t, "b"), newMember(t, "c")
+	all := []*member{a, b, c}
+	together := func(what string, holds func(map[string]int) bool) {
+		t.Helper()
+		begun := time.Now()
+		for _, m := range all {
+			m.until(t, what, holds)
+		}
+		t.Logf("%s: %v", what, time.Since(begun).Round(time.Millisecond))
+	}
+	for _, m := range all {
+		m.start(t, s, "test", a.bind)
+	}
+	together("three to find each other from one seed", is("fleet_living", 3))
+	together("word that they hear each other", is("fleet_alone", 0))
+
+	a.call(t, "suspend", "n%2F1")
+	together("a suspension at one to bind all", is("ejected", 1))
+	if err := a.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range all[1:] {
+		m.until(t, "the death of the one that was called", is("fleet_living", 2))
+		m.until(t, "its suspension to stand", is("ejected", 1))
+	}
+	a.dir = t.TempDir() // with its disk gone it learns of it from the others
+	a.start(t, s, "test", b.bind)
+	together("all to live", is("fleet_living", 3))
+	together("the restarted one to learn", is("ejected", 1))
+	b.call(t, "resume", "n%2F1")
+	together("a resume to end it everywhere", is("ejected", 0))
+
+	a.call(t, "suspend", "n%2F1") // at two: either keeps it, and the end binds both
+	b.call(t, "suspend", "n%2F1")
+	together("a suspension at two", is("ejected", 1))
+	c.call(t, "resume", "n%2F1")
+	together("its end", is("ejected", 0))
+	b.until(t, "what it kept to go", func(map[string]int) bool {
+		kept, err := filepath.Glob(filepath.Join(b.dir, "fernlanding-*", "ban-*"))
+		return err == nil && len(kept) == 0
+	})
+
+	stranger := newMember(t, "d")
+	stranger.start(t, s, "other", a.bind)
+	stranger.until(t, "a foreign label to be turned away", func(f map[string]int) bool { return f["fleet_join_failed"] > 0 })
+	before := a.figures()["fleet_refused.label"]
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		junk := make([]byte, 1+random.IntN(1000))
+		for i := range junk {
+			junk[i] = byte(random.Uint32())
+		}
+		for _, network := range []string{"udp", "tcp"} {
+			if conn, err := net.Dial(network, a.bind); err == nil {
+				_, _ = conn.Write(junk)
+				conn.Close()
+			}
+		}
+	}
+	a.until(t, "random bytes to be counted", func(f map[string]int) bool { return f["fleet_refused.label"] > before+50 })
+	stranger.until(t, "it to be on its own", is("fleet_living", 1))
+
+	id := 0
+	a.until(t, "what c sees of its nodos", func(f map[string]int) bool {
+		id++
+		c.ask(id)
+		return f["fleet_entries"] > 0
+	})
+	if err := c.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range all[:2] {
+		m.until(t, "the one that is stopped to be missed", is("fleet_living", 2))
+		m.until(t, "what it said to end", is("fleet_entries", 0))
+	}
+	b.call(t, "suspend", "n%2F2")
+	if err := c.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	together("the one that goes on to be back", is("fleet_living", 3))
+	together("it to learn what was done meanwhile", is("fleet_suspended", 1))
+	c.until(t, "what came during the stop to be left unread", func(f map[string]int) bool { return f["fleet_refused.late"] > 0 })
+	for _, m := range all {
+		if clean, err := m.End(patience); err != nil || !clean {
+			t.Errorf("%s: clean %v, %v", m.name, clean, err)
+		}
+	}
+}
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -159,6 +159,17 @@
 // Resume ends that, with the same errors. What comes from outside stands until Outside says otherwise.
 func (b *Bans) Resume(nodo string) error { return b.call(nodo, false) }
 
+// Lift ends what is kept here of a suspension that all the others ended, without a word to them.
+func (b *Bans) Lift(nodo string) error {
+	if !b.store.has(nodo) {
+		return nil
+	}
+	if err := b.store.remove(nodo); err != nil {
+		return err
+	}
+	return b.apply()
+}
+
 func (b *Bans) call(nodo string, suspended bool) error {
 	if !b.known(nodo) {
 		return &UnknownError{nodo}
--- a/internal/bans/bans_test.go
+++ b/internal/bans/bans_test.go
@@ -134,6 +134,9 @@
 		if err := b.Suspend("c"); !errors.Is(err, deaf) || !here.is("c") {
 			t.Errorf("untold: %v with %v", here.ids, err)
 		}
+		if must(t, b.Lift("c")); here.is("c") || len(calls) != 3 { // the others ended it: none is told
+			t.Errorf("lifted: %v, told of %v", here.ids, calls)
+		}
 		if err := b.Suspend("stranger"); err == nil {
 			t.Error("no error on a stranger")
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,13 +28,12 @@
 	Cores    float64      // 0: not told
 	MemoryMB float64      // likewise
 
-	Fleet json.RawMessage // the section fleet as it was read; nil: none
-
 	text []byte // of the whole file
 }
 
 // file is the configuration as it stands on disk.
 type file struct {
+	Name      string   `json:"name"`
 	Listen    string   `json:"listen"`
 	Discovery string   `json:"discovery"`
 	Members   []string `json:"discovery_members"` // of the project's list service, in place of discovery
@@ -128,7 +127,9 @@
 		}
 	}
 	if given(f.Fleet) {
-		c.Fleet = f.Fleet
+		if p.Fleet, err = fleet(f.Fleet, cmp.Or(env("LB_NAME"), f.Name)); err != nil {
+			return nil, err
+		}
 	}
 	return c, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,10 +1,10 @@
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -47,13 +47,20 @@
 			t.Fatalf("%+v: %v", c, err)
 		}
 		if p := got.Proxy; p.Listen != c.listen || p.Discovery.Address != c.discovery || got.Mgmt != c.mgmt ||
-			p.Watched != (c.mgmt != "") || p.Sockets != 512 || got.MemoryMB != 192 || p.Known.Index != 4 || got.Fleet != nil {
+			p.Watched != (c.mgmt != "") || p.Sockets != 512 || got.MemoryMB != 192 || p.Known.Index != 4 || p.Fleet != nil {
 			t.Errorf("%+v: got %+v", c, got)
 		}
 	}
-	got, err := Load(from(t, strings.Replace(good, `"later"`, `"fleet":{"bind":7},"later"`, 1), nil))
-	if err != nil || string(got.Fleet) != `{"bind":7}` {
-		t.Errorf("the fleet's section: %s, %v", got.Fleet, err)
+	for _, c := range []struct{ name, env, want string }{{"", "", "n3"}, {"", "n4", "n4"}, {`,"name":"n5"`, "n4", "n5"}} {
+		got, err := Load(from(t, strings.Replace(good, `"later"`, `"fleet":{"label":"x","bind":"127.0.0.1:9","seeds":["127.0.0.1:8"]`+
+			c.name+`},"later"`, 1), map[string]string{"LB_NAME": c.env}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := got.Proxy.Fleet
+		if f == nil || f.Name != c.want || f.Label != "x" || f.Bind != "127.0.0.1:9" || !slices.Equal(f.Seeds, []string{"127.0.0.1:8"}) {
+			t.Errorf("the fleet's section: %+v", f)
+		}
 	}
 }
 
@@ -72,6 +79,13 @@
 		{`"worth":1`, `"worth":"all"`, "settings.profiles.worth", "JSON string"},
 		{`"settings"`, `"setting"`, "settings", "missing"},
 		{`"automatic"`, `"never"`, "settings.membership_mode", `"never"`},
+		{`"later"`, `"fleet":{"bind":7},"later"`, "fleet.bind", "JSON number"},
+		{`"later"`, `"fleet":{"bind":"here","label":"x"},"later"`, "fleet.bind", "here"},
+		{`"later"`, `"fleet":{"bind":"0.0.0.0:9","label":"x"},"later"`, "fleet.bind", "all interfaces"},
+		{`"later"`, `"fleet":{"advertise":"h","label":"x"},"later"`, "fleet.advertise", `"h"`},
+		{`"later"`, `"fleet":{"seeds":["127.0.0.1:8","127.0.0.1"],"label":"x"},"later"`, "fleet.seeds", `"127.0.0.1"`},
+		{`"later"`, `"fleet":{},"later"`, "fleet.label", "missing"},
+		{`"name":"n3",`, `"fleet":{"label":"x"},`, "fleet.name", "missing"},
 	} {
 		env := from(t, strings.Replace(good, c.old, c.new, 1), nil)
 		_, err := Load(env)
@@ -118,7 +132,7 @@
 		c, err := parse(text, func(string) string { return "" })
 		var fault *ConfigError
 		switch {
-		case err == nil && (c == nil || c.Fleet != nil && !json.Valid(c.Fleet)):
+		case err == nil && (c == nil || c.Proxy.Fleet != nil && c.Proxy.Fleet.Check() != nil):
 			t.Errorf("read as %+v", c)
 		case err != nil && (!errors.As(err, &fault) || c != nil || fault.Problem == "" || fault.Remedy == ""):
 			t.Errorf("got %+v, %v", c, err)
--- a/internal/fleet/link/errors.go
+++ b/internal/fleet/link/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 )
 
 // OpenError tells why the fleet's own address could not be opened. Err is the cause.
@@ -54,5 +55,13 @@
 	return fmt.Sprintf("fleet.%s: %s; %s", e.Key, e.Cause, e.Remedy)
 }
 
-// ErrEnded is the answer to a call on a link that has ended, or that did not come in time.
-var ErrEnded = errors.New("the fleet's link does not answer")
+// LateError is the answer to a call that was not confirmed in time, as on a slow disk. It may still be carried out.
+type LateError struct{ After time.Duration }
+
+func (e *LateError) Error() string {
+	return fmt.Sprintf("the fleet did not confirm the call within %v, as on a slow disk; it may hold all the same: give it again",
+		e.After)
+}
+
+// ErrEnded is the answer to a call on a link that is not open, or has ended.
+var ErrEnded = errors.New("the fleet's address is not open: its members were not told; give the call again at one that is")
--- a/internal/fleet/link/figures.go
+++ b/internal/fleet/link/figures.go
@@ -54,9 +54,11 @@
 	f := Figures{Alone: o.alone, TimesAlone: o.times, View: o.view.Counts(), Refused: map[string]int64{
 		"unread": o.unread, "kind": int64(o.skipped.Kinds), "shape": int64(o.skipped.Bad), "newer": int64(o.skipped.Newer)}}
 	f.Suspended = f.View.Suspended
-	f.Entries = len(o.others)
-	for _, e := range o.others {
-		f.Oldest = max(f.Oldest, time.Duration(now-e.Made)*time.Microsecond)
+	for i := range o.others {
+		if e := &o.others[i]; e.End() > now {
+			f.Entries++
+			f.Oldest = max(f.Oldest, time.Duration(now-e.Made)*time.Microsecond)
+		}
 	}
 	l.mu.Lock()
 	l.figs = f
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log"
 	"log/slog"
 	"net/netip"
@@ -124,7 +125,7 @@
 // Open binds the link's address and reads what the last process kept. Others may hear of this member from then on; the
 // link does its work in Run. The error is an *OpenError, a *ConfigError or a *KeepError.
 func Open(cfg Config) (*Link, error) {
-	bind, advertise, err := cfg.check()
+	bind, advertise, err := cfg.addresses()
 	if err != nil {
 		return nil, err
 	}
@@ -169,8 +170,13 @@
 	return l, nil
 }
 
-// check reads the addresses, and tells of the first key that cannot be used.
-func (cfg *Config) check() (bind, advertise netip.AddrPort, err error) {
+// Check tells of the first key that cannot be used, by a *ConfigError.
+func (cfg *Config) Check() error {
+	_, _, err := cfg.addresses()
+	return err
+}
+
+func (cfg *Config) addresses() (bind, advertise netip.AddrPort, err error) {
 	for _, n := range []struct{ key, name string }{{"name", cfg.Name}, {"label", cfg.Label}} {
 		if n.name == "" || len(n.name) > nameMost {
 			return bind, advertise, &ConfigError{n.key, "missing, or over 64 bytes", "give one of 1 to 64 bytes"}
@@ -180,12 +186,12 @@
 		return bind, advertise, &ConfigError{"zone", "its name is over 64 bytes", "give zones shorter names"}
 	}
 	if bind, err = netip.ParseAddrPort(cfg.Bind); err != nil {
-		return bind, advertise, &ConfigError{"bind", err.Error(), "give an IP address and a port, like 127.0.0.1:7946"}
+		return bind, advertise, &ConfigError{"bind", fmt.Sprintf("%q: %v", cfg.Bind, err), "give an IP address and a port, like 127.0.0.1:7946"}
 	}
 	if cfg.Advertise != "" {
 		advertise, err = netip.ParseAddrPort(cfg.Advertise)
 		if err != nil || advertise.Port() == 0 || advertise.Addr().IsUnspecified() {
-			return bind, advertise, &ConfigError{"advertise", "no address that others could reach: " + cfg.Advertise,
+			return bind, advertise, &ConfigError{"advertise", fmt.Sprintf("%q is no address that others could reach", cfg.Advertise),
 				"give the IP address and port under which the other members reach this one"}
 		}
 	} else if bind.Addr().IsUnspecified() {
@@ -194,7 +200,7 @@
 	}
 	for _, s := range cfg.Seeds {
 		if a, err := netip.ParseAddrPort(s); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
-			return bind, advertise, &ConfigError{"seeds", "no member's address: " + s,
+			return bind, advertise, &ConfigError{"seeds", fmt.Sprintf("%q is no member's address", s),
 				"give IP addresses and ports, like 127.0.0.1:7946"}
 		}
 	}
@@ -228,7 +234,8 @@
 }
 
 // Suspend suspends a server by hand at all members. It returns once that would outlive this process, where there is a
-// folder for it: the error is a *KeepError, ErrEnded, or the view's, and then the server stays as it was.
+// folder for it: the error is a *KeepError, ErrEnded or the view's, and
+// then the server stays as it was, or a *LateError.
 func (l *Link) Suspend(nodo string) error { return l.hand(nodo, true) }
 
 // Resume ends a suspension at all members, in the same way.
@@ -243,7 +250,7 @@
 	case <-l.done:
 		return ErrEnded
 	case <-late.C:
-		return ErrEnded
+		return &LateError{callWait}
 	}
 	select {
 	case err := <-said:
@@ -251,7 +258,7 @@
 	case <-l.done:
 		return ErrEnded
 	case <-late.C:
-		return ErrEnded
+		return &LateError{callWait}
 	}
 }
 
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -39,13 +39,14 @@
 // Figures is what metrics shows.
 type Figures struct {
 	Classes     map[string]Ends
-	Outstanding int64 // requests taken and not ended
-	Forwards    int64 // attempts written whole to nodos
-	Discovered  int   // nodos in the list
-	Ejected     int   // listed nodos that get nothing, or only trials
-	Applied     int64 // configurations taken at SIGHUP
-	Rejected    int64 // and turned down
-	List        *List // of a list that several members keep; else nil
+	Outstanding int64  // requests taken and not ended
+	Forwards    int64  // attempts written whole to nodos
+	Discovered  int    // nodos in the list
+	Ejected     int    // listed nodos that get nothing, or only trials
+	Applied     int64  // configurations taken at SIGHUP
+	Rejected    int64  // and turned down
+	List        *List  // of a list that several members keep; else nil
+	Fleet       *Fleet // of a proxy that is one of a fleet; else nil
 }
 
 // List is how a proxy stands with the members of the list service.
@@ -197,6 +198,7 @@
 		fmt.Fprintf(&b, "app.list_age_ms=%d\napp.list_moves=%d\napp.list_failures=%d\napp.list_kept=%d\n", age, l.Moves, l.Failures,
 			l.Kept)
 	}
+	f.Fleet.encode(&b)
 	return b.Bytes()
 }
 
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -110,6 +110,20 @@
 	}
 }
 
+func TestFiguresOfAFleetComeWithOneOnly(t *testing.T) {
+	if text := string((&Figures{}).encode()); strings.Contains(text, "fleet") {
+		t.Errorf("on its own: %s", text)
+	}
+	text := string((&Figures{Fleet: &Fleet{Open: true, Living: 3, Near: 2, Alone: true, Oldest: 1500 * time.Millisecond,
+		Refused: map[string]int64{"late": 5, "label": 4}}}).encode())
+	for _, want := range []string{"app.fleet_open=1\n", "app.fleet_living=3\n", "app.fleet_near=2\n", "app.fleet_alone=1\n",
+		"app.fleet_oldest_ms=1500\n", "app.fleet_refused.label=4\napp.fleet_refused.late=5\n"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in\n%s", want, text)
+		}
+	}
+}
+
 func TestOtherCallsAreANo(t *testing.T) {
 	s := start(t, &fakeProxy{ready: true})
 	for _, text := range []string{
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -33,6 +33,7 @@
 	lists  <-chan discovery.News
 	bans   <-chan bans.Set // whole sets; nil: none come
 	seen   *bans.Names
+	fleet  *fleet        // nil on its own
 	ask    func()        // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
 	fresh  chan struct{} // closed when there is one from discovery
@@ -75,6 +76,12 @@
 		defer tick.Stop()
 		look = tick.C
 	}
+	var meet <-chan time.Time
+	if l.fleet != nil {
+		tick := time.NewTicker(meetEvery)
+		defer tick.Stop()
+		meet = tick.C
+	}
 	for {
 		// What discovery and on-call staff told comes before all else: nothing may go to a backend known to
 		// drain, or banned.
@@ -99,6 +106,8 @@
 		case <-alarm.C:
 		case now := <-sweep.C:
 			l.pool.sweep(now)
+		case <-meet:
+			l.meet()
 		case <-look:
 			l.figs.servers(l.bal.Servers())
 		case <-ctx.Done():
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 
 	"fernlanding/internal/bans"
 	"fernlanding/internal/discovery"
+	"fernlanding/internal/fleet/link"
 	"fernlanding/internal/mgmt"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
@@ -55,6 +56,9 @@
 	Site      *settings.Site
 	Log       *slog.Logger
 
+	// Fleet has the proxy be one of a fleet, by Name, Bind, Advertise, Label and Seeds; nil: it is on its own.
+	Fleet *link.Config
+
 	Hold int // bytes of memory for bodies that are held; 0 for a default
 
 	// Memory is told what part of the memory limit is this process's; may be nil.
@@ -69,6 +73,7 @@
 	figs   *figures
 	lists  *discovery.Client
 	bans   *bans.Bans                                     // nil unless watched
+	fleet  *fleet                                         // nil on its own
 	elder  *elder                                         // the predecessor that lives, or nil
 	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
 	others atomic.Int32                                   // processes of this proxy that live beside this one
@@ -115,7 +120,11 @@
 		l.apply(logic.Cached, known)
 	}
 	if cfg.Watched {
-		p.bans, err = bans.Open(bans.Config{Dir: cfg.State, Names: l.seen, Ended: l.done, Log: cfg.Log})
+		of := bans.Config{Dir: cfg.State, Names: l.seen, Ended: l.done, Log: cfg.Log}
+		if cfg.Fleet != nil {
+			of.Told = func(nodo string, suspended bool) error { return p.fleet.told(nodo, suspended) }
+		}
+		p.bans, err = bans.Open(of)
 		if err != nil {
 			listener.Close()
 			return nil, err
@@ -123,6 +132,13 @@
 		l.bans = p.bans.Sets()
 		l.ban(p.bans.Present())
 	}
+	if cfg.Fleet != nil {
+		if p.fleet, err = openFleet(cfg, l, p.bans); err != nil {
+			listener.Close()
+			return nil, err
+		}
+		l.fleet = p.fleet
+	}
 	return p, nil
 }
 
@@ -160,6 +176,9 @@
 	if cfg.Watched {
 		own += mgmt.MaxConns + 1
 	}
+	if cfg.Fleet != nil {
+		own += link.Descriptors
+	}
 	over = min(overCap, max(overLeast, sockets/overPart))
 	rest := sockets - own - over
 	clients = int(clientPart * float64(rest))
@@ -290,6 +309,9 @@
 	if l := p.lists.Figures(); l.Members {
 		f.List = &mgmt.List{Age: l.Age, Moves: l.Moves, Failures: l.Failures, Kept: l.Kept}
 	}
+	if p.fleet != nil {
+		f.Fleet = p.fleet.figures()
+	}
 	return f
 }
 
@@ -310,6 +332,11 @@
 		parts.Go(func() { p.bans.Run(inner) })
 	}
 	parts.Go(func() { p.lists.Run(inner) })
+	if p.fleet != nil {
+		present, leave := context.WithCancel(ctx) // it leaves as it begins to drain: a successor may want the address
+		defer leave()
+		parts.Go(func() { p.fleet.run(present) })
+	}
 	if p.elder != nil {
 		parts.Go(func() { p.elder.wait(); p.join(-1) })
 		defer p.elder.conn.Close()
