--- /dev/null
+++ b/logic/zones.go
@@ -0,0 +1,190 @@
+package logic
+
+import "slices"
+
+// How a zone stands as seen from this copy's own, and what it gets. All copies of a zone decide from the same
+// evidence, the sum of what they tell of it, so that they leave it together and return at one pace.
+
+const (
+	zoneLeast  = 0.2             // calls from which a copy has evidence on a zone
+	zoneMost   = 6.0             // calls of one copy count as no more than this: one alone outvotes nobody
+	zoneCalls  = 4.0             // calls that the copies must have made together for a zone to be left
+	zoneAgain  = 2.0             // the same at a zone that is being returned to
+	zoneBad    = 0.6             // part of bad calls from which a copy calls a zone bad and copies leave it
+	betterPart = 0.5             // of its bad part: more must not fail in the other zones, or nobody leaves
+	leaveHold  = 3 * second / 20 // that must last so long
+	leaveShare = 0.3             // and until then it gets this part
+
+	pressBar   = 0.35 // weight of other zones above which a copy tells that home is slow
+	pressSpill = 0.15 // weight of other zones while most copies tell so, at least
+	spillWell  = 0.01 // weight of one server elsewhere, and no more than one, while all find that home copes
+
+	awayLeast  = 3 * second   // a zone stays away so long at least, doubled each time it was left lately
+	awayMost   = 60 * second  // and at most so long
+	flapForget = 120 * second // after which none of those times counts
+	trialRate  = 3.0          // trials a second that a zone gets from all copies together
+	trialGood  = 3.0          // good ones, as far as they have not faded, that let it return
+	trialBad   = 0.25         // and the part of bad ones that does not
+	trialAlone = 0.9          // calls of which none was bad are enough at a copy that hears nobody
+	blindWait  = 30 * second  // with few trials or none, as where all calls are unsafe, it returns after this
+	stepLeast  = second       // each step of a return lasts this long
+	stepPart   = 0.2          // and this part of the time in which a server is warm
+	aloneTimes = 4            // and this many times as long at a copy that hears nobody
+	settle     = second       // a copy joins the others if they stand otherwise for so long
+)
+
+// returnSteps are the parts of its fair weight that a zone gets one after the other as it is returned to.
+var returnSteps = [...]float64{0.05, 0.15, 0.4, 0.7, 1}
+
+// lookAt moves a zone to where the evidence of all copies of this zone puts it. One that is drained stays so.
+func (b *Balancer) lookAt(now int64, h Host, z *zone) {
+	lost, age, others := b.lost(z), now-z.Since, b.othersGive(z)
+	switch z.Standing {
+	case Well, Pressed:
+		if lost {
+			b.stand(now, h, z, Leaving, leaveShare)
+		} else if others < 1 && age >= settle {
+			b.follow(now, h, z, others)
+		} else if b.pressed(z) != (z.Standing == Pressed) && age >= settle {
+			b.stand(now, h, z, Pressed-z.Standing, 1)
+		}
+	case Leaving:
+		if !lost {
+			b.stand(now, h, z, Well, 1)
+		} else if age >= leaveHold {
+			b.leaveZone(now, h, z)
+		}
+	case Away:
+		good := z.sum.part() <= trialBad && (z.sum.calls-z.sum.bad >= trialGood ||
+			age >= blindWait || b.peers.Alone && z.sum.calls >= trialAlone)
+		if age >= min(awayMost, awayLeast<<min(z.flaps-1, 10)) && good || !b.openBeside(z) {
+			b.returnTo(now, h, z, 0)
+		} else if others > 0 && age >= awayLeast {
+			b.follow(now, h, z, others)
+		}
+	case Returning:
+		span := max(stepLeast, int64(stepPart*float64(b.s.Cold)))
+		if b.peers.Alone {
+			span *= aloneTimes
+		}
+		if lost {
+			b.leaveZone(now, h, z)
+		} else if age >= span && z.sum.part() <= trialBad {
+			b.returnTo(now, h, z, z.step+1)
+		}
+	}
+}
+
+// pressed tells whether most copies of this zone find home slow.
+func (b *Balancer) pressed(z *zone) bool { return z.Zone == b.s.Zone && 2*z.sum.slow > z.sum.say }
+
+// lost tells whether the copies of this zone see another, or home, as lost: most of those with evidence, more
+// than a third of all (so many may lie) and most calls say so, over several servers, while the others are
+// clearly better and can take what it had. A copy that hears nobody knows too little to tell a lost zone from
+// a bad link of its own.
+func (b *Balancer) lost(z *zone) bool {
+	s, need, servers := &z.sum, zoneCalls, min(2, z.sum.ready)
+	if z.Standing == Returning {
+		need, servers = zoneAgain, 0
+	}
+	known := s.against >= min(2, b.peers.Near) && 2*s.against > s.say && 3*s.against > b.peers.Near
+	return !b.peers.Alone && known && s.ready > 0 && s.calls >= need && s.part() >= zoneBad &&
+		s.servers >= servers && b.openBeside(z) && b.badBeside(z) <= betterPart*s.part()
+}
+
+// open tells whether calls may go to a zone and would find a server.
+func (z *zone) open() bool { return z.Standing != Leaving && z.Share > 0 && z.sum.ready > 0 }
+
+// othersGive is the part that most of the other copies of this zone give a zone; this one's own if they
+// differ. One that tells nothing of a zone gives it all.
+func (b *Balancer) othersGive(z *zone) float64 {
+	least, most := z.sum.median(b.peers.Near - 1)
+	if b.peers.Alone || b.peers.Near < 3 {
+		return z.Share
+	}
+	return min(max(z.Share, least), most)
+}
+
+// follow puts a zone where most other copies have it.
+func (b *Balancer) follow(now int64, h Host, z *zone, share float64) {
+	if share == 0 {
+		if b.openBeside(z) {
+			b.leaveZone(now, h, z)
+		}
+		return
+	}
+	step, _ := slices.BinarySearch(returnSteps[:], min(share, 1))
+	b.returnTo(now, h, z, step)
+}
+
+func (b *Balancer) leaveZone(now int64, h Host, z *zone) {
+	if now-z.left > flapForget {
+		z.flaps = 0
+	}
+	z.flaps, z.left, z.long = z.flaps+1, now, evidence{}
+	z.trial = now + b.rnd.Int64N(b.trialGap())
+	b.stand(now, h, z, Away, 0)
+}
+
+// returnTo takes a zone to a step of its return. What its servers were blamed for went with it.
+func (b *Balancer) returnTo(now int64, h Host, z *zone, step int) {
+	if z.Standing != Returning {
+		z.fresh = evidence{}
+		if z.Zone == b.s.Zone { // and so did what was learned of how home copes
+			b.spill = min(b.spill, spillStart)
+		}
+		for _, s := range b.readyIn(z) {
+			s.forget(len(b.classes))
+		}
+	}
+	if z.step = step; step < len(returnSteps)-1 {
+		b.stand(now, h, z, Returning, returnSteps[step])
+	} else {
+		b.stand(now, h, z, Well, 1)
+	}
+}
+
+// trialGap is the time between this copy's trials: its part of those of all copies.
+func (b *Balancer) trialGap() int64 {
+	return int64(float64(max(b.peers.Near, 1)) / trialRate * float64(second))
+}
+
+// trial is a server of a zone that is away, if one is due for a try and the request may be sent again
+// elsewhere.
+func (b *Balancer) trial(now int64, q *request) *server {
+	k := q.s.Classes[q.Class]
+	if len(q.attempts) > 0 || k.Repeat == Unsafe || k.Repeat == Keyed && k.Group != GroupAll {
+		return nil
+	}
+	for i := range b.zones {
+		z := &b.zones[i]
+		if z.Standing != Away || now < z.trial {
+			continue
+		}
+		z.trial = now + b.trialGap()/2 + b.rnd.Int64N(b.trialGap())
+		if of := b.readyIn(z); len(of) > 0 {
+			return of[b.rnd.IntN(len(of))]
+		}
+	}
+	return nil
+}
+
+// beyond is the weight of servers in other zones: little while home copes, and all where home is left.
+func (b *Balancer) beyond() float64 {
+	home, spill := b.zone(b.s.Zone), b.spill
+	if home == nil {
+		return spill
+	} else if home.Standing == Pressed {
+		spill = max(spill, pressSpill)
+	} else if b.homeCopes() {
+		spill = min(spill, spillWell)
+	}
+	return max(spill, 1-home.Share)
+}
+
+// homeCopes tells whether no copy of this zone, of those with evidence, finds home slow or bad.
+func (b *Balancer) homeCopes() bool {
+	home := b.zone(b.s.Zone)
+	return home != nil && home.Standing == Well && b.spill <= pressBar && home.sum.calls >= zoneCalls &&
+		home.sum.against == 0 && home.sum.slow == 0 && home.fresh.part() <= trialBad
+}
