--- a/logic/anynotice_test.go
+++ b/logic/anynotice_test.go
@@ -70,13 +70,21 @@
 			} else {
 				p.Notices = rapid.SliceOfN(notice, 0, 30).Draw(t, "notices")
 			}
+			for i, state := range rapid.SliceOfN(rapid.SampledFrom([]State{Ready, Ready, Draining}), 0, set.Zones).Draw(t, "states") {
+				for j := i; j < len(servers); j += set.Zones {
+					servers[j].State = state
+				}
+			}
+			for _, b := range two {
+				b.List(now, h, Full, servers)
+			}
 			for range rapid.IntRange(1, 40).Draw(t, "times") {
 				hear(p)
 				open := 0
 				for _, z := range two[0].zones {
 					open += int(partOf(z.open()))
 				}
-				if open == 0 {
+				if open == 0 && len(two[0].ready) > 0 {
 					t.Fatalf("no zone is open: %+v", two[0].ZoneStates(now))
 				}
 				checkBudget(t, two[0])
@@ -86,7 +94,7 @@
 			}
 		}
 		well := Peers{Living: near, Near: near}
-		for i := range near {
+		for i := range near * rapid.IntRange(0, 1).Draw(t, "told") { // or nobody says anything
 			for z := range set.Zones {
 				well.Notices = append(well.Notices, Notice{Kind: ZoneWell, Observer: fmt.Sprint("p", i), Of: z, Calls: 5, Value: 1, At: now})
 			}
--- a/logic/books.go
+++ b/logic/books.go
@@ -215,6 +215,16 @@
 	b.relist()
 }
 
+// byRank orders the ready servers by their rank.
+func (b *Balancer) byRank() {
+	slices.SortStableFunc(b.ready, func(x, y *server) int { return b.rank(x) - b.rank(y) })
+	b.near, b.far = 0, 0
+	for _, s := range b.ready {
+		b.near += int(partOf(b.rank(s) == 0))
+		b.far += int(partOf(b.rank(s) < 2))
+	}
+}
+
 // readyIn are the ready servers of a zone.
 func (b *Balancer) readyIn(z *zone) (of []*server) {
 	for _, s := range b.ready {
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -31,7 +31,10 @@
 	b.drawn, b.weights = b.drawn[:0], b.weights[:0]
 	total, best, room := 0.0, 0.0, b.subset(now)
 	beyond := max(1, room*b.beyond())
-	for i, s := range b.ready {
+	for i := 0; i < len(b.ready); i++ {
+		if i < b.near && room <= 0 && total > 0 {
+			i = b.near
+		}
 		if i == b.near && b.homeCopes() && total > 0 {
 			room = 1
 		} else if i == b.near {
@@ -40,11 +43,10 @@
 		if i == b.far {
 			room = 0
 		}
-		if room <= 0 && total > 0 && (i >= b.near || b.near == len(b.ready)) {
+		if i == len(b.ready) || room <= 0 && total > 0 {
 			break
-		} else if room <= 0 && total > 0 {
-			continue
 		}
+		s := b.ready[i]
 		room -= s.healthFor(q.Class) * b.warmth(now, s)
 		w := 0.0
 		if b.mayGo(now, q, s) {
--- a/logic/golden_test.go
+++ b/logic/golden_test.go
@@ -13,7 +13,7 @@
 func TestOneThatHearsOfNoOthersDecidesAsBefore(t *testing.T) {
 	sum := sha256.New()
 	for seed := range uint64(8) {
-		lines, _ := play(t, seed, 4000)
+		lines, _ := play(t, seed, 4000, false)
 		for _, l := range lines {
 			fmt.Fprintln(sum, l)
 		}
--- a/logic/members.go
+++ b/logic/members.go
@@ -103,23 +103,15 @@
 	b.ready = slices.Concat(b.ready[first:], b.ready[:first])
 	b.near, b.far = len(b.ready), len(b.ready)
 	if b.zones != nil {
-		b.homeFirst()
+		b.byRank()
 	}
 }
 
-// homeFirst puts the servers at home before the others, and those of zones that are away last. At a low rate
-// the subset is a few servers: of the whole ring most of them would be far, whatever their weight.
-func (b *Balancer) homeFirst() {
-	rank := func(s *server) int {
-		z := b.zone(s.Zone)
-		return 2*int(partOf(z != nil && z.Standing == Away)) + int(partOf(s.Zone != b.s.Zone))
-	}
-	slices.SortStableFunc(b.ready, func(x, y *server) int { return rank(x) - rank(y) })
-	b.near, b.far = 0, 0
-	for _, s := range b.ready {
-		b.near += int(partOf(rank(s) == 0))
-		b.far += int(partOf(rank(s) < 2))
-	}
+// rank orders the ready servers: those at home first, those of zones that are away last. At a low rate the
+// subset is a few servers: of the whole ring most of them would be far, whatever their weight.
+func (b *Balancer) rank(s *server) int {
+	z := b.zone(s.Zone)
+	return 2*int(partOf(z != nil && z.Standing == Away)) + int(partOf(s.Zone != b.s.Zone))
 }
 
 // subset is how many warm and healthy servers this copy's calls are spread over.
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -19,6 +19,7 @@
 	faults  []string
 	timers  []timer
 	watches int
+	drained map[int]bool
 	taken   []int64            // when requests came
 	further []int64            // when attempts beyond a request's first were sent
 	queues  map[string][]*book // of each key: what must keep its order, as it came
@@ -64,6 +65,9 @@
 		c.fault("%s sent to unknown %s", id, server)
 		return
 	}
+	if c.drained[s.Zone] {
+		c.fault("%s sent to %s, whose zone is drained", id, server)
+	}
 	if left, ok := c.leftAt[server]; ok && c.now-left > c.set.DrainGrace {
 		c.fault("rule 3: %s sent to %s, which left %d us ago", id, server, c.now-left)
 	}
@@ -203,6 +207,24 @@
 	now  int64
 	next int
 	open []string // requests that have an attempt out or are owed an answer
+
+	others bool // others are told and heard
+}
+
+// hear has others say anything, and now and then zones suspended by hand.
+func (d *driver) hear() {
+	p := Peers{Living: 6, Near: d.rnd.IntN(5), Alone: d.rnd.IntN(8) == 0}
+	for range d.rnd.IntN(12) {
+		p.Notices = append(p.Notices, Notice{Kind: NoticeKind(d.rnd.IntN(6)), Cause: Cause(d.rnd.IntN(5)),
+			Observer: fmt.Sprint("p", d.rnd.IntN(5)), Of: d.rnd.IntN(2), Server: fmt.Sprint("s", d.rnd.IntN(testFleet)),
+			Calls: 6 * d.rnd.Float64(), Bad: partOf(d.rnd.IntN(3) > 0), Value: d.rnd.Float64(), At: d.now})
+	}
+	d.b.Seen(d.now)
+	d.b.Peers(d.now, d.c, p)
+	if d.rnd.IntN(20) == 0 {
+		d.c.drained = map[int]bool{d.rnd.IntN(2): d.rnd.IntN(3) == 0}
+		d.b.Drain(d.now, d.c, d.c.drained)
+	}
 }
 
 func (d *driver) restart() {
@@ -210,7 +232,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.b, d.open = b, nil
+	d.b, d.open, d.c.drained = b, nil, nil
 	d.c.reqs, d.c.told, d.c.leftAt = map[string]*book{}, map[string]Server{}, map[string]int64{}
 	d.c.queues, d.c.rested, d.c.taken, d.c.further, d.c.timers = map[string][]*book{}, map[string]int64{}, nil, nil, nil
 	d.whole(Cached)
@@ -346,6 +368,9 @@
 	d.now = min(d.now+d.rnd.Int64N(20_000), d.nextDue())
 	d.c.now = d.now
 	d.expire()
+	if d.others && d.rnd.IntN(10) == 0 {
+		d.hear()
+	}
 	switch x := d.rnd.IntN(1000); {
 	case x < 450:
 		d.request()
@@ -381,7 +406,7 @@
 }
 
 // play drives a whole sequence and returns what the module did and what it did wrong.
-func play(t *testing.T, seed uint64, steps int) ([]string, []string) {
+func play(t *testing.T, seed uint64, steps int, others bool) ([]string, []string) {
 	s := testSettings()
 	s.Tenants = []Tenant{{Portion: 0.6, Quota: 30}, {Portion: 0.4, Quota: 20}}
 	s.Stage = int(seed % 2)
@@ -393,7 +418,7 @@
 	if seed%5 > 1 {
 		s.BudgetSpan, s.BudgetFree, s.BudgetShare = 5*second, 3, 0.05
 	}
-	d := &driver{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), c: &checker{set: s, now: start}, now: start}
+	d := &driver{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), c: &checker{set: s, now: start}, now: start, others: others}
 	d.restart()
 	for range steps {
 		d.step()
@@ -403,8 +428,8 @@
 
 func TestRandomSequencesKeepTheRules(t *testing.T) {
 	total := map[string]int{}
-	for seed := range uint64(24) {
-		lines, faults := play(t, seed, 6000)
+	for seed := range uint64(48) {
+		lines, faults := play(t, seed%24, 6000, seed > 23)
 		for i, f := range faults {
 			if i < 3 {
 				t.Errorf("seed %d: %s", seed, f)
@@ -426,8 +451,8 @@
 
 func TestSameEventsGiveSameActions(t *testing.T) {
 	for seed := range uint64(4) {
-		one, _ := play(t, seed, 3000)
-		two, _ := play(t, seed, 3000)
+		one, _ := play(t, seed, 3000, seed%2 == 0)
+		two, _ := play(t, seed, 3000, seed%2 == 0)
 		if !slices.Equal(one, two) {
 			t.Errorf("seed %d: two runs differ", seed)
 		}
--- a/logic/verdicts_test.go
+++ b/logic/verdicts_test.go
@@ -56,6 +56,40 @@
 	}
 }
 
+// One that fails over several zones, and is answered by none, tells nothing.
+func TestABadLinkOfItsOwnCondemnsNobody(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		well []int // zones that answer
+		bad  []int // zones whose servers do not
+		want int   // servers that are called bad
+	}{
+		{"all silent over two zones", nil, []int{0, 1}, 0},
+		{"one zone silent", nil, []int{0}, 4},
+		{"home answers", []int{0}, []int{1}, 4},
+	} {
+		b, _ := with(t, testSettings(), 8)
+		b.open()
+		for _, s := range b.all {
+			for range 3 {
+				if slices.Contains(c.well, s.Zone) {
+					b.note(start, &attempt{srv: s, zone: s.Zone}, NoCause)
+				} else if slices.Contains(c.bad, s.Zone) {
+					b.note(start, &attempt{srv: s, zone: s.Zone}, Silent)
+				}
+			}
+		}
+		got, zones := 0, 0
+		for _, n := range b.Seen(start + 1) {
+			got += int(partOf(n.Kind == ServerBad))
+			zones += int(partOf(n.Kind == ZoneBad))
+		}
+		if got != c.want || zones != c.want/4 {
+			t.Errorf("%s: %d servers and %d zones are called bad", c.name, got, zones)
+		}
+	}
+}
+
 // A server that others call bad gets trials only, until it answers this copy; restarted it begins anew.
 func TestAVerdictOfOthersIsAPrior(t *testing.T) {
 	set := testSettings()
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -251,6 +251,12 @@
 	if away := c.away(); len(away) > 0 {
 		t.Errorf("cut off, it left %v", away)
 	}
+	one := laid(t, 3, 1, 5, 40, true) // the only one of its zone
+	one.copies[0].deaf, one.fate = true, w.fate
+	one.run(10 * second)
+	if away := one.copies[0].away(); len(away) > 0 {
+		t.Errorf("cut off and the only one of its zone, it left %v", away)
+	}
 }
 
 func TestAZoneSuspendedByHandGetsNothing(t *testing.T) {
@@ -263,6 +269,12 @@
 	if part := w.part(-1, 0, 5*second, 15*second); part > 0 {
 		t.Errorf("%v of attempts went to a zone that is drained", part)
 	}
+	sends := len(w.copies[0].sends)
+	w.copies[0].b.Drain(w.now, w.copies[0], map[int]bool{0: true, 1: true, 2: true})
+	w.run(16 * second)
+	if n := len(w.copies[0].sends) - sends; n > 0 {
+		t.Errorf("%d attempts with all zones drained", n)
+	}
 	for _, c := range w.copies {
 		c.b.Drain(w.now, c, nil)
 		c.b.Drain(w.now, c, nil)
@@ -276,3 +288,45 @@
 		t.Errorf("restored, it gets %v of home's attempts", part)
 	}
 }
+
+// What three of four copies of a zone must tell for another to be left.
+func TestWhatItTakesToLeaveAZone(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		say       int     // copies that call it bad
+		calls     float64 // of each
+		bad       float64
+		servers   int
+		elsewhere float64 // bad part in the other zone
+		want      Standing
+	}{
+		{"enough", 3, 5, 0.9, 2, 0.1, Away},
+		{"too few copies", 1, 5, 0.9, 2, 0.1, Well},
+		{"too few calls", 3, 0.5, 0.9, 2, 0.1, Well},
+		{"too few bad", 3, 5, 0.5, 2, 0.1, Well},
+		{"one server", 3, 5, 0.9, 1, 0.1, Well},
+		{"the others no better", 3, 5, 0.9, 2, 0.55, Well},
+	} {
+		b, h := with(t, testSettings(), 8)
+		var p Peers
+		for now := start; now < start+second; now += second / 10 {
+			p = Peers{Living: 8, Near: 5}
+			for i := range 4 {
+				n := Notice{Kind: ZoneBad, Cause: Silent, Observer: fmt.Sprint("p", i), Of: 1, Calls: c.calls, Bad: c.bad, Value: 1, At: now}
+				if i >= c.say {
+					n.Kind, n.Bad = ZoneWell, 0
+				}
+				other := Notice{Kind: ZoneWell, Observer: n.Observer, Calls: 5, Bad: c.elsewhere, Value: 1, At: now}
+				p.Notices = append(p.Notices, n, other)
+				for s := range c.servers {
+					p.Notices = append(p.Notices, Notice{Kind: ServerBad, Observer: n.Observer, Server: []string{"s2", "s3"}[s], Calls: 5, Bad: 1})
+				}
+			}
+			b.Seen(now)
+			b.Peers(now, h, p)
+		}
+		if got := b.ZoneStates(start + second)[1].Standing; got != c.want {
+			t.Errorf("%s: %v, not %v", c.name, got, c.want)
+		}
+	}
+}
