--- a/logic/books.go
+++ b/logic/books.go
@@ -274,6 +274,16 @@
 	return out
 }
 
+// Condemned are the ready servers that get trials at most by the word of others.
+func (b *Balancer) Condemned() (ids []string) {
+	for _, s := range b.ready {
+		if s.told < wellPart {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // String names a standing for log lines and figures.
 func (s Standing) String() string {
 	names := []string{"well", "pressed", "leaving", "away", "returning", "drained"}
