Play a fleet on one virtual clock: Balancers, views, nodos, faults, checks after each event

Hundreds of proxies and thousands of schedules of faults need more than real processes can play. The model plays logic Balancers and fleet views on an event heap: Poisson clients, nodos with queues and cold starts, a late list, gossip with loss, delay and cuts, clocks that differ, and faults from the seed. The same seed gives the same run, byte for byte.

After each event it checks that nothing is used beyond its end or its server's start, that proxies of a zone agree within 5 s, that the budget of removals holds, that no cold nodo tips by those who knew, that never all zones are away, and that each request is answered once and none run twice.

--- /dev/null
+++ b/internal/lab/model/fleet.go
@@ -0,0 +1,203 @@
+package model
+
+import (
+	"strconv"
+
+	"fernlanding/internal/fleet/view"
+	"fernlanding/logic"
+)
+
+// fleet is a proxy's part in what the proxies share.
+type fleet struct {
+	view   *view.View
+	spread spread
+	heard  int64 // when anybody was, virtual time
+	probed int64
+	deaf   int64  // until then it leaves out what it hears, on its own clock
+	ticked int64  // when its loop ran last, on its own clock
+	lies   []int  // of zones
+	aged   int64  // the second in which ages were last counted
+	bad    []bool // by nodo: others call it bad, and mean its present start
+	away   uint64 // zones that its Balancer has left, as of its last turn
+	agreed int64  // when that was last held against the others of its zone
+}
+
+// What waits in a socket grows older than it says. So a proxy whose loop stood for longer than stallMost leaves out
+// what it hears until stallDeaf later, when all that waited has been read.
+const (
+	stallMost = sec
+	stallDeaf = 300 * ms
+)
+
+// join begins a proxy's part with an empty view.
+func (p *proxy) join() {
+	if !p.w.cfg.Peers {
+		return
+	}
+	var lies []int
+	if p.fleet != nil {
+		lies = p.fleet.lies
+	}
+	w, now := p.w, p.clock()
+	p.fleet = &fleet{heard: w.now, ticked: now, lies: lies,
+		view:   view.New(view.Self{Name: p.name, Zone: zoneName(p.zone), Start: now / ms}, view.Limits{}),
+		spread: spread{byTimes: make([][]*telling, w.gossip.times), latest: map[key]*telling{}}}
+	life := p.life
+	w.after(w.gossip.rnd.Int64N(gossipEvery), evGossip, p.id, func() { p.deliver(life, func() { p.gossip(life) }) })
+	first := w.gossip.rnd.Int64N(fullEvery)
+	if w.now > 0 { // one that joins a fleet exchanges all with one that it knows, at once
+		first = 0
+	}
+	w.after(first, evGossip, p.id, func() { p.deliver(life, func() { p.full(life) }) })
+}
+
+// hear takes a packet in.
+func (p *proxy) hear(k packet) {
+	now := p.clock()
+	if (now-p.fleet.ticked > stallMost || now < p.fleet.deaf) && p.w.cfg.seeded != seedStalled {
+		p.w.res.Stalled++
+		return
+	}
+	p.fleet.heard = p.w.now
+	in := p.unpack(k)
+	news := p.fleet.view.Merge(now, in)
+	p.w.gossip.book.came(p, news)
+	p.fleet.spread.add(news)
+}
+
+// exchange is the part of the loop's turn that tells and hears.
+func (p *proxy) exchange() {
+	f, w, now := p.fleet, p.w, p.clock()
+	if now-f.ticked > stallMost {
+		f.deaf = now + stallDeaf
+	}
+	f.ticked = now
+	items := p.items(p.b.Seen(now))
+	if w.cfg.Chatter > 0 {
+		items = append(items, p.chatter()...)
+	}
+	told := f.view.Say(now, append(items, p.falsehoods()...))
+	w.gossip.book.told(p, told)
+	f.spread.add(told)
+	p.b.Peers(now, p, p.peers(now))
+	w.check.polled(p, now)
+}
+
+// peers is what the view knows, as the Balancer takes it.
+func (p *proxy) peers(now int64) logic.Peers {
+	w := p.w
+	known := p.fleet.view.Known(now)
+	h := logic.Peers{Alone: w.now-p.fleet.heard >= aloneAfter, Notices: make([]logic.Notice, 0, len(known))}
+	for _, o := range w.proxies {
+		if o == p || w.gossip.knows(w, p, o) {
+			h.Living++
+			h.Near += int(partOf(o.zone == p.zone))
+		}
+	}
+	if p.id == 0 && w.cfg.seeded == seedDeaf {
+		return h
+	}
+	p.fleet.bad = make([]bool, len(w.nodos))
+	for i := range known {
+		if w.cfg.seeded == seedAfterEnd {
+			known[i].Made -= known[i].Life
+		}
+		w.check.used(p, now, &known[i])
+		if n, ok := p.notice(&known[i]); ok {
+			h.Notices = append(h.Notices, n)
+		}
+	}
+	return h
+}
+
+func partOf(so bool) float64 {
+	if so {
+		return 1
+	}
+	return 0
+}
+
+func zoneName(z int) string { return "z" + strconv.Itoa(z) }
+
+// zone is the number of a zone's name, -1 for none.
+func (w *world) zone(name string) int {
+	if len(name) < 2 || name[0] != 'z' {
+		return -1
+	}
+	n, err := strconv.Atoi(name[1:])
+	if err != nil || n < 0 || n >= w.cfg.Zones {
+		return -1
+	}
+	return n
+}
+
+func ofZone(k logic.NoticeKind) bool { return k == logic.ZoneBad || k == logic.ZoneWell }
+
+// items are a Balancer's notices in the view's terms.
+func (p *proxy) items(notices []logic.Notice) []view.Item {
+	out := make([]view.Item, 0, len(notices))
+	for _, n := range notices {
+		i := view.Item{Kind: view.Kind(n.Kind) + view.ServerBad, Subject: n.Server, Start: n.Launched / ms,
+			Body: view.Body{Cause: uint8(n.Cause), Calls: n.Calls, Bad: n.Bad, Value: n.Value}}
+		if ofZone(n.Kind) {
+			i.Subject = zoneName(n.Of)
+		}
+		out = append(out, i)
+	}
+	return out
+}
+
+// notice is an entry in the Balancer's terms.
+func (p *proxy) notice(e *view.Entry) (logic.Notice, bool) {
+	n := logic.Notice{Kind: logic.NoticeKind(e.Kind - view.ServerBad), Cause: logic.Cause(e.Body.Cause), Observer: e.Observer,
+		Zone: p.w.zone(e.Zone), Server: e.Subject, Launched: e.Start * ms, Calls: e.Body.Calls, Bad: e.Body.Bad,
+		Value: e.Body.Value, At: e.Made}
+	if ofZone(n.Kind) {
+		n.Server, n.Of = "", p.w.zone(e.Subject)
+	}
+	if n.Kind == logic.ServerBad && p.w.cfg.seeded == seedFormer {
+		n.Launched = p.told[p.w.nodoNamed(n.Server).id].Launched
+	}
+	return n, n.Zone >= 0 && n.Of >= 0
+}
+
+// lie has a proxy say that all nodos of a zone are bad, or end that.
+func (p *proxy) lie(zone, by int) {
+	if p.fleet == nil {
+		return
+	}
+	if by > 0 {
+		p.fleet.lies = append(p.fleet.lies, zone)
+		return
+	}
+	for i, z := range p.fleet.lies {
+		if z == zone {
+			p.fleet.lies = append(p.fleet.lies[:i], p.fleet.lies[i+1:]...)
+			return
+		}
+	}
+}
+
+// falsehoods are what a liar says. Say takes the first of two items on one subject.
+func (p *proxy) falsehoods() (out []view.Item) {
+	for _, z := range p.fleet.lies {
+		body := view.Body{Cause: uint8(logic.Silent), Calls: 1000, Bad: 1}
+		out = append(out, view.Item{Kind: view.ZoneBad, Subject: zoneName(z), Body: body})
+		for _, n := range p.w.nodos {
+			if n.zone == z {
+				out = append(out, view.Item{Kind: view.ServerBad, Subject: n.name, Start: p.told[n.id].Launched / ms, Body: body})
+			}
+		}
+	}
+	return out
+}
+
+// chatter is what a proxy tells where only the spreading is looked at: so many summaries of nodos, which all move.
+func (p *proxy) chatter() (out []view.Item) {
+	for i := range min(p.w.cfg.Chatter, len(p.w.nodos)) {
+		n := p.w.nodos[(p.id+i)%len(p.w.nodos)]
+		out = append(out, view.Item{Kind: view.ServerLoad, Subject: n.name,
+			Body: view.Body{Calls: 100, Value: 1000 + 1000*p.w.gossip.rnd.Float64()}})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/model/gossip.go
@@ -0,0 +1,238 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"fernlanding/internal/fleet/view"
+)
+
+// How entries spread. It follows memberlist: each proxy sends what it has to tell to a few others so many times, and
+// exchanges all with one other now and then. Who lives is not gossiped here but known after a time, as SWIM has it.
+const (
+	gossipEvery = 100 * ms
+	gossipTo    = 3       // others, each time
+	gossipTimes = 4       // so many times the decimal logarithm of the proxies, rounded up, is each entry sent
+	fullEvery   = 5 * sec // full exchange with one other
+	packetBytes = 1400
+	packetHolds = 36      // entries, where none is encoded
+	noticeDown  = 4 * sec // until a proxy that has ended, or cannot be reached, counts as gone
+	noticeUp    = 500 * ms
+	aloneAfter  = 3 * sec // without a word of anybody
+)
+
+// gossip is what the proxies' talk has in common.
+type gossip struct {
+	rnd   *rand.Rand
+	near  []bool // by from and to: zones that reach each other, over others too, as SWIM has found out
+	times int    // that each entry is sent
+	book  book
+}
+
+func (g *gossip) begin(w *world) {
+	g.rnd = source(w.cfg.Seed, chanceGossip)
+	g.times = gossipTimes * int(math.Ceil(math.Log10(float64(w.cfg.Proxies+1))))
+	g.near = w.net.reach()
+	g.book.begin()
+}
+
+// reach has the proxies find out, in a while, which zones reach which.
+func (g *gossip) reach(w *world) {
+	w.after(noticeDown, evGossip, 0, func() { g.near = w.net.reach() })
+}
+
+// reach tells which zones reach each other now, over any way there and back.
+func (n *network) reach() []bool {
+	z := n.zones
+	r := make([]bool, z*z)
+	for i := range r {
+		r[i] = n.talk[i] == 0
+	}
+	for k := range z {
+		for i := range z {
+			for j := range z {
+				r[i*z+j] = r[i*z+j] || r[i*z+k] && r[k*z+j]
+			}
+		}
+	}
+	both := make([]bool, z*z)
+	for i := range z {
+		for j := range z {
+			both[i*z+j] = r[i*z+j] && r[j*z+i]
+		}
+	}
+	return both
+}
+
+// knows tells whether a proxy takes another for living.
+func (g *gossip) knows(w *world, p, o *proxy) bool {
+	if !g.near[p.zone*w.cfg.Zones+o.zone] {
+		return false
+	}
+	if !o.up || o.stopped {
+		return w.now-o.downAt < noticeDown
+	}
+	return o.since == 0 || w.now-o.since >= noticeUp
+}
+
+// key is what an entry takes the place of another by.
+type key struct {
+	kind     view.Kind
+	subject  string
+	observer string
+}
+
+// telling is an entry that is being spread.
+type telling struct {
+	entry view.Entry
+	times int
+	stale bool // a later one has taken its place
+}
+
+// spread holds what a proxy has to tell, by how often it was told: what was told least goes first, of that the latest.
+type spread struct {
+	byTimes [][]*telling
+	latest  map[key]*telling
+}
+
+func (s *spread) add(entries []view.Entry) {
+	for _, e := range entries {
+		k := key{e.Kind, e.Subject, e.Observer}
+		if old := s.latest[k]; old != nil {
+			old.stale = true
+		}
+		t := &telling{entry: e}
+		s.latest[k] = t
+		s.byTimes[0] = append(s.byTimes[0], t)
+	}
+}
+
+// take gives up to most entries, each counted as told once more.
+func (s *spread) take(most int) (out []view.Entry) {
+	taken := make([]*telling, 0, most)
+	out = make([]view.Entry, 0, most)
+	for i, line := range s.byTimes {
+		n := len(line)
+		for n > 0 && len(out) < most {
+			n--
+			if t := line[n]; !t.stale {
+				out, taken = append(out, t.entry), append(taken, t)
+			}
+		}
+		clear(line[n:])
+		s.byTimes[i] = line[:n]
+	}
+	for _, t := range taken {
+		if t.times++; t.times < len(s.byTimes) {
+			s.byTimes[t.times] = append(s.byTimes[t.times], t)
+		} else {
+			delete(s.latest, key{t.entry.Kind, t.entry.Subject, t.entry.Observer})
+		}
+	}
+	return out
+}
+
+// packet is what goes from proxy to proxy: entries with their ages, or the same encoded.
+type packet struct {
+	entries []view.Entry
+	ages    []int64
+	bytes   [][]byte
+}
+
+func (p *proxy) pack(entries []view.Entry, most int) packet {
+	now := p.clock()
+	if p.w.cfg.Encoded {
+		return packet{bytes: view.Encode(now, entries, most)}
+	}
+	k := packet{entries: entries, ages: make([]int64, len(entries))}
+	for i := range entries {
+		k.ages[i] = now - entries[i].Made
+	}
+	return k
+}
+
+// unpack has the times on the reader's clock.
+func (p *proxy) unpack(k packet) []view.Entry {
+	now := p.clock()
+	var out []view.Entry
+	for _, b := range k.bytes {
+		entries, _, err := view.Decode(now, b)
+		if err != nil {
+			p.w.check.fault(ruleEnds, "a packet of a proxy's is not read by another: %v", err)
+		}
+		out = append(out, entries...)
+	}
+	for i := range k.entries { // the packet is this reader's alone
+		k.entries[i].Made = now - k.ages[i]
+	}
+	if out == nil {
+		return k.entries
+	}
+	return out
+}
+
+// gossip is one round of a proxy's.
+func (p *proxy) gossip(life int) {
+	w := p.w
+	for range gossipTo {
+		o := p.peer()
+		if o == nil {
+			break
+		}
+		if entries := p.fleet.spread.take(packetHolds); len(entries) > 0 || w.now-p.fleet.probed >= sec {
+			p.fleet.probed = w.now // a probe, beside what is to be told, shows that this one lives
+			p.talk(o, p.pack(entries, packetBytes))
+		}
+	}
+	w.after(p.lasts(gossipEvery), evGossip, p.id, func() { p.deliver(life, func() { p.gossip(life) }) })
+}
+
+// full exchanges all with one other, over a connection.
+func (p *proxy) full(life int) {
+	w := p.w
+	if o := p.peer(); o != nil && w.net.spoken(p.zone, o.zone) && w.net.spoken(o.zone, p.zone) && o.up && !o.stopped {
+		there, back := w.net.delay(p.zone, o.zone), w.net.delay(o.zone, p.zone)
+		mine, other := p.pack(p.fleet.view.All(p.clock()), 32<<10), o.life
+		w.after(2*there+back, evPacket, o.id, func() {
+			o.deliver(other, func() {
+				theirs := o.pack(o.fleet.view.All(o.clock()), 32<<10)
+				o.hear(mine)
+				w.after(back, evPacket, p.id, func() { p.deliver(life, func() { p.hear(theirs) }) })
+			})
+		})
+	}
+	w.after(p.lasts(fullEvery), evGossip, p.id, func() { p.deliver(life, func() { p.full(life) }) })
+}
+
+// peer draws another that this one takes for living; nil where a few draws find none.
+func (p *proxy) peer() *proxy {
+	for range 20 {
+		o := p.w.proxies[p.w.gossip.rnd.IntN(len(p.w.proxies))]
+		if o != p && p.w.gossip.knows(p.w, p, o) {
+			return o
+		}
+	}
+	return nil
+}
+
+// talk sends a packet, which may be lost. One that is stopped has it wait in its socket, up to a bound.
+func (p *proxy) talk(o *proxy, k packet) {
+	w := p.w
+	w.res.Packets++
+	for _, b := range k.bytes {
+		w.res.Bytes += len(b)
+	}
+	delay, ok := w.net.hear(p.zone, o.zone, w.gossip.rnd)
+	if !ok || !o.up {
+		return
+	}
+	life := o.life
+	w.after(delay, evPacket, o.id, func() {
+		if o.stopped {
+			if o.waits++; o.waits > inboxMost {
+				return
+			}
+		}
+		o.deliver(life, func() { o.hear(k) })
+	})
+}
--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,64 @@
+package model
+
+import (
+	"flag"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"testing"
+)
+
+var schedules = flag.Int("model.schedules", 24, "schedules of faults to play")
+
+// scheduled is a small fleet with the schedule of faults of a seed.
+func scheduled(seed uint64) Config {
+	c := Default()
+	c.Seed = seed
+	c.Zones, c.Regions = 3+int(seed%2), 1+int(seed/2%2)
+	c.Rate = c.Capacity() * (0.3 + 0.1*float64(seed%5))
+	c.Faults = Schedule(&c)
+	return c
+}
+
+// TestSchedules plays each schedule as a test of its own: -run Schedules/17 plays one again.
+func TestSchedules(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			c := scheduled(seed)
+			r := mustRun(t, c)
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			if t.Failed() {
+				t.Logf("%d broken in all; faults: %v", r.Broken, c.Faults)
+			}
+		})
+	}
+}
+
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(800) // runs are short and make much garbage
+	os.Exit(m.Run())
+}
+
+func mustRun(t *testing.T, c Config) *Result {
+	t.Helper()
+	r, err := Run(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	for seed := range uint64(4) {
+		one, two := mustRun(t, scheduled(seed)), mustRun(t, scheduled(seed))
+		if one.Sum != two.Sum || one.Events != two.Events {
+			t.Errorf("seed %d: two runs differ", seed)
+		}
+		if other := mustRun(t, scheduled(seed+100)); other.Sum == one.Sum {
+			t.Errorf("seeds %d and %d give one run", seed, seed+100)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/model/network.go
@@ -0,0 +1,52 @@
+package model
+
+import "math/rand/v2"
+
+// Delays of one way, without jitter. Far ones are those of two sites some hundred kilometres apart.
+const (
+	delayZone   = 200 // within a zone, and up to twice that
+	delayRegion = 1 * ms
+	delayFar    = 12 * ms
+	jitter      = 1.0 // of the delay, at most
+)
+
+// network knows how long and whether anything gets from zone to zone.
+type network struct {
+	zones   int
+	regions int
+	rnd     *rand.Rand
+	data    []int // cuts in force, by from and to: of connections and requests
+	back    []int // the same, of answers
+	talk    []int // the same, of gossip
+	loss    float64
+	lag     int64 // further delay of gossip packets at most
+}
+
+func newNetwork(c *Config) network {
+	return network{zones: c.Zones, regions: c.Regions, rnd: source(c.Seed, chanceLinks), loss: c.Loss,
+		data: make([]int, c.Zones*c.Zones),
+		back: make([]int, c.Zones*c.Zones), talk: make([]int, c.Zones*c.Zones)}
+}
+
+func (n *network) region(zone int) int { return zone * n.regions / n.zones }
+
+// delay is one way's, with jitter.
+func (n *network) delay(from, to int) int64 {
+	d := int64(delayZone)
+	if n.region(from) != n.region(to) {
+		d = delayFar
+	} else if from != to {
+		d = delayRegion
+	}
+	return d + int64(n.rnd.Float64()*jitter*float64(d))
+}
+
+func (n *network) open(from, to int) bool   { return n.data[from*n.zones+to] == 0 }
+func (n *network) heard(from, to int) bool  { return n.back[from*n.zones+to] == 0 }
+func (n *network) spoken(from, to int) bool { return n.talk[from*n.zones+to] == 0 }
+
+// hear tells whether a gossip packet gets through now, and its delay.
+func (n *network) hear(from, to int, chance *rand.Rand) (delay int64, ok bool) {
+	lost, late := chance.Float64(), chance.Float64()
+	return n.delay(from, to) + int64(late*float64(n.lag)), n.spoken(from, to) && lost >= n.loss
+}
