--- a/logic/zones.go
+++ b/logic/zones.go
@@ -39,11 +39,12 @@
 // lookAt moves a zone to where the evidence of all copies of this zone puts it. One that is drained stays so.
 func (b *Balancer) lookAt(now int64, h Host, z *zone) {
 	lost, age, others := b.lost(z), now-z.Since, b.othersGive(z)
+	answers := z.sum.calls >= zoneCalls && z.sum.part() <= trialBad // nobody is followed out of such a zone
 	switch z.Standing {
 	case Well, Pressed:
 		if lost {
 			b.stand(now, h, z, Leaving, leaveShare)
-		} else if others < 1 && age >= settle {
+		} else if others < 1 && age >= settle && (others > 0 || !answers) {
 			b.follow(now, h, z, others)
 		} else if b.pressed(z) != (z.Standing == Pressed) && age >= settle {
 			b.stand(now, h, z, Pressed-z.Standing, 1)
