Test that a successor takes its predecessor's place in the fleet

A start must wait for nobody, and two processes of one proxy share the fleet's address in turn. Seen to fail with the address tried once: the successor stays out of the fleet. Seen to fail too, for what the test held before: with no lift of what is kept here (its end), and with calls not told to the fleet (a suspension binds only one).

--- a/cmd/fernlanding/fleet_test.go
+++ b/cmd/fernlanding/fleet_test.go
@@ -241,6 +241,17 @@
 	together("the one that goes on to be back", is("fleet_living", 3))
 	together("it to learn what was done meanwhile", is("fleet_suspended", 1))
 	c.until(t, "what came during the stop to be left unread", func(f map[string]int) bool { return f["fleet_refused.late"] > 0 })
+
+	next := *b // a successor beside it, which the fleet knows once b has left
+	next.mgmt = free(t)
+	next.start(t, s, "test", a.bind)
+	next.until(t, "a start that waits for nobody", is("fleet_open", 0))
+	if clean, err := b.End(patience); err != nil || !clean {
+		t.Errorf("b: clean %v, %v", clean, err)
+	}
+	all[1] = &next
+	together("the successor in its place", func(f map[string]int) bool { return f["fleet_living"] == 3 && f["fleet_suspended"] == 1 })
+
 	for _, m := range all {
 		if clean, err := m.End(patience); err != nil || !clean {
 			t.Errorf("%s: clean %v, %v", m.name, clean, err)
