--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -86,8 +86,9 @@
 			cost += l.slow * modelNodos / perTurn
 		}
 		l.free = start.Add(cost)
+		turn := l.free.Sub(now)
 		l.mu.Unlock()
-		time.Sleep(l.free.Sub(now))
+		time.Sleep(turn)
 		l.mu.Lock()
 	}
 	end := time.NewTimer(hold)
@@ -289,7 +290,9 @@
 					join(0)
 				}
 				time.Sleep(20 * time.Second)
+				l.mu.Lock()
 				before := l.calls
+				l.mu.Unlock()
 				go func() { // a release: a change each 700 ms
 					for range 30 {
 						time.Sleep(700 * time.Millisecond)
@@ -302,6 +305,8 @@
 				time.Sleep(60 * time.Second)
 				stop()
 				synctest.Wait()
+				l.mu.Lock()
+				defer l.mu.Unlock()
 				if got := l.calls - before; got > tt.turns {
 					t.Errorf("%d turns taken, want at most %d", got, tt.turns)
 				}
