Take zones out by hand, and show how zones stand, at the management address

On-call staff could suspend nodos one by one only, and saw nothing of what the module holds of zones. A zone is out by a name that no server may bear, so that it takes the way of a server through the folder, the fleet's word and the one set that holds; its file (zone-NAME) former versions ignore. A call that leaves no zone with nodos that serve is refused (409).

--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -21,15 +21,20 @@
 type Config struct {
 	Dir   string          // folder of the bans; it exists
 	Names *Names          // servers that there may be calls on
+	Zones *Names          // zones that there may be calls on; nil for none
 	Ended <-chan struct{} // closed once no set is taken any more, since nothing is sent: calls then hold
 	Log   *slog.Logger
 
-	// Told hears of each call here that was kept, before it holds; nil for nobody. It may set Outside, and the call
+	// Serving gives the zones that have servers to send to; with Zones. It is called from many goroutines, and the
+	// result is not changed.
+	Serving func() map[string]bool
+
+	// Told hears of each call here that was kept, before it holds, of zones by OfZone; nil for nobody. It may set Outside, and the call
 	// then holds with that. An error of it is the call's. It is called from many goroutines.
-	Told func(nodo string, suspended bool) error
+	Told func(id string, suspended bool) error
 }
 
-// Set is the whole set of servers that are out. Its reader must not change it.
+// Set is the whole set of servers and, by OfZone, of zones that are out. Its reader must not change it.
 type Set struct {
 	IDs  map[string]bool
 	done chan struct{}
@@ -48,6 +53,8 @@
 	mu   sync.Mutex      // one reading of the store at a time, handed on in order
 	kept map[string]bool // the store's when it was last read
 
+	drainMu sync.Mutex // one call at a time that takes a zone out
+
 	outsideMu sync.Mutex
 	outside   map[string]bool // replaced, never changed
 }
@@ -69,11 +76,12 @@
 func (b *Bans) Present() map[string]bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.union()
+	return b.with(b.kept)
 }
 
-func (b *Bans) union() map[string]bool {
-	ids := maps.Clone(b.kept)
+// with is the union of what is kept and what comes from outside.
+func (b *Bans) with(kept map[string]bool) map[string]bool {
+	ids := maps.Clone(kept)
 	b.outsideMu.Lock()
 	defer b.outsideMu.Unlock()
 	maps.Copy(ids, b.outside)
@@ -126,7 +134,7 @@
 	if err == nil {
 		b.kept = kept
 	}
-	return errors.Join(err, b.hand(b.union()))
+	return errors.Join(err, b.hand(b.with(b.kept)))
 }
 
 // hand gives a set to its reader and returns once it holds, or a *LateError.
@@ -154,10 +162,10 @@
 // Suspend takes a server out until Resume, here or at another process with this folder. It returns once that is
 // kept and holds. Its errors are *UnknownError, *StoreError, *LateError and those of Config.Told; after each of the
 // others than the first the call may be repeated.
-func (b *Bans) Suspend(nodo string) error { return b.call(nodo, true) }
+func (b *Bans) Suspend(nodo string) error { return b.callNodo(nodo, true) }
 
 // Resume ends that, with the same errors. What comes from outside stands until Outside says otherwise.
-func (b *Bans) Resume(nodo string) error { return b.call(nodo, false) }
+func (b *Bans) Resume(nodo string) error { return b.callNodo(nodo, false) }
 
 // Lift ends what is kept here of a suspension that all the others ended, without a word to them.
 func (b *Bans) Lift(nodo string) error {
@@ -170,30 +178,35 @@
 	return b.apply()
 }
 
-func (b *Bans) call(nodo string, suspended bool) error {
-	if !b.known(nodo) {
+// callNodo lets a call on a server through that a list has named, or that is out.
+func (b *Bans) callNodo(nodo string, suspended bool) error {
+	if _, zone := zoneOf(nodo); zone || !b.cfg.Names.Has(nodo) && !b.out(nodo) {
 		return &UnknownError{nodo}
 	}
+	return b.call(nodo, suspended)
+}
+
+func (b *Bans) call(id string, suspended bool) error {
 	keep := b.store.remove
 	if suspended {
 		keep = b.store.add
 	}
-	if err := keep(nodo); err != nil {
+	if err := keep(id); err != nil {
 		return err
 	}
 	var untold error
 	if b.cfg.Told != nil {
-		untold = b.cfg.Told(nodo, suspended)
+		untold = b.cfg.Told(id, suspended)
 	}
 	return errors.Join(untold, b.apply()) // it is kept: it holds here even if others were not told
 }
 
-// known tells whether there may be a call on a server: a list has named it, or it is out.
-func (b *Bans) known(nodo string) bool {
-	if b.cfg.Names.Has(nodo) || b.store.has(nodo) {
+// out tells whether a server, or a zone, is out here or by others.
+func (b *Bans) out(id string) bool {
+	if b.store.has(id) {
 		return true
 	}
 	b.outsideMu.Lock()
 	defer b.outsideMu.Unlock()
-	return b.outside[nodo]
+	return b.outside[id]
 }
--- a/internal/bans/store.go
+++ b/internal/bans/store.go
@@ -9,14 +9,23 @@
 	"strings"
 )
 
-const prefix = "ban-" // of a file's name; a server's name follows, escaped as in a URL's path
+// What a file's name begins with; a server's or a zone's name follows, escaped as in a URL's path.
+const (
+	prefix     = "ban-"
+	zonePrefix = "zone-" // former versions do not read these
+)
 
-// store keeps bans in a folder, one empty file a server. The folder is the only truth: whatever process changes it,
+// store keeps bans in a folder, one empty file a server or zone. The folder is the only truth: whatever process changes it,
 // each reads it again. A file is made or removed whole, so two processes cannot lose each other's changes. All
 // errors are *StoreError.
 type store struct{ dir string }
 
-func (s store) path(nodo string) string { return filepath.Join(s.dir, prefix+url.PathEscape(nodo)) }
+func (s store) path(id string) string {
+	if zone, ok := zoneOf(id); ok {
+		return filepath.Join(s.dir, zonePrefix+url.PathEscape(zone))
+	}
+	return filepath.Join(s.dir, prefix+url.PathEscape(id))
+}
 
 func (s store) add(nodo string) error {
 	f, err := os.OpenFile(s.path(nodo), os.O_CREATE|os.O_WRONLY, 0o600)
@@ -56,9 +65,14 @@
 	ids := map[string]bool{}
 	for _, e := range entries {
 		if name, ok := strings.CutPrefix(e.Name(), prefix); ok {
-			if id, err := url.PathUnescape(name); err == nil {
+			id, err := url.PathUnescape(name)
+			if _, zone := zoneOf(id); err == nil && !zone {
 				ids[id] = true
 			}
+		} else if name, ok := strings.CutPrefix(e.Name(), zonePrefix); ok {
+			if zone, err := url.PathUnescape(name); err == nil {
+				ids[OfZone(zone)] = true
+			}
 		}
 	}
 	return ids, nil
--- /dev/null
+++ b/internal/bans/zones_test.go
@@ -0,0 +1,106 @@
+package bans
+
+import (
+	"errors"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"testing/synctest"
+)
+
+// zonesOut are the zones that the reader of Bans has out.
+func (h *held) zonesOut() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, zones := Split(h.ids)
+	return slices.Sorted(maps.Keys(zones))
+}
+
+func TestZonesAreTakenOutButForTheLast(t *testing.T) {
+	type calls = []struct {
+		do   string // d: drain, r: restore, o: out by others, from then on, s: this process starts again
+		zone string
+		err  error // of this type
+	}
+	unknown, last := &UnknownZoneError{}, &LastZoneError{}
+	for _, c := range []struct {
+		name  string
+		calls calls
+		want  []string
+	}{
+		{"a stranger", calls{{"d", "x", unknown}, {"r", "x", unknown}, {"d", "", unknown}}, nil},
+		{"given twice", calls{{"d", "a", nil}, {"d", "a", nil}}, []string{"a"}},
+		{"ended twice", calls{{"d", "a", nil}, {"r", "a", nil}, {"r", "a", nil}}, nil},
+		{"never out", calls{{"r", "a", nil}}, nil},
+		{"the last", calls{{"d", "a", nil}, {"d", "b/c", last}, {"d", "a", nil}}, []string{"a"}},
+		{"the last of those that serve", calls{{"d", "empty", nil}, {"d", "a", nil}, {"d", "b/c", last}}, []string{"a", "empty"}},
+		{"the last with others' words", calls{{"o", "b/c", nil}, {"d", "a", last}}, []string{"b/c"}},
+		{"over a restart", calls{{"d", "b/c", nil}, {"s", "", nil}, {"d", "a", last}}, []string{"b/c"}},
+		{"ended over a restart", calls{{"d", "b/c", nil}, {"s", "", nil}, {"r", "b/c", nil}, {"s", "", nil}}, nil},
+		{"beside others' words", calls{{"d", "a", nil}, {"o", "gone", nil}, {"r", "a", nil}, {"r", "gone", nil}}, []string{"gone"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			synctest.Test(t, func(t *testing.T) {
+				cfg := Config{Dir: dir, Zones: NewNames(), Serving: func() map[string]bool { return map[string]bool{"a": true, "b/c": true} }}
+				cfg.Zones.Add("a", "b/c", "empty")
+				b, here := acting(t, cfg)
+				for _, call := range c.calls {
+					var err error
+					switch call.do {
+					case "d":
+						err = b.Drain(call.zone)
+					case "r":
+						err = b.Restore(call.zone)
+					case "o":
+						b.Outside(map[string]bool{OfZone(call.zone): true})
+						synctest.Wait()
+					case "s":
+						b, here = acting(t, cfg)
+					}
+					var ok bool
+					switch call.err {
+					case nil:
+						ok = err == nil
+					case unknown:
+						var e *UnknownZoneError
+						ok = errors.As(err, &e) && e.Zone == call.zone
+					default:
+						var e *LastZoneError
+						ok = errors.As(err, &e) && e.Zone == call.zone && len(e.Out) > 0
+					}
+					if !ok {
+						t.Errorf("%s %q: %v", call.do, call.zone, err)
+					}
+				}
+				if got := here.zonesOut(); !slices.Equal(got, c.want) {
+					t.Errorf("out: %q, not %q", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// A zone is kept where former versions do not look, and none goes for a server, whatever their names.
+func TestZonesAndServersAreKeptApart(t *testing.T) {
+	s := store{t.TempDir()}
+	must(t, errors.Join(s.add("a"), s.add(OfZone("a/b"))))
+	if _, err := os.Stat(filepath.Join(s.dir, "zone-a%2Fb")); err != nil {
+		t.Error(err)
+	}
+	must(t, os.WriteFile(filepath.Join(s.dir, "ban-%00zone%2Fc"), nil, 0o600)) // nobody's
+	got, err := s.load()
+	if nodos, zones := Split(got); err != nil || !maps.Equal(nodos, map[string]bool{"a": true}) || !maps.Equal(zones, map[string]bool{"a/b": true}) {
+		t.Errorf("%v %v %v", nodos, zones, err)
+	}
+	names := NewNames()
+	names.Add(OfZone("c"))
+	b, err := Open(Config{Dir: s.dir, Names: names})
+	must(t, err)
+	var unknown *UnknownError
+	if err := b.Suspend(OfZone("c")); !errors.As(err, &unknown) {
+		t.Errorf("a server with a zone's mark: %v", err)
+	}
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -47,6 +47,7 @@
 	Rejected    int64  // and turned down
 	List        *List  // of a list that several members keep; else nil
 	Fleet       *Fleet // of a proxy that is one of a fleet; else nil
+	Zones       []Zone // of one in a fleet, or with a zone drained; else none
 }
 
 // List is how a proxy stands with the members of the list service.
@@ -65,6 +66,10 @@
 	// no for good; after others the call may be repeated.
 	Suspend(nodo string) error
 	Resume(nodo string) error
+	// Drain and Restore do the same to a zone, with a *bans.UnknownZoneError or *bans.LastZoneError.
+	Drain(zone string) error
+	Restore(zone string) error
+	Zones() []Zone // in a stable order
 }
 
 // Server answers the calls.
@@ -99,6 +104,9 @@
 	mux.HandleFunc("GET /v1/metrics", s.metrics)
 	mux.HandleFunc("POST /v1/nodos/{id}/suspend", s.nodo("suspend", p.Suspend))
 	mux.HandleFunc("POST /v1/nodos/{id}/resume", s.nodo("resume", p.Resume))
+	mux.HandleFunc("GET /v1/zones", s.zones)
+	mux.HandleFunc("POST /v1/zones/{name}/drain", s.zone("drain", p.Drain))
+	mux.HandleFunc("POST /v1/zones/{name}/restore", s.zone("restore", p.Restore))
 	s.http = &http.Server{Handler: s.whole(mux), ReadTimeout: callPatience, WriteTimeout: callPatience + writePatience,
 		MaxHeaderBytes: maxHead, ConnState: s.connState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -199,6 +207,9 @@
 			l.Kept)
 	}
 	f.Fleet.encode(&b)
+	for _, z := range f.Zones {
+		z.encode(&b)
+	}
 	return b.Bytes()
 }
 
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -28,8 +28,16 @@
 func (p *fakeProxy) Suspend(nodo string) error { return p.do("suspend", nodo) }
 func (p *fakeProxy) Resume(nodo string) error  { return p.do("resume", nodo) }
 
+func (p *fakeProxy) Drain(zone string) error   { return p.do("drain", zone) }
+func (p *fakeProxy) Restore(zone string) error { return p.do("restore", zone) }
+func (p *fakeProxy) Zones() []Zone             { return p.figures.Zones }
+
 func (p *fakeProxy) do(verb, nodo string) error {
 	switch nodo {
+	case "nowhere":
+		return &bans.UnknownZoneError{Zone: nodo}
+	case "last":
+		return &bans.LastZoneError{Zone: nodo, Out: []string{"other"}}
 	case "stranger":
 		return &bans.UnknownError{Nodo: nodo}
 	case "stuck":
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -28,6 +28,7 @@
 	mu     sync.Mutex
 	byName map[string]*backend
 	banned map[string]bool
+	outs   map[string]bool // zones that get nothing
 	open   int
 	trust  keepalive.Trust
 
@@ -44,9 +45,10 @@
 type backend struct {
 	name    string
 	addr    string
+	zone    string
 	started int64
 	serving bool    // by the list
-	ready   bool    // serving and not banned
+	ready   bool    // serving, and neither banned nor in a zone that is drained
 	epoch   int     // goes up when what is told of it changes: drained, gone, restarted, moved, banned or not
 	idle    []*conn // the most recently used last
 }
@@ -82,11 +84,11 @@
 		if b.started != e.SinceMs {
 			p.trust.Died(now, e.Name)
 		}
-		if ready := e.Status == discovery.Serving && !p.banned[e.Name]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
+		if ready := e.Status == discovery.Serving && !p.banned[e.Name] && !p.outs[e.Zone]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
-		b.serving = e.Status == discovery.Serving
+		b.zone, b.serving = e.Zone, e.Status == discovery.Serving
 		if e.Status == discovery.Deleted {
 			p.trust.Died(now, e.Name)
 			delete(p.byName, e.Name)
@@ -107,12 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.banned = ids
-	for name, b := range p.byName {
-		if ready := b.serving && !ids[name]; ready != b.ready {
-			b.ready = ready
-			p.turn(b)
-		}
-	}
+	p.sift()
 }
 
 // turn begins a new epoch of a backend.
--- a/internal/proxy/figures.go
+++ b/internal/proxy/figures.go
@@ -16,7 +16,8 @@
 type figures struct {
 	mu      sync.Mutex
 	classes map[string]*mgmt.Ends
-	counts  mgmt.Figures // all but Classes
+	counts  mgmt.Figures // all but Classes and Zones
+	zones   zonesShown
 }
 
 func newFigures(classes []string) *figures {
@@ -112,5 +113,8 @@
 	for c, e := range maps.All(f.classes) {
 		out.Classes[c] = *e
 	}
+	if f.zones.told {
+		out.Zones = f.zones.now()
+	}
 	return out
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -40,6 +40,7 @@
 
 	reqs     map[string]*request // until answered and no attempt is out
 	banned   map[string]bool
+	hands    zoneHands
 	timers   timerHeap
 	unsent   []*attempt // Sends that cannot be carried out; their outcomes follow the present event
 	attempts sync.WaitGroup
@@ -54,7 +55,7 @@
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
 	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
-		seen: bans.NewNames(), ask: func() {}, listed: make(chan struct{}), fresh: make(chan struct{}),
+		seen: bans.NewNames(), hands: newZoneHands(z), ask: func() {}, listed: make(chan struct{}), fresh: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
@@ -110,6 +111,7 @@
 			l.meet()
 		case <-look:
 			l.figs.servers(l.bal.Servers())
+			l.lookZones()
 		case <-ctx.Done():
 			return
 		}
@@ -178,7 +180,9 @@
 	}
 	l.seen.Add(names...)
 	l.pool.apply(kind != logic.Delta, list.Endpoints)
+	l.drain() // before the module hears of what is there now
 	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.Endpoints))
+	l.nameZones()
 	l.figs.servers(l.bal.Servers())
 	select {
 	case <-l.listed:
@@ -211,13 +215,20 @@
 	if err != nil {
 		return err
 	}
+	l.nameZones()
 	f.turn(newView(site, l.bal.Rules(), numbers))
 	l.pool.retime(site.DialTimeout, site.IdleClose)
 	return nil
 }
 
-// ban has these backends and no others banned.
+// ban has these backends and zones and no others out.
 func (l *loop) ban(ids map[string]bool) {
+	ids, zones := bans.Split(ids)
+	if !maps.Equal(zones, l.hands.asked) {
+		l.hands.asked = zones
+		l.drain()
+		l.showZones()
+	}
 	if maps.Equal(ids, l.banned) {
 		return
 	}
