--- a/cmd/fernlanding/fleet_test.go
+++ b/cmd/fernlanding/fleet_test.go
@@ -34,8 +34,8 @@
 const fleetText = `{"name":%q,"listen":%q,"mgmt":%q,"discovery":"127.0.0.1:1","seed":"1",` +
 	`"fleet":{"bind":%q,"label":%q,"seeds":[%q]},"limits":{"cores":1.0,"memory_mb":192,"sockets":512},` +
 	`"known":{"index":4,"snapshot":true,"endpoints":[{"name":"n/1","address":"127.0.0.1:1","zone":"a","status":"SERVING",` +
-	`"since_ms":5},{"name":"n/2","address":"127.0.0.1:1","zone":"a","status":"SERVING","since_ms":5}]},` +
-	`"settings":{"contract":{},"failure_domains":["a"],"limits":{"dial_timeout_us":100000,"idle_close_us":1000000,` +
+	`"since_ms":5},{"name":"n/2","address":"127.0.0.1:1","zone":"b","status":"SERVING","since_ms":5}]},` +
+	`"settings":{"contract":{},"failure_domains":["a","b"],"limits":{"dial_timeout_us":100000,"idle_close_us":1000000,` +
 	`"try_limit":3},"membership_mode":"automatic","profiles":[{"give_up_us":800000,"name":"look","objective_us":400000,` +
 	`"repeat":"idempotent","worth":1}],"siblings":3}}`
 
@@ -126,11 +126,16 @@
 	return func(f map[string]int) bool { n, told := f[key]; return told && n == want }
 }
 
-// call is given until it is confirmed: on a busy disk it may be late, as the answer says.
 func (m *member) call(t *testing.T, verb, nodo string) {
+	t.Helper()
+	m.post(t, "nodos/"+nodo+"/"+verb)
+}
+
+// post is given until it is confirmed: on a busy disk it may be late, as the answer says.
+func (m *member) post(t *testing.T, path string) {
 	t.Helper()
 	for end := time.Now().Add(patience); ; {
-		resp, err := http.Post("http://"+m.mgmt+"/v1/nodos/"+nodo+"/"+verb, "", nil)
+		resp, err := http.Post("http://"+m.mgmt+"/v1/"+path, "", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -140,9 +145,9 @@
 		case resp.StatusCode == http.StatusOK:
 			return
 		case resp.StatusCode != http.StatusServiceUnavailable || time.Now().After(end):
-			t.Fatalf("%s at %s: %d %s", verb, m.name, resp.StatusCode, text)
+			t.Fatalf("%s at %s: %d %s", path, m.name, resp.StatusCode, text)
 		}
-		t.Logf("%s at %s: %s", verb, m.name, text)
+		t.Logf("%s at %s: %s", path, m.name, text)
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -80,7 +80,12 @@
 // startProxyAt starts a proxy that keeps its bans in a folder.
 func startProxyAt(t *testing.T, list string, sockets int, known, state string) *running {
 	t.Helper()
-	site, err := settings.Decode([]byte(siteText))
+	return startSite(t, siteText, list, sockets, known, state)
+}
+
+func startSite(t *testing.T, text, list string, sockets int, known, state string) *running {
+	t.Helper()
+	site, err := settings.Decode([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/proxy/zonehands_test.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"fernlanding/internal/bans"
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/mgmt"
+	"fernlanding/logic"
+)
+
+// stands is how a proxy shows a zone.
+func stands(t *testing.T, p *running, name string) mgmt.Zone {
+	t.Helper()
+	for _, z := range p.Zones() {
+		if z.Name == name {
+			return z
+		}
+	}
+	t.Fatalf("zone %s is not shown: %+v", name, p.Zones())
+	return mgmt.Zone{}
+}
+
+// A zone that is drained gets nothing at any process of a proxy, whatever lists say, and comes back by steps.
+func TestADrainedZoneGetsNothingUntilItIsRestored(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	in := func(zone, text string) string {
+		return strings.Replace(text, `"zone":"a"`, fmt.Sprintf(`"zone":%q`, zone), 1)
+	}
+	known := listText(1, true, listed("a/1", a.addr, discovery.Serving), in("b", listed("b/1", b.addr, discovery.Serving)))
+	d := startDiscovery(t)
+	text := strings.Replace(siteText, `"failure_domains":["a"]`, `"failure_domains":["a","b"]`, 1)
+	first := startSite(t, text, d.addr, 200, known, t.TempDir())
+	id := 0
+	asks := func(p *running, times int) {
+		t.Helper()
+		for c := connect(t, p); times > 0; times-- {
+			id++
+			c.send(t, look(strconv.Itoa(id), 4000))
+			if resp, _ := c.answer(t); resp.StatusCode != 200 {
+				t.Fatalf("request %d: %s", id, resp.Status)
+			}
+		}
+	}
+	asks(first, 50)
+	if z := stands(t, first, "a"); a.requests.Load() == 0 || z.Standing != logic.Well || z.Share != 1 || first.Figures().Zones != nil {
+		t.Fatalf("before: %d at a, %+v, figures %+v", a.requests.Load(), z, first.Figures().Zones)
+	}
+	for range 2 { // calls may be repeated
+		if err := first.Drain("a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := a.requests.Load()
+	var last *bans.LastZoneError
+	if err := first.Drain("b"); !errors.As(err, &last) {
+		t.Errorf("the last zone: %v", err)
+	}
+	var unknown *bans.UnknownZoneError
+	if err := first.Drain("c"); !errors.As(err, &unknown) {
+		t.Errorf("a stranger: %v", err)
+	}
+	second := startSite(t, text, d.addr, 200, known, first.cfg.State)
+	more := []string{listed("a/2", a.addr, discovery.Serving), in("c", listed("c/1", b.addr, discovery.Serving))}
+	for range 2 { // one for each of them
+		d.say <- listText(2, false, more...)
+	}
+	for _, p := range []*running{first, second} {
+		waitUntil(t, func() bool { return p.Figures().Discovered == 4 })
+		if z := stands(t, p, "a"); z.Standing != logic.Drained || z.Share != 0 || len(p.Figures().Zones) != 3 {
+			t.Errorf("drained: %+v, figures %+v", z, p.Figures().Zones)
+		}
+		asks(p, 50)
+	}
+	if n := a.requests.Load() - before; n > 0 {
+		t.Errorf("%d requests went to a zone that is drained", n)
+	}
+	if err := second.Restore("a"); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []*running{second, first} {
+		waitUntil(t, func() bool { return stands(t, p, "a").Standing == logic.Returning })
+		before = a.requests.Load()
+		waitUntil(t, func() bool { asks(p, 1); return a.requests.Load() > before })
+		if p.Figures().Zones != nil {
+			t.Error("restored, it still shows figures of zones")
+		}
+	}
+	waitUntil(t, func() bool { return stands(t, first, "a").Share > 0.1 }) // without a fleet that moves it
+}
+
+// Drains by calls at two proxies leave a zone, the same one at each.
+func TestDrainsThatMeetLeaveOneZone(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	known := listText(1, true, listed("a/1", a.addr, discovery.Serving),
+		strings.Replace(listed("b/1", b.addr, discovery.Serving), `"zone":"a"`, `"zone":"b"`, 1))
+	d := startDiscovery(t)
+	p := startProxy(t, d.addr, 200, known)
+	p.bans.Outside(map[string]bool{bans.OfZone("a"): true, bans.OfZone("b"): true})
+	waitUntil(t, func() bool { return stands(t, p, "b").Standing == logic.Drained })
+	if z := stands(t, p, "a"); z.Standing != logic.Well || z.Reason == "" {
+		t.Errorf("the first by name: %+v", z)
+	}
+	d.say <- listText(2, false, strings.Replace(listed("c/1", b.addr, discovery.Serving), `"zone":"a"`, `"zone":"c"`, 1))
+	waitUntil(t, func() bool { return stands(t, p, "a").Standing == logic.Drained }) // there is another now
+}
