--- a/internal/bans/zones_test.go
+++ b/internal/bans/zones_test.go
@@ -92,7 +92,8 @@
 	}
 	must(t, os.WriteFile(filepath.Join(s.dir, "ban-%00zone%2Fc"), nil, 0o600)) // nobody's
 	got, err := s.load()
-	if nodos, zones := Split(got); err != nil || !maps.Equal(nodos, map[string]bool{"a": true}) || !maps.Equal(zones, map[string]bool{"a/b": true}) {
+	nodos, zones := Split(got)
+	if err != nil || !maps.Equal(nodos, map[string]bool{"a": true}) || !maps.Equal(zones, map[string]bool{"a/b": true}) {
 		t.Errorf("%v %v %v", nodos, zones, err)
 	}
 	names := NewNames()
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -84,7 +84,8 @@
 		if b.started != e.SinceMs {
 			p.trust.Died(now, e.Name)
 		}
-		if ready := e.Status == discovery.Serving && !p.banned[e.Name] && !p.outs[e.Zone]; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
+		ready := e.Status == discovery.Serving && !p.banned[e.Name] && !p.outs[e.Zone]
+		if b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -54,8 +54,8 @@
 
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
-	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
-		seen: bans.NewNames(), hands: newZoneHands(z), ask: func() {}, listed: make(chan struct{}), fresh: make(chan struct{}),
+	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log,
+		events: make(chan func(), 256), seen: bans.NewNames(), hands: newZoneHands(z), ask: func() {}, listed: make(chan struct{}), fresh: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,7 +120,8 @@
 		l.apply(logic.Cached, known)
 	}
 	if cfg.Watched {
-		of := bans.Config{Dir: cfg.State, Names: l.seen, Zones: l.hands.named, Serving: l.pool.servingZones, Ended: l.done, Log: cfg.Log}
+		of := bans.Config{Dir: cfg.State, Names: l.seen, Zones: l.hands.named, Serving: l.pool.servingZones,
+			Ended: l.done, Log: cfg.Log}
 		if cfg.Fleet != nil {
 			of.Told = func(nodo string, suspended bool) error { return p.fleet.told(nodo, suspended) }
 		}
