--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -29,8 +29,8 @@
 	// result is not changed.
 	Serving func() map[string]bool
 
-	// Told hears of each call here that was kept, before it holds, of zones by OfZone; nil for nobody. It may set Outside, and the call
-	// then holds with that. An error of it is the call's. It is called from many goroutines.
+	// Told hears of each call here that was kept, before it holds, of zones by OfZone; nil for nobody. It may set Outside,
+	// and the call then holds with that. An error of it is the call's. It is called from many goroutines.
 	Told func(id string, suspended bool) error
 }
 
