Damp the removals of servers that swing, over all copies, within one budget

A server that goes up and down moves load, costs handshakes and starts the next swing elsewhere. Copies now tell each swing that they see (ServerFlap); one record for each server and start counts a swing once when enough copies saw it within 2 s, whoever they are. Each adds a penalty of 1, which halves in 20 s; above 2.2 the server gets a steady tenth of its share everywhere until it is under 1, for a minute at most. A lease that ends and comes back with the same start is a swing. The penalty and since when: Damped, and a log line on change.

Verdicts and damping take from one budget of a third of a tier and of a zone; a copy that hears nobody damps its zone's part of the living at most. What a list, a ban, the age or a refused connection says stands above it. Silence counts only among copies of one zone, as with verdicts.

The mark is 2.2 and not 1.8, where a single fall and return within 10 s would damp: a stall of a whole zone's link would then cost its servers 12 s. So a server that swings every 5 s changes state three times in its first minute and twice in each later one.

--- /dev/null
+++ b/logic/damping.go
@@ -0,0 +1,82 @@
+package logic
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Removals and returns that follow each other fast do more harm than the server does: each moves load, costs
+// handshakes and starts the next one elsewhere. So what swings gets one steady, small share until it rests.
+const (
+	swingHalf   = 20 * second // a penalty halves in this time
+	swingMost   = 5.0         // and is no more than this: what has rested is back within 2.4 half times
+	swingMark   = 2.2         // a penalty over it damps: the third swing, where they are 10 s apart or less
+	swingReuse  = 1.0         // and one under it ends that
+	swingLong   = 60 * second // so does this time; the next swing then damps again
+	swingWindow = 2 * second  // swings that several observers saw within this are one
+	swingVotes  = 3           // observers that must have seen one; fewer where fewer live, see enough
+	swingKept   = 4096        // records
+	swingWell   = 0.2         // part of bad calls under which a server that was bad is well again
+	dampedPart  = 0.1         // of its share is left to a server that swings
+)
+
+// enough is how many observers must have seen a swing where so many proxies live: a single one's link can be
+// bad, and in a large fleet only some call a given server.
+func enough(living int) int { return min(swingVotes, 1+living/4) }
+
+// damped tells whether a key that began at start is to get its steady share now, and since when.
+func (d *damper) damped(now int64, key string, start int64) (since int64, is bool) {
+	r := d.swings[key]
+	if r == nil || r.start != start {
+		return 0, false
+	}
+	left := r.left(now)
+	if r.since != 0 && (left < swingReuse || now-r.since >= swingLong) {
+		r.since = 0
+	} else if r.since == 0 && r.fresh && left > swingMark {
+		r.since = now
+	}
+	r.fresh = false
+	return r.since, r.since != 0
+}
+
+// swings looks whether a server that was well to this copy is bad or the other way round.
+func (b *Balancer) swings(now int64, s *server, bad bool, part float64) {
+	if bad {
+		b.swung(now, s, true, s.seen.cause)
+	} else if part <= swingWell && s.whole.left >= wellPart {
+		b.swung(now, s, false, NoCause)
+	}
+}
+
+// damp takes the swings that copies tell of, and damps the servers with most, the first first, as far as the
+// budget for removals goes: what others that hear each other damp is theirs. It returns what is left of the
+// budget and what each zone has used. Silence counts as with verdicts. No list, ban, age or refused connection is
+// overruled: a server that is damped is only never better than that.
+func (b *Balancer) damp(now int64) (left int, out map[int]int) {
+	for n := range b.notices {
+		if n.Kind == ServerFlap && (n.Cause != Silent || n.Zone == b.s.Zone) {
+			b.damper.saw(now, n.Server, n.Launched, n.Bad >= badServer, n.Observer, n.At, enough(b.peers.Near))
+		}
+	}
+	if left, out = budget(len(b.ready)), map[int]int{}; b.peers.Alone {
+		left = left * b.peers.Near / max(b.peers.Living, b.peers.Near)
+	}
+	var swing []*server
+	in := map[int]int{}
+	for _, s := range b.ready {
+		in[s.Zone]++
+		if s.since, s.damped = b.damper.damped(now, s.ID, s.Launched); s.damped {
+			swing = append(swing, s)
+		}
+	}
+	slices.SortFunc(swing, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.since, y.since), cmp.Compare(x.ID, y.ID))
+	})
+	for _, s := range swing {
+		if s.damped = left > 0 && out[s.Zone] < budget(in[s.Zone]); s.damped {
+			left, out[s.Zone] = left-1, out[s.Zone]+1
+		}
+	}
+	return left, out
+}
--- /dev/null
+++ b/logic/damping_test.go
@@ -0,0 +1,324 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A server that swings every so often, as seen by three copies at slightly different times, changes state twice a
+// minute at most once it is known for it; one that falls and comes back once is not damped.
+func TestDamperBySwings(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		every, until int64   // it swings, and rests from then on
+		mostFirst    int     // changes of state in the first minute
+		most         int     // and in any later one
+		least, long  float64 // part of ten minutes for which it is damped
+	}{
+		{"every 5 s", 5 * second, 600 * second, 3, 2, 0.85, 0.95},
+		{"every 2.5 s", 5 * second / 2, 600 * second, 3, 2, 0.9, 1},
+		{"every 5 s for a minute", 5 * second, 60 * second, 3, 2, 0.09, 0.2},
+		{"one fall and return", 3 * second, 7 * second, 2, 0, 0, 0},
+		{"every two minutes", 120 * second, 600 * second, 1, 2, 0, 0},
+	} {
+		var d damper
+		var changes []int64
+		down, state, damped := false, 0, 0.0
+		for now := int64(0); now < 600*second; now += second / 10 {
+			if now > 0 && now%c.every == 0 && now < c.until {
+				down = !down
+				for i := range int64(3) {
+					d.saw(now+i, "s", 1, down, fmt.Sprint(i), now+i, 3)
+				}
+			}
+			_, is := d.damped(now+3, "s", 1)
+			damped += partOf(is) / 6000
+			is2 := int(partOf(down))
+			if is {
+				is2 = 2
+			}
+			if is2 != state {
+				state, changes = is2, append(changes, now)
+			}
+		}
+		first, later := 0, 0
+		for i, at := range changes {
+			n := 0
+			for _, x := range changes[i:] {
+				n += int(partOf(x < at+60*second))
+			}
+			if first += int(partOf(at <= 60*second)); at > 60*second {
+				later = max(later, n)
+			}
+		}
+		if first > c.mostFirst || later > c.most || damped < c.least || damped > c.long {
+			t.Errorf("%s: %d changes in the first minute, up to %d in a later one, damped for %.2f of the time",
+				c.name, first, later, damped)
+		}
+	}
+}
+
+func TestDamperVotes(t *testing.T) {
+	type say struct {
+		at, start int64
+		down      bool
+		who       string
+	}
+	for _, c := range []struct {
+		name string
+		says []say
+		want float64 // penalty
+	}{
+		{"one observer is not enough", []say{{1, 1, true, "a"}, {2, 1, true, "a"}, {3, 1, true, "a"}}, 0},
+		{"two are", []say{{1, 1, true, "a"}, {2, 1, true, "b"}}, 1},
+		{"more say the same", []say{{1, 1, true, "a"}, {2, 1, true, "b"}, {3, 1, true, "c"}, {9, 1, true, "d"}}, 1},
+		{"two at other times", []say{{1, 1, true, "a"}, {3 * second, 1, true, "b"}}, 0},
+		{"there and back", []say{{1, 1, true, "a"}, {2, 1, true, "b"}, {3, 1, false, "b"}, {4, 1, false, "a"}}, 2},
+		{"an old return is late", []say{{5, 1, true, "a"}, {5, 1, true, "b"}, {3, 1, false, "b"}, {4, 1, false, "a"}}, 1},
+		{"a restart forgets", []say{{1, 1, true, "a"}, {2, 1, true, "b"}, {3, 2, true, "a"}}, 0},
+		{"one from before it counts for nothing", []say{{1, 2, true, "a"}, {2, 1, true, "b"}}, 0},
+		{"a return without a fall", []say{{1, 1, false, "a"}, {2, 1, false, "b"}}, 0},
+		{"from times to come", []say{{1, 1, true, "a"}, {math.MaxInt64, 1, true, "b"}}, 0},
+	} {
+		var d damper
+		now := int64(0)
+		for _, s := range c.says {
+			if now = max(now, s.at); s.at == math.MaxInt64 {
+				now = 1
+			}
+			d.saw(now, "s", s.start, s.down, s.who, s.at, 2)
+		}
+		got := 0.0
+		if r := d.swings["s"]; r != nil {
+			got = r.left(now)
+		}
+		if math.Abs(got-c.want) > 1e-3 {
+			t.Errorf("%s: penalty %g, want %g", c.name, got, c.want)
+		}
+	}
+}
+
+// Whatever is told: a penalty stays within its bounds, damping begins only above the mark and ends within its
+// time, each swing counts once, and records stay few and go once they rest.
+func TestDamperAtRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d damper
+		now, counted, since := int64(0), map[string]int64{}, map[string]int64{}
+		state := map[string]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 4*second).Draw(t, "pause")
+			key := rapid.SampledFrom([]string{"s", "u"}).Draw(t, "key")
+			down := rapid.Bool().Draw(t, "down")
+			at := now - rapid.Int64Range(-second, 3*second).Draw(t, "age")
+			known := d.swings[key] != nil
+			if d.saw(now, key, 1, down, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "who"), at, 2) {
+				if known && state[key] == down || at <= counted[key] && counted[key] != 0 || at > now {
+					t.Fatalf("at %d a swing of %s to %v seen at %d counts again", now, key, down, at)
+				}
+				state[key], counted[key] = down, at
+			}
+			for _, key := range []string{"s", "u"} {
+				r := d.swings[key]
+				if r == nil {
+					since[key] = 0
+					continue
+				}
+				if p := r.left(now); !(p >= 0 && p <= swingMost) {
+					t.Fatalf("a penalty of %g", p)
+				}
+				from, is := d.damped(now, key, 1)
+				if is && since[key] == 0 && r.left(now) <= swingMark || is && (now-from >= swingLong || r.left(now) < swingReuse) {
+					t.Fatalf("at %d damped since %d at a penalty of %g", now, from, r.left(now))
+				}
+				if !is && since[key] != 0 && now-since[key] < swingLong && r.left(now) >= swingReuse {
+					t.Fatalf("at %d no longer damped at a penalty of %g", now, r.left(now))
+				}
+				since[key] = from
+			}
+		}
+		if d.tidy(now + 200*second); len(d.swings) != 0 {
+			t.Fatalf("%d records are kept of what rests", len(d.swings))
+		}
+	})
+}
+
+// In real decisions: one of twelve servers of one zone fails every other 5 s, or its lease ends; ten copies.
+func TestFleetDamps(t *testing.T) {
+	flapping := func(w *world) bool { return (w.now-start)/(5*second)%2 == 1 }
+	for _, c := range []struct {
+		name   string
+		fate   func(w *world, s Server) (Status, int64)
+		lease  bool
+		on     bool
+		damped bool
+		most   float64 // part of calls to s0 from 30 s on
+	}{
+		{"fails, alone", func(w *world, s Server) (Status, int64) {
+			if s.ID == "s0" && flapping(w) {
+				return Error, 5_000
+			}
+			return w.well(nil, s)
+		}, false, false, false, 0.05},
+		{"fails", func(w *world, s Server) (Status, int64) {
+			if s.ID == "s0" && flapping(w) {
+				return Error, 5_000
+			}
+			return w.well(nil, s)
+		}, false, true, true, 0.02},
+		{"silent", func(w *world, s Server) (Status, int64) {
+			if s.ID == "s0" && flapping(w) {
+				return TimedOut, 1_600_000
+			}
+			return w.well(nil, s)
+		}, false, true, true, 0.02},
+		{"its lease ends", func(w *world, s Server) (Status, int64) { return w.well(nil, s) }, true, true, true, 0.02},
+		{"well", func(w *world, s Server) (Status, int64) { return w.well(nil, s) }, false, true, false, 0.12},
+	} {
+		w := laid(t, 1, 10, 12, 30, c.on)
+		w.fate = func(_ *copyOf, s Server) (Status, int64) { return c.fate(w, s) }
+		damped, looks := 0, 0
+		for at := second; at <= 60*second; at += second {
+			w.run(at)
+			if c.lease && at%(5*second) == 0 {
+				s := w.servers[0]
+				if s.State = Ready; flapping(w) {
+					s.State = Gone
+				}
+				for _, x := range w.copies {
+					x.b.List(w.now, x, Delta, []Server{s})
+				}
+			}
+			for _, x := range w.copies {
+				if at > 30*second && (!c.lease || !flapping(w)) {
+					looks++
+					damped += len(x.b.Damped(w.now))
+				}
+			}
+		}
+		calls, of := 0.0, 0.0
+		for _, x := range w.copies {
+			for _, s := range x.sends {
+				if s.at > start+30*second {
+					of++
+					calls += partOf(s.server == "s0")
+				}
+			}
+		}
+		if (float64(damped) > 0.9*float64(looks)) != c.damped || calls/of > c.most {
+			t.Errorf("%s: damped in %d of %d looks, gets %.4f of the calls", c.name, damped, looks, calls/of)
+		}
+	}
+}
+
+// A death while damped: refused connections are avoided as fast, and what the list says is never damped.
+func TestDeathWhileDamped(t *testing.T) {
+	trials, later := map[bool]int{}, map[bool]int{}
+	for _, damped := range []bool{false, true} {
+		w := laid(t, 1, 10, 12, 30, true)
+		dead := false
+		w.fate = func(_ *copyOf, s Server) (Status, int64) {
+			if s.ID == "s0" && dead {
+				return ConnectFailed, 500
+			} else if s.ID == "s0" && damped && (w.now-start)/(5*second)%2 == 1 {
+				return Error, 5_000
+			}
+			return w.well(nil, s)
+		}
+		w.run(30 * second)
+		dead = true
+		before := make([]int, len(w.copies))
+		for i, c := range w.copies {
+			before[i] = len(c.sends)
+			if (len(c.b.Damped(w.now)) == 1) != damped {
+				t.Fatalf("%s: damped %v, not %v", c.name, c.b.Damped(w.now), damped)
+			}
+		}
+		w.run(50 * second)
+		for i, c := range w.copies {
+			for _, s := range c.sends[before[i]:] {
+				trials[damped] += int(partOf(s.server == "s0"))
+				later[damped] += int(partOf(s.server == "s0" && s.at > start+31*second))
+			}
+		}
+		for _, c := range w.copies {
+			c.b.List(w.now, c, Delta, []Server{{ID: "s0", State: Draining}})
+			if n := len(c.sends); n > 0 && len(c.b.Damped(w.now)) != 0 {
+				t.Errorf("%s: one that drains is damped", c.name)
+			}
+		}
+		gone := w.now
+		w.run(51 * second)
+		for _, c := range w.copies {
+			for _, s := range c.sends {
+				if s.at > gone && s.server == "s0" {
+					t.Fatalf("%s calls one that drains", c.name)
+				}
+			}
+		}
+	}
+	if trials[true] > trials[false] || later[true] > 2*later[false] {
+		t.Errorf("%d calls in 20 s to one that died while damped, %d of them after 1 s; %d and %d to one that was well",
+			trials[true], later[true], trials[false], later[false])
+	}
+}
+
+// However many swing, and whoever hears each other, no copy damps more than its part of a tier's or zone's servers.
+func TestDampingBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, h := mustNewFor(t, 3), &recorder{}
+		n := rapid.IntRange(1, 20).Draw(t, "servers")
+		var list []Server
+		in := map[int]int{}
+		for i := range n {
+			s := Server{ID: fmt.Sprint("s", i), Zone: rapid.IntRange(0, 2).Draw(t, "zone"), State: Ready}
+			in[s.Zone]++
+			list = append(list, s)
+		}
+		b.List(start, h, Full, list)
+		living := rapid.IntRange(1, 30).Draw(t, "living")
+		near := rapid.IntRange(1, living).Draw(t, "near")
+		alone := rapid.Bool().Draw(t, "alone")
+		now := start
+		for i := range 6 {
+			now += 3 * second
+			p := Peers{Living: living, Near: near}
+			for _, s := range list {
+				for _, who := range []string{"a", "b", "c"} {
+					p.Notices = append(p.Notices, Notice{Kind: ServerFlap, Observer: who, Server: s.ID, Bad: partOf(i%2 == 0), At: now})
+				}
+			}
+			b.Peers(now, h, p)
+		}
+		b.Peers(now, h, Peers{Living: living, Near: near, Alone: alone})
+		out := map[int]int{}
+		for _, d := range b.Damped(now) {
+			out[b.byID[d.Server].Zone]++
+		}
+		all := out[0] + out[1] + out[2]
+		part := 1.0
+		if alone {
+			part = float64(near) / float64(living)
+		}
+		if float64(all) > part*max(1, float64(n)/3) || all == 0 && !alone && n > 4 {
+			t.Fatalf("%d of %d servers are damped, alone %v, %d of %d near", all, n, alone, near, living)
+		}
+		for z, k := range out {
+			if k > max(1, in[z]/3) || in[z] == 1 {
+				t.Fatalf("%d of %d servers of zone %d are damped", k, in[z], z)
+			}
+		}
+	})
+}
+
+func mustNewFor(t *rapid.T, zones int) *Balancer {
+	s := testSettings()
+	s.Zones = zones
+	b, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -61,7 +61,7 @@
 	// trials are a part of what goes to those that are well.
 	for i, w := range b.weights {
 		part := b.drawn[i].healthFor(q.Class)
-		if b.drawn[i].whole.left*b.drawn[i].told < wellPart && q.s.Classes[q.Class].Repeat == Unsafe {
+		if s := b.drawn[i]; (s.damped || s.whole.left*s.told < wellPart) && q.s.Classes[q.Class].Repeat == Unsafe {
 			part *= riskPart
 		}
 		if best > 0 && part < wellPart && w > part*best {
--- a/logic/learning.go
+++ b/logic/learning.go
@@ -34,6 +34,7 @@
 	}
 	c, k, failed := &b.classes[q.Class], q.s.Classes[q.Class], o.Status != OK
 	blame := b.judge(a.srv, q.Class, o.Status)
+	a.srv.refused = o.Status == ConnectFailed || failed && a.srv.refused
 	if b.zones != nil {
 		b.note(now, a, causeOf(o.Status))
 	}
--- a/logic/members.go
+++ b/logic/members.go
@@ -36,7 +36,10 @@
 	for _, e := range entries {
 		b.enter(e)
 	}
-	b.relist()
+	b.leases(now)
+	if b.relist(); b.zones != nil {
+		b.condemn(now) // one whose lease has come back may be damped
+	}
 	if b.s.Subscribe && !b.asked {
 		b.asked = true
 		h.Watch()
--- a/logic/state.go
+++ b/logic/state.go
@@ -113,6 +113,9 @@
 	okAt     int64   // when this copy was last answered by it
 	told     float64 // part of its weight that the verdicts of others leave
 	verdict  verdict // what copies say of it now
+	refused  bool    // it refused a connection, and has answered nothing since
+	damped   bool    // removals and returns are not acted on
+	since    int64   // since then
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -122,6 +125,7 @@
 func (s *server) forget(classes int) {
 	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
 	s.seen, s.okAt, s.told, s.verdict = evidence{}, 0, 1, verdict{}
+	s.damped, s.refused = false, false
 	for i := range s.classes {
 		s.classes[i].left = 1
 	}
@@ -135,7 +139,15 @@
 	return 0
 }
 
-func (s *server) healthFor(class int) float64 { return s.whole.left * s.classes[class].left * s.told }
+// healthFor is a server's for the calls of a class; one that is damped has one that is steady, or less if it
+// refuses connections.
+func (s *server) healthFor(class int) float64 {
+	left := s.whole.left * s.classes[class].left * s.told
+	if s.damped && (!s.refused || left > dampedPart) {
+		return dampedPart
+	}
+	return left
+}
 
 type attempt struct {
 	srv     *server
@@ -260,7 +272,12 @@
 	peers     Peers     // what others told last
 	tells     []Notice  // what this copy told last
 	drained   map[int]bool
-	reported  int64 // when the last log line was written
+	flaps     map[string]flap // by server
+	damper    damper
+	dampedAt  int64 // when the last log line on them was written, and what it said
+
+	dampedSaid string
+	reported   int64 // when the last log line was written
 }
 
 // enter counts a call in.
@@ -336,7 +353,7 @@
 // failures, get trials at most.
 func (b *Balancer) Servers() (listed, avoided int) {
 	for _, s := range b.all {
-		if b.banned[s.ID] || s.State == Ready && s.whole.left < wellPart {
+		if b.banned[s.ID] || s.State == Ready && (s.damped || s.whole.left < wellPart) {
 			avoided++
 		}
 	}
--- /dev/null
+++ b/logic/swings.go
@@ -0,0 +1,178 @@
+package logic
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+// The data that removals are damped by. This file keeps books; it decides nothing.
+
+const (
+	flapTold = 10 * second // a swing is told for so long
+	flapKept = 60 * second // and known for so long, to tell the next one
+)
+
+// damper keeps one record for each key, which is a server or a zone. The zero value is ready.
+type damper struct{ swings map[string]*swing }
+
+// swing is the record of one key. Swings alternate: one that leads where the last one led is the same, seen late.
+type swing struct {
+	start   int64 // the key's own; another begins a new record
+	down    bool  // where the last swing that counted led
+	last    int64 // when it was first seen
+	votes   []vote
+	penalty float64
+	at      int64 // when the penalty was that
+	since   int64 // damped from then on; 0: not damped
+	fresh   bool  // a swing has counted since damped was asked
+}
+
+// vote is the newest swing against the last one that counted, as one observer saw it.
+type vote struct {
+	observer string
+	at       int64
+}
+
+// saw takes a swing of a key with the given start, seen by an observer at some time; it tells whether this one
+// makes it count.
+func (d *damper) saw(now int64, key string, start int64, down bool, observer string, at int64, enough int) bool {
+	r := d.swings[key]
+	if r == nil || start > r.start {
+		if d.tidy(now); r == nil && len(d.swings) >= swingKept || !down {
+			return false // a record begins with a fall
+		}
+		r = &swing{start: start, last: at - swingWindow, at: now}
+		if d.swings == nil {
+			d.swings = map[string]*swing{}
+		}
+		d.swings[key] = r
+	}
+	if start != r.start || down == r.down || at <= r.last || at > now {
+		return false
+	}
+	r.votes = slices.DeleteFunc(r.votes, func(v vote) bool {
+		return v.observer == observer || at-v.at > swingWindow
+	})
+	if r.votes = append(r.votes, vote{observer, at}); len(r.votes) < enough {
+		return false
+	}
+	r.down, r.last, r.votes = down, at, nil
+	r.penalty, r.at, r.fresh = min(r.left(now)+1, swingMost), now, true
+	return true
+}
+
+// left is the penalty now.
+func (r *swing) left(now int64) float64 {
+	return r.penalty * math.Exp2(-float64(now-r.at)/float64(swingHalf))
+}
+
+// tidy forgets the records that have come to rest.
+func (d *damper) tidy(now int64) {
+	for key, r := range d.swings {
+		if r.left(now) < swingReuse/2 && now-r.last > swingHalf {
+			delete(d.swings, key)
+		}
+	}
+}
+
+// flap is the latest swing of a server's health as this copy saw it.
+type flap struct {
+	launched int64
+	down     bool
+	cause    Cause // of the latest fall
+	at       int64
+	times    float64
+}
+
+// swung notes that a server is bad or well, if that is another than before.
+func (b *Balancer) swung(now int64, s *server, down bool, cause Cause) {
+	f := b.flaps[s.ID]
+	if f.launched != s.Launched {
+		f = flap{launched: s.Launched}
+	}
+	if f.down == down {
+		return
+	}
+	if f.down, f.at, f.times = down, now, f.times+1; down {
+		f.cause = cause
+	}
+	if b.flaps == nil {
+		b.flaps = map[string]flap{}
+	}
+	b.flaps[s.ID] = f
+}
+
+// leases notes the servers that a list has no longer: one that comes back with the same start swings.
+func (b *Balancer) leases(now int64) {
+	for _, s := range b.all {
+		if b.zones != nil {
+			if f := b.flaps[s.ID]; s.State == Gone || f.down && f.cause == leaseEnded {
+				b.swung(now, s, s.State == Gone, leaseEnded)
+			}
+		}
+	}
+}
+
+// leaseEnded is a cause that only this copy's books have: it is told as none.
+const leaseEnded Cause = -1
+
+// tellSwings is what this copy tells of swings.
+func (b *Balancer) tellSwings(now int64) (out []Notice) {
+	for _, id := range slices.Sorted(maps.Keys(b.flaps)) {
+		f := b.flaps[id]
+		if now-f.at > flapKept {
+			delete(b.flaps, id)
+		} else if now-f.at <= flapTold {
+			n := Notice{Kind: ServerFlap, Cause: max(f.cause, NoCause), Zone: b.s.Zone, Server: id,
+				Launched: f.launched, Calls: f.times, Bad: partOf(f.down), At: f.at}
+			if r := b.damper.swings[id]; r != nil {
+				n.Value = r.left(now)
+			}
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// DampedState tells on-call staff and figures of a server whose removals and returns are not acted on.
+type DampedState struct {
+	Server  string
+	Penalty float64
+	Since   int64
+}
+
+// Damped are the servers that get their steady small share now, the longest so first.
+func (b *Balancer) Damped(now int64) (out []DampedState) {
+	for _, s := range b.ready {
+		if s.damped {
+			out = append(out, DampedState{s.ID, b.damper.swings[s.ID].left(now), s.since})
+		}
+	}
+	slices.SortFunc(out, func(x, y DampedState) int {
+		return cmp.Or(cmp.Compare(x.Since, y.Since), cmp.Compare(x.Server, y.Server))
+	})
+	return out
+}
+
+// reportDamped tells on-call staff which servers are damped when that has changed, once a second at most.
+func (b *Balancer) reportDamped(now int64, h Host) {
+	var names []string
+	for _, d := range b.Damped(now) {
+		names = append(names, d.Server)
+	}
+	all := strings.Join(names, " ")
+	if all == b.dampedSaid || now-b.dampedAt < second {
+		return
+	}
+	b.dampedSaid, b.dampedAt = all, now
+	if all == "" {
+		h.Log("no server is damped any more")
+		return
+	}
+	h.Log(fmt.Sprintf("%d servers swing between bad and well and get a steady %.2f of their share: %s", len(names),
+		dampedPart, all[:min(len(all), 200)]))
+}
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -94,7 +94,8 @@
 		}
 		tried, triedIn[i] = tried+1, triedIn[i]+1
 		n := Notice{Zone: b.s.Zone, Server: s.ID, Launched: s.Launched, Calls: s.seen.calls, Bad: s.seen.part()}
-		if n.Bad >= badServer || s.whole.left < wellPart && s.seen.badAt > s.okAt {
+		isBad := n.Bad >= badServer || s.whole.left < wellPart && s.seen.badAt > s.okAt
+		if b.swings(now, s, isBad, n.Bad); isBad {
 			bad, badOf[i], badIn[s.Zone] = bad+1, badOf[i]+1, true
 			n.Kind, n.Cause, n.At = ServerBad, s.seen.cause, s.seen.badAt
 			b.tells = append(b.tells, n)
@@ -107,6 +108,7 @@
 		b.tells = nil
 		return nil
 	}
+	b.tells = append(b.tells, b.tellSwings(now)...)
 	for i := range b.zones {
 		if n, ok := b.tellZone(now, i, 2*badOf[i] >= triedIn[i] && badOf[i] > 0); ok {
 			b.tells = append(b.tells, n)
@@ -159,14 +161,15 @@
 		p.Notices, p.Near = nil, max(p.Near, b.peers.Near)
 	}
 	b.peers = p
-	b.condemn()
+	b.condemn(now)
+	b.reportDamped(now, h)
 	b.lookAtZones(now, h)
 }
 
 // condemn leaves trials at most to servers that enough others call bad, the worst first, as far as the budget
 // goes. What this copy was answered since tells more. Silence is told of a way, not of a server: only that of
 // copies in this zone counts.
-func (b *Balancer) condemn() {
+func (b *Balancer) condemn(now int64) {
 	b.sumServers(func(n Notice) bool { return n.Cause != Silent || n.Zone == b.s.Zone }, verdictMost)
 	var bad []*server
 	in := map[int]int{}
@@ -182,10 +185,9 @@
 	slices.SortFunc(bad, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(y.verdict.calls, x.verdict.calls), cmp.Compare(x.ID, y.ID))
 	})
-	left := budget(len(b.ready))
-	out := map[int]int{}
+	left, out := b.damp(now)
 	for _, s := range bad {
-		if left > 0 && out[s.Zone] < budget(in[s.Zone]) {
+		if !s.damped && left > 0 && out[s.Zone] < budget(in[s.Zone]) {
 			left, out[s.Zone], s.told = left-1, out[s.Zone]+1, healthFloor
 		}
 	}
