--- a/logic/api.go
+++ b/logic/api.go
@@ -80,6 +80,8 @@
 	StartCapacity float64 // part of its capacity that a server starts with, at least
 	Cold          int64   // a server is warm after this at the latest
 
+	Undamped bool // with others told: servers that swing are not damped
+
 	ByWork bool // worth is counted for each unit of work, not for each request
 }
 
--- a/logic/damping.go
+++ b/logic/damping.go
@@ -27,7 +27,7 @@
 // damped tells whether a key that began at start is to get its steady share now, and since when.
 func (d *damper) damped(now int64, key string, start int64) (since int64, is bool) {
 	r := d.swings[key]
-	if r == nil || r.start != start {
+	if r == nil || !sameTime(r.start, start) {
 		return 0, false
 	}
 	left := r.left(now)
@@ -41,8 +41,8 @@
 }
 
 // swings looks whether a server that was well to this copy is bad or the other way round.
-func (b *Balancer) swings(now int64, s *server, bad bool, part float64) {
-	if bad {
+func (b *Balancer) swings(now int64, s *server, part float64) {
+	if s.callsBad() {
 		b.swung(now, s, true, s.seen.cause)
 	} else if part <= swingWell && s.whole.left >= wellPart {
 		b.swung(now, s, false, NoCause)
@@ -55,7 +55,7 @@
 // overruled: a server that is damped is only never better than that.
 func (b *Balancer) damp(now int64) (left int, out map[int]int) {
 	for n := range b.notices {
-		if n.Kind == ServerFlap && (n.Cause != Silent || n.Zone == b.s.Zone) {
+		if n.Kind == ServerFlap && !b.s.Undamped && (n.Cause != Silent || n.Zone == b.s.Zone) {
 			b.damper.saw(now, n.Server, n.Launched, n.Bad >= badServer, n.Observer, n.At, enough(b.peers.Near))
 		}
 	}
--- a/logic/swings.go
+++ b/logic/swings.go
@@ -41,7 +41,7 @@
 // makes it count.
 func (d *damper) saw(now int64, key string, start int64, down bool, observer string, at int64, enough int) bool {
 	r := d.swings[key]
-	if r == nil || start > r.start {
+	if r == nil || start > r.start && !sameTime(start, r.start) {
 		if d.tidy(now); r == nil && len(d.swings) >= swingKept || !down {
 			return false // a record begins with a fall
 		}
@@ -51,7 +51,7 @@
 		}
 		d.swings[key] = r
 	}
-	if start != r.start || down == r.down || at <= r.last || at > now {
+	if !sameTime(start, r.start) || down == r.down || at <= r.last || at > now {
 		return false
 	}
 	r.votes = slices.DeleteFunc(r.votes, func(v vote) bool {
