Tune the weights of the draw for the tail, from the loads and times of all copies

Servers of one tier differ in speed and room; the draw follows each copy's own few calls.

Copies now tell what they sent to each server and how long answers took (ServerLoad, renewed each second, fading over 4 s). A step is taken back if the tail of the copy's own calls got worse by more than chance. Only answered calls count as times, and a failing part makes them count for more. One that is cold, bad, damped or hardly called is left alone; without fresh summaries of another copy factors go back to 1 by steps. Settings.Untuned and Undamped stop each part by itself. A copy that was never told of others decides as before (golden hash).

go test -run Tuning ./logic: all alike, unequal, a capacity that halves in mid-round, fast by failing, fast because nobody calls, two on one slow part, unequal copies, a third of what is told lost, nothing heard any more, a third lying with numbers that are none.

Seen failing: unbounded step, no taking back, taking back by chance, no way back, alone, one heard, cold, damped, bad, failing and switched off each not minded, factor not in the draw.

--- a/logic/api.go
+++ b/logic/api.go
@@ -81,6 +81,7 @@
 	Cold          int64   // a server is warm after this at the latest
 
 	Undamped bool // with others told: servers that swing are not damped
+	Untuned  bool // with others told: weights are not tuned for the tail
 
 	ByWork bool // worth is counted for each unit of work, not for each request
 }
--- a/logic/books.go
+++ b/logic/books.go
@@ -145,7 +145,7 @@
 	for _, t := range of {
 		sum.all, sum.bad, sum.badZones = sum.all+t.all, sum.bad+t.bad, sum.badZones+int(partOf(t.bad > 0))
 	}
-	b.tells = append(b.tells, b.tellSwings(now)...)
+	b.tells = append(append(b.tells, b.tellSwings(now)...), b.tellLoads(now)...)
 	if ownLink(&sum, anyWell) {
 		b.tells = nil
 	}
@@ -186,6 +186,7 @@
 	b.peers = p
 	b.condemn(now)
 	b.reportDamped(now, h)
+	b.tune(now)
 	b.sumZones(zoneLeast, zoneMost)
 	changed := false
 	for i := range b.zones {
--- a/logic/damping.go
+++ b/logic/damping.go
@@ -41,9 +41,9 @@
 	return r.since, r.since != 0
 }
 
-// swings looks whether a server that was well to this copy is bad or the other way round. Calls that are only slow
-// are no swing, and a single failure only where others show it as well; nor is one that has no room, or a crowd
-// would damp a part of its own tier.
+// swings looks whether a server that was well to this copy is bad or the other way round. Calls that are only
+// slow are no swing, a single failure is one where others show it, too, and having no room is none, or a
+// crowd would damp a part of its own tier.
 func (b *Balancer) swings(now int64, s *server) {
 	left := s.whole.left
 	for _, c := range s.classes {
@@ -56,14 +56,14 @@
 	}
 }
 
-// damp takes the swings that copies tell of, and damps the servers with most, the first first, as far as the
-// budget for removals goes: what others that hear each other damp is theirs. It returns what is left of the
-// budget and what each zone has used. Silence counts as with verdicts. No list, ban, age or refused connection is
-// overruled: a server that is damped is only never better than that.
+// damp takes the swings that copies tell of, and damps servers, the longest damped first, as far as the
+// budget for removals goes, or alone this zone's part of it. It returns what is left of the budget and what
+// each zone has used. Silence counts as with verdicts. No list, ban, age or refused connection is overruled.
 func (b *Balancer) damp(now int64) (left int, out map[int]int) {
+	need := enough(b.peers.Near)
 	for n := range b.notices {
 		if n.Kind == ServerFlap && !b.s.Undamped && (n.Cause != Silent || n.Zone == b.s.Zone) {
-			b.damper.saw(now, n.Server, n.Launched, n.Bad >= badServer, n.Observer, n.At, enough(b.peers.Near))
+			b.damper.saw(now, n.Server, n.Launched, n.Bad >= badServer, n.Observer, n.At, need)
 		}
 	}
 	if left, out = budget(len(b.ready)), map[int]int{}; b.peers.Alone {
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -63,7 +63,8 @@
 	// trials are a part of what goes to those that are well.
 	for i, w := range b.weights {
 		part := b.drawn[i].healthFor(q.Class)
-		if s := b.drawn[i]; (s.damped || s.whole.left*s.told < wellPart) && q.s.Classes[q.Class].Repeat == Unsafe {
+		s, unsafe := b.drawn[i], q.s.Classes[q.Class].Repeat == Unsafe
+		if unsafe && (s.damped || s.whole.left*s.told < wellPart) {
 			part *= riskPart
 		}
 		if best > 0 && part < wellPart && w > part*best {
@@ -92,6 +93,9 @@
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
 	w /= math.Pow(float64(1+s.inflight), heldPower)
+	if s.tune != 0 {
+		w *= math.Exp(s.tune)
+	}
 	if b.s.SizeHints && s.Size > 0 {
 		w *= s.Size
 	}
--- a/logic/learning.go
+++ b/logic/learning.go
@@ -37,6 +37,7 @@
 	a.srv.refused = o.Status == ConnectFailed || failed && a.srv.refused
 	if b.zones != nil {
 		b.note(now, a, causeOf(o.Status))
+		b.measure(now, a.srv, q.Class, o)
 	}
 	if !failed {
 		b.reward(c, a.srv, float64(o.Took))
--- a/logic/state.go
+++ b/logic/state.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"fernlanding/internal/tail"
 )
 
 // The data that decisions read. This file keeps books; it decides nothing.
@@ -116,6 +118,11 @@
 	refused  bool    // it refused a connection, and has answered nothing since
 	damped   bool    // removals and returns are not acted on
 	since    int64   // since then
+	load     load
+	sum      loadSum // as of the last round of tuning
+	fit      tail.Fit
+	tune     float64 // logarithm of the factor that its weight is tuned by
+	tuneWas  float64 // before the last step
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -126,6 +133,7 @@
 	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
 	s.seen, s.okAt, s.told, s.verdict = evidence{}, 0, 1, verdict{}
 	s.damped, s.refused = false, false
+	s.load, s.sum, s.fit, s.tune, s.tuneWas = load{}, loadSum{}, tail.Fit{}, 0, 0
 	for i := range s.classes {
 		s.classes[i].left = 1
 	}
@@ -277,7 +285,18 @@
 	dampedAt  int64 // when the last log line on them was written, and what it said
 
 	dampedSaid string
-	reported   int64 // when the last log line was written
+
+	loads     []Notice // what this copy told last of loads
+	loadAt    int64
+	middle    float64   // mean time under little load over the classes
+	measured  float64   // calls
+	tail      tail.Norm // of the times of this copy's answered calls in this round, as multiples of their class's
+	tailCalls float64
+	tailWas   float64 // in the last round
+	tuneAt    int64   // when the next round is due
+	step      float64
+	solver    tail.Solver
+	reported  int64 // when the last log line was written
 }
 
 // enter counts a call in.
--- /dev/null
+++ b/logic/tuning.go
@@ -0,0 +1,79 @@
+package logic
+
+import (
+	"math"
+
+	"fernlanding/internal/tail"
+)
+
+// Weights tuned for the tail: what all copies tell of loads and times gives each server's curve, the curves
+// the loads whose tail is least, and each round moves the weights a step towards these. One that is cold,
+// bad, damped or hardly called is not tuned, and zones keep what they have.
+const (
+	tuneEvery  = 3 * second // a round lasts this long, and up to half of it more: copies do not step together
+	tuneStep   = 0.1        // the logarithm of a weight moves by this at most in a round
+	tuneGain   = 0.5        // and by this part of the way
+	tuneMost   = 1.0        // and stays within this
+	tuneLeak   = 0.03       // part of it that each round takes back, that chance does not add up
+	tuneChance = 1.0        // standard deviations of the calls seen by which a load may miss by chance
+	tuneCalls  = 8.0        // lately seen calls of all copies from which a server is tuned
+	tuneWorse  = 4.0        // over the root of this copy's calls: a tail worse by more takes the step back
+	tuneFailed = 2.0        // the power of the answered part by which the time of one that fails counts more
+)
+
+var tuneLearning = tail.Learning{Use: 0.5, Spread: 0.3, Fade: 0.9, Miss: 1.6, Floor: 0.2}
+
+// tune is one round, when it is due.
+func (b *Balancer) tune(now int64) {
+	if now < b.tuneAt {
+		return
+	}
+	b.tuneAt = now + tuneEvery + b.rnd.Int64N(tuneEvery/2)
+	was, is := b.tailWas, b.tail.Root()
+	worse := was > 0 && is > was*(1+tuneWorse/math.Sqrt(b.tailCalls))
+	b.tailWas, b.tail, b.tailCalls = is, tail.Norm{}, 0
+	b.step = min(max(1.25*b.step, tuneStep/4), tuneStep)
+	fresh := b.sumLoads(now) > 1 && !b.peers.Alone && !b.s.Untuned
+	if fresh && worse {
+		b.step /= 4
+		for _, s := range b.ready {
+			s.tune = s.tuneWas
+		}
+		return
+	}
+	groups := map[int][]*server{}
+	for _, s := range b.ready {
+		s.tuneWas = s.tune
+		well := !s.damped && s.whole.left*s.told >= wellPart && b.warmth(now, s) == 1
+		if fresh && well && s.sum.calls >= tuneCalls && s.sum.time > 0 {
+			groups[s.Zone] = append(groups[s.Zone], s)
+		} else {
+			s.tune -= clamp(s.tune, b.step)
+		}
+	}
+	for z := range b.zones { // in order
+		if len(groups[z]) > 1 {
+			b.tuneGroup(groups[z])
+		}
+	}
+}
+
+func clamp(x, most float64) float64 { return min(max(x, -most), most) }
+
+// tuneGroup steps the weights of servers towards the loads whose tail is least. The time of one that fails
+// counts for more: it is fast because it fails.
+func (b *Balancer) tuneGroup(group []*server) {
+	seen, mean := make([]tail.Seen, len(group)), 0.0
+	for i, s := range group {
+		time := s.sum.time / math.Pow(max(1-s.sum.bad, healthFloor), tuneFailed)
+		seen[i] = tail.Seen{Load: s.sum.rate, Time: time, Weight: s.sum.calls, Fit: &s.fit}
+	}
+	ways := b.solver.Aim(tuneLearning, seen)
+	for i, s := range group {
+		ways[i] -= clamp(ways[i], tuneChance/math.Sqrt(s.sum.calls))
+		mean += ways[i] / float64(len(group))
+	}
+	for i, s := range group {
+		s.tune = clamp(s.tune*(1-tuneLeak)+clamp(tuneGain*(ways[i]-mean), b.step), tuneMost)
+	}
+}
--- /dev/null
+++ b/logic/tuning_test.go
@@ -0,0 +1,223 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+)
+
+// queue is a server that works on so many calls at once, each for a time spread about a mean; others wait.
+type queue struct {
+	slots []int64 // when each is free
+	mean  float64 // microseconds
+	fails float64 // part of calls, at once
+	part  *queue  // calls also pass this, which others share
+}
+
+// done is when a call that comes now is done.
+func (q *queue) done(w *world, now int64) int64 {
+	i := slices.Index(q.slots, slices.Min(q.slots))
+	q.slots[i] = max(q.slots[i], now) + int64(q.mean*(0.3+0.7*w.rnd.ExpFloat64()))
+	if q.part != nil {
+		return q.part.done(w, q.slots[i])
+	}
+	return q.slots[i]
+}
+
+// tuning is a play of ten copies and twelve servers of one zone, tuned or not.
+type tuning struct {
+	*world
+	queues []*queue
+	far    int64 // every other copy has this much further to go
+	times  []int64
+}
+
+const tuningEnd, tuningFrom = 100 * second, 50 * second
+
+func newTuning(t *testing.T, on bool, rate float64) *tuning {
+	p := &tuning{world: laid(t, 1, 10, 12, rate, true)}
+	for range 12 {
+		p.queues = append(p.queues, &queue{slots: make([]int64, 2), mean: 55_000})
+	}
+	for _, c := range p.copies {
+		c.b.s.Untuned = !on
+	}
+	p.fate = func(c *copyOf, s Server) (Status, int64) {
+		var i int
+		fmt.Sscanf(s.ID, "s%d", &i)
+		q := p.queues[i]
+		if p.rnd.Float64() < q.fails {
+			return Error, 2_000
+		}
+		took := q.done(p.world, p.now) - p.now + p.far*int64(c.n%2)
+		if p.now > start+tuningFrom {
+			p.times = append(p.times, took)
+		}
+		return OK, took
+	}
+	return p
+}
+
+func (p *tuning) p99() float64 {
+	slices.Sort(p.times)
+	return float64(p.times[len(p.times)*99/100]) / 1000
+}
+
+// factors are those of each server at the first copy, and the part of calls that s0 gets of an equal one.
+func (p *tuning) factors() (f [12]float64, s0 float64) {
+	for i := range f {
+		f[i] = math.Exp(p.copies[0].b.byID[fmt.Sprint("s", i)].tune)
+	}
+	n, of := 0.0, 0.0
+	for _, c := range p.copies {
+		for _, s := range c.sends {
+			if s.at > start+tuningEnd-20*second {
+				of++
+				n += partOf(s.server == "s0")
+			}
+		}
+	}
+	return f, 12 * n / of
+}
+
+func TestTuning(t *testing.T) {
+	alike := func(by float64) func(f [12]float64, s0 float64) bool {
+		return func(f [12]float64, _ float64) bool { return slices.Min(f[:]) > 1/by && slices.Max(f[:]) < by }
+	}
+	unequal := func(p *tuning) {
+		for i, q := range p.queues {
+			q.mean *= []float64{0.8, 0.8, 1.6}[i%3]
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		rate   float64 // requests a second of each copy
+		set    func(p *tuning)
+		most   float64 // p99 tuned, of p99 not tuned
+		expect func(f [12]float64, s0 float64) bool
+	}{
+		{"all alike", 30, nil, 1.08, alike(1.1)},
+		{"all alike, few calls", 3, nil, 1.08, alike(1.1)},
+		{"unequal", 30, unequal, 0.98, func(f [12]float64, _ float64) bool {
+			return min(f[0], f[1], f[3], f[4]) > max(f[2], f[5], f[8], f[11])
+		}},
+		{"a capacity that halves in mid-round", 30, func(p *tuning) {
+			p.after(45*second+second/2, func() { p.queues[0].slots = p.queues[0].slots[:1] })
+		}, 1, func(f [12]float64, s0 float64) bool { return f[0] < 1 && s0 < 0.6 }},
+		{"fast because it fails", 30, func(p *tuning) { p.queues[0].fails = 0.3 }, 1.05,
+			func(f [12]float64, s0 float64) bool { return f[0] <= 1.02 }},
+		{"fast because nobody sends there", 30, func(p *tuning) {
+			p.queues[0].mean *= 6
+			p.after(30*second, func() { p.queues[0].mean /= 6 })
+		}, 1.05, func(f [12]float64, s0 float64) bool { return s0 > 0.7 && s0 < 1.3 }},
+		{"two on one slow part", 30, func(p *tuning) {
+			part := &queue{slots: make([]int64, 2), mean: 35_000}
+			p.queues[0].part, p.queues[1].part = part, part
+		}, 1.08, func(f [12]float64, s0 float64) bool { return f[0] < 1 && f[1] < 1 }},
+		{"unequal copies", 30, func(p *tuning) { p.far = 50_000 }, 1.08, alike(1.1)},
+		{"a third of what is told is lost", 30, func(p *tuning) {
+			unequal(p)
+			p.hear = func(from, to *copyOf) bool { return p.rnd.IntN(3) > 0 }
+		}, 1, func(f [12]float64, _ float64) bool { return f[0] > f[2] }},
+		{"nothing is heard any more", 30, func(p *tuning) {
+			unequal(p)
+			p.after(50*second, func() { p.hear = func(from, to *copyOf) bool { return false } })
+		}, 1.05, func(f [12]float64, _ float64) bool { return f == [12]float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1} }},
+		{"a third lies", 30, func(p *tuning) {
+			p.lie = func(c *copyOf, tells []Notice) []Notice {
+				for i := range tells {
+					if n := &tells[i]; n.Kind == ServerLoad && c.n%3 == 0 {
+						n.Calls, n.Value = []float64{1e300, math.NaN(), 50}[i%3], []float64{1, 1e300, math.Inf(1)}[i%3]
+					}
+				}
+				return tells
+			}
+		}, 1.15, func(f [12]float64, _ float64) bool { return slices.Min(f[:]) > 0.3 && slices.Max(f[:]) < 3 }},
+	} {
+		p99, refused := map[bool]float64{}, map[bool]int{}
+		var p *tuning
+		for _, on := range []bool{false, true} {
+			if p = newTuning(t, on, c.rate); c.set != nil {
+				c.set(p)
+			}
+			p.run(tuningEnd)
+			p99[on], refused[on] = p.p99(), p.failed()
+		}
+		f, s0 := p.factors()
+		say := fmt.Sprintf("%s: p99 %.0f ms tuned, %.0f not; %d and %d refused; factors %.2f, s0 gets %.2f of its part", c.name,
+			p99[true], p99[false], refused[true], refused[false], f, s0)
+		if t.Log(say); p99[true] > c.most*p99[false] || float64(refused[true]) > 1.3*float64(refused[false])+30 || !c.expect(f, s0) {
+			t.Error("not so: ", say)
+		}
+	}
+}
+
+// One round: a step is bounded, and taken back if the tail of this copy's calls got worse; what is cold, damped,
+// failing or hardly called goes back to its own weight, as all do where nobody is heard.
+func TestTuningRound(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(b *Balancer, s *server)
+		from float64 // logarithm of its factor
+		want func(was, is float64) bool
+	}{
+		{"a step", nil, 0.3, func(was, is float64) bool { return is < was && is >= was*(1-tuneLeak)-tuneStep-1e-9 }},
+		{"worse", func(b *Balancer, s *server) {
+			b.tailWas, s.tuneWas = 1, 0.2
+			for range 1000 {
+				b.tail.Add(1.5, 1)
+				b.tailCalls++
+			}
+		}, 0.3, func(_, is float64) bool { return is == 0.2 }},
+		{"worse by chance", func(b *Balancer, s *server) {
+			b.tailWas, s.tuneWas = 1, 0.2
+			b.tail.Add(2, 1)
+			b.tailCalls++
+		}, 0.3, func(was, is float64) bool { return is != 0.2 && is < was }},
+		{"nobody heard", func(b *Balancer, s *server) { b.peers.Alone = true }, 0.3,
+			func(was, is float64) bool { return math.Abs(is-(was-tuneStep)) < 1e-9 }},
+		{"one heard", func(b *Balancer, s *server) {
+			for i := range b.peers.Notices {
+				b.peers.Notices[i].Observer = "a"
+			}
+		}, 0.3, func(was, is float64) bool { return math.Abs(is-(was-tuneStep)) < 1e-9 }},
+		{"switched off", func(b *Balancer, s *server) { b.s.Untuned = true }, 0.05, func(_, is float64) bool { return is == 0 }},
+		{"cold", func(b *Balancer, s *server) {
+			s.Launched = start - second
+			for i := range b.peers.Notices {
+				b.peers.Notices[i].Launched = s.Launched
+			}
+		}, 0.05, func(_, is float64) bool { return is == 0 }},
+		{"damped", func(b *Balancer, s *server) { s.damped = true }, 0.05, func(_, is float64) bool { return is == 0 }},
+		{"bad", func(b *Balancer, s *server) { s.whole.left = 0.1 }, 0.05, func(_, is float64) bool { return is == 0 }},
+		{"failing, and fast by it", func(b *Balancer, s *server) {
+			for i := range b.peers.Notices {
+				if n := &b.peers.Notices[i]; n.Server == "s0" {
+					n.Value, n.Bad = 20_000, 0.4
+				}
+			}
+		}, 0, func(_, is float64) bool { return is <= 0 }},
+	} {
+		b, h := with(t, testSettings(), 12)
+		b.Peers(start, h, Peers{Living: 3, Near: 3})
+		for _, s := range b.ready {
+			for _, who := range []string{"a", "b"} {
+				n := Notice{Kind: ServerLoad, Observer: who, Server: s.ID, Calls: 200, Value: 40_000, At: start}
+				if s.ID == "s0" {
+					n.Value = 100_000
+				}
+				b.peers.Notices = append(b.peers.Notices, n)
+			}
+		}
+		s := b.byID["s0"]
+		b.step, s.tune = tuneStep, c.from
+		if c.set != nil {
+			c.set(b, s)
+		}
+		b.tune(start + 5*second)
+		if !c.want(c.from, s.tune) {
+			t.Errorf("%s: from %g to %g", c.name, c.from, s.tune)
+		}
+	}
+}
