--- a/logic/books.go
+++ b/logic/books.go
@@ -138,7 +138,7 @@
 	for i := range b.zones {
 		e, ok := b.zones[i].evidence(now)
 		anyWell = anyWell || ok && e.part() < zoneBad
-		if n := b.tellZone(now, i, of[i], e, ok); ok || n.Value < 1 {
+		if n := b.tellZone(now, i, of[i], e, ok); ok || b.zones[i].Epoch > 0 {
 			b.tells = append(b.tells, n)
 		}
 	}
@@ -218,6 +218,16 @@
 	b.relist()
 }
 
+// byRank orders the ready servers by their rank.
+func (b *Balancer) byRank() {
+	slices.SortStableFunc(b.ready, func(x, y *server) int { return b.rank(x) - b.rank(y) })
+	b.near, b.far = 0, 0
+	for _, s := range b.ready {
+		b.near += int(partOf(b.rank(s) == 0))
+		b.far += int(partOf(b.rank(s) < 2))
+	}
+}
+
 // readyIn are the ready servers of a zone.
 func (b *Balancer) readyIn(z *zone) (of []*server) {
 	for _, s := range b.ready {
