--- a/logic/draw.go
+++ b/logic/draw.go
@@ -95,9 +95,7 @@
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
 	w /= math.Pow(float64(1+s.inflight), heldPower)
-	if s.tune != 0 {
-		w *= math.Exp(s.tune)
-	}
+	w *= s.tuned
 	if b.s.SizeHints && s.Size > 0 {
 		w *= s.Size
 	}
--- a/logic/loads.go
+++ b/logic/loads.go
@@ -120,6 +120,13 @@
 	return len(of)
 }
 
+// factors works the factors of the draw out, once a round.
+func (b *Balancer) factors() {
+	for _, s := range b.ready {
+		s.tuned = math.Exp(s.tune)
+	}
+}
+
 // TunedState tells figures what a server's weight is multiplied by and on what evidence.
 type TunedState struct {
 	Server  string
@@ -132,7 +139,7 @@
 // Tuned are the ready servers as of the last round.
 func (b *Balancer) Tuned() (out []TunedState) {
 	for _, s := range b.ready {
-		out = append(out, TunedState{s.ID, math.Exp(s.tune), s.sum.rate, s.sum.time, s.sum.bad})
+		out = append(out, TunedState{s.ID, s.tuned, s.sum.rate, s.sum.time, s.sum.bad})
 	}
 	slices.SortFunc(out, func(x, y TunedState) int { return cmp.Compare(x.Server, y.Server) })
 	return out
--- a/logic/state.go
+++ b/logic/state.go
@@ -123,6 +123,7 @@
 	fit      tail.Fit
 	tune     float64 // logarithm of the factor that its weight is tuned by
 	tuneWas  float64 // before the last step
+	tuned    float64 // the factor
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -133,7 +134,7 @@
 	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
 	s.seen, s.okAt, s.told, s.verdict = evidence{}, 0, 1, verdict{}
 	s.damped, s.refused = false, false
-	s.load, s.sum, s.fit, s.tune, s.tuneWas = load{}, loadSum{}, tail.Fit{}, 0, 0
+	s.load, s.sum, s.fit, s.tune, s.tuneWas, s.tuned = load{}, loadSum{}, tail.Fit{}, 0, 0, 1
 	for i := range s.classes {
 		s.classes[i].left = 1
 	}
--- a/logic/tuning.go
+++ b/logic/tuning.go
@@ -28,6 +28,7 @@
 	if now < b.tuneAt {
 		return
 	}
+	defer b.factors()
 	b.tuneAt = now + tuneEvery + b.rnd.Int64N(tuneEvery/2)
 	was, is := b.tailWas, b.tail.Root()
 	worse := was > 0 && is > was*(1+tuneWorse/math.Sqrt(b.tailCalls))
