--- a/logic/damping.go
+++ b/logic/damping.go
@@ -1,10 +1,5 @@
 package logic
 
-import (
-	"cmp"
-	"slices"
-)
-
 // Removals and returns that follow each other fast do more harm than the server does: each moves load, costs
 // handshakes and starts the next one elsewhere. So what swings gets one steady, small share until it rests.
 const (
@@ -15,7 +10,6 @@
 	swingLong   = 60 * second // so does this time; the next swing then damps again
 	swingWindow = 2 * second  // swings that several observers saw within this are one
 	swingVotes  = 3           // observers that must have seen one; fewer where fewer live, see enough
-	swingKept   = 4096        // records
 	swingDown   = 0.1         // health left from which a server has fallen: two failures in a row
 	swingWell   = 0.2         // part of bad calls of late from which it is back
 	dampedPart  = 0.1         // of its share is left to a server that swings
@@ -25,20 +19,15 @@
 // bad, and in a large fleet only some call a given server.
 func enough(living int) int { return min(swingVotes, 1+living/4) }
 
-// damped tells whether a key that began at start is to get its steady share now, and since when.
-func (d *damper) damped(now int64, key string, start int64) (since int64, is bool) {
-	r := d.swings[key]
-	if r == nil || !sameTime(r.start, start) {
-		return 0, false
-	}
-	left := r.left(now)
-	if r.since != 0 && (left < swingReuse || now-r.since >= swingLong) {
+// steady tells whether a key is to get its steady share now.
+func (r *swing) steady(now int64) bool {
+	if left := r.left(now); r.since != 0 && (left < swingReuse || now-r.since >= swingLong) {
 		r.since = 0
 	} else if r.since == 0 && r.fresh && left > swingMark {
 		r.since = now
 	}
 	r.fresh = false
-	return r.since, r.since != 0
+	return r.since != 0
 }
 
 // swings looks whether a server that was well to this copy is bad or the other way round. Calls that are only
@@ -69,17 +58,7 @@
 	if left, out = budget(len(b.ready)), map[int]int{}; b.peers.Alone {
 		left = left * b.peers.Near / max(b.peers.Living, b.peers.Near)
 	}
-	var swing []*server
-	in := map[int]int{}
-	for _, s := range b.ready {
-		in[s.Zone]++
-		if s.since, s.damped = b.damper.damped(now, s.ID, s.Launched); s.damped {
-			swing = append(swing, s)
-		}
-	}
-	slices.SortFunc(swing, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(x.since, y.since), cmp.Compare(x.ID, y.ID))
-	})
+	swing, in := b.swinging(now)
 	for _, s := range swing {
 		if s.damped = left > 0 && out[s.Zone] < budget(in[s.Zone]); s.damped {
 			left, out[s.Zone] = left-1, out[s.Zone]+1
--- a/logic/swings.go
+++ b/logic/swings.go
@@ -14,6 +14,8 @@
 const (
 	flapTold = 10 * second // a swing is told for so long
 	flapKept = 60 * second // and known for so long, to tell the next one
+
+	swingKept = 4096 // records of a damper at most
 )
 
 // damper keeps one record for each key, which is a server or a zone. The zero value is ready.
@@ -70,6 +72,16 @@
 	return r.penalty * math.Exp2(-float64(now-r.at)/float64(swingHalf))
 }
 
+// damped tells whether a key that began at start is to get its steady share now, and since when.
+func (d *damper) damped(now int64, key string, start int64) (since int64, is bool) {
+	r := d.swings[key]
+	if r == nil || !sameTime(r.start, start) {
+		return 0, false
+	}
+	is = r.steady(now)
+	return r.since, is
+}
+
 // tidy forgets the records that have come to rest.
 func (d *damper) tidy(now int64) {
 	for key, r := range d.swings {
@@ -138,6 +150,22 @@
 	return out
 }
 
+// swinging are the ready servers that the damper has damped, the longest so first, and how many are ready in each
+// zone.
+func (b *Balancer) swinging(now int64) (swing []*server, in map[int]int) {
+	in = map[int]int{}
+	for _, s := range b.ready {
+		in[s.Zone]++
+		if s.since, s.damped = b.damper.damped(now, s.ID, s.Launched); s.damped {
+			swing = append(swing, s)
+		}
+	}
+	slices.SortFunc(swing, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.since, y.since), cmp.Compare(x.ID, y.ID))
+	})
+	return swing, in
+}
+
 // DampedState tells on-call staff and figures of a server whose removals and returns are not acted on.
 type DampedState struct {
 	Server  string
