--- a/internal/lab/model/book.go
+++ b/internal/lab/model/book.go
@@ -42,7 +42,11 @@
 	for i := range news {
 		e := &news[i]
 		if at, ok := b.at[mark{e.Observer, e.Incarnation, e.Seq}]; ok {
-			p.w.res.Spread.add(p.w.now - at)
+			if e.Kind == view.ServerLoad {
+				p.w.res.LoadsBy.add(p.w.now - at)
+			} else {
+				p.w.res.Spread.add(p.w.now - at)
+			}
 		}
 		p.w.note(evNews, p.id, int64(e.Seq))
 	}
--- a/internal/lab/model/cases.go
+++ b/internal/lab/model/cases.go
@@ -16,11 +16,18 @@
 		f.At, f.For = at, last
 		return func(c *Config) { c.Faults = append(c.Faults, f) }
 	}
-	zone, nodo := Target{-1, 1}, Target{20, 1}
+	home := make([]int, 15)
+	for i := range home {
+		home[i] = 15 + i
+	}
+	zone, nodo, own := Target{Nodo: -1, Zone: 1}, Target{Nodo: 20}, Target{Nodo: -1, Zone: 1, Own: true}
 	return []Case{
 		{"calm", zone, at, last, func(*Config) {}},
 		{"zone lost", zone, at, last, one(Fault{Kind: ZoneLost, Zone: 1})},
 		{"one-way cut", zone, at, last, one(Fault{Kind: CutAnswers, Zone: 1, To: -1})},
+		{"zone's nodos silent", own, at, last, one(Fault{Kind: NodoSilent, Who: home})},
+		{"zone's nodos fail", own, at, last, one(Fault{Kind: NodoFails, Who: home, Value: 0.9})},
+		{"zone cut off", own, at, last, one(Fault{Kind: CutBoth, Zone: 1, To: -1})},
 		{"nodo silent", nodo, at, last, one(Fault{Kind: NodoSilent, Who: []int{20}})},
 		{"nodo fails", nodo, at, last, one(Fault{Kind: NodoFails, Who: []int{20}, Value: 0.9})},
 		{"third lies", zone, at, last, func(c *Config) {
--- a/internal/lab/model/check_fleet.go
+++ b/internal/lab/model/check_fleet.go
@@ -63,7 +63,9 @@
 	if age < 0 {
 		return
 	}
-	if w.now/sec != p.fleet.aged {
+	if w.now/sec != p.fleet.aged && e.Kind == view.ServerLoad {
+		w.res.Loads.add(age)
+	} else if w.now/sec != p.fleet.aged {
 		w.res.Ages.add(age)
 	}
 	over := age - e.Life
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -33,11 +33,13 @@
 	Across  int // of them, to another zone
 	Tips    int
 
-	Packets int   // of gossip
-	Bytes   int   // of them, where they are encoded
-	Stalled int   // of them, left out by proxies that had stood still
-	Ages    ages  // of what proxies know of others, once a second
-	Spread  ages  // of tellings, when they came to one that did not know them yet
+	Packets int  // of gossip
+	Bytes   int  // of them, where they are encoded
+	Stalled int  // of them, left out by proxies that had stood still
+	Ages    ages // of verdicts and zones that proxies know of others, once a second
+	Spread  ages // of their tellings, when they came to one that did not know them yet
+	Loads   ages // the same of summaries of load
+	LoadsBy ages
 	Leaves  ages  // from the first to the last proxy of a zone to leave another zone, where they hear each other
 	Mixed   ages  // while proxies of a zone that hear each other differ on another
 	Overrun int64 // the longest that an entry was used beyond its end, by its true age
@@ -66,7 +68,7 @@
 }
 
 func (r *Result) begin(c *Config) {
-	for _, a := range []*ages{&r.Ages, &r.Spread, &r.Leaves, &r.Mixed} {
+	for _, a := range []*ages{&r.Ages, &r.Spread, &r.Loads, &r.LoadsBy, &r.Leaves, &r.Mixed} {
 		a.h = hdrhistogram.New(1, agesMost, 2)
 	}
 	r.bins = make([]counts, c.Span/bin+1)
@@ -120,10 +122,11 @@
 	return worth / offered
 }
 
-// Target is what a fault makes worthless: attempts to a nodo, or to a zone from any other.
+// Target is what a fault makes worthless: attempts to a nodo, or to a zone from any other or from its own proxies.
 type Target struct {
 	Nodo int // or -1
 	Zone int
+	Own  bool
 }
 
 // sends counts the attempts within a span that went to a target, and all that those who may send there made.
@@ -135,7 +138,7 @@
 			continue
 		}
 		for j, n := range b.sendsBy {
-			if z := len(b.sendsBy); j/isqrt(z) != t.Zone {
+			if z := len(b.sendsBy); (j/isqrt(z) == t.Zone) == t.Own {
 				all += n
 				there += n * int(partOf(j%isqrt(z) == t.Zone))
 			}
--- a/internal/lab/model/table_test.go
+++ b/internal/lab/model/table_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,8 @@
 	return fmt.Sprintf(format+" ("+format+"-"+format+")", x[len(x)/2], x[0], x[len(x)-1])
 }
 
+func seconds(x int64) float64 { return float64(x) / float64(sec) }
+
 // TestOffAndOn prints each case without peers and with them, on the same seeds.
 func TestOffAndOn(t *testing.T) {
 	if !*table {
@@ -29,11 +32,12 @@
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
-	fmt.Fprintln(out, "case\tpeers\tworth in time, 10 s\tto the end\tfailed, unanswered %\tresent %\tacross %\tavoided after s\twasted\ttipped\tbroken")
+	fmt.Fprintln(out, "case\tpeers\tworth in time, 10 s\tto the end\tfailed, unanswered %\tresent %\tacross %\tavoided after s\twasted\ttipped\tbroken\tfirst to last to leave s p50 p99 max (n)")
 	for _, k := range Cases() {
 		for _, peers := range []bool{false, true} {
 			figures := make([][9]float64, *tableSeeds)
 			var wait sync.WaitGroup
+			runs := make([]*Result, *tableSeeds)
 			for i := range figures {
 				wait.Go(func() {
 					c := k.Config(uint64(i+1), peers)
@@ -42,6 +46,7 @@
 						t.Error(err)
 						return
 					}
+					runs[i] = r
 					after, wasted := r.Avoided(k.At, k.At+k.For, k.Target)
 					figures[i] = [9]float64{r.InTime(k.At, k.At+10*sec), r.InTime(k.At, c.Span),
 						100 * float64(r.Ends[failed]+r.Ends[unanswered]) / float64(r.Taken),
@@ -58,30 +63,59 @@
 				}
 				row = append(row, spreadOf(x, format))
 			}
-			fmt.Fprintln(out, strings.Join(row, "\t"))
+			left := runs[0].Leaves
+			for _, r := range runs[1:] {
+				left.h.Merge(r.Leaves.h)
+			}
+			fmt.Fprintf(out, "%s\t%.2f %.2f %.2f (%d)\n", strings.Join(row, "\t"), seconds(left.At(0.5)), seconds(left.At(0.99)),
+				seconds(left.At(1)), left.N())
 		}
 	}
 }
 
-// TestStaleness prints how old what proxies know of each other is, and how long a telling takes to each of them.
+// TestStaleness prints how old what proxies know of each other is, and how long a telling takes to each of them, with
+// verdicts alone and with summaries of two nodos of each proxy beside.
 func TestStaleness(t *testing.T) {
 	if !*table {
 		t.Skip("-model.table")
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
-	fmt.Fprintln(out, "proxies\tloss\tage s p50\tp99\tmax\tunder way s p50\tp99\tmax\tbytes/s a proxy")
+	fmt.Fprintln(out, "seconds: p50 p99 max\tverdicts: age\tunder way\tsummaries: age\tunder way\tbytes/s a proxy")
+	var configs []Config
 	for _, n := range []int{10, 30, 100, 300} {
 		for _, loss := range []float64{0, 0.1, 0.3} {
-			c := Default()
-			c.Proxies, c.Nodos, c.Rate, c.Span, c.Loss, c.Chatter, c.Encoded = n, 2*n, 2*float64(n), 30*sec, loss, 4, true
-			r := mustRun(t, c)
-			s := func(x int64) float64 { return float64(x) / float64(sec) }
-			fmt.Fprintf(out, "%d\t%.0f %%\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\n", n, 100*loss, s(r.Ages.At(0.5)),
-				s(r.Ages.At(0.99)), s(r.Ages.At(1)), s(r.Spread.At(0.5)), s(r.Spread.At(0.99)), s(r.Spread.At(1)),
-				float64(r.Bytes)/float64(n)/(float64(c.Span)/float64(sec)))
+			for _, chatter := range []int{0, 2} {
+				c := Default()
+				c.Proxies, c.Nodos, c.Rate, c.Span, c.Loss, c.Chatter, c.Encoded = n, 2*n, 20*float64(n), 12*sec, loss, chatter, true
+				c.Faults = []Fault{{Kind: NodoFails, At: 3 * sec, For: 6 * sec, Who: []int{n}, Value: 0.9}}
+				configs = append(configs, c)
+			}
 		}
 	}
+	rows := make([]string, len(configs))
+	var wait sync.WaitGroup
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i, c := range configs {
+		wait.Go(func() {
+			free <- struct{}{}
+			defer func() { <-free }()
+			r, err := Run(c)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			of := func(a ages) string {
+				return fmt.Sprintf("%.2f %.2f %.2f", seconds(a.At(0.5)), seconds(a.At(0.99)), seconds(a.At(1)))
+			}
+			rows[i] = fmt.Sprintf("%d proxies, %.0f %% lost, %d summaries\t%s\t%s\t%s\t%s\t%.0f", c.Proxies, 100*c.Loss, c.Chatter,
+				of(r.Ages), of(r.Spread), of(r.Loads), of(r.LoadsBy), float64(r.Bytes)/float64(c.Proxies)/seconds(c.Span))
+		})
+	}
+	wait.Wait()
+	for _, row := range rows {
+		fmt.Fprintln(out, row)
+	}
 }
 
 // big is the size that the model is for: 300 proxies, 600 nodos, nine zones in two regions.
