--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -28,7 +28,7 @@
 
 // Ends tells a link's place. From is the side that dials.
 type Ends struct {
-	Kind     string // client, nodo or list
+	Kind     string // client, nodo, list, lease, member or gossip
 	From     string // a proxy's name, or empty for a zone's clients, or for all proxies of the zone
 	FromZone string
 	To       string
@@ -53,6 +53,7 @@
 	retransmit     = 200 * time.Millisecond // TCP's least on Linux
 	retransmitMost = 6                      // doublings
 	queueMost      = 1 << 20                // bytes that wait in one direction of one connection
+	acceptAgain    = 5 * time.Millisecond   // out of descriptors: the run says so by its lateness
 )
 
 func (e Effect) plus(o Effect) Effect {
@@ -74,6 +75,7 @@
 	ends  Ends
 	delay time.Duration // one way, when nothing is wrong
 	now   atomic.Pointer[state]
+	cut   func(Ends, time.Time) // is told what came into a cut; may be nil
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -85,6 +87,8 @@
 type Net struct {
 	mu      sync.Mutex
 	links   []*Link
+	relays  []*Relay
+	cut     func(Ends, time.Time)
 	effects map[*applied]struct{}
 	seed    uint64
 }
@@ -97,16 +101,20 @@
 // New is a network without links.
 func New(seed uint64) *Net { return &Net{effects: map[*applied]struct{}{}, seed: seed} }
 
-// add makes a link, under the effects that hold.
-func (n *Net) add(ends Ends, delay time.Duration) *Link {
+// add makes a link, under the effects that hold; p is its listener, or nil. A fault that begins or ends meanwhile waits.
+func (n *Net) add(ends Ends, delay time.Duration, p *port) (*Link, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &Link{ends: ends, delay: delay, conns: map[*Conn]struct{}{},
+	l := &Link{ends: ends, delay: delay, cut: n.cut, conns: map[*Conn]struct{}{}, port: p,
 		rng: rand.New(rand.NewPCG(n.seed, uint64(len(n.links))))}
-	l.now.Store(&state{changed: make(chan struct{})})
+	now := &state{n.sum(ends), make(chan struct{})}
+	l.now.Store(now)
 	n.links = append(n.links, l)
-	l.set(n.sum(ends))
-	return l
+	if p == nil {
+		return l, nil
+	}
+	p.link = l
+	return l, p.to(now.Effect)
 }
 
 func (n *Net) sum(ends Ends) Effect {
@@ -121,19 +129,17 @@
 
 // Listen opens a link that is dialled at addr. Each connection goes to accept, in a goroutine of its own.
 func (n *Net) Listen(ends Ends, addr string, delay time.Duration, accept func(*Conn)) (*Link, error) {
-	l := n.add(ends, delay)
-	l.port = &port{addr: addr, link: l, accept: accept}
-	if err := l.port.to(l.now.Load().Effect); err != nil {
-		return nil, err
-	}
-	return l, nil
+	return n.add(ends, delay, &port{addr: addr, accept: accept})
 }
 
 // Dialer is a link on which this process dials a program's own address.
 type Dialer struct{ link *Link }
 
 // Dialer makes such a link.
-func (n *Net) Dialer(ends Ends, delay time.Duration) *Dialer { return &Dialer{n.add(ends, delay)} }
+func (n *Net) Dialer(ends Ends, delay time.Duration) *Dialer {
+	l, _ := n.add(ends, delay, nil)
+	return &Dialer{l}
+}
 
 // ErrRefused is a connection that the link did not let come up.
 var ErrRefused = errors.New("connection refused")
@@ -227,6 +233,13 @@
 
 // Close ends all links.
 func (n *Net) Close() {
+	n.mu.Lock()
+	relays := n.relays
+	n.relays = nil
+	n.mu.Unlock()
+	for _, r := range relays {
+		r.close()
+	}
 	n.mu.Lock()
 	links := n.links
 	n.links = nil
@@ -358,7 +371,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			time.Sleep(5 * time.Millisecond) // out of descriptors: the run says so by its lateness
+			time.Sleep(acceptAgain)
 			continue
 		}
 		c := p.link.conn(raw.(*net.TCPConn), false)
--- /dev/null
+++ b/internal/lab/model/table_test.go
@@ -0,0 +1,140 @@
+package model
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"text/tabwriter"
+)
+
+var (
+	table      = flag.Bool("model.table", false, "print the tables of docs/fleet.md")
+	tableSeeds = flag.Int("model.seeds", 7, "seeds of each row")
+)
+
+// spread is the median of some figures and their range.
+func spreadOf(x []float64, format string) string {
+	slices.Sort(x)
+	return fmt.Sprintf(format+" ("+format+"-"+format+")", x[len(x)/2], x[0], x[len(x)-1])
+}
+
+func seconds(x int64) float64 { return float64(x) / float64(sec) }
+
+// TestOffAndOn prints each case without peers and with them, on the same seeds.
+func TestOffAndOn(t *testing.T) {
+	if !*table {
+		t.Skip("-model.table")
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer out.Flush()
+	fmt.Fprintln(out, "case\tpeers\tworth in time, 10 s\tto the end\tfailed, unanswered %\tresent %\tacross %\tavoided after s\twasted\ttipped\tbroken\tfirst to last to leave s p50 p99 max (n)")
+	for _, k := range Cases() {
+		for _, peers := range []bool{false, true} {
+			figures := make([][9]float64, *tableSeeds)
+			var wait sync.WaitGroup
+			runs := make([]*Result, *tableSeeds)
+			for i := range figures {
+				wait.Go(func() {
+					c := k.Config(uint64(i+1), peers)
+					r, err := Run(c)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					runs[i] = r
+					after, wasted := r.Avoided(k.At, k.At+k.For, k.Target)
+					figures[i] = [9]float64{r.InTime(k.At, k.At+10*sec), r.InTime(k.At, c.Span),
+						100 * float64(r.Ends[failed]+r.Ends[unanswered]) / float64(r.Taken),
+						100 * (float64(r.Sends)/float64(r.Taken-r.Ends[unreached]) - 1), 100 * float64(r.Across) / float64(r.Sends),
+						float64(after) / float64(sec), float64(wasted), float64(r.Tips), float64(r.Broken)}
+				})
+			}
+			wait.Wait()
+			row := []string{k.Name, map[bool]string{false: "off", true: "on"}[peers]}
+			for f, format := range []string{"%.3f", "%.3f", "%.2f", "%.1f", "%.0f", "%.1f", "%.0f", "%.0f", "%.0f"} {
+				var x []float64
+				for i := range figures {
+					x = append(x, figures[i][f])
+				}
+				row = append(row, spreadOf(x, format))
+			}
+			left := runs[0].Leaves
+			for _, r := range runs[1:] {
+				left.h.Merge(r.Leaves.h)
+			}
+			fmt.Fprintf(out, "%s\t%.2f %.2f %.2f (%d)\n", strings.Join(row, "\t"), seconds(left.At(0.5)), seconds(left.At(0.99)),
+				seconds(left.At(1)), left.N())
+		}
+	}
+}
+
+// TestStaleness prints how old what proxies know of each other is, and how long a telling takes to each of them, with
+// verdicts alone and with summaries of two nodos of each proxy beside.
+func TestStaleness(t *testing.T) {
+	if !*table {
+		t.Skip("-model.table")
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer out.Flush()
+	fmt.Fprintln(out, "seconds: p50 p99 max\tverdicts: age\tunder way\tsummaries: age\tunder way\tbytes/s a proxy")
+	var configs []Config
+	for _, n := range []int{10, 30, 100, 300} {
+		for _, loss := range []float64{0, 0.1, 0.3} {
+			for _, chatter := range []int{0, 2} {
+				c := Default()
+				c.Proxies, c.Nodos, c.Rate, c.Span, c.Loss, c.Chatter, c.Encoded = n, 2*n, 20*float64(n), 12*sec, loss, chatter, true
+				c.Faults = []Fault{{Kind: NodoFails, At: 3 * sec, For: 6 * sec, Who: []int{n}, Value: 0.9}}
+				configs = append(configs, c)
+			}
+		}
+	}
+	rows := make([]string, len(configs))
+	var wait sync.WaitGroup
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i, c := range configs {
+		wait.Go(func() {
+			free <- struct{}{}
+			defer func() { <-free }()
+			r, err := Run(c)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			of := func(a ages) string {
+				return fmt.Sprintf("%.2f %.2f %.2f", seconds(a.At(0.5)), seconds(a.At(0.99)), seconds(a.At(1)))
+			}
+			rows[i] = fmt.Sprintf("%d proxies, %.0f %% lost, %d summaries\t%s\t%s\t%s\t%s\t%.0f", c.Proxies, 100*c.Loss, c.Chatter,
+				of(r.Ages), of(r.Spread), of(r.Loads), of(r.LoadsBy), float64(r.Bytes)/float64(c.Proxies)/seconds(c.Span))
+		})
+	}
+	wait.Wait()
+	for _, row := range rows {
+		fmt.Fprintln(out, row)
+	}
+}
+
+// big is the size that the model is for: 300 proxies, 600 nodos, nine zones in two regions.
+func big() Config {
+	c := Default()
+	c.Proxies, c.Nodos, c.Zones, c.Regions, c.Span = 300, 600, 9, 2, 10*sec
+	c.Rate = 0.5 * c.Capacity()
+	c.Faults = []Fault{{Kind: ZoneLost, Zone: 4, At: 4 * sec, For: 4 * sec}}
+	return c
+}
+
+func BenchmarkBig(b *testing.B) {
+	events := 0
+	for b.Loop() {
+		r, err := Run(big())
+		if err != nil {
+			b.Fatal(err)
+		}
+		events += r.Events
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -35,6 +35,13 @@
 	Memory int64         // peak of a proxy's, bytes
 	CPU    time.Duration // of all proxies
 	List   *List         // of a list service with members; else nil
+	Gossip *Gossip       // nil if the fleet is off
+}
+
+// Gossip is what the proxies sent each other.
+type Gossip struct {
+	Packets int   // datagrams that were handed on
+	Bytes   int64 // of these and of connections
 }
 
 // List is what came of a list service.
@@ -152,6 +159,7 @@
 	p.Broken, p.Violations = in.Record.Broken, in.Record.Violations
 	p.windows(in, cs)
 	p.recovery(in, f)
+	p.avoidance(in, cs, f)
 	t := in.Record.Tally
 	for name, n := range map[string]int{"handshakes": len(in.Record.Connects), "list_calls": t.ListCalls,
 		"watch_breaks": t.WatchBreaks, "late_answers": t.Late, "turned_back": t.TurnedBack, "resent": t.Resent,
@@ -163,6 +171,10 @@
 		f["list_told_p50_ms"], f["list_told_p99_ms"] = quantile(l.Told, 0.5), quantile(l.Told, 0.99)
 		f["list_told_max_ms"] = quantile(l.Told, 1)
 	}
+	if g := in.Gossip; g != nil {
+		each := e.Seconds * float64(len(e.ProxyNodes()))
+		f["gossip_packets_s"], f["gossip_kb_s"] = float64(g.Packets)/each, float64(g.Bytes)/1000/each
+	}
 	f["handshakes_per_request"] = over(f["handshakes"], f["requests"])
 	f["proxy_memory_mb"], f["proxy_cpu_s"] = float64(in.Memory)/(1<<20), in.CPU.Seconds()
 	p.Late = lateness(in.Late, in.Stall)
@@ -298,7 +310,8 @@
 // share is the worth in time of the windows from one up to another.
 func (p *Play) share(from, to int) float64 {
 	worth, in := 0.0, 0.0
-	for _, w := range p.Windows[max(from, 0):min(to, len(p.Windows))] {
+	to = min(to, len(p.Windows))
+	for _, w := range p.Windows[min(max(from, 0), to):to] {
 		worth, in = worth+w.Worth, in+w.InTime
 	}
 	return over(in, worth)
--- a/internal/lab/run/config.go
+++ b/internal/lab/run/config.go
@@ -8,6 +8,8 @@
 	"fernlanding/internal/lab/experiment"
 )
 
+const stage = 0 // of the one tier
+
 func micros(ms float64) int64 { return int64(ms * 1000) }
 
 // settings is the settings object that a proxy is told, in the platform's words.
@@ -33,7 +35,7 @@
 			"retry_after": x.RetryAfterMs > 0, "second_copies": x.SecondCopies, "try_limit": x.TryLimit,
 			"streams_per_conn": 1, "peers": false, "probes": false},
 		"ordinal": ordinal, "siblings": len(e.ProxyNodes()), "profiles": profiles, "tenants": []any{},
-		"tiers": []string{"lab"}, "stage": 0, "weights": "off",
+		"tiers": []string{"lab"}, "stage": stage, "weights": "off",
 	}
 	lay(s, x.Settings)
 	return s
@@ -56,7 +58,7 @@
 
 // configuration is a proxy's configuration file.
 func configuration(e *experiment.Experiment, m *member, seed uint64, mgmt string, members []string,
-	known json.RawMessage) ([]byte, error) {
+	known json.RawMessage, fleet map[string]any) ([]byte, error) {
 	c := map[string]any{"name": m.node.Name, "listen": m.listen, "mgmt": mgmt, "discovery": m.list,
 		"seed": fmt.Sprintf("%016x", seed), "settings": settings(e, m.ordinal, m.zone),
 		"limits": map[string]any{"cores": e.Proxy.Cores, "memory_mb": e.Proxy.MemoryMB, "sockets": e.Proxy.Sockets},
@@ -65,6 +67,9 @@
 		delete(c, "discovery")
 		c["discovery_members"] = members
 	}
+	if fleet != nil {
+		c["fleet"] = fleet
+	}
 	if known != nil {
 		c["known"] = known
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -3,14 +3,13 @@
 import (
 	"container/heap"
 	"context"
-	"io"
 	"log/slog"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"fernlanding/internal/bans"
 	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
@@ -19,76 +18,8 @@
 const (
 	sweepEvery = time.Second            // idle connections to backends are looked over
 	lookEvery  = 200 * time.Millisecond // the figures on servers are taken again
-	// An attempt's time-out at the end of the request's time is the module's to answer and to learn from;
-	// this much later the request is failed whatever the module says.
-	expireAfter = 10 * time.Millisecond
-	uploadMost  = 30 * time.Minute // for a body to come; its rate is watched where it is read
 )
 
-// clock gives the module's time: microseconds that begin at the Unix time of the start and then follow the
-// monotonic clock. Unix times that discovery gives compare with it, and a step of the wall clock does not.
-type clock struct{ start time.Time }
-
-func (c clock) now() int64           { return c.at(time.Now()) }
-func (c clock) at(t time.Time) int64 { return c.start.UnixMicro() + t.Sub(c.start).Microseconds() }
-func (c clock) time(micros int64) time.Time {
-	return c.start.Add(time.Duration(micros-c.start.UnixMicro()) * time.Microsecond)
-}
-
-// request is one request that a client has handed over. The fields above answer are set before the loop
-// gets it; those below belong to the loop.
-type request struct {
-	logic.Request
-	class  string // its name
-	method string
-	uri    string // path and query as they came
-	host   string
-	header http.Header   // what goes on to the backend
-	wait   time.Duration // how long the client waits, from the last byte of the request on
-	body   []byte        // what is held of it
-	unsafe bool          // its class must never run twice
-	answer chan answer   // takes the one final answer without a wait
-
-	// Of a body that is too large to be held. While Uploading the rest is still coming.
-	rest     io.Reader // what comes after body
-	length   int64     // of all; -1: not told
-	stopBody func()    // nobody wants the rest any more
-	spent    bool      // some of the rest is gone: no other attempt can have it
-
-	over    bool
-	sends   int
-	current *attempt // the one that is out
-}
-
-// answer is a final answer.
-type answer struct {
-	status  int
-	body    []byte
-	stream  *download // in body's place: it is passed on as it comes
-	content string
-	after   int64 // of a refusal: come again after this, in microseconds; 0 for no word
-}
-
-// timer is an entry of the loop's timers: a token of the module's, or a request's time.
-type timer struct {
-	at    int64
-	token string
-	req   *request
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // loop owns the Balancer and the table of requests. All that happens comes to it through channels and is
 // told to the module in that order; it carries the module's decisions out as its logic.Host.
 type loop struct {
@@ -100,8 +31,9 @@
 	log    *slog.Logger
 	events chan func()
 	lists  <-chan discovery.News
-	bans   chan banNews
-	seen   *seen
+	bans   <-chan bans.Set // whole sets; nil: none come
+	seen   *bans.Names
+	fleet  *fleet        // nil on its own
 	ask    func()        // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
 	fresh  chan struct{} // closed when there is one from discovery
@@ -122,9 +54,8 @@
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
 	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log, events: make(chan func(), 256),
-		bans: make(chan banNews), seen: newSeen(), ask: func() {}, listed: make(chan struct{}),
-		fresh: make(chan struct{}),
-		reqs:  map[string]*request{}, done: make(chan struct{})}
+		seen: bans.NewNames(), ask: func() {}, listed: make(chan struct{}), fresh: make(chan struct{}),
+		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
 // run plays events until the context ends, and then until every attempt has.
@@ -145,6 +76,12 @@
 		defer tick.Stop()
 		look = tick.C
 	}
+	var meet <-chan time.Time
+	if l.fleet != nil {
+		tick := time.NewTicker(meetEvery)
+		defer tick.Stop()
+		meet = tick.C
+	}
 	for {
 		// What discovery and on-call staff told comes before all else: nothing may go to a backend known to
 		// drain, or banned.
@@ -153,8 +90,8 @@
 			l.list(n)
 			continue
 		case n := <-l.bans:
-			l.ban(n.ids)
-			close(n.done)
+			l.ban(n.IDs)
+			n.Holds()
 			continue
 		default:
 		}
@@ -162,13 +99,15 @@
 		case n := <-l.lists:
 			l.list(n)
 		case n := <-l.bans:
-			l.ban(n.ids)
-			close(n.done)
+			l.ban(n.IDs)
+			n.Holds()
 		case f := <-l.events:
 			f()
 		case <-alarm.C:
 		case now := <-sweep.C:
 			l.pool.sweep(now)
+		case <-meet:
+			l.meet()
 		case <-look:
 			l.figs.servers(l.bal.Servers())
 		case <-ctx.Done():
@@ -237,7 +176,7 @@
 	for _, e := range list.Endpoints {
 		names = append(names, e.Name)
 	}
-	l.seen.add(names...)
+	l.seen.Add(names...)
 	l.pool.apply(kind != logic.Delta, list.Endpoints)
 	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.Endpoints))
 	l.figs.servers(l.bal.Servers())
@@ -288,193 +227,3 @@
 	l.bal.Ban(ids)
 	l.figs.servers(l.bal.Servers())
 }
-
-// take hands a request to the module. It has until GiveUp to end it.
-func (l *loop) take(r *request) {
-	if l.reqs[r.ID] != nil { // two under one id could not be told apart
-		r.answer <- answer{status: http.StatusBadRequest}
-		if r.stopBody != nil {
-			r.stopBody()
-		}
-		return
-	}
-	l.reqs[r.ID] = r
-	if !r.Uploading {
-		l.limit(r)
-	}
-	l.bal.Request(l.clock.now(), l, r.Request)
-}
-
-// limit has a request end when its client gives up, at the latest.
-func (l *loop) limit(r *request) {
-	if l.cutoff > 0 {
-		r.GiveUp = min(r.GiveUp, l.cutoff)
-	}
-	heap.Push(&l.timers, timer{at: r.GiveUp + expireAfter.Microseconds(), req: r})
-}
-
-// uploaded begins the time of a request whose body was still coming when it was taken.
-func (l *loop) uploaded(r *request, giveUp int64) {
-	if r.over {
-		return
-	}
-	r.Uploading, r.GiveUp = false, giveUp
-	l.limit(r)
-	now := l.clock.now()
-	timeout := l.bal.Uploaded(now, r.ID, r.GiveUp)
-	if a := r.current; a != nil && a.whole != nil {
-		a.sent = now
-		a.whole <- l.clock.time(min(r.GiveUp, now+timeout))
-	}
-}
-
-// end gives a request its final answer, if it has none yet.
-func (l *loop) end(r *request, ans answer) {
-	if r.over {
-		return
-	}
-	r.over = true
-	r.answer <- ans
-	if r.stopBody != nil {
-		r.stopBody()
-	}
-	l.forget(r)
-}
-
-func (l *loop) forget(r *request) {
-	if r.over && r.current == nil {
-		delete(l.reqs, r.ID)
-		r.body, r.header = nil, nil // a timer may hold on to the rest for seconds
-	}
-}
-
-// withdraw ends a request that nobody waits for any more, and its attempt.
-func (l *loop) withdraw(r *request, ans answer) {
-	if r.over {
-		return
-	}
-	l.end(r, ans)
-	l.bal.Withdrawn(l.clock.now(), l, r.ID)
-	if r.current != nil {
-		r.current.stop()
-	}
-}
-
-// gone ends a request whose client has gone, even in the middle of its answer.
-func (l *loop) gone(r *request) {
-	l.withdraw(r, answer{})
-	if r.current != nil {
-		r.current.stop()
-	}
-}
-
-// expire fails a request that the module has not ended in its time.
-func (l *loop) expire(r *request) {
-	l.withdraw(r, answer{status: http.StatusGatewayTimeout})
-}
-
-// hurry is for SIGTERM: all requests end by cutoff, since the process may be killed soon after.
-func (l *loop) hurry(cutoff int64) {
-	l.cutoff = cutoff
-	for _, r := range l.reqs {
-		heap.Push(&l.timers, timer{at: cutoff, req: r})
-	}
-}
-
-// outcome tells the module how an attempt ended; a served request has its answer first.
-func (l *loop) outcome(a *attempt, res result) {
-	r := a.req
-	if r.current == a {
-		r.current = nil
-	}
-	if res.status == logic.OK {
-		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
-	}
-	now := l.clock.now()
-	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
-		Closed: r.over, Spent: r.spent})
-	l.forget(r)
-}
-
-// stream ends a request with an answer that is passed on as it comes; false if it has ended otherwise. The
-// attempt calls it and goes on until the answer has been passed on.
-func (l *loop) stream(a *attempt, ans answer) bool {
-	begun := make(chan bool, 1)
-	l.post(func() {
-		if a.req.over {
-			begun <- false
-			return
-		}
-		l.bal.Started(l.clock.now(), a.req.ID)
-		l.end(a.req, ans)
-		begun <- true
-	})
-	select {
-	case ok := <-begun:
-		return ok
-	case <-l.done:
-		return false
-	}
-}
-
-// Send implements logic.Host.
-func (l *loop) Send(id, server string, timeout int64) {
-	r := l.reqs[id]
-	if r == nil {
-		l.log.Error("send for an unknown request", "id", id)
-		return
-	}
-	now := l.clock.now()
-	until := r.GiveUp
-	if r.Uploading {
-		until = now + uploadMost.Microseconds()
-	} else if timeout != 0 {
-		until = min(until, now+timeout)
-	}
-	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
-	r.sends++
-	if r.Uploading {
-		a.whole = make(chan time.Time, 1)
-	}
-	var ok bool
-	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
-	if !ok || r.over || r.current != nil { // never two attempts of a request at once
-		l.unsent = append(l.unsent, a)
-		return
-	}
-	a.ctx, a.stop = context.WithCancel(l.ctx)
-	a.stream = func(ans answer) bool { return l.stream(a, ans) }
-	r.current = a
-	l.attempts.Add(1)
-	go func() {
-		defer l.attempts.Done()
-		res := a.run()
-		a.stop()
-		l.post(func() { l.outcome(a, res) })
-	}()
-}
-
-// Refuse implements logic.Host.
-func (l *loop) Refuse(id string, after int64) {
-	if r := l.reqs[id]; r != nil {
-		l.end(r, answer{status: http.StatusServiceUnavailable, after: after})
-	}
-}
-
-// Fail implements logic.Host.
-func (l *loop) Fail(id string) {
-	if r := l.reqs[id]; r != nil {
-		l.end(r, answer{status: http.StatusBadGateway})
-	}
-}
-
-// SetTimer implements logic.Host.
-func (l *loop) SetTimer(delay int64, token string) {
-	heap.Push(&l.timers, timer{at: l.clock.now() + delay, token: token})
-}
-
-// Watch implements logic.Host. Where the list is pushed the watch stands anyway.
-func (l *loop) Watch() { l.ask() }
-
-// Log implements logic.Host.
-func (l *loop) Log(line string) { l.log.Info(line) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,7 +15,9 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/bans"
 	"fernlanding/internal/discovery"
+	"fernlanding/internal/fleet/link"
 	"fernlanding/internal/mgmt"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
@@ -54,6 +56,9 @@
 	Site      *settings.Site
 	Log       *slog.Logger
 
+	// Fleet has the proxy be one of a fleet, by Name, Bind, Advertise, Label and Seeds; nil: it is on its own.
+	Fleet *link.Config
+
 	Hold int // bytes of memory for bodies that are held; 0 for a default
 
 	// Memory is told what part of the memory limit is this process's; may be nil.
@@ -67,7 +72,8 @@
 	front  *frontend
 	figs   *figures
 	lists  *discovery.Client
-	bans   *bans                                          // nil unless watched
+	bans   *bans.Bans                                     // nil unless watched
+	fleet  *fleet                                         // nil on its own
 	elder  *elder                                         // the predecessor that lives, or nil
 	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
 	others atomic.Int32                                   // processes of this proxy that live beside this one
@@ -107,17 +113,31 @@
 	p.share(false)
 	if before != nil {
 		bal.Inherit(before.legacy.Spent)
-		l.seen.add(before.legacy.Seen...)
+		l.seen.Add(before.legacy.Seen...)
 		p.join(1)
 	}
 	if known := p.known(); known != nil {
 		l.apply(logic.Cached, known)
 	}
 	if cfg.Watched {
-		if p.bans, err = openBans(cfg.State, l); err != nil {
+		of := bans.Config{Dir: cfg.State, Names: l.seen, Ended: l.done, Log: cfg.Log}
+		if cfg.Fleet != nil {
+			of.Told = func(nodo string, suspended bool) error { return p.fleet.told(nodo, suspended) }
+		}
+		p.bans, err = bans.Open(of)
+		if err != nil {
 			listener.Close()
 			return nil, err
 		}
+		l.bans = p.bans.Sets()
+		l.ban(p.bans.Present())
+	}
+	if cfg.Fleet != nil {
+		if p.fleet, err = openFleet(cfg, l, p.bans); err != nil {
+			listener.Close()
+			return nil, err
+		}
+		l.fleet = p.fleet
 	}
 	return p, nil
 }
@@ -156,6 +176,9 @@
 	if cfg.Watched {
 		own += mgmt.MaxConns + 1
 	}
+	if cfg.Fleet != nil {
+		own += link.Descriptors
+	}
 	over = min(overCap, max(overLeast, sockets/overPart))
 	rest := sockets - own - over
 	clients = int(clientPart * float64(rest))
@@ -190,7 +213,7 @@
 func (p *Proxy) handOver() (legacy, error) {
 	out := make(chan legacy, 1)
 	p.loop.post(func() {
-		out <- legacy{Spent: p.loop.bal.HandOver(p.loop.clock.now()), Seen: p.loop.seen.all()}
+		out <- legacy{Spent: p.loop.bal.HandOver(p.loop.clock.now()), Seen: p.loop.seen.All()}
 	})
 	select {
 	case l := <-out:
@@ -256,6 +279,9 @@
 // known is the newest list that the proxy can begin with: what it kept itself, or what its configuration says.
 func (p *Proxy) known() *discovery.List {
 	if p.cfg.Kept == "" {
+		if p.cfg.Known != nil && len(p.cfg.Discovery.Members) == 0 {
+			p.lists.Known(p.cfg.Known)
+		}
 		return p.cfg.Known
 	}
 	kept, err := discovery.Kept(p.cfg.Kept)
@@ -273,11 +299,12 @@
 func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
 
 // Suspend has a server get nothing new, whatever the list says, until Resume. Any process of this proxy may be
-// told. The answer comes once this one acts on it; that of a server that no list has named is mgmt.ErrUnknown.
-func (p *Proxy) Suspend(server string) error { return p.bans.suspend(server) }
+// told. The answer comes once this one acts on it; its errors are those of
+// bans.Bans.Suspend.
+func (p *Proxy) Suspend(server string) error { return p.bans.Suspend(server) }
 
 // Resume ends the ban of a server.
-func (p *Proxy) Resume(server string) error { return p.bans.resume(server) }
+func (p *Proxy) Resume(server string) error { return p.bans.Resume(server) }
 
 // Figures are the counts so far.
 func (p *Proxy) Figures() mgmt.Figures {
@@ -285,6 +312,9 @@
 	if l := p.lists.Figures(); l.Members {
 		f.List = &mgmt.List{Age: l.Age, Moves: l.Moves, Failures: l.Failures, Kept: l.Kept}
 	}
+	if p.fleet != nil {
+		f.Fleet = p.fleet.figures()
+	}
 	return f
 }
 
@@ -302,9 +332,14 @@
 	defer stop()
 	parts.Go(func() { p.loop.run(inner) })
 	if p.bans != nil {
-		parts.Go(func() { p.bans.watch(inner) })
+		parts.Go(func() { p.bans.Run(inner) })
 	}
 	parts.Go(func() { p.lists.Run(inner) })
+	if p.fleet != nil {
+		present, leave := context.WithCancel(ctx) // it leaves as it begins to drain: a successor may want the address
+		defer leave()
+		parts.Go(func() { p.fleet.run(present) })
+	}
 	if p.elder != nil {
 		parts.Go(func() { p.elder.wait(); p.join(-1) })
 		defer p.elder.conn.Close()
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -262,26 +262,3 @@
 	b.further.add(now, b.s.BudgetSpan)
 	return true
 }
-
-// HandOver tells a successor, which serves beside this Balancer from now on, what has been used of the
-// allowance for further attempts. The free part of it and what was earned are the successor's then; this one
-// keeps what further requests earn it, so that the two together stay within the rule in every window.
-func (b *Balancer) HandOver(now int64) Spent {
-	b.taken.since(now - b.s.BudgetSpan)
-	b.further.since(now - b.s.BudgetSpan)
-	s := Spent{Taken: b.taken, Further: b.further}
-	b.taken, b.further, b.free, b.shared = nil, nil, math.MaxInt64, true
-	return s
-}
-
-// Inherit takes what a predecessor handed over, before the first request. It may send on for a while.
-func (b *Balancer) Inherit(s Spent) { b.taken, b.further, b.shared = s.Taken, s.Further, true }
-
-// Alone takes the news that the other process has ended. A predecessor that outlives its successor has the
-// free part of the allowance again when no window holds what that one may have used of it.
-func (b *Balancer) Alone(now int64) {
-	b.shared = false
-	if b.free == math.MaxInt64 {
-		b.free = now + b.s.BudgetSpan
-	}
-}
