--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -299,6 +299,51 @@
 	}
 }
 
+// What is bad goes before what is well, also where that fills the datagrams; what is well still goes in the end.
+func TestUrgentEntriesGoFirst(t *testing.T) {
+	q := newQueue(func() int { return 4 })
+	made := func(kind view.Kind, n int) {
+		for i := range n {
+			q.add([]view.Entry{{Kind: kind, Subject: fmt.Sprint(kind, i), Observer: "a", Incarnation: 1, Seq: uint64(i + 1),
+				Made: 1000, Life: kind.Life()}})
+		}
+	}
+	made(view.ServerBad, 3)
+	made(view.ZoneWell, 500)
+	bad := 0
+	for n := 1; n <= 8; n++ {
+		in, _, _ := view.Decode(1000, q.take(1000, packetMost))
+		well := 0
+		for _, e := range in {
+			if e.Kind == view.ZoneWell {
+				well++
+			} else if n == 1 {
+				bad++
+			}
+		}
+		if well == 0 {
+			t.Errorf("nothing of what is well in packet %d", n)
+		}
+	}
+	if bad != 3 {
+		t.Errorf("%d of three verdicts went at once", bad)
+	}
+}
+
+// Only what a living member tells, of the zone that it says it is in, is acted on.
+func TestWhoIsHeard(t *testing.T) {
+	m := newMembers("self", "0", nil, slog.New(slog.DiscardHandler), func() {})
+	m.alive = map[string]Member{"a": {Name: "a", Zone: "north"}}
+	var got []string
+	for _, e := range m.tell([]view.Entry{{Observer: "a", Zone: "north", Subject: "1"}, {Observer: "a", Zone: "south", Subject: "2"},
+		{Observer: "left", Zone: "north", Subject: "3"}}) {
+		got = append(got, e.Subject)
+	}
+	if !slices.Equal(got, []string{"1"}) {
+		t.Errorf("acted on %v", got)
+	}
+}
+
 // After a stop, what memberlist still held is not read for a moment; then all is as before.
 func TestAStopIsNoticed(t *testing.T) {
 	cfg := config("a")
--- a/internal/fleet/link/members.go
+++ b/internal/fleet/link/members.go
@@ -11,6 +11,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
+
+	"fernlanding/internal/fleet/view"
 )
 
 const (
@@ -83,6 +85,17 @@
 	errCrowd    = errors.New("the fleet has as many members as are followed")
 )
 
+// tell gives the entries of members that are alive and say of which zone they are as they do with their address. What a
+// member told before it left or died is not acted on, nor is what a stranger's name is on.
+func (m *members) tell(entries []view.Entry) []view.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(entries, func(e view.Entry) bool {
+		x, alive := m.alive[e.Observer]
+		return !alive || x.Zone != e.Zone
+	})
+}
+
 // NotifyAlive implements memberlist.AliveDelegate: an error keeps a node out.
 func (m *members) NotifyAlive(n *memberlist.Node) error {
 	if n.Name == m.self {
--- a/internal/fleet/link/owner.go
+++ b/internal/fleet/link/owner.go
@@ -149,7 +149,7 @@
 		return
 	}
 	o.published = now
-	o.others = o.view.Known(now)
+	o.others = l.who.tell(o.view.Known(now))
 	s := Snapshot{Alone: o.alone, Others: o.others, Hands: o.hands}
 	s.Living, s.Near = l.who.count(l.cfg.Zone)
 	select {
--- a/internal/fleet/link/queue.go
+++ b/internal/fleet/link/queue.go
@@ -47,11 +47,21 @@
 	return key{e.Kind, e.Subject, e.Observer}
 }
 
-// first orders by who goes first: the least sent, and of these the newest.
+// ahead is how often an entry of a less urgent kind has to wait for one that was sent already: in a large fleet what all
+// find well would fill the datagrams by itself.
+const ahead = 3
+
+// urgency is 0 for what people asked for, 1 for what is bad or changed, 2 for what is well, 3 for summaries.
+var urgency = [...]int{view.ServerBad: 1, view.ZoneBad: 1, view.ServerFlap: 1, view.ServerWell: 2, view.ZoneWell: 2,
+	view.ServerLoad: 3, view.Hand: 0}
+
+// first orders by who goes first: the least sent, with the urgent ahead, and of these the newest.
 func first(a, b *queued) int {
-	return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.turn, a.turn))
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.turn, a.turn))
 }
 
+func (q *queued) rank() int { return q.sent + ahead*urgency[q.entry.Kind] }
+
 // add puts entries in, in the place of what was told of the same before. Over the bound the one goes that was sent most.
 func (q *queue) add(entries []view.Entry) {
 	if len(entries) == 0 {
