--- a/logic/books.go
+++ b/logic/books.go
@@ -123,7 +123,7 @@
 		t.all++
 		t.late += int(partOf(now-s.seen.last <= latest))
 		n := Notice{Zone: b.s.Zone, Server: s.ID, Launched: s.Launched, Calls: s.seen.calls, Bad: s.seen.part()}
-		if s.callsBad() {
+		if b.swings(now, s); s.callsBad() {
 			t.bad++
 			t.lateBad += int(partOf(now-s.seen.last <= latest))
 			n.Kind, n.Cause, n.At = ServerBad, s.seen.cause, s.seen.badAt
@@ -145,6 +145,7 @@
 	for _, t := range of {
 		sum.all, sum.bad, sum.badZones = sum.all+t.all, sum.bad+t.bad, sum.badZones+int(partOf(t.bad > 0))
 	}
+	b.tells = append(append(b.tells, b.tellSwings(now)...), b.tellLoads(now)...)
 	if ownLink(&sum, anyWell) {
 		b.tells = nil
 	}
@@ -184,6 +185,8 @@
 	}
 	b.peers = p
 	b.condemn(now)
+	b.reportDamped(now, h)
+	b.tune(now)
 	b.sumZones(zoneLeast, zoneMost)
 	changed := false
 	for i := range b.zones {
--- a/logic/state.go
+++ b/logic/state.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"fernlanding/internal/tail"
 )
 
 // The data that decisions read. This file keeps books; it decides nothing.
@@ -113,6 +115,15 @@
 	okAt     int64   // when this copy was last answered by it
 	told     float64 // part of its weight that the verdicts of others leave
 	verdict  verdict // what copies say of it now
+	refused  bool    // it refused a connection, and has answered nothing since
+	damped   bool    // removals and returns are not acted on
+	since    int64   // since then
+	load     load
+	sum      loadSum // as of the last round of tuning
+	fit      tail.Fit
+	tune     float64 // logarithm of the factor that its weight is tuned by
+	tuneWas  float64 // before the last step
+	tuned    float64 // the factor
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -122,6 +133,8 @@
 func (s *server) forget(classes int) {
 	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
 	s.seen, s.okAt, s.told, s.verdict = evidence{}, 0, 1, verdict{}
+	s.damped, s.refused = false, false
+	s.load, s.sum, s.fit, s.tune, s.tuneWas, s.tuned = load{}, loadSum{}, tail.Fit{}, 0, 0, 1
 	for i := range s.classes {
 		s.classes[i].left = 1
 	}
@@ -135,7 +148,15 @@
 	return 0
 }
 
-func (s *server) healthFor(class int) float64 { return s.whole.left * s.classes[class].left * s.told }
+// healthFor is a server's for the calls of a class; one that is damped has one that is steady, or less if it
+// refuses connections.
+func (s *server) healthFor(class int) float64 {
+	left := s.whole.left * s.classes[class].left * s.told
+	if s.damped && (!s.refused || left > dampedPart) {
+		return dampedPart
+	}
+	return left
+}
 
 type attempt struct {
 	srv     *server
@@ -260,6 +281,22 @@
 	peers     Peers     // what others told last
 	tells     []Notice  // what this copy told last
 	drained   map[int]bool
+	flaps     map[string]flap // by server
+	damper    damper
+	dampedAt  int64 // when the last log line on them was written, and what it said
+
+	dampedSaid string
+
+	loads     []Notice // what this copy told last of loads
+	loadAt    int64
+	middle    float64   // mean time under little load over the classes
+	measured  float64   // calls
+	tail      tail.Norm // of the times of this copy's answered calls in this round, as multiples of their class's
+	tailCalls float64
+	tailWas   float64 // in the last round
+	tuneAt    int64   // when the next round is due
+	step      float64
+	solver    tail.Solver
 	reported  int64 // when the last log line was written
 }
 
@@ -336,7 +373,7 @@
 // failures, get trials at most.
 func (b *Balancer) Servers() (listed, avoided int) {
 	for _, s := range b.all {
-		if b.banned[s.ID] || s.State == Ready && s.whole.left < wellPart {
+		if b.banned[s.ID] || s.State == Ready && (s.damped || s.whole.left < wellPart) {
 			avoided++
 		}
 	}
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -74,7 +74,7 @@
 func (b *Balancer) condemn(now int64) {
 	b.sumServers(now, func(n Notice) bool { return n.Cause != Silent || n.Zone == b.s.Zone }, verdictMost)
 	var bad []*server
-	in, out := map[int]int{}, map[int]int{}
+	in := map[int]int{}
 	for _, s := range b.ready {
 		v := &s.verdict
 		s.told = 1
@@ -87,9 +87,9 @@
 	slices.SortFunc(bad, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(y.verdict.calls, x.verdict.calls), cmp.Compare(x.ID, y.ID))
 	})
-	left := budget(len(b.ready))
+	left, out := b.damp(now)
 	for _, s := range bad {
-		if left > 0 && out[s.Zone] < budget(in[s.Zone]) {
+		if !s.damped && left > 0 && out[s.Zone] < budget(in[s.Zone]) {
 			left, out[s.Zone], s.told = left-1, out[s.Zone]+1, healthFloor
 		}
 	}
