Stop damping and tuning by themselves, merge zones by hand with the fleet's own program

Need: an operator stops one part of a fleet without the rest; the calls on zones and the fleet's own program were made side by side.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -136,6 +136,7 @@
 		if p.Fleet, err = c.plan(f.Fleet, cmp.Or(env("LB_NAME"), f.Name)); err != nil {
 			return nil, err
 		}
+		p.Site.Logic.Undamped, p.Site.Logic.Untuned = p.Fleet.Undamped, p.Fleet.Untuned
 	}
 	return c, nil
 }
--- a/internal/fleet/section.go
+++ b/internal/fleet/section.go
@@ -14,11 +14,12 @@
 
 // Read is a config.FleetReader.
 func Read(section json.RawMessage, name string) (*proxy.FleetPlan, error) {
-	c, err := read(section, name)
+	c, f, err := read(section, name)
 	if err != nil {
 		return nil, err
 	}
-	return &proxy.FleetPlan{Descriptors: link.Descriptors, Open: func(self proxy.FleetSelf) (proxy.Fleet, error) {
+	off := func(part *bool) bool { return part != nil && !*part }
+	return &proxy.FleetPlan{Descriptors: link.Descriptors, Undamped: off(f.Damping), Untuned: off(f.Tuning), Open: func(self proxy.FleetSelf) (proxy.Fleet, error) {
 		f, err := open(*c, self)
 		if err != nil {
 			return nil, err
@@ -27,27 +28,28 @@
 	}}, nil
 }
 
-// read gives what of a link's configuration is the section's.
-func read(section json.RawMessage, name string) (*link.Config, error) {
-	var f struct {
-		Name      string   `json:"name"`
-		Bind      string   `json:"bind"`
-		Advertise string   `json:"advertise"`
-		Label     string   `json:"label"`
-		Seeds     []string `json:"seeds"`
-	}
+// object is the section as it stands in the file.
+type object struct {
+	Name      string   `json:"name"`
+	Bind      string   `json:"bind"`
+	Advertise string   `json:"advertise"`
+	Label     string   `json:"label"`
+	Seeds     []string `json:"seeds"`
+	Damping   *bool    `json:"damping"` // on unless it says false
+	Tuning    *bool    `json:"tuning"`
+}
+
+// read gives the section, and what of a link's configuration is its.
+func read(section json.RawMessage, name string) (c *link.Config, f object, err error) {
 	if err := json.Unmarshal(section, &f); err != nil {
-		return nil, err
+		return nil, f, err
 	}
-	c := &link.Config{Name: cmp.Or(f.Name, name), Bind: cmp.Or(f.Bind, defaultBind), Advertise: f.Advertise, Label: f.Label,
+	c = &link.Config{Name: cmp.Or(f.Name, name), Bind: cmp.Or(f.Bind, defaultBind), Advertise: f.Advertise, Label: f.Label,
 		Seeds: f.Seeds}
-	err := c.Check()
+	err = c.Check()
 	var fault *link.ConfigError
 	if errors.As(err, &fault) {
-		return nil, &config.ConfigError{Key: "fleet." + fault.Key, Problem: fault.Cause, Remedy: fault.Remedy}
-	}
-	if err != nil {
-		return nil, err
+		return nil, f, &config.ConfigError{Key: "fleet." + fault.Key, Problem: fault.Cause, Remedy: fault.Remedy}
 	}
-	return c, nil
+	return c, f, err
 }
--- a/internal/fleet/view/entry.go
+++ b/internal/fleet/view/entry.go
@@ -35,7 +35,7 @@
 	ZoneBad:    {"zone-bad", 3 * second, 300 * milli, 32},
 	ZoneWell:   {"zone-well", 3 * second, second, 32}, // all tell it all the time; once bad it is another kind
 	ServerFlap: {"server-flap", 60 * second, 0, 128},
-	ServerLoad: {"server-load", 5 * second, second, 256},
+	ServerLoad: {"server-load", 5 * second, 2 * second, 256}, // a round of tuning lasts 3 s
 	Hand:       {"hand", resumedLife, 0, 0},
 }
 
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -39,6 +39,9 @@
 type FleetPlan struct {
 	Open        func(FleetSelf) (Fleet, error)
 	Descriptors int // that it holds at most
+
+	// What of it is off by itself; SIGHUP changes it.
+	Undamped, Untuned bool
 }
 
 // self is what this proxy tells of itself.
--- a/internal/proxy/zonehands.go
+++ b/internal/proxy/zonehands.go
@@ -71,7 +71,7 @@
 func (l *loop) lookZones() {
 	now := l.clock.now()
 	returning := func(z logic.ZoneState) bool { return z.Standing == logic.Returning }
-	if slices.ContainsFunc(l.bal.ZoneStates(now), returning) && (l.fleet == nil || !l.fleet.figures().Open) {
+	if slices.ContainsFunc(l.bal.ZoneStates(now), returning) && (l.fleet == nil || !l.fleet.Figures().Open) {
 		l.bal.Peers(now, l, logic.Peers{Living: 1, Near: 1, Alone: true})
 	}
 	l.showZones()
