Go on from the version held when discovery moves, and check it by one whole list later

Need: whatever discovery has to tell counts as told 4 s after SIGHUP. To blame: client.go, a move forgot the version.

Change: the new address is asked from the version held. One that is behind it shows at the first answer (0.3 s) and is asked for its whole list at once, without the module's pause; one that is ahead may be another service, so the whole list is asked for once, 30 to 120 s after the move, by chance for each proxy, and again so long after a call that failed.

TestDiscoveryMoves, TestAMoveIsCheckedLater.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -176,7 +176,8 @@
 			c.at = to
 			c.fromMembers.Store(len(to.Members) > 0)
 			c.elsewhere = true
-			c.watched = watched{version: -1} // another service's versions may say something else
+			c.going = false
+			c.checkLater() // another service's versions may say something else
 			c.http.CloseIdleConnections()
 			c.http = newHTTP(to)
 		}
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -21,15 +21,17 @@
 //   - No watch (after 503, a reset, a discovery that is down, or at a start): a change counts as told the settings' asking
 //     time after it was made, from the last call on; four times that after a call that failed. The module asks again long
 //     before.
-//   - Moved by SIGHUP: 4 s after it. The new address is asked at once.
+//   - Moved by SIGHUP: 4 s after it. The new address is asked at once, from the version held: 340 proxies that asked it for
+//     whole lists waited for up to 20 s.
 //   - Pushed (no subscription): from the first moment. The first call waits for nobody.
 //
 // What it costs discovery is bounded too, since it answers calls in turn and turns away at once what would wait longer
 // than turnWait. A watch that goes on takes no turn; a new one takes one, and a whole list as many as it has lines for: a
 // fleet that has lost its watches and asks for whole lists is turned away for tens of seconds. So whatever ended a watch,
 // the next call goes on from the version that is held, or that the proxy's configuration came with (Known), and brings
-// only what changed since. The whole list is asked for where no version is held, after an answer that makes no sense or a
-// version that went back, and at another address.
+// only what changed since. The whole list is asked for where no version is held, and after an answer that makes no sense or
+// a version that went back. Another address may be another service whose versions say something else: one that is behind
+// shows at its first answer, the rest within checkSpread of checkLeast, when the whole list is asked for once.
 const (
 	holdLeast    = 2400 * time.Millisecond // a watch that goes on may wait for news at least so long, and
 	holdSpread   = 1200 * time.Millisecond // up to this much more, so that a fleet's watches neither begin nor end together
@@ -37,6 +39,8 @@
 	turnWait     = 2 * time.Second         // for a call's turn
 	watchSlack   = 500 * time.Millisecond  // beyond that, until a watch is taken for silent
 	listPatience = 3 * time.Second         // for an answer that need not wait
+	checkLeast   = 30 * time.Second        // after a move
+	checkSpread  = 90 * time.Second        // and up to this much more, so that a fleet does not ask together
 	retryFirst   = 50 * time.Millisecond   // after a failed call
 	retryMost    = 500 * time.Millisecond  // at most
 )
@@ -61,8 +65,9 @@
 
 // watched is what a client of one address knows. It is Run's alone.
 type watched struct {
-	version int64 // that is held; negative: none
-	going   bool  // the last call was answered: a watch now goes on from it
+	version int64     // that is held; negative: none
+	going   bool      // the last call was answered: a watch now goes on from it
+	check   time.Time // the whole list is asked for then; zero: not
 }
 
 // watch watches at one address until the context ends. With wait, the first call awaits the module's word, as it does
@@ -78,10 +83,16 @@
 				return
 			}
 		}
-		list, err := c.call(ctx)
+		whole := c.version < 0 || c.going && !c.check.IsZero() && !time.Now().Before(c.check)
+		list, err := c.call(ctx, whole)
 		if ctx.Err() != nil {
 			return
 		}
+		if whole && err == nil {
+			c.check = time.Time{}
+		} else if whole && !c.check.IsZero() {
+			c.checkLater()
+		}
 		if err == nil && !list.Full && list.Index < c.version {
 			err = &versionError{c.version, list.Index}
 		}
@@ -100,7 +111,11 @@
 		silent = false
 		var garbled *garbledError
 		var back *versionError
-		if errors.As(err, &garbled) || errors.As(err, &back) {
+		if errors.As(err, &back) { // it answers, and has another line of versions
+			c.version, subscribed = -1, true
+			continue
+		}
+		if errors.As(err, &garbled) {
 			c.version = -1
 		}
 		subscribed = false
@@ -113,10 +128,13 @@
 	}
 }
 
+// checkLater has the whole list asked for when that hurts nobody.
+func (c *Client) checkLater() { c.check = time.Now().Add(checkLeast + c.draw(checkSpread)) }
+
 // call asks for what is newer than the version that is held, or for the whole list.
-func (c *Client) call(ctx context.Context) (*List, error) {
+func (c *Client) call(ctx context.Context, whole bool) (*List, error) {
 	u := "http://" + c.at.Address + "/catalog/members"
-	if c.version < 0 {
+	if whole {
 		return c.get(ctx, u, listPatience)
 	}
 	hold, patience := firstHold, turnWait+firstHold+watchSlack
--- a/internal/discovery/platform_test.go
+++ b/internal/discovery/platform_test.go
@@ -50,6 +50,49 @@
 	})
 }
 
+// After a move the client goes on from its version, and has the whole list once later: a service with another line of
+// versions may answer from it too.
+func TestAMoveIsCheckedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Config{Source: Source{Address: "127.0.0.1:1"}, Log: slog.New(slog.DiscardHandler)})
+		c.Known(&List{Index: 5, Full: true})
+		c.checkLater()
+		start, whole := time.Now(), []time.Duration(nil)
+		c.http.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+			if hold, _ := time.ParseDuration(r.URL.Query().Get("hold_ms") + "ms"); hold > 0 {
+				select {
+				case <-time.After(hold):
+					return answer(`{"index":5,"snapshot":false,"endpoints":[]}`), nil
+				case <-r.Context().Done():
+					return nil, r.Context().Err()
+				}
+			}
+			if whole = append(whole, time.Since(start)); len(whole) == 1 {
+				return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+			}
+			return answer(`{"index":5,"snapshot":true,"endpoints":[]}`), nil
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		go func() {
+			for {
+				select {
+				case <-c.News():
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		time.Sleep(10 * time.Minute)
+		stop()
+		synctest.Wait()
+		if len(whole) != 2 || whole[0] < checkLeast || whole[0] > checkLeast+checkSpread+5*time.Second ||
+			whole[1]-whole[0] < checkLeast {
+			t.Errorf("the whole list was asked for at %v", whole)
+		}
+	})
+}
+
 func answer(text string) *http.Response {
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text))}
 }
@@ -60,8 +103,13 @@
 		calls = make(chan string, 10)
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			calls <- r.URL.RawQuery
-			if r.URL.RawQuery != "" {
-				<-r.Context().Done()
+			if q := r.URL.Query(); q.Has("from") {
+				hold, _ := time.ParseDuration(q.Get("hold_ms") + "ms")
+				select {
+				case <-time.After(hold):
+					fmt.Fprintf(w, `{"index":%d,"snapshot":false,"endpoints":[]}`, index)
+				case <-r.Context().Done():
+				}
 				return
 			}
 			fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[]}`, index)
@@ -82,7 +130,7 @@
 	<-calls
 	<-calls // the watch is held
 	c.Move(Source{Address: second})
-	if n := <-c.News(); n.List == nil || n.List.Index != 3 {
+	if n := <-c.News(); n.List == nil || n.List.Index != 3 || !n.List.Full {
 		t.Errorf("got %+v", n.List)
 	}
 	stop()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -394,7 +394,8 @@
 	}
 }
 
-// A proxy whose discovery moves leaves the old one at once, in mid-watch, and takes the new one's whole list.
+// A proxy whose discovery moves leaves the old one at once, in mid-watch, goes on from its version at the new one, and takes
+// the whole list of one that is behind it.
 func TestDiscoveryMoves(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	first, second, third := startDiscovery(t), startDiscovery(t), startDiscovery(t)
@@ -409,8 +410,10 @@
 	first.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
 	query(first, "from=5")
 	p.lists.Move(discovery.Source{Address: second.addr})
+	query(second, "from=5")
+	second.say <- listText(3, false) // another count of versions
 	query(second, "")
-	second.say <- listText(3, true, listed("b", b.addr, discovery.Serving)) // another count of versions
+	second.say <- listText(3, true, listed("b", b.addr, discovery.Serving))
 	query(second, "from=3")
 	c := connect(t, p)
 	c.send(t, look("1", 4000))
@@ -418,7 +421,7 @@
 		t.Errorf("got %s, %d and %d requests", resp.Status, a.requests.Load(), b.requests.Load())
 	}
 	p.lists.Move(discovery.Source{Address: third.addr}) // and again
-	query(third, "")
+	query(third, "from=3")
 	if n := len(first.calls); n != 0 {
 		t.Errorf("%d more calls at the first address", n)
 	}
