--- a/logic/books.go
+++ b/logic/books.go
@@ -204,9 +204,10 @@
 // restored is returned to by steps.
 func (b *Balancer) Drain(now int64, h Host, zones map[int]bool) {
 	was := b.drained
-	if b.drained = zones; len(zones) > 0 || len(was) > 0 {
-		b.open()
+	if len(zones) > 0 || len(was) > 0 {
+		b.open() // before they are out, so that going out is a change
 	}
+	b.drained = zones
 	b.relist()
 	for i := range b.zones {
 		if z := &b.zones[i]; zones[i] && !was[i] {
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -335,3 +335,16 @@
 		}
 	}
 }
+
+// The first drain of all is a change of state like any other: counted, and said in the log.
+func TestTheFirstDrainIsSaid(t *testing.T) {
+	b, err := New(Settings{Zones: 2, Siblings: 1, MaxAttempts: 1, Classes: []Class{{Aim: second, Deadline: second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &recorder{}
+	b.Drain(start, r, map[int]bool{1: true})
+	if z := b.ZoneStates(start)[1]; z.Standing != Drained || z.Epoch != 1 || len(r.lines) != 1 {
+		t.Errorf("got %+v, said %q", z, r.lines)
+	}
+}
