--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -214,9 +214,6 @@
 // comes or goes.
 func (l *Link) Peers() <-chan Snapshot { return l.peers }
 
-// Members are the others that are alive.
-func (l *Link) Members() []Member { return l.who.living() }
-
 // Say has this member say these items and no others. It never waits, and of two calls the later holds. The items are
 // the link's from then on.
 func (l *Link) Say(items []view.Item) {
--- a/internal/fleet/link/members.go
+++ b/internal/fleet/link/members.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"log/slog"
-	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -192,13 +190,6 @@
 	m.say("two fleet members of one name", "name", existing.Name, "one", existing.Address(), "other", other.Address())
 }
 
-// living are all that are alive but this one, by name.
-func (m *members) living() []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.SortedFunc(maps.Values(m.alive), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-}
-
 // count tells how many are alive, and of them in a zone, this one included.
 func (m *members) count(zone string) (living, near int) {
 	m.mu.Lock()
--- a/logic/loads.go
+++ b/logic/loads.go
@@ -126,21 +126,3 @@
 		s.tuned = math.Exp(s.tune)
 	}
 }
-
-// TunedState tells figures what a server's weight is multiplied by and on what evidence.
-type TunedState struct {
-	Server  string
-	Factor  float64
-	Rate    float64 // calls a second from all copies
-	Time    float64 // their mean time, in microseconds
-	Failing float64 // the part of them that fail
-}
-
-// Tuned are the ready servers as of the last round.
-func (b *Balancer) Tuned() (out []TunedState) {
-	for _, s := range b.ready {
-		out = append(out, TunedState{s.ID, s.tuned, s.sum.rate, s.sum.time, s.sum.bad})
-	}
-	slices.SortFunc(out, func(x, y TunedState) int { return cmp.Compare(x.Server, y.Server) })
-	return out
-}
