logic: split the module's tests by what they hold

Moves only: go test -list names the same 83 tests in logic and discovery before and after, and the sorted lines differ in package clauses and imports alone.

--- /dev/null
+++ b/logic/attempts_test.go
@@ -0,0 +1,86 @@
+package logic
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// A hint of one to two seconds sent clients back with most of the aim gone: on a small day with a slow
+// backend up to a quarter was answered late though one call in twenty was.
+func TestAHintLeavesTimeForATimelyAnswer(t *testing.T) {
+	s := testSettings()
+	s.MaxRetryAfter = 2 * second
+	b, h := with(t, s, 0) // no server: all is refused
+	for i := range 100 {
+		b.Request(start, h, Request{ID: fmt.Sprint(i), GiveUp: start + second})
+	}
+	most := s.Classes[0].Aim / 2
+	if len(h.hints) != 100 || slices.Min(h.hints) < most/2 || slices.Max(h.hints) > most {
+		t.Errorf("hints %v, want %d to %d", h.hints, most/2, most)
+	}
+}
+
+// A client that reads its answer slowly says nothing of the server: the call is counted out and judged when the
+// answer begins, and again only if that breaks off.
+func TestAnAnswerThatHasBegunIsTheClients(t *testing.T) {
+	for _, end := range []Status{OK, Cancelled, Reset} {
+		b, h := with(t, testSettings(), 1)
+		ask(b, h, start, "r", 0)
+		b.Started(start+1000, "r")
+		s := b.byID["s0"]
+		if s.inflight != 0 || b.tier.threads != 0 || b.classes[0].seen != 1 {
+			t.Errorf("begun: %d held, %d in all, %v seen", s.inflight, b.tier.threads, b.classes[0].seen)
+		}
+		ask(b, h, start+20*second, "other", 0) // would count what is slow
+		b.Outcome(start+20*second, h, Outcome{ID: "other", Status: OK, Took: 1000, Closed: true})
+		if b.share < shareStart {
+			t.Errorf("a slow client presses the shares to %v", b.share)
+		}
+		b.Outcome(start+30*second, h, Outcome{ID: "r", Status: end, Took: 30 * second, Closed: true})
+		if s.inflight != 0 || b.tier.threads != 0 || len(b.reqs) != 0 {
+			t.Errorf("%v: %d held, %d in all, %d requests", end, s.inflight, b.tier.threads, len(b.reqs))
+		}
+		if blamed := s.whole.left < 1; blamed != (end == Reset) {
+			t.Errorf("%v: blamed %v", end, blamed)
+		}
+	}
+}
+
+// The time of a request begins when its body is whole, however long that took, and one whose body is gone is not
+// sent again.
+func TestTheTimeOfAnUploadBeginsWithItsLastByte(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].LateWorth = 0
+	b, h := with(t, s, 4)
+	b.Request(start, h, Request{ID: "r", Uploading: true})
+	if len(h.sends) != 1 || h.sends[0].timeout != 0 {
+		t.Fatalf("got %q", h.lines)
+	}
+	late := start + 60*second
+	if b.tier.threads != 0 || b.byID[h.sends[0].server].inflight != 0 {
+		t.Error("a body on its way counts as a call in flight")
+	}
+	ask(b, h, late, "other", 0) // would count what is slow
+	b.Outcome(late, h, Outcome{ID: "other", Status: OK, Took: 1000, Closed: true})
+	if got := b.Uploaded(late, "r", late+1_000_000); got != s.Classes[0].Aim {
+		t.Errorf("%d left for the answer", got)
+	}
+	if b.tier.threads != 1 || b.byID[h.sends[0].server].inflight != 1 {
+		t.Error("a call whose body has come is not counted in flight")
+	}
+	b.Outcome(late+1000, h, Outcome{ID: "r", Status: OK, Took: 1000, Closed: true})
+	if b.share < shareStart || b.tier.ev.bad != 0 || len(b.reqs) != 0 {
+		t.Errorf("a slow client counts against the tier: share %v, %d bad, %d requests", b.share, b.tier.ev.bad, len(b.reqs))
+	}
+	for _, spent := range []bool{false, true} {
+		n := len(h.sends)
+		b.Request(late, h, Request{ID: "q", Uploading: true})
+		b.Outcome(late, h, Outcome{ID: "q", Status: ConnectFailed, Spent: spent})
+		if again := len(h.sends) == n+2; again == spent {
+			t.Errorf("spent %v, sent again %v", spent, again)
+		}
+		b.Withdrawn(late, h, "q")
+		b.Outcome(late, h, Outcome{ID: "q", Attempt: 1, Status: Cancelled, Closed: true})
+	}
+}
--- /dev/null
+++ b/logic/members_test.go
@@ -0,0 +1,108 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestNoServerToSendTo(t *testing.T) {
+	b, h := mustNew(t, testSettings()), &recorder{}
+	ask(b, h, start, "a", 2)
+	if h.last() != "refuse a" {
+		t.Errorf("with no list: %q", h.last())
+	}
+	list := fleet(1)
+	list[0].State = Draining
+	b.List(start, h, Full, list)
+	ask(b, h, start, "b", 0)
+	if h.last() != "refuse b" {
+		t.Errorf("with all draining: %q", h.last())
+	}
+}
+
+// Many copies that draw from all servers fill every server's connection table.
+func TestSubsetsAreSmallAndCoverTheFleet(t *testing.T) {
+	const copies, servers = 60, 90
+	users := map[string]int{}
+	for i := range copies {
+		s := testSettings()
+		s.Siblings, s.Ordinal = copies, i
+		b, h := with(t, s, servers)
+		met := map[string]bool{}
+		for k := range 400 {
+			now := start + int64(k)*50_000 // 20 a second
+			ask(b, h, now, fmt.Sprint(k), 0)
+			b.Outcome(now, h, Outcome{ID: fmt.Sprint(k), Status: OK, Took: 1000, Closed: true})
+		}
+		for _, s := range h.sends {
+			met[s.server] = true
+		}
+		if len(met) > servers/3 {
+			t.Fatalf("copy %d met %d servers", i, len(met))
+		}
+		for s := range met {
+			users[s]++
+		}
+	}
+	if len(users) != servers {
+		t.Errorf("%d of %d servers are in some subset", len(users), servers)
+	}
+}
+
+// Copies with a few calls a second met each of twelve servers once in many seconds, and went on crowding the
+// ones that had turned slow.
+func TestASparseCopyMeetsItsServersOftenEnough(t *testing.T) {
+	b, h := with(t, testSettings(), 60)
+	met := map[string]int{}
+	for k := range 240 {
+		now := start + int64(k)*second/3 // 3 a second
+		ask(b, h, now, fmt.Sprint(k), 0)
+		b.Outcome(now, h, Outcome{ID: fmt.Sprint(k), Status: OK, Took: 300_000, Closed: true})
+	}
+	for _, s := range h.sends {
+		met[s.server]++
+	}
+	if len(met) > 8 || len(met) < 4 {
+		t.Errorf("3 calls a second are spread over %d servers", len(met))
+	}
+}
+func TestWatchIsAskedForAgainAfterAFailure(t *testing.T) {
+	s := testSettings()
+	s.Subscribe, s.AskEvery = true, 10*second
+	b, h := with(t, s, 2)
+	if h.watch != 1 {
+		t.Fatalf("watched %d times after the first list", h.watch)
+	}
+	b.List(start, h, Failed, nil)
+	if len(h.timer) != 1 {
+		t.Fatalf("%d timers after a failure", len(h.timer))
+	}
+	b.List(start, h, Failed, nil) // the broken subscription and the failed call are told one by one
+	if len(h.timer) != 1 {
+		t.Errorf("%d timers after the same failure was told twice", len(h.timer))
+	}
+	b.Timer(start+second, h, h.timer[0])
+	b.Timer(start+second, h, h.timer[0])
+	if h.watch != 2 {
+		t.Errorf("watched %d times after the timer", h.watch)
+	}
+}
+func TestHomeFirstAndSpillUnderPressure(t *testing.T) {
+	b, _ := with(t, testSettings(), 8)
+	home := b.weigh(start, b.byID["s0"], 0)
+	now := start
+	feed := func(n int, bad bool) {
+		for range n {
+			now++
+			b.press(now, 0, &attempt{sent: now, zone: b.s.Zone}, bad, bad)
+		}
+	}
+	feed(60*roundSize, false)
+	if away := b.weigh(start, b.byID["s2"], 0); away > home/10 {
+		t.Errorf("a calm home leaves %.3f of the weight to other zones", away/home)
+	}
+	feed(20*roundSize, true)
+	if away := b.weigh(start, b.byID["s2"], 0); away < home/2 {
+		t.Errorf("a home in trouble leaves %.3f of the weight to other zones", away/home)
+	}
+}
--- /dev/null
+++ b/logic/rules_test.go
@@ -0,0 +1,320 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func TestCanPassThreadGrade(t *testing.T) {
+	r := threadRule{count: 2.25}
+	for _, c := range []struct {
+		u    float64
+		want bool
+	}{{0, true}, {0, true}, {0.7, false}, {0.8, true}, {0.99, false}} {
+		if r.canPass(c.u) != c.want {
+			t.Fatalf("canPass is %v at %d in flight of 2.25 with %v", !c.want, r.threads, c.u)
+		}
+		if c.want {
+			r.enter()
+		}
+	}
+}
+
+// After calm rounds counts stood at a million: a burst filled all servers of the front before one call was late.
+func TestAnUnusedCountIsNotKept(t *testing.T) {
+	b, h := with(t, testSettings(), 4)
+	now, n := start, 0
+	for ; n < 200; n++ { // one call out at a time
+		now += second / 4
+		ask(b, h, now, fmt.Sprint(n), 0)
+		b.Outcome(now+100_000, h, Outcome{ID: fmt.Sprint(n), Status: OK, Took: 100_000, Closed: true})
+	}
+	before := len(h.sends)
+	for range 50 {
+		n++
+		ask(b, h, now+second/5, fmt.Sprint(n), 0)
+	}
+	if sent := len(h.sends) - before; sent < 3 || sent > 6 {
+		t.Errorf("of a burst of 50 calls %d are sent where one at a time was seen out", sent)
+	}
+}
+func TestCanPassQPSGradeWithFractions(t *testing.T) {
+	for _, count := range []float64{0.5, 3, 40} {
+		var r originRule
+		passed := 0
+		const secs = 40
+		for now := start; now < start+secs*second; now += second / 100 {
+			if r.canPass(now, start, count, 0, 0.5) {
+				r.pass.add(now)
+				passed++
+			}
+		}
+		if rate := float64(passed) / secs; math.Abs(rate-count) > 0.15*count+1.0/secs {
+			t.Errorf("count %.1f passed %.2f a second", count, rate)
+		}
+	}
+}
+
+// A fresh copy with a stretched window once let a long window's worth through at once and choked the front.
+func TestFreshCopyDoesNotPassALongWindowAtOnce(t *testing.T) {
+	var r originRule
+	passed := 0
+	for now := start; now < start+second; now += second / 100 {
+		if r.canPass(now, start, 3, 0, 0.5) {
+			r.pass.add(now)
+			passed++
+		}
+	}
+	if passed > 4 {
+		t.Errorf("passed %d in the first second with a count of 3", passed)
+	}
+}
+func TestCountIsLearnedByRounds(t *testing.T) {
+	r := threadRule{count: startCount, least: minCount, ev: round{allowed: badPart, span: second}}
+	now := start
+	feed := func(n int, bad bool) {
+		for range n {
+			now++
+			r.learn(&r.ev, now, now, bad)
+		}
+	}
+	for range 20 {
+		r.enter()
+	}
+	feed(roundSize, false)
+	if want := spareTimes*20 + spareCalls; r.count != want {
+		t.Errorf("after a good round: %v, want %v", r.count, want)
+	}
+	sure := int(math.Floor(badPart*roundSize)) + 1 // bad finishes after which no good ones could save the round
+	feed(sure-1, true)
+	if want := spareTimes*20 + spareCalls; r.count != want {
+		t.Errorf("before its verdict is sure a round changed the count to %v", r.count)
+	}
+	feed(1, true)
+	cut := 20 * (1 - cutDepth*float64(sure)/(roundSize/2))
+	if r.count != cut {
+		t.Errorf("after a bad round: %v, want %v", r.count, cut)
+	}
+	sentBefore := now - 1
+	for range 3 * roundSize { // evidence from before the cut must not cut again
+		r.learn(&r.ev, now, sentBefore, true)
+	}
+	if r.count != cut {
+		t.Errorf("old evidence changed the count to %v", r.count)
+	}
+	r.threads, r.peak = 0, 0
+	for range 50 {
+		feed(roundSize, true)
+	}
+	if r.count != minCount {
+		t.Errorf("the count fell to %v, below its floor %v", r.count, minCount)
+	}
+}
+
+// A copy that has cut down to a call in seconds took a minute to fill a round, long after its servers were well.
+func TestSparseRoundsEndByTimeAndOnlyWhenGood(t *testing.T) {
+	ev := round{allowed: badPart, span: 5 * second}
+	if f := ev.add(start, start, true); f != 0 {
+		t.Errorf("one bad finish is taken for a round: %v", f)
+	}
+	if f := ev.add(start+second, start, false); f != 0 {
+		t.Errorf("a half bad pair is taken for a round: %v", f)
+	}
+	ev = round{allowed: badPart, span: 5 * second, since: start}
+	if f := ev.add(start+second, start, false); f != 0 {
+		t.Errorf("quick finishes judge before slow ones can show: %v", f)
+	}
+	if f := ev.add(start+5*second, start+second, false); f != 1 {
+		t.Errorf("after its span a good round is not judged: %v", f)
+	}
+}
+
+// Each sparse copy let one call of each tenant through a window however low its share: hundreds of copies fed
+// choked servers, which never came to rest.
+func TestAPressedTenantHasNoFreeCall(t *testing.T) {
+	passed := 0
+	rnd := rand.New(rand.NewPCG(5, 5))
+	for range 200 {
+		var r originRule
+		for now := start; now < start+8*second; now += second {
+			if r.canPass(now, start-100*second, 0.01, 0, rnd.Float64()) {
+				r.pass.add(now)
+				passed++
+			}
+		}
+	}
+	if most := 200; passed >= most || passed == 0 { // was one each
+		t.Errorf("200 copies with a count of 0.01 a second passed %d calls in 8 s", passed)
+	}
+}
+
+// In a jam pressed shares shed nothing at copies whose tenants each send less than a call a window: room for
+// chance let all of it through.
+func TestRoomForChanceGivesWayWhenCallsAreSlow(t *testing.T) {
+	s := testSettings()
+	s.Siblings, s.Tenants = 100, []Tenant{{Portion: 0.5, Quota: 30}, {Portion: 0.5, Quota: 30}}
+	sent := func(share float64) int {
+		b, h := with(t, s, 4)
+		for i := range 100 {
+			now, id := start+int64(i)*4*second, fmt.Sprint(i)
+			b.share, b.tenants[0].came, b.came = share, tally{}, tally{}
+			b.Request(now, h, Request{ID: id, GiveUp: now + second})
+			b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 1000, Closed: true})
+		}
+		return len(h.sends)
+	}
+	if n := sent(1); n < 95 {
+		t.Errorf("with nothing slow %d of 100 pass", n)
+	}
+	if n := sent(0.2); n > 60 || n < 20 {
+		t.Errorf("at a share of 0.2 %d of 100 pass", n)
+	}
+}
+
+// At a copy that sees a call a second, chance alone fills a tenant's count: a third of the calls was refused
+// on a calm fleet. A tenant that goes on sending more than its part must be held all the same.
+func TestChanceIsNotTakenForAnOverfullShare(t *testing.T) {
+	s := testSettings()
+	s.Siblings = 100
+	for range 4 {
+		s.Tenants = append(s.Tenants, Tenant{Portion: 0.25, Quota: 30})
+	}
+	for _, c := range []struct {
+		perSecond, most, least float64 // of tenant 0; the others send 0.25 a second each; parts of it refused
+	}{{0.25, 0.05, 0}, {3, 1, 0.6}} {
+		rnd := rand.New(rand.NewPCG(3, 3))
+		sent, asked := 0.0, 0.0
+		for copies := range 20 {
+			s.Ordinal = copies
+			b, h := with(t, s, 4)
+			for now := start; now < start+40*second; now += second / 100 {
+				for tenant, rate := range []float64{c.perSecond, 0.25, 0.25, 0.25} {
+					if rnd.Float64() > rate/100 {
+						continue
+					}
+					id := fmt.Sprint(now, tenant)
+					before := len(h.sends)
+					b.Request(now, h, Request{ID: id, Tenant: tenant, GiveUp: now + second})
+					if tenant == 0 {
+						asked++
+						sent += float64(len(h.sends) - before)
+					}
+					b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 300_000, Closed: true})
+				}
+			}
+		}
+		if refused := 1 - sent/asked; refused > c.most || refused < c.least {
+			t.Errorf("at %.2f calls a second and a count of 0.3, %.2f are refused", c.perSecond, refused)
+		}
+	}
+}
+func TestTenantOverItsShareIsShed(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Portion: 0.5, Quota: 20}, {Portion: 0.5, Quota: 20}}
+	b, h := with(t, s, 4)
+	sent := map[int]int{}
+	n := 0
+	for now := start; now < start+4*second; now += second / 100 {
+		tenant := 0
+		if n++; n%10 == 0 { // tenant 0 asks for 90 a second, tenant 1 for 10
+			tenant = 1
+		}
+		before := len(h.sends)
+		id := fmt.Sprint(n)
+		b.Request(now, h, Request{ID: id, Class: 0, Tenant: tenant, GiveUp: now + second})
+		if len(h.sends) > before {
+			sent[tenant]++
+			b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 400_000, Closed: true})
+		}
+	}
+	if sent[1] != 40 {
+		t.Errorf("the tenant inside its share got %d of 40", sent[1])
+	}
+	if sent[0] > 200 {
+		t.Errorf("the tenant over its share got %d in 4 s, at 20 a second", sent[0])
+	}
+}
+
+// On a day of pamoja-dar calls worth twelve times as much came late behind long cheap ones.
+func TestACheapClassYieldsToAWorthierOne(t *testing.T) {
+	s := testSettings()
+	s.Classes[1].Worth = 40
+	b, _ := with(t, s, 4)
+	cheap, dear := &b.classes[0].rule, &b.classes[1].rule
+	for range 10 {
+		cheap.enter()
+		dear.enter()
+	}
+	now := start
+	for range 4 * roundSize {
+		now++
+		b.press(now, 1, &attempt{sent: now}, true, true)
+	}
+	if cheap.count > 10 || dear.count != startCount {
+		t.Errorf("after slow calls of the worthier class: cheap %v, dear %v", cheap.count, dear.count)
+	}
+	for range 4 * roundSize {
+		now++
+		b.press(now, 0, &attempt{sent: now}, true, true)
+	}
+	if dear.count != startCount {
+		t.Errorf("slow cheap calls cut the worthier class to %v", dear.count)
+	}
+}
+func TestHeldSharesAreReportedRarely(t *testing.T) {
+	b, h := with(t, testSettings(), 2)
+	b.report(start, h)
+	if len(h.lines) != 0 {
+		t.Fatalf("a calm copy reports %q", h.lines)
+	}
+	b.share = 0.5
+	for i := range int64(25) {
+		b.report(start+i*second, h)
+	}
+	if len(h.lines) != 3 {
+		t.Errorf("%d lines in 25 s, want one each 10 s", len(h.lines))
+	}
+}
+
+// A fresh copy held every tenant to its share from its first call on and was slow to learn better: on a calm
+// day of half a minute most refusals at the front were these. The first bad round takes all of the room back.
+func TestAFreshCopyDoesNotHoldTenantsToTheirSharesUntilCallsAreSlow(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Portion: 1, Quota: 20}}
+	b, h := with(t, s, 8)
+	for i := range 32 { // a second's traffic at 1.6 times the share
+		now, id := start+int64(i)*second/32, fmt.Sprint(i)
+		b.Request(now, h, Request{ID: id, GiveUp: now + second})
+		b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 1000, Closed: true})
+	}
+	if n := len(h.sends); n != 32 {
+		t.Errorf("%d of 32 pass at a fresh copy", n)
+	}
+	for i := 0; b.share > 1; i++ {
+		if i == 10*roundSize {
+			t.Fatalf("share still %v", b.share)
+		}
+		now := start + 2*second + int64(i)
+		b.press(now, 0, &attempt{sent: now}, true, true)
+	}
+	if b.share < shareLow || b.share >= 1 {
+		t.Errorf("a bad round leaves a share of %v", b.share)
+	}
+}
+
+// One bad round held a tenant to its share for the rest of a short day, though calls were timely again.
+func TestTheRoomThatABadRoundTookComesBackWithinADozenRounds(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Portion: 1, Quota: 20}}
+	b, _ := with(t, s, 8)
+	b.share = sharePress
+	for i := range 12 * roundSize {
+		now := start + int64(i)
+		b.press(now, 0, &attempt{sent: now}, false, false)
+	}
+	if b.share != shareStart {
+		t.Errorf("share %v after a dozen good rounds", b.share)
+	}
+}
