Say why the constants of keepalive, config, bans, mgmt and program hold for any deployment

Each constant of these packages and of settings was looked at for a time, count or name that fits one customer. None decides by a class, a name or a site; what depends on the deployment (deadlines, idle time, dial time, limits) is read from the settings. The ones that did not say so now do: bounds of the protocol, parts of a stated limit, or a time whose worst case is stated.

--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -12,6 +12,7 @@
 	"time"
 )
 
+// Both follow from the 1 s in which a call on a server is to hold, which is the protocol's for any deployment.
 const (
 	pollEvery = 200 * time.Millisecond // a call at the other process of an upgrade binds this one within 1 s
 	actWithin = 800 * time.Millisecond // for a call to hold; its answer is owed in 1 s
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,8 @@
 	"fernlanding/internal/settings"
 )
 
+// defaultSockets is what a proxy may hold where limits.sockets does not tell: the system's usual bound for a process
+// that asked for no more.
 const defaultSockets = 1024
 
 // Config is what the file says.
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -15,11 +15,20 @@
 	"time"
 )
 
+// The settings give the longest trusted time (most) and nothing of who closes earlier. These hold for any of them: Span
+// is never over most, whatever is learned here, and what is learned is kept as a factor, so that the time back from a break
+// grows with the logarithm of most only.
 const (
-	Least  = 20 * time.Millisecond // a kept connection is trusted this long whatever was seen
-	Double = 10 * time.Second      // without a further break the trusted time doubles in this
+	// Least is how long a kept connection is trusted whatever was seen: longer than word of a close is under way
+	// between two zones, and so short that a run of breaks can't have every request dial anew.
+	Least = 20 * time.Millisecond
+	// Double is in what time the trusted time doubles without a further break: a break in most costs a new connection now
+	// and then, at any rate of requests.
+	Double = 10 * time.Second
 
-	diedWithin = 10 * time.Second // of a break, for word of a death to explain it: lists are seconds late
+	// diedWithin is how long after a break word of a death explains it. A refused connect tells at the next attempt and a
+	// list some seconds late. Where lists are later still the break counts as staleness, which Double forgets.
+	diedWithin = 10 * time.Second
 )
 
 // limit is a bound on the trusted time, as of a moment; 0 is none.
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -21,6 +21,7 @@
 	"fernlanding/internal/bans"
 )
 
+// These bound calls of staff and of what watches the proxy, which carry no traffic: no settings say anything of them.
 const (
 	// MaxConns is how many callers are served at once; it bounds the descriptors that are kept for them.
 	MaxConns = 16
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -19,6 +19,7 @@
 	"fernlanding/internal/proxy"
 )
 
+// Parts of limits.memory_mb, whatever that is; a limit under 20 MB is below what the runtime and the program need.
 const (
 	memoryPart  = 0.6      // of the limit: the runtime collects harder from there on
 	memoryLeast = 12 << 20 // below this the runtime would do little but collect
