Begin an answer of untold length only with its first byte

Seen: an answer without Content-Length whose body has not begun 100 ms after its head was handed to the client's side. Cause: attempt.read passed a prefetch on when wholeWait was over, whether or not a byte had come (attempt.go, the select on ahead.full, soon and ctx.Done; net/http holds the head back until the first byte of the body). Now the attempt waits for the first byte until its deadline, as one of a known length already did: another attempt can serve, and where there is none the client has a 503 or 504 in its time.

go test ./internal/proxy -run UntoldLengthBegins: six of six cases 'unexpected EOF' before, all pass after.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -166,12 +166,10 @@
 	}
 	ahead := newPrefetch(patientReader{resp.Body, c, a.ctx}, int(a.pool.whole.Load()))
 	defer ahead.close()
-	soon := time.NewTimer(min(wholeWait, time.Until(a.deadline)))
-	defer soon.Stop()
-	select {
-	case <-ahead.full:
-	case <-soon.C:
-	case <-a.ctx.Done():
+	waits, cancel := context.WithDeadline(a.ctx, a.deadline)
+	defer cancel()
+	if err := ahead.begin(waits); err != nil {
+		return res, false, fmt.Errorf("read body: %w", err)
 	}
 	body, err, ok := ahead.whole()
 	switch {
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -63,12 +63,13 @@
 	size int
 	err  error // of the source; its end is io.EOF
 	over bool  // nobody reads any more
-	full chan struct{}
-	once sync.Once
+
+	some, full         chan struct{} // closed when a byte, or as much as may be, has come; both at the source's end
+	someOnce, fullOnce sync.Once
 }
 
 func newPrefetch(src io.Reader, size int) *prefetch {
-	p := &prefetch{size: size, full: make(chan struct{})}
+	p := &prefetch{size: size, some: make(chan struct{}), full: make(chan struct{})}
 	p.cond.L = &p.mu
 	go p.fill(src)
 	return p
@@ -83,14 +84,17 @@
 		p.buf = append(p.buf, piece[:n]...)
 		p.err = err
 		p.cond.Broadcast()
+		if n > 0 || err != nil {
+			p.someOnce.Do(func() { close(p.some) })
+		}
 		for len(p.buf) >= p.size && p.err == nil && !p.over {
-			p.once.Do(func() { close(p.full) })
+			p.fullOnce.Do(func() { close(p.full) })
 			p.cond.Wait()
 		}
 		done := p.err != nil || p.over
 		p.mu.Unlock()
 		if done {
-			p.once.Do(func() { close(p.full) })
+			p.fullOnce.Do(func() { close(p.full) })
 			return
 		}
 	}
@@ -124,6 +128,31 @@
 	return p.buf, nil, true
 }
 
+// begin waits until the whole body is here or as much of it as is read ahead, and after wholeWait only for its first byte:
+// an answer that has been passed on before that and then breaks off, or never goes on, reaches the client as a connection
+// that ends without a word, which loses the request.
+func (p *prefetch) begin(ctx context.Context) error {
+	soon := time.NewTimer(wholeWait)
+	defer soon.Stop()
+	select {
+	case <-p.full:
+		return nil
+	case <-soon.C:
+	case <-ctx.Done():
+	}
+	select {
+	case <-p.some: // before all else: what has come by the deadline has begun
+		return nil
+	default:
+	}
+	select {
+	case <-p.some:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // close lets fill end though nobody reads on.
 func (p *prefetch) close() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/proxy/endings_test.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// resets ends a connection so that its peer sees a reset, not an end.
+func resets(w io.Writer) bool {
+	_ = w.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// An answer of untold length that breaks off, or is not gone on with, before its first byte has not begun: another
+// attempt can serve, and else the client hears of it in its time.
+func TestAnAnswerOfUntoldLengthBeginsWithItsFirstByte(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+		for _, c := range []struct {
+			name string
+			good int // the attempt that is served
+			then func(io.Writer) bool
+			want int
+		}{
+			{"reset, then served", 2, resets, 200},
+			{"reset always", 99, resets, 503},
+			{"silent to the end", 99, func(w io.Writer) bool { _, _ = w.(net.Conn).Read(make([]byte, 1)); return false }, 504},
+		} {
+			t.Run(c.name, func(t *testing.T) {
+				p, _ := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+					if n >= c.good {
+						_, _ = io.WriteString(w, served)
+						return true
+					}
+					_, _ = io.WriteString(w, head)
+					time.Sleep(3 * wholeWait / 2) // past the time for which a whole answer is waited for
+					return c.then(w)
+				})
+				cl := connect(t, p)
+				cl.send(t, look("1", 1500))
+				resp, err := http.ReadResponse(cl.r, nil)
+				if err != nil {
+					t.Fatalf("no answer: %v", err)
+				}
+				if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != c.want {
+					t.Errorf("got %s, %v, want %d", resp.Status, err, c.want)
+				}
+			})
+		}
+	}
+}
