Let a client of HTTP/1.0 see that an answer broke off

Seen: an answer of untold length that is reset while it is passed on ends, for a client of HTTP/1.0, with a plain close: without chunks that is the end of a whole answer. For HTTP/1.1 the missing last chunk shows it. Cause: download.passOn leaves the close to net/http, which ends the connection in order. Such a connection is now closed with a reset. A reset from a server was no end already (TestAResetIsNoEndOfAnAnswer).

go test ./internal/proxy -run ResetOnItsWay: '127981 bytes looked like a whole answer' without the change, passes with it.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -60,6 +60,13 @@
 	return err == nil && open
 }
 
+// resetOnClose has a connection's close drop what the system still holds back, and tell the peer that it broke.
+func resetOnClose(c net.Conn) {
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+}
+
 // response reads an answer's head. One whose body two readers could see end in two places is no answer:
 // net/http would settle that unseen, and the rest of it would be taken for the next answer.
 func (c *conn) response(method string) (*http.Response, error) {
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -170,6 +170,9 @@
 	defer unhook()
 	if err := d.copy(w); err != nil {
 		d.end(err)
+		if c, ok := r.Context().Value(connKey{}).(*framedConn); ok && d.length < 0 && !r.ProtoAtLeast(1, 1) {
+			resetOnClose(c.Conn) // without chunks an end is all that such a client has to see the answer's end by
+		}
 		panic(http.ErrAbortHandler)
 	}
 	d.end(nil)
