Have what an attempt that was given up wrote never delivered later

Seen: an attempt gives up by closing its connection; the system goes on delivering what it still holds of the request, for minutes. Cause: backends.drop closes in order (conn.Close without SO_LINGER) whatever the request's end. A connection whose request has no whole answer is now reset: what was not delivered is dropped.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -60,10 +60,13 @@
 		return result{status: logic.Moot}
 	}
 	res, keep := a.exchange(c)
-	if keep {
+	switch {
+	case keep:
 		a.pool.keep(c)
-	} else {
+	case res.status == logic.OK, res.status == logic.Error, res.status == logic.FullUp:
 		a.pool.drop(c)
+	default:
+		a.pool.abandon(c)
 	}
 	return res
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -251,6 +251,13 @@
 	p.said, p.unsaid = time.Now(), 0
 }
 
+// abandon closes a connection whose request has no whole answer. What the system has not delivered of that request never
+// is: after a plain close it would go on trying, and a server that was cut off or stood still would run it much later.
+func (p *backends) abandon(c *conn) {
+	resetOnClose(c.Conn)
+	p.drop(c)
+}
+
 // drop closes a connection.
 func (p *backends) drop(c *conn) {
 	p.mu.Lock()
