Hold a further attempt's last byte to the window for repeats

Cause: mayGo compares the window with the time of the decision only (logic/attempts.go), and attempt.run checks after the dial the client's time and the server's standing, not the window. The module now says with Send within what time the last byte may go out (within, in mayGo's place; the decision stays in logic). The proxy does not wait longer for the connection, does not begin a write after it, and breaks one off that outlives it, body under way included: an attempt that was not written whole never ran.

--- a/cmd/simhost/wire.go
+++ b/cmd/simhost/wire.go
@@ -163,7 +163,7 @@
 // An error of writing shows again when the batch is flushed, so it is not looked at here.
 func (h *host) write(a action) { _ = h.out.Encode(a) }
 
-func (h *host) Send(id, server string, timeout int64) {
+func (h *host) Send(id, server string, _, timeout int64) {
 	h.write(action{Place: &place{h.who, id, timeout, server}})
 }
 
--- a/internal/lab/model/proxy.go
+++ b/internal/lab/model/proxy.go
@@ -205,7 +205,7 @@
 }
 
 // Send, Refuse, Fail, SetTimer, Watch and Log make a proxy its Balancer's host.
-func (p *proxy) Send(id, server string, timeout int64) {
+func (p *proxy) Send(id, server string, _, timeout int64) {
 	w, q := p.w, p.reqs[id]
 	if q == nil {
 		w.check.fault(ruleRequest, "%s sent %s, which it does not have", p.name, id)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,6 +22,7 @@
 	number   int
 	sent     int64 // when the module decided
 	deadline time.Time
+	until    time.Time // its last byte goes out before this or never; zero: no limit
 	pool     *backends
 	backend  *backend
 	addr     string
@@ -48,7 +49,7 @@
 	if c == nil {
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil {
+			if a.ctx.Err() != nil || a.barred() {
 				return result{status: logic.Moot} // stopped before anything was sent
 			}
 			return result{status: logic.ConnectFailed}
@@ -73,8 +74,15 @@
 
 func (a *attempt) late() bool { return !time.Now().Before(a.deadline) }
 
+// barred tells whether the time in which the request may go out is over: the connection came up too late.
+func (a *attempt) barred() bool { return !a.until.IsZero() && !time.Now().Before(a.until) }
+
 func (a *attempt) dial() (*conn, error) {
-	ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
+	end := a.deadline
+	if !a.until.IsZero() && a.until.Before(end) {
+		end = a.until
+	}
+	ctx, cancel := context.WithDeadline(a.ctx, end)
 	defer cancel()
 	return a.pool.dial(ctx, a.backend, a.addr, a.epoch)
 }
@@ -92,6 +100,15 @@
 	if a.ctx.Err() != nil { // stopped while the deadline was set
 		return result{status: logic.Moot}, false
 	}
+	if a.barred() {
+		return result{status: logic.Moot}, true
+	}
+	if !a.until.IsZero() && a.until.Before(a.deadline) {
+		_ = c.SetWriteDeadline(a.until)
+		if a.ctx.Err() != nil {
+			return result{status: logic.Moot}, false
+		}
+	}
 	if a.whole != nil {
 		if status, ok := a.passOnBody(c); !ok {
 			return result{status: status}, false
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -46,7 +46,7 @@
 }
 
 // Send implements logic.Host.
-func (l *loop) Send(id, server string, timeout int64) {
+func (l *loop) Send(id, server string, within, timeout int64) {
 	r := l.reqs[id]
 	if r == nil {
 		l.log.Error("send for an unknown request", "id", id)
@@ -60,6 +60,9 @@
 		until = min(until, now+timeout)
 	}
 	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
+	if within > 0 {
+		a.until = l.clock.time(now + within)
+	}
 	r.sends++
 	if r.Uploading {
 		a.whole = make(chan time.Time, 1)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -239,12 +239,17 @@
 
 // patientWriter writes to a backend's connection for as long as something goes.
 type patientWriter struct {
-	c   *conn
-	ctx context.Context
+	c     *conn
+	ctx   context.Context
+	until time.Time // nothing goes after this; zero: no limit
 }
 
 func (w patientWriter) Write(p []byte) (int, error) {
-	_ = w.c.SetWriteDeadline(time.Now().Add(streamPatience))
+	end := time.Now().Add(streamPatience)
+	if !w.until.IsZero() && w.until.Before(end) {
+		end = w.until
+	}
+	_ = w.c.SetWriteDeadline(end)
 	if w.ctx.Err() != nil { // stopped, maybe before the deadline was set anew
 		return 0, context.Cause(w.ctx)
 	}
@@ -258,7 +263,7 @@
 	out := a.outgoing(a.req.wait)
 	out.ContentLength = a.req.length
 	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), more))
-	w := bufio.NewWriterSize(patientWriter{c, a.ctx}, holdLeast)
+	w := bufio.NewWriterSize(patientWriter{c, a.ctx, a.until}, holdLeast)
 	err := out.Write(w)
 	if err == nil {
 		err = w.Flush()
--- a/logic/api.go
+++ b/logic/api.go
@@ -241,8 +241,9 @@
 // Host carries out what a Balancer decides. Its methods are called from inside event methods, are to
 // return at once and must not call back into the Balancer.
 type Host interface {
-	// Send passes a request to a server and gives the attempt up after timeout; 0 is the client's time.
-	Send(id, server string, timeout int64)
+	// Send passes a request to a server and gives the attempt up after timeout; 0 is the client's time. Its last
+	// byte goes out within the given time or never; 0 is no limit.
+	Send(id, server string, within, timeout int64)
 	// Refuse ends a request unserved; the client may safely come again, after the given time.
 	Refuse(id string, after int64)
 	// Fail ends a request without any promise.
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -116,6 +116,7 @@
 	if s == nil {
 		return false
 	}
+	within := b.within(now, q, s)
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
 	q.out++
@@ -123,7 +124,7 @@
 	if !q.Uploading {
 		b.count(q, a)
 	}
-	h.Send(q.ID, s.ID, b.timeout(now, q))
+	h.Send(q.ID, s.ID, within, b.timeout(now, q))
 	return true
 }
 
@@ -140,9 +141,9 @@
 	return max(left, 1)
 }
 
-// mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
-// keyed one only to the group that drops its repeats, while that remembers it.
-func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
+// within keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere (-1), and a
+// keyed one only to the group that drops its repeats, while that remembers it: for so long, 0 for no limit.
+func (b *Balancer) within(now int64, q *request, s *server) (left int64) {
 	k := q.s.Classes[q.Class]
 	for _, a := range q.attempts {
 		if !a.mayRun || k.Repeat == Safe {
@@ -150,24 +151,22 @@
 		}
 		if k.Repeat == Unsafe || now-a.sent >= k.Window ||
 			k.Group == GroupZone && a.zone != s.Zone || k.Group == GroupCell && a.cell != s.Cell {
-			return false
+			return -1
 		}
+		left = cmp.Or(left, a.sent+k.Window-now) // the first one's ends first
 	}
-	return true
+	return left
 }
 
+func (b *Balancer) mayGo(now int64, q *request, s *server) bool { return b.within(now, q, s) >= 0 }
+
 // mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
 func (b *Balancer) mayRefuse(q *request) bool {
 	k := q.s.Classes[q.Class]
 	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
 		return true
 	}
-	for _, a := range q.attempts {
-		if a.mayRun {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayRun })
 }
 
 // Started takes the news that a streamed answer has begun: from now on that attempt is the client's, whose
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -9,7 +9,7 @@
 // printer is a Host that prints what it is told; a proxy would act on it.
 type printer struct{}
 
-func (printer) Send(id, server string, timeout int64) {
+func (printer) Send(id, server string, _, timeout int64) {
 	fmt.Println("send", id, "to", server, "for", timeout)
 }
 func (printer) Refuse(id string, after int64)      { fmt.Println("refuse", id) }
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -73,7 +73,7 @@
 	w.now = start + until
 }
 
-func (c *copyOf) Send(id, server string, timeout int64) {
+func (c *copyOf) Send(id, server string, _, timeout int64) {
 	w, s := c.w, c.b.byID[server].Server
 	q := c.b.reqs[id]
 	k := q.s.Classes[q.Class]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -26,7 +26,7 @@
 	r.lines = append(r.lines, fmt.Sprintf(format, a...))
 }
 
-func (r *recorder) Send(id, server string, timeout int64) {
+func (r *recorder) Send(id, server string, _, timeout int64) {
 	r.note("send %s %s %d", id, server, timeout)
 	r.sends = append(r.sends, sent{id, server, timeout})
 }
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -53,7 +53,7 @@
 	c.faults = append(c.faults, fmt.Sprintf("at %d: ", c.now-start)+fmt.Sprintf(format, a...))
 }
 
-func (c *checker) Send(id, server string, timeout int64) {
+func (c *checker) Send(id, server string, within, timeout int64) {
 	c.lines = append(c.lines, fmt.Sprintf("%d send %s %s %d", c.now, id, server, timeout))
 	k := c.reqs[id]
 	if k == nil || k.closed {
@@ -74,8 +74,15 @@
 	if len(k.tries) >= c.set.MaxAttempts {
 		c.fault("%s sent more than %d times", id, c.set.MaxAttempts)
 	}
+	limit := int64(0)
 	for _, t := range k.tries {
 		c.checkRepeat(k, t, s)
+		if class := c.set.Classes[k.r.Class]; t.ran && class.Repeat == Keyed && limit == 0 {
+			limit = t.sent + class.Window - c.now
+		}
+	}
+	if within != limit {
+		c.fault("rule 2: %s may go out for %d us, want %d", id, within, limit)
 	}
 	if len(k.tries) > 0 {
 		c.checkBudget(id)
