--- /dev/null
+++ b/internal/proxy/lifecycle_test.go
@@ -0,0 +1,193 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/settings"
+	"fernlanding/logic"
+)
+
+// A proxy whose discovery moves leaves the old one at once, in mid-watch, goes on from its version at the new one, and takes
+// the whole list of one that is behind it.
+func TestDiscoveryMoves(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	first, second, third := startDiscovery(t), startDiscovery(t), startDiscovery(t)
+	p := startProxy(t, first.addr, 200, "")
+	query := func(d *fakeDiscovery, want string) {
+		t.Helper()
+		if got, _, _ := strings.Cut(wait(t, "call", d.calls), "&hold_ms="); got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	query(first, "")
+	first.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
+	query(first, "from=5")
+	p.lists.Move(discovery.Source{Address: second.addr})
+	query(second, "from=5")
+	second.say <- listText(3, false) // another count of versions
+	query(second, "")
+	second.say <- listText(3, true, listed("b", b.addr, discovery.Serving))
+	query(second, "from=3")
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	if resp, _ := c.answer(t); resp.StatusCode != 200 || a.requests.Load() != 0 || b.requests.Load() != 1 {
+		t.Errorf("got %s, %d and %d requests", resp.Status, a.requests.Load(), b.requests.Load())
+	}
+	p.lists.Move(discovery.Source{Address: third.addr}) // and again
+	query(third, "from=3")
+	if n := len(first.calls); n != 0 {
+		t.Errorf("%d more calls at the first address", n)
+	}
+}
+
+// After SIGTERM clients still come, on new connections and on old ones: all get their answer, on connections
+// that stay until the doors close, and then a close.
+func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
+	release := make(chan struct{})
+	b := startBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id")[0] == 'h' {
+			<-release
+		}
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)))
+	p.times = func([]logic.Class) (stay, left time.Duration) { // long enough for what is to be served on
+		return 2 * time.Second, 3500 * time.Millisecond
+	}
+	idle := connect(t, p)
+	idle.send(t, look("1", 8000))
+	idle.answer(t)
+	var held []*client
+	for i := range 10 {
+		held = append(held, connect(t, p))
+		held[i].send(t, look(fmt.Sprint("h", i), 8000))
+	}
+	waitUntil(t, func() bool { return b.requests.Load() == 11 })
+	unused := connect(t, p)
+	p.stop()
+	waitUntil(t, func() bool { return p.front.draining.Load() })
+	late := connect(t, p)
+	for i, c := range []*client{idle, late, idle, late} {
+		c.send(t, look(fmt.Sprint("n", i), 8000))
+		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || resp.Close {
+			t.Errorf("after SIGTERM: got %s, close %v", resp.Status, resp.Close)
+		}
+	}
+	waitUntil(t, func() bool { return p.front.closing.Load() })
+	for _, c := range []*client{idle, late} {
+		if _, err := c.r.ReadByte(); err == nil {
+			t.Error("an idle connection was not closed")
+		}
+	}
+	close(release)
+	var all sync.WaitGroup
+	for _, c := range held {
+		all.Go(func() {
+			if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || !resp.Close {
+				t.Errorf("held: got %s, close %v", resp.Status, resp.Close)
+			}
+		})
+	}
+	all.Wait()
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	if _, err := unused.r.ReadByte(); err == nil {
+		t.Error("an unused connection got an answer")
+	}
+}
+
+// The doors closed at once: with the next proxy not yet up, clients that kept a connection had nowhere to go.
+func TestClientsAreServedOnWhileTheLastCanStillMakeIt(t *testing.T) {
+	for _, c := range []struct{ deadline, aim, stay, left time.Duration }{
+		{5 * time.Second, 2 * time.Second, 1500 * time.Millisecond, 3500 * time.Millisecond},
+		{8 * time.Second, 4 * time.Second, acceptAfter, 3500 * time.Millisecond},
+		{time.Second, 400 * time.Millisecond, 1100 * time.Millisecond, 1500 * time.Millisecond},
+	} {
+		stay, left := drainTimes([]logic.Class{{Deadline: c.deadline.Microseconds(), Aim: c.aim.Microseconds()},
+			{Deadline: 1, Aim: 1}})
+		if stay != c.stay || left != c.left {
+			t.Errorf("deadline %v, aim %v: %v and %v, want %v and %v", c.deadline, c.aim, stay, left, c.stay, c.left)
+		}
+	}
+}
+
+// SIGKILL follows: what a hung backend holds is failed before it comes.
+func TestSIGTERMEndsWhatHangs(t *testing.T) {
+	p, b := serving(t, hang(t))
+	c := connect(t, p)
+	c.send(t, look("1", 8000))
+	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	start := time.Now()
+	p.stop()
+	if resp, _ := c.answer(t); resp.StatusCode == 200 {
+		t.Errorf("got %s", resp.Status)
+	}
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(start); took > killAfter+5*time.Second {
+		t.Errorf("ended %v after SIGTERM", took)
+	}
+}
+
+// New classes are served under their rules once the settings are in force; one that was dropped is turned away, and
+// what is open is answered by the rules that it began with.
+func TestSettingsChangeUnderWay(t *testing.T) {
+	reached, goOn := make(chan struct{}, 1), make(chan struct{})
+	p, _ := serving(t, func(w io.Writer, r *http.Request, n int) bool {
+		if r.Header.Get("Request-Id") == "open" {
+			reached <- struct{}{}
+			wait(t, "the reload", goOn)
+		}
+		return says(served, true)(w, r, n)
+	})
+	open := connect(t, p)
+	open.send(t, look("open", 4000))
+	wait(t, "the open request", reached)
+	site, err := settings.Decode([]byte(strings.NewReplacer(`"name":"look"`, `"name":"peek"`,
+		`"repeat":"at_most_once"`, `"repeat":"idempotent"`).Replace(siteText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := p.cfg
+	cfg.Site = site
+	if err := p.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	close(goOn)
+	if resp, _ := open.answer(t); resp.StatusCode != 200 {
+		t.Errorf("the open request: %s", resp.Status)
+	}
+	for text, want := range map[string]int{
+		strings.ReplaceAll(look("1", 4000), "look", "peek"): 200,
+		look("2", 4000): 400,
+		"GET /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\n\r\n": 200,
+		post("4", "Content-Length: 0"): 405,
+	} {
+		cl := connect(t, p)
+		cl.send(t, text)
+		if resp, _ := cl.answer(t); resp.StatusCode != want {
+			t.Errorf("%q: %s", text, resp.Status)
+		}
+	}
+	waitUntil(t, func() bool { return p.Figures().Outstanding == 0 })
+	f := p.Figures()
+	if f.Classes["look"].Succeeded != 1 || f.Classes["peek"].Succeeded != 1 || f.Classes["post"].Succeeded != 1 {
+		t.Errorf("figures %+v", f.Classes)
+	}
+	bad := *site
+	bad.Logic.MaxAttempts = 0
+	cfg.Site = &bad
+	if err := p.Reload(cfg); err == nil {
+		t.Error("settings that cannot work were taken")
+	}
+}
