Take no more than five early words, and none with a body

Seen: a server that sends answers of a status below 200 without end was read at full speed until the deadline, 100 Continue after 100 Continue, since attempt.read asked for the next head as long as the status was below 200. A 204 or an early word whose head tells of a body was taken, and a kept connection then held what was no answer. response (conn.go) now ends after five, as net/http does, and takes a body where there can be none as ambiguous.

go test ./internal/proxy -run Lie: with the bound raised by one and the check off, 'no end of early words' is served and 'chunks without a body' an error; passes as it is.

--- /dev/null
+++ b/internal/proxy/answer_test.go
@@ -0,0 +1,29 @@
+package proxy
+
+import (
+	"strings"
+	"testing"
+
+	"fernlanding/logic"
+)
+
+// An answer that can't be read as HTTP has it is none, however it breaks the rules.
+func TestAnswersThatLieAreNone(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want logic.Status
+	}{
+		"some early words":      {strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", mostEarly) + served, logic.OK},
+		"no end of early words": {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", mostEarly+1) + served, logic.Reset},
+		"an early word's body":  {"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nno" + served, logic.Reset},
+		"chunks without a body": {"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", logic.Reset},
+		"nothing to say":        {"HTTP/1.1 204 No Content\r\n\r\n", logic.Error},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, says(c.text, true))
+			if res := newAttempt(poolWith(4, b.addr), "a", patience).run(); res.status != c.want {
+				t.Errorf("got %v %q, want %v", res.status, res.body, c.want)
+			}
+		})
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -159,9 +159,6 @@
 // passed on as it comes, and so is one of untold length that is not here soon.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
 	resp, err := c.response(a.req.method)
-	for err == nil && resp.StatusCode < 200 {
-		resp, err = c.response(a.req.method)
-	}
 	if err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -11,8 +11,10 @@
 	"time"
 )
 
-// answerHead bounds what a backend's answer may hold before its body.
-const answerHead = 16 << 10
+const (
+	answerHead = 16 << 10 // of a backend's answer, before its body
+	mostEarly  = 5        // answers of a status below 200 before the one that counts, as in net/http
+)
 
 // conn is a connection to a backend; it carries one request at a time.
 type conn struct {
@@ -67,10 +69,36 @@
 	}
 }
 
-// response reads an answer's head. One whose body two readers could see end in two places is no answer:
-// net/http would settle that unseen, and the rest of it would be taken for the next answer.
+// response reads an answer's head, past those that only say that one is to come. One whose body two readers could see end
+// in two places is no answer: net/http would settle that unseen, and the rest of it would be taken for the next answer.
 func (c *conn) response(method string) (*http.Response, error) {
-	var head []byte
+	for range mostEarly + 1 {
+		head, err := c.head()
+		if err != nil {
+			return nil, err
+		}
+		length, chunked, err := framing(head)
+		if err != nil {
+			return nil, err
+		}
+		c.body.Reset(io.MultiReader(bytes.NewReader(head), c.r))
+		resp, err := http.ReadResponse(c.body, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		early := resp.StatusCode < 200
+		if bodiless := early || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified; bodiless && (length > 0 || chunked) {
+			return nil, errFraming
+		}
+		if !early {
+			return resp, nil
+		}
+	}
+	return nil, errors.New("no end of early words")
+}
+
+// head reads up to the empty line.
+func (c *conn) head() (head []byte, err error) {
 	for !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
 		line, err := c.r.ReadSlice('\n')
 		head = append(head, line...)
@@ -85,9 +113,5 @@
 			return nil, errFraming
 		}
 	}
-	if _, _, err := framing(head); err != nil {
-		return nil, err
-	}
-	c.body.Reset(io.MultiReader(bytes.NewReader(head), c.r))
-	return http.ReadResponse(c.body, &http.Request{Method: method})
+	return head, nil
 }
