Blame no server for a call that its proxy stopped or had no socket for

Seen: an attempt that is stopped in its write (its client has gone, the request is over) and one for which the proxy's own limit of sockets left no room ended as ConnectFailed, which the module holds against the server: one failure cuts its health to 0.3 and has it 'refused'. At the limit the next server drawn was blamed as well. Cause: attempt.run and attempt.exchange told only a stop before or after the write from a failure (attempt.go). Both are Moot now, which proves as well that nothing ran.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -49,8 +49,8 @@
 	if c == nil {
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil || a.barred() {
-				return result{status: logic.Moot} // stopped before anything was sent
+			if a.ctx.Err() != nil || a.barred() || errors.Is(err, errNoSockets) {
+				return result{status: logic.Moot} // stopped before anything was sent, by no fault of the backend's
 			}
 			return result{status: logic.ConnectFailed}
 		}
@@ -120,6 +120,9 @@
 		}
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
+			if a.ctx.Err() != nil {
+				return result{status: logic.Moot}, false
+			}
 			return result{status: logic.ConnectFailed}, false
 		}
 	}
--- /dev/null
+++ b/internal/proxy/stopped_test.go
@@ -0,0 +1,28 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"fernlanding/logic"
+)
+
+// A request that is stopped while it is written has not run, and that is no fault of its server.
+func TestAnAttemptStoppedInItsWriteNeverRan(t *testing.T) {
+	p := poolWith(4, "127.0.0.1:1")
+	near, far := net.Pipe()
+	p.dialer = func(context.Context, string, string) (net.Conn, error) { return near, nil }
+	a := newAttempt(p, "a", patience)
+	a.req.method, a.req.body = http.MethodPost, bytes.Repeat([]byte("x"), 1<<20)
+	go func() {
+		_, _ = io.ReadFull(far, make([]byte, 1<<10))
+		a.stop()
+	}()
+	if res := a.run(); res.status != logic.Moot || p.open != 0 {
+		t.Errorf("got %v with %d open", res.status, p.open)
+	}
+}
