--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -17,6 +19,9 @@
 		"no end of early words": {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", mostEarly+1) + served, logic.Reset},
 		"an early word's body":  {"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nno" + served, logic.Reset},
 		"chunks without a body": {"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", logic.Reset},
+		"longer than it says":   {served + "ay, and more", logic.OK},
+		"a second answer":       {served + "HTTP/1.1 200 OK\r\n", logic.OK},
+		"a line's end too many": {served + "\r\n", logic.OK},
 		"nothing to say":        {"HTTP/1.1 204 No Content\r\n\r\n", logic.Error},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -27,3 +32,23 @@
 		})
 	}
 }
+
+// An answer that only says no, and does not end, says so soon: another attempt has the time to serve.
+func TestADeclinedAnswerWithoutAnEndIsNotWaitedFor(t *testing.T) {
+	over := make(chan struct{})
+	defer close(over)
+	p, _ := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n > 1 {
+			_, _ = io.WriteString(w, served)
+			return true
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 500 Oops\r\nContent-Length: 9\r\n\r\nOo")
+		<-over
+		return false
+	})
+	cl := connect(t, p)
+	cl.send(t, look("1", 4000))
+	if resp, body := cl.answer(t); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("got %s %q", resp.Status, body)
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -168,7 +168,7 @@
 	defer resp.Body.Close()
 	clean := func() bool { return !resp.Close && c.body.Buffered() == 0 && c.r.Buffered() == 0 }
 	if resp.StatusCode != http.StatusOK {
-		return a.declined(resp, clean)
+		return a.declined(c, resp, clean)
 	}
 	content := resp.Header.Get("Content-Type")
 	switch n := resp.ContentLength; {
@@ -226,20 +226,27 @@
 	return err
 }
 
-// declined takes an answer that serves nobody: only its status counts.
-func (a *attempt) declined(resp *http.Response, clean func() bool) (result, bool, error) {
+// declined takes an answer that serves nobody: only its status counts. The body of one that proves nothing is waited for
+// no longer than wholeWait, since what it says makes no difference, and another attempt may follow.
+func (a *attempt) declined(c *conn, resp *http.Response, clean func() bool) (result, bool, error) {
+	proof := resp.Header.Get("Not-Started") == "1" &&
+		(resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout)
+	if soon := time.Now().Add(wholeWait); !proof && soon.Before(a.deadline) {
+		_ = c.SetReadDeadline(soon)
+		if a.ctx.Err() != nil { // stopped, maybe before the deadline was set anew
+			return result{}, false, context.Cause(a.ctx)
+		}
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeMost+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && a.ctx.Err() == nil && !a.late():
+		return result{status: logic.Error}, false, nil
+	case err != nil:
 		return result{}, false, fmt.Errorf("read body: %w", err)
+	case proof:
+		return result{status: logic.FullUp}, n <= wholeMost && clean(), nil
 	}
-	keep := n <= wholeMost && clean()
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("Not-Started") == "1" {
-			return result{status: logic.FullUp}, keep, nil
-		}
-	}
-	return result{status: logic.Error}, keep, nil // it may have run
+	return result{status: logic.Error}, n <= wholeMost && clean(), nil // it may have run
 }
 
 // passOn has the client's side read the answer, and waits until it has.
