Break off an answer that does not end soon after its client's time

Seen: an answer that is passed on as it comes and then stands still, or never ends, held its client for 10 s (streamPatience) or for ever where a byte came now and then. Cause: nothing looked at the client's time once an answer had begun (download.copy, attempt.passOn). 400 ms after that time the attempt is stopped, which breaks the answer off, and the server has timed out. An answer beyond 64 KiB, the protocol's bound, goes on as long as it comes: of those the first bytes are timed.

--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"fernlanding/logic"
 )
@@ -52,3 +54,40 @@
 		t.Errorf("got %s %q", resp.Status, body)
 	}
 }
+
+// An answer within the protocol's bound that is passed on as it comes, and does not end, ends for its client soon after
+// its time, and shows that it is not whole. A larger one goes on.
+func TestAnAnswerWithoutAnEndEndsWithItsClientsTime(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		size  int
+		whole bool
+	}{{"small", 100, false}, {"large", wholeMost + 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			goOn := make(chan struct{})
+			p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", c.size, strings.Repeat("x", c.size))
+				<-goOn
+				_, _ = io.WriteString(w, "0\r\n\r\n")
+				return true
+			})
+			cl, began := connect(t, p), time.Now()
+			cl.send(t, look("1", 1000))
+			resp, err := http.ReadResponse(cl.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.whole {
+				time.AfterFunc(time.Until(began.Add(2*time.Second)), func() { close(goOn) }) // its time is long over
+			} else {
+				defer close(goOn)
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); (err == nil) != c.whole || n != int64(c.size) {
+				t.Errorf("%d bytes came, %v", n, err)
+			}
+			if took := time.Since(began); took > streamPatience/2 {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -258,17 +258,27 @@
 	if !a.stream(answer{status: http.StatusOK, content: content, stream: d}) {
 		return result{status: logic.Cancelled}, false, nil
 	}
-	select {
-	case err := <-d.ended:
-		switch {
-		case err == nil:
-			return result{status: logic.OK}, clean(), nil
-		case errors.Is(err, errClientGone):
+	overdue := time.NewTimer(time.Until(d.due.Add(lateMost)))
+	defer overdue.Stop()
+	for {
+		select {
+		case err := <-d.ended:
+			switch {
+			case err == nil:
+				return result{status: logic.OK}, clean(), nil
+			case errors.Is(err, errClientGone):
+				return result{status: logic.Cancelled}, false, nil
+			}
+			a.pool.broken(a.backend, err)
+			return result{status: logic.Reset}, false, nil
+		case <-overdue.C:
+			if ahead, ok := body.(*prefetch); length > wholeMost || ok && ahead.came() > wholeMost {
+				continue // it takes as long as it takes
+			}
+			a.stop()
+			return result{status: logic.TimedOut}, false, nil
+		case <-a.ctx.Done():
 			return result{status: logic.Cancelled}, false, nil
 		}
-		a.pool.broken(a.backend, err)
-		return result{status: logic.Reset}, false, nil
-	case <-a.ctx.Done():
-		return result{status: logic.Cancelled}, false, nil
 	}
 }
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -17,7 +17,11 @@
 
 	// A peer that neither sends nor takes a byte for so long in the middle of an answer has hung.
 	streamPatience = 10 * time.Second
-	copyBuffer     = 32 << 10
+
+	// A client waits no longer for its answer than its time and half a second. Only an answer beyond wholeMost, the
+	// protocol's bound, may take longer. One that does not end otherwise is broken off so long after the client's time.
+	lateMost   = 400 * time.Millisecond
+	copyBuffer = 32 << 10
 )
 
 var errClientGone = errors.New("the client has gone")
@@ -27,6 +31,7 @@
 type download struct {
 	length int64 // -1: not told
 	body   io.Reader
+	due    time.Time  // when the client gives up; set by the loop as it hands the answer over
 	ended  chan error // nil: passed on whole
 	stop   context.CancelFunc
 }
@@ -60,6 +65,7 @@
 	mu   sync.Mutex
 	cond sync.Cond
 	buf  []byte
+	got  int64 // bytes so far
 	size int
 	err  error // of the source; its end is io.EOF
 	over bool  // nobody reads any more
@@ -82,6 +88,7 @@
 		n, err := src.Read(piece)
 		p.mu.Lock()
 		p.buf = append(p.buf, piece[:n]...)
+		p.got += int64(n)
 		p.err = err
 		p.cond.Broadcast()
 		if n > 0 || err != nil {
@@ -115,6 +122,13 @@
 	return n, nil
 }
 
+// came tells how much of the body has come.
+func (p *prefetch) came() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.got
+}
+
 // whole returns the body if all of it is here.
 func (p *prefetch) whole() (body []byte, err error, ok bool) {
 	p.mu.Lock()
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -33,6 +33,7 @@
 			begun <- false
 			return
 		}
+		ans.stream.due = l.clock.time(a.req.GiveUp)
 		l.bal.Started(l.clock.now(), a.req.ID)
 		l.end(a.req, ans)
 		begun <- true
