Give a dial up when its backend's epoch ends

Seen: a request that waits for a connection, up to the connect time-out (late connections take 1.5 s), goes on waiting when the server is told to drain, has gone or has restarted. Nothing may be sent on that connection any more, so with a short deadline the request ended without an attempt, though others could serve it; and a dial whose epoch was over before it began cost the server a handshake. Cause: backends.turn closes what is idle and knows nothing of dials; dial does not look at the epoch (backend.go). turn now ends the dials of the epoch. The attempt is Moot: it never ran, and no server is blamed.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -49,7 +49,7 @@
 	if c == nil {
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil || a.barred() || errors.Is(err, errNoSockets) {
+			if a.ctx.Err() != nil || a.barred() || errors.Is(err, errNoSockets) || errors.Is(err, errTurned) {
 				return result{status: logic.Moot} // stopped before anything was sent, by no fault of the backend's
 			}
 			return result{status: logic.ConnectFailed}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -49,10 +49,11 @@
 	addr    string
 	zone    string
 	started int64
-	serving bool    // by the list
-	ready   bool    // serving, and neither banned nor in a zone that is drained
-	epoch   int     // goes up when what is told of it changes: drained, gone, restarted, moved, banned or not
-	idle    []*conn // the most recently used last
+	serving bool                         // by the list
+	ready   bool                         // serving, and neither banned nor in a zone that is drained
+	epoch   int                          // goes up when what is told of it changes: drained, gone, restarted, moved, banned or not
+	idle    []*conn                      // the most recently used last
+	dials   map[*context.CancelFunc]bool // under way in this epoch
 }
 
 func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
@@ -115,9 +116,13 @@
 	p.sift()
 }
 
-// turn begins a new epoch of a backend.
+// turn begins a new epoch of a backend. Connections that are still to come up are given up: nothing would be sent on them,
+// and the requests that wait for them can go elsewhere.
 func (p *backends) turn(b *backend) {
 	b.epoch++
+	for stop := range b.dials {
+		(*stop)()
+	}
 	for _, c := range b.idle {
 		p.closeLocked(c)
 	}
@@ -164,24 +169,42 @@
 	return nil
 }
 
-var errNoSockets = errors.New("no socket left")
+var (
+	errNoSockets = errors.New("no socket left")
+	errTurned    = errors.New("the list says otherwise of it now")
+)
 
-// dial opens a connection within the dial time-out and the context's time.
+// dial opens a connection within the dial time-out and the context's time, unless the backend's epoch ends before.
 func (p *backends) dial(ctx context.Context, b *backend, addr string, epoch int) (*conn, error) {
-	if !p.reserve() {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	p.mu.Lock()
+	switch {
+	case b.epoch != epoch:
+		p.mu.Unlock()
+		return nil, fmt.Errorf("dial %s: %w", b.name, errTurned)
+	case !p.reserveLocked():
+		p.mu.Unlock()
 		return nil, errNoSockets
 	}
-	p.mu.Lock()
+	if b.dials == nil {
+		b.dials = map[*context.CancelFunc]bool{}
+	}
+	b.dials[&stop] = true
 	dialer := p.dialer
 	p.mu.Unlock()
 	nc, err := dialer(ctx, "tcp", addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(b.dials, &stop)
 	if err != nil {
-		p.mu.Lock()
+		p.open--
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.trust.Died(time.Now(), b.name)
 		}
-		p.open--
-		p.mu.Unlock()
+		if b.epoch != epoch {
+			err = errTurned
+		}
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
 	c := &conn{Conn: nc, of: b, epoch: epoch}
@@ -217,10 +240,8 @@
 	return true
 }
 
-// reserve counts a connection in. At the limit the one that has been idle longest makes room.
-func (p *backends) reserve() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// reserveLocked counts a connection in. At the limit the one that has been idle longest makes room.
+func (p *backends) reserveLocked() bool {
 	if p.open >= p.most && !p.shedLocked() {
 		return false
 	}
