--- a/internal/proxy/turned_test.go
+++ b/internal/proxy/turned_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -47,3 +49,46 @@
 		})
 	}
 }
+
+// An answer that is under way when its backend drains comes to its end; the connection does not outlive it.
+func TestAnAnswerUnderWaySurvivesItsBackendsDrain(t *testing.T) {
+	came, goOn := make(chan bool, 1), make(chan bool)
+	b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		came <- true
+		<-goOn
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	p := poolWith(4, b.addr)
+	results := make(chan result, 1)
+	go func() { results <- newAttempt(p, "a", patience).run() }()
+	wait(t, "request", came)
+	p.apply(false, []discovery.Endpoint{entry("a", b.addr, discovery.Draining)})
+	p.sweep(time.Now().Add(p.idleFor))
+	p.limit(1, 1)
+	close(goOn)
+	if res := wait(t, "result", results); res.status != logic.OK || string(res.body) != "ok" || p.open != 0 {
+		t.Errorf("got %v %q with %d open", res.status, res.body, p.open)
+	}
+	wait(t, "close", b.closed)
+}
+
+// A connection that was taken for a request is beyond the reach of what closes idle ones.
+func TestAConnectionThatWasTakenIsNotEvicted(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	p := poolWith(1, b.addr)
+	unrested(p)
+	a := newAttempt(p, "a", patience)
+	if res := a.run(); res.status != logic.OK {
+		t.Fatalf("got %v", res.status)
+	}
+	c := p.reuse(a.backend, a.epoch, false)
+	p.sweep(time.Now().Add(2 * p.idleFor))
+	p.limit(1, 1)
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.Moot { // no room, and none is made of this one
+		t.Errorf("a second one: got %v", res.status)
+	}
+	if res, keep := a.exchange(c); res.status != logic.OK || !keep || b.conns.Load() != 1 {
+		t.Errorf("got %v, kept %v, on %d connections", res.status, keep, b.conns.Load())
+	}
+}
