Break off only an answer whose server stands still, not one whose client is slow

Of a large answer of untold length little may have been read when its client's time is over, where the client takes it slowly and little is read ahead: passOn broke that off too. Now all that came has to have been passed on.

go test ./internal/proxy -run SlowClients: broken off without the change, whole with it.

--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -91,3 +91,30 @@
 		})
 	}
 }
+
+// A client that is slow to take a large answer of untold length has it whole, though little of it had gone by its time.
+func TestASlowClientsTimeDoesNotEndItsAnswer(t *testing.T) {
+	b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 2*wholeMost))
+		return false
+	})
+	p := poolWith(4, b.addr)
+	p.whole.Store(wholeLeast) // no more is read ahead
+	a := newAttempt(p, "a", patience)
+	got := make(chan int64, 1)
+	a.stream = func(ans answer) bool {
+		ans.stream.due = time.Now().Add(-lateMost) // over now
+		time.AfterFunc(2*wholeWait, func() {
+			n, err := io.Copy(io.Discard, ans.stream.body)
+			ans.stream.end(err)
+			got <- n
+		})
+		return true
+	}
+	if res := a.run(); res.status != logic.OK {
+		t.Errorf("got %v", res.status)
+	}
+	if n := wait(t, "end of the answer", got); n != 2*wholeMost {
+		t.Errorf("%d bytes came", n)
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -272,9 +272,13 @@
 			a.pool.broken(a.backend, err)
 			return result{status: logic.Reset}, false, nil
 		case <-overdue.C:
-			if ahead, ok := body.(*prefetch); length > wholeMost || ok && ahead.came() > wholeMost {
+			if length > wholeMost {
 				continue // it takes as long as it takes
 			}
+			if ahead, ok := body.(*prefetch); ok && !ahead.dry(wholeMost) {
+				overdue.Reset(wholeWait)
+				continue
+			}
 			a.stop()
 			return result{status: logic.TimedOut}, false, nil
 		case <-a.ctx.Done():
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -122,11 +122,12 @@
 	return n, nil
 }
 
-// came tells how much of the body has come.
-func (p *prefetch) came() int64 {
+// dry tells whether the source stands still after no more than most bytes: all that came has been read on. Where it has
+// not, the client is the one that is waited for, and the answer may be a large one.
+func (p *prefetch) dry(most int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.got
+	return p.got <= most && len(p.buf) == 0 && p.err == nil
 }
 
 // whole returns the body if all of it is here.
