--- /dev/null
+++ b/internal/proxy/answer_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/logic"
+)
+
+// An answer that can't be read as HTTP has it is none, however it breaks the rules.
+func TestAnswersThatLieAreNone(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want logic.Status
+	}{
+		"some early words":      {strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", mostEarly) + served, logic.OK},
+		"no end of early words": {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", mostEarly+1) + served, logic.Reset},
+		"an early word's body":  {"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nno" + served, logic.Reset},
+		"chunks without a body": {"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", logic.Reset},
+		"longer than it says":   {served + "ay, and more", logic.OK},
+		"a second answer":       {served + "HTTP/1.1 200 OK\r\n", logic.OK},
+		"a line's end too many": {served + "\r\n", logic.OK},
+		"nothing to say":        {"HTTP/1.1 204 No Content\r\n\r\n", logic.Error},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, says(c.text, true))
+			if res := newAttempt(poolWith(4, b.addr), "a", patience).run(); res.status != c.want {
+				t.Errorf("got %v %q, want %v", res.status, res.body, c.want)
+			}
+		})
+	}
+}
+
+// An answer that only says no, and does not end, says so soon: another attempt has the time to serve.
+func TestADeclinedAnswerWithoutAnEndIsNotWaitedFor(t *testing.T) {
+	over := make(chan struct{})
+	defer close(over)
+	p, _ := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n > 1 {
+			_, _ = io.WriteString(w, served)
+			return true
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 500 Oops\r\nContent-Length: 9\r\n\r\nOo")
+		<-over
+		return false
+	})
+	cl := connect(t, p)
+	cl.send(t, look("1", 4000))
+	if resp, body := cl.answer(t); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("got %s %q", resp.Status, body)
+	}
+}
+
+// An answer within the protocol's bound that is passed on as it comes, and does not end, ends for its client soon after
+// its time, and shows that it is not whole. A larger one goes on.
+func TestAnAnswerWithoutAnEndEndsWithItsClientsTime(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		size  int
+		whole bool
+	}{{"small", 100, false}, {"large", wholeMost + 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			goOn := make(chan struct{})
+			p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", c.size, strings.Repeat("x", c.size))
+				<-goOn
+				_, _ = io.WriteString(w, "0\r\n\r\n")
+				return true
+			})
+			cl, began := connect(t, p), time.Now()
+			cl.send(t, look("1", 1000))
+			resp, err := http.ReadResponse(cl.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.whole {
+				time.AfterFunc(time.Until(began.Add(2*time.Second)), func() { close(goOn) }) // its time is long over
+			} else {
+				defer close(goOn)
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); (err == nil) != c.whole || n != int64(c.size) {
+				t.Errorf("%d bytes came, %v", n, err)
+			}
+			if took := time.Since(began); took > streamPatience/2 {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// A client that is slow to take a large answer of untold length has it whole, though little of it had gone by its time.
+func TestASlowClientsTimeDoesNotEndItsAnswer(t *testing.T) {
+	b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 2*wholeMost))
+		return false
+	})
+	p := poolWith(4, b.addr)
+	p.whole.Store(wholeLeast) // no more is read ahead
+	a := newAttempt(p, "a", patience)
+	got := make(chan int64, 1)
+	a.stream = func(ans answer) bool {
+		ans.stream.due = time.Now().Add(-lateMost) // over now
+		time.AfterFunc(2*wholeWait, func() {
+			n, err := io.Copy(io.Discard, ans.stream.body)
+			ans.stream.end(err)
+			got <- n
+		})
+		return true
+	}
+	if res := a.run(); res.status != logic.OK {
+		t.Errorf("got %v", res.status)
+	}
+	if n := wait(t, "end of the answer", got); n != 2*wholeMost {
+		t.Errorf("%d bytes came", n)
+	}
+}
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -17,7 +17,11 @@
 
 	// A peer that neither sends nor takes a byte for so long in the middle of an answer has hung.
 	streamPatience = 10 * time.Second
-	copyBuffer     = 32 << 10
+
+	// A client waits no longer for its answer than its time and half a second. Only an answer beyond wholeMost, the
+	// protocol's bound, may take longer. One that does not end otherwise is broken off so long after the client's time.
+	lateMost   = 400 * time.Millisecond
+	copyBuffer = 32 << 10
 )
 
 var errClientGone = errors.New("the client has gone")
@@ -27,6 +31,7 @@
 type download struct {
 	length int64 // -1: not told
 	body   io.Reader
+	due    time.Time  // when the client gives up; set by the loop as it hands the answer over
 	ended  chan error // nil: passed on whole
 	stop   context.CancelFunc
 }
@@ -60,15 +65,17 @@
 	mu   sync.Mutex
 	cond sync.Cond
 	buf  []byte
+	got  int64 // bytes so far
 	size int
 	err  error // of the source; its end is io.EOF
 	over bool  // nobody reads any more
-	full chan struct{}
-	once sync.Once
+
+	some, full         chan struct{} // closed when a byte, or as much as may be, has come; both at the source's end
+	someOnce, fullOnce sync.Once
 }
 
 func newPrefetch(src io.Reader, size int) *prefetch {
-	p := &prefetch{size: size, full: make(chan struct{})}
+	p := &prefetch{size: size, some: make(chan struct{}), full: make(chan struct{})}
 	p.cond.L = &p.mu
 	go p.fill(src)
 	return p
@@ -81,16 +88,20 @@
 		n, err := src.Read(piece)
 		p.mu.Lock()
 		p.buf = append(p.buf, piece[:n]...)
+		p.got += int64(n)
 		p.err = err
 		p.cond.Broadcast()
+		if n > 0 || err != nil {
+			p.someOnce.Do(func() { close(p.some) })
+		}
 		for len(p.buf) >= p.size && p.err == nil && !p.over {
-			p.once.Do(func() { close(p.full) })
+			p.fullOnce.Do(func() { close(p.full) })
 			p.cond.Wait()
 		}
 		done := p.err != nil || p.over
 		p.mu.Unlock()
 		if done {
-			p.once.Do(func() { close(p.full) })
+			p.fullOnce.Do(func() { close(p.full) })
 			return
 		}
 	}
@@ -111,6 +122,14 @@
 	return n, nil
 }
 
+// dry tells whether the source stands still after no more than most bytes: all that came has been read on. Where it has
+// not, the client is the one that is waited for, and the answer may be a large one.
+func (p *prefetch) dry(most int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.got <= most && len(p.buf) == 0 && p.err == nil
+}
+
 // whole returns the body if all of it is here.
 func (p *prefetch) whole() (body []byte, err error, ok bool) {
 	p.mu.Lock()
@@ -124,6 +143,31 @@
 	return p.buf, nil, true
 }
 
+// begin waits until the whole body is here or as much of it as is read ahead, and after wholeWait only for its first byte:
+// an answer that has been passed on before that and then breaks off, or never goes on, reaches the client as a connection
+// that ends without a word, which loses the request.
+func (p *prefetch) begin(ctx context.Context) error {
+	soon := time.NewTimer(wholeWait)
+	defer soon.Stop()
+	select {
+	case <-p.full:
+		return nil
+	case <-soon.C:
+	case <-ctx.Done():
+	}
+	select {
+	case <-p.some: // before all else: what has come by the deadline has begun
+		return nil
+	default:
+	}
+	select {
+	case <-p.some:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // close lets fill end though nobody reads on.
 func (p *prefetch) close() {
 	p.mu.Lock()
@@ -141,6 +185,9 @@
 	defer unhook()
 	if err := d.copy(w); err != nil {
 		d.end(err)
+		if c, ok := r.Context().Value(connKey{}).(*framedConn); ok && d.length < 0 && !r.ProtoAtLeast(1, 1) {
+			resetOnClose(c.Conn) // without chunks an end is all that such a client has to see the answer's end by
+		}
 		panic(http.ErrAbortHandler)
 	}
 	d.end(nil)
