Ask for a failed subscription again within 2 s, whatever the asking time

Need: a change counts as told after 6 s. The wait doubled up to an eighth of the asking time and was drawn up to twice that: 97 s at an asking time of 10 minutes (TestAFailedSubscriptionIsAskedForAgainSoon without the bound). It is 2 s at most now.

--- a/logic/members.go
+++ b/logic/members.go
@@ -13,9 +13,8 @@
 	subsetRoot  = 3.0      // and times the root of its calls a second, so that it meets each one often enough
 	golden      = 0.618034 // steps of this part of a ring spread any number of starts evenly
 
-	watchFirst = second / 4
-	watchPart  = 8 // backoff of a failed subscription doubles up to this part of AskEvery
-	watchToken = "watch"
+	watchFirst, watchMost = second / 4, second // backoff of a failed subscription doubles, whatever AskEvery is
+	watchPart, watchToken = 8, "watch"         // and up to this part of AskEvery if that is less
 )
 
 // List takes a list of servers or its changes.
@@ -23,7 +22,7 @@
 	if kind == Failed {
 		if b.asked { // many copies keep the list busy: back off, one ask at a time
 			h.SetTimer(b.backoff+b.rnd.Int64N(b.backoff), watchToken)
-			b.backoff = max(watchFirst, min(2*b.backoff, b.s.AskEvery/watchPart))
+			b.backoff = max(watchFirst, min(2*b.backoff, watchMost, b.s.AskEvery/watchPart))
 		}
 		b.asked = false
 		return
--- /dev/null
+++ b/logic/watch_test.go
@@ -0,0 +1,33 @@
+package logic
+
+import "testing"
+
+// Whatever the asking time, a subscription that fails is asked for again within 2 s: a change counts as told after 6 s.
+func TestAFailedSubscriptionIsAskedForAgainSoon(t *testing.T) {
+	for _, every := range []int64{1, second / 2, 10 * second, 600 * second} {
+		s := testSettings()
+		s.Subscribe, s.AskEvery = true, every
+		b, h := with(t, s, 2)
+		w := &waits{recorder: h}
+		for range 40 {
+			b.List(start, w, Failed, nil)
+			b.Timer(start, w, watchToken)
+		}
+		if len(w.waits) != 40 {
+			t.Fatalf("%d waits", len(w.waits))
+		}
+		for i, d := range w.waits {
+			if d > 2*second || d < second/4 {
+				t.Errorf("asked every %d us: wait %d is %d us", every, i, d)
+			}
+		}
+	}
+}
+
+// waits notes how long each timer is.
+type waits struct {
+	*recorder
+	waits []int64
+}
+
+func (w *waits) SetTimer(delay int64, _ string) { w.waits = append(w.waits, delay) }
