Say what a proxy lacks to be ready, in readyz and in the log

Need: readiness says what is missing; servers that were last known stand while discovery is down. With a list in the configuration it is ready at once whatever discovery does. Change: readyz answers 503 with what is missing (a list and where from, clients not accepted, a drain); a start without a list logs the same once.

--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -60,7 +60,7 @@
 
 // Proxy is what the calls are about. Its methods are called from many goroutines and return soon.
 type Proxy interface {
-	Ready() bool
+	Missing() string // what it lacks to serve requests that come now; empty: it is ready
 	Figures() Figures
 	// Suspend and Resume return once the proxy acts on it and the ban outlives the process. A *bans.UnknownError is a
 	// no for good; after others the call may be repeated.
@@ -175,8 +175,8 @@
 }
 
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !s.proxy.Ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	if missing := s.proxy.Missing(); missing != "" {
+		http.Error(w, "not ready: "+missing, http.StatusServiceUnavailable)
 		return
 	}
 	_, _ = io.WriteString(w, "ready\n")
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -17,12 +17,12 @@
 const patience = 20 * time.Second // for what has to come; only a failing test waits so long
 
 type fakeProxy struct {
-	ready   bool
+	missing string
 	figures Figures
 	did     string
 }
 
-func (p *fakeProxy) Ready() bool      { return p.ready }
+func (p *fakeProxy) Missing() string  { return p.missing }
 func (p *fakeProxy) Figures() Figures { return p.figures }
 
 func (p *fakeProxy) Suspend(nodo string) error { return p.do("suspend", nodo) }
@@ -99,15 +99,15 @@
 func request(line, more string) string { return line + " HTTP/1.1\r\nHost: proxy\r\n" + more + "\r\n" }
 
 func TestCallsAreAnswered(t *testing.T) {
-	p := &fakeProxy{ready: true, figures: Figures{Classes: map[string]Ends{"look": {1, 2, 3}, "buy": {4, 5, 6}},
+	p := &fakeProxy{figures: Figures{Classes: map[string]Ends{"look": {1, 2, 3}, "buy": {4, 5, 6}},
 		Outstanding: 7, Forwards: 8, Discovered: 9, Ejected: 10, Applied: 11, Rejected: 12}}
 	s := start(t, p)
 	if status, _ := call(t, s, request("GET /v1/readyz", "")); status != 200 {
 		t.Errorf("ready: %d", status)
 	}
-	p.ready = false
-	if status, _ := call(t, s, request("GET /v1/readyz", "")); status != 503 {
-		t.Errorf("not ready: %d", status)
+	p.missing = "no list"
+	if status, text := call(t, s, request("GET /v1/readyz", "")); status != 503 || text != "not ready: no list\n" {
+		t.Errorf("not ready: %d %q", status, text)
 	}
 	want := "app.succeeded.buy=4\napp.declined.buy=5\napp.aborted.buy=6\n" +
 		"app.succeeded.look=1\napp.declined.look=2\napp.aborted.look=3\n" +
@@ -133,7 +133,7 @@
 }
 
 func TestOtherCallsAreANo(t *testing.T) {
-	s := start(t, &fakeProxy{ready: true})
+	s := start(t, &fakeProxy{})
 	for _, text := range []string{
 		request("GET /", ""), request("GET /v1/ready", ""), request("POST /v1/readyz", "Content-Length: 0\r\n"),
 		request("GET /v1//readyz", ""), request("GET /v1/readyz/", ""), "nonsense\r\n\r\n",
@@ -148,7 +148,7 @@
 
 // Callers that hold a connection with no whole call, however many, take no place from others and are closed.
 func TestHeldConnectionsDelayNobody(t *testing.T) {
-	s := start(t, &fakeProxy{ready: true})
+	s := start(t, &fakeProxy{})
 	var held []net.Conn
 	for i := range 3 * MaxConns {
 		c := dial(t, s)
@@ -173,7 +173,7 @@
 
 // A call that announces a body must not act before all of it is here.
 func TestHalfACallDoesNothing(t *testing.T) {
-	s := start(t, &fakeProxy{ready: true})
+	s := start(t, &fakeProxy{})
 	c := dial(t, s)
 	if _, err := io.WriteString(c, request("GET /v1/readyz", "Content-Length: 3\r\n")+"x"); err != nil {
 		t.Fatal(err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -242,6 +242,9 @@
 			p.cfg.Log.Error("no successor can take over", "error", err)
 		}
 	}
+	if !p.front.healthy() {
+		p.cfg.Log.Warn("not ready, requests are refused until it is", "missing", p.Missing())
+	}
 	if p.elder != nil {
 		if err := p.elder.serving(); err != nil {
 			p.cfg.Log.Warn("the predecessor has ended", "error", err)
@@ -295,7 +298,24 @@
 }
 
 // Ready tells whether requests that come now are served: clients can connect and there is a list of servers.
-func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
+func (p *Proxy) Ready() bool { return p.Missing() == "" }
+
+// Missing is what this proxy lacks to be ready, for on-call staff; nothing if it is.
+func (p *Proxy) Missing() string {
+	if p.front.draining.Load() {
+		return "it drains"
+	}
+	select {
+	case <-p.loop.listed:
+	default:
+		return fmt.Sprintf("no list of servers: the configuration has none (known), and discovery at %v has not answered yet",
+			p.cfg.Discovery)
+	}
+	if !p.front.serving.Load() {
+		return "clients are not accepted yet"
+	}
+	return ""
+}
 
 // Suspend has a server get nothing new, whatever the list says, until Resume. Any process of this proxy may be
 // told. The answer comes once this one acts on it; its errors are those of
--- /dev/null
+++ b/internal/proxy/ready_test.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+// asking is a site whose list is asked for, with an asking time of minutes.
+var asking = strings.NewReplacer(`"membership_mode":"automatic"`, `"membership_mode":"subscribe"`,
+	`{"contract":{`, `{"contract":{"ask_every_us":300000000,`).Replace(siteText)
+
+// A proxy that starts without a list, while discovery is down, says what is missing, and is ready soon after discovery is
+// back, whatever the asking time.
+func TestReadinessSaysWhatIsMissing(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	place, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var down atomic.Bool
+	down.Store(true)
+	var calls atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1); down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !r.URL.Query().Has("from") {
+			_, _ = io.WriteString(w, listText(1, true, listed("a", b.addr, discovery.Serving)))
+			return
+		}
+		<-r.Context().Done()
+	}))
+	s.Listener.Close()
+	s.Listener = place
+	s.Start()
+	t.Cleanup(s.Close)
+	p := startSite(t, asking, place.Addr().String(), 200, "", t.TempDir())
+	waitUntil(t, func() bool { return p.front.serving.Load() && calls.Load() >= 4 })
+	if missing := p.Missing(); p.Ready() || !strings.Contains(missing, "no list") ||
+		!strings.Contains(missing, place.Addr().String()) {
+		t.Errorf("ready %v, missing %q", p.Ready(), missing)
+	}
+	down.Store(false)
+	back := time.Now()
+	waitUntil(t, p.Ready)
+	if took := time.Since(back); took > 5*time.Second {
+		t.Errorf("ready %v after discovery was back", took)
+	}
+	p.stop()
+	waitUntil(t, func() bool { return p.Missing() == "it drains" })
+}
+
+// While discovery is down, deaf, or answers nonsense, the servers that were last known are used, for as long as it takes;
+// a proxy that has a list from its configuration is ready at once.
+func TestServersLastKnownStand(t *testing.T) {
+	for _, how := range []string{"down", "503", "deaf", "nonsense"} {
+		t.Run(how, func(t *testing.T) {
+			b := startBackend(t, says(served, true))
+			var calls atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				switch how {
+				case "down":
+					panic(http.ErrAbortHandler)
+				case "503":
+					w.WriteHeader(http.StatusServiceUnavailable)
+				case "nonsense":
+					_, _ = io.WriteString(w, listText(9, true, listed("a", "nowhere", discovery.Serving)))
+				default:
+					<-r.Context().Done()
+				}
+			}))
+			t.Cleanup(s.Close)
+			known := listText(1, true, listed("a", b.addr, discovery.Serving))
+			p := startSite(t, asking, strings.TrimPrefix(s.URL, "http://"), 200, known, t.TempDir())
+			waitUntil(t, p.Ready)
+			lost := 4
+			if how == "deaf" {
+				lost = 1 // each takes two seconds
+			}
+			for i := range lost {
+				waitUntil(t, func() bool { return calls.Load() > int32(i+1) })
+				c := connect(t, p)
+				c.send(t, look(fmt.Sprint(i), 4000))
+				if resp, _ := c.answer(t); resp.StatusCode != 200 {
+					t.Errorf("request %d after %d calls that failed: %s", i, calls.Load(), resp.Status)
+				}
+			}
+			if !p.Ready() {
+				t.Error(p.Missing())
+			}
+		})
+	}
+}
