--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -242,6 +242,9 @@
 			p.cfg.Log.Error("no successor can take over", "error", err)
 		}
 	}
+	if !p.front.healthy() {
+		p.cfg.Log.Warn("not ready, requests are refused until it is", "missing", p.Missing())
+	}
 	if p.elder != nil {
 		if err := p.elder.serving(); err != nil {
 			p.cfg.Log.Warn("the predecessor has ended", "error", err)
@@ -270,9 +273,9 @@
 
 // follow has the loop hear of the list.
 func (p *Proxy) follow() {
-	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Subscribe: p.cfg.Site.Logic.Subscribe, Seed: p.cfg.Seed,
+	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Pushed: !p.cfg.Site.Logic.Subscribe, Seed: p.cfg.Seed,
 		State: p.cfg.Kept, Log: p.cfg.Log})
-	p.loop.lists, p.loop.ask = p.lists.News(), p.lists.Ask
+	p.loop.lists = p.lists.News()
 }
 
 // known is the newest list that the proxy can begin with: what it kept itself, or what its configuration says.
@@ -295,7 +298,24 @@
 }
 
 // Ready tells whether requests that come now are served: clients can connect and there is a list of servers.
-func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
+func (p *Proxy) Ready() bool { return p.Missing() == "" }
+
+// Missing is what this proxy lacks to be ready, for on-call staff; nothing if it is.
+func (p *Proxy) Missing() string {
+	if p.front.draining.Load() {
+		return "it drains"
+	}
+	select {
+	case <-p.loop.listed:
+	default:
+		return fmt.Sprintf("no list of servers: the configuration has none (known), and discovery at %v has not answered yet",
+			p.cfg.Discovery)
+	}
+	if !p.front.serving.Load() {
+		return "clients are not accepted yet"
+	}
+	return ""
+}
 
 // Suspend has a server get nothing new, whatever the list says, until Resume. Any process of this proxy may be
 // told. The answer comes once this one acts on it; its errors are those of
