Notice a client that goes behind bytes that follow its request

net/http notices a departure by a read of one byte behind the request. Given the first byte of a next request, or of anything behind a chunked one, it looks no further: the end behind it was never seen, and the attempt that was out kept its slot, connection and counts to its time-out. framedConn now gives no byte of that until the answer is out, and reads on meanwhile, up to 4 KiB a connection (a whole head, up to 20 KiB, was held before).

--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -15,6 +15,9 @@
 // headSlack is what net/http reads beyond MaxHeaderBytes before it answers 431.
 const headSlack = 4 << 10
 
+// aheadMost is held of what a client sends behind a request that waits for its answer.
+const aheadMost = 4 << 10
+
 var errFraming = errors.New("ambiguous framing")
 
 // framing tells from a raw head how long the body behind it is, -1 if it is not told by a Content-Length.
@@ -60,6 +63,7 @@
 	buf  []byte // read and not passed yet
 	pass int64  // bytes that may pass before the next head is looked at; negative: all
 	over bool   // after these comes nothing more
+	owed bool   // a request has passed, or is about to, and has no answer yet
 
 	served bool         // a head has passed
 	began  atomic.Int64 // when the present request did, or the connection for its first; in Unix nanoseconds
@@ -72,6 +76,11 @@
 const flaw = "ambiguous\r\n\r\n"
 
 func (c *framedConn) Read(p []byte) (int, error) {
+	if c.owed && len(p) == 1 && (c.pass == 0 && !c.over || c.pass < 0) {
+		if err := c.ahead(); err != nil {
+			return 0, err
+		}
+	}
 	if c.pass == 0 && !c.over {
 		if err := c.head(); err != nil {
 			return 0, err
@@ -118,7 +127,10 @@
 }
 
 // answered notes that the present request has its answer. It comes from the goroutine that reads.
-func (c *framedConn) answered() { c.asked.Store(len(c.buf) > 0) }
+func (c *framedConn) answered() {
+	c.owed = false
+	c.asked.Store(len(c.buf) > 0)
+}
 
 // silent is how long nothing has come.
 func (c *framedConn) silent() time.Duration { return time.Since(time.Unix(0, c.moved.Load())) }
@@ -162,8 +174,24 @@
 	}
 }
 
+// ahead reads on while a request waits for its answer. Past a request's end net/http reads one byte, to notice a client
+// that goes; given the next request's first it would look no further. So it gets none until the answer has gone out
+// (its read is then broken off by a deadline), or until more has come than is worth holding.
+func (c *framedConn) ahead() error {
+	for len(c.buf) < aheadMost {
+		c.buf = slices.Grow(c.buf, 1<<10)
+		n, err := c.Conn.Read(c.buf[len(c.buf):min(cap(c.buf), aheadMost)])
+		c.move(n)
+		c.buf = c.buf[:len(c.buf)+n]
+		if n == 0 && err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *framedConn) judge(end int) {
-	c.served = true
+	c.served, c.owed = true, true
 	length, chunked, err := framing(c.buf[:end])
 	switch {
 	case err != nil:
