Begin no attempt for a client that has gone, whoever has heard of it

An attempt was stopped by its context alone, and that only once net/http's read had returned, the handler had posted the departure and the loop had come to it, behind up to 256 other events. Until then a request was taken, sent, sent again after a failure, given its key's turn, or written on a connection that had just come up. A body that nobody takes at the moment hid the end of its client whatever the time.

Now run() asks the client's socket before a dial and before each first byte: one recvfrom(MSG_PEEK), and a ppoll for POLLRDHUP only where bytes are unread. A failed attempt asks before the module may send again, so that the allowance for further attempts is not used, and the loop turns a request away whose context has ended while it stood in the queue. A departure found so withdraws the request from the module at once.

Each place has a test that forces the order with the loop held; all fail without the check at the socket, the one behind unread bytes, or the one before the write (taken out by hand in turn), and TestNothingIsSentAgain without the one at the outcome.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -46,6 +46,9 @@
 func (a *attempt) run() result {
 	c := a.pool.reuse(a.backend, a.epoch, a.req.unsafe)
 	if c == nil {
+		if a.req.left() {
+			return result{status: logic.Moot} // a connection costs the backend work
+		}
 		var err error
 		if c, err = a.dial(); err != nil {
 			if a.ctx.Err() != nil {
@@ -54,8 +57,9 @@
 			return result{status: logic.ConnectFailed}
 		}
 	}
-	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
+	// A dial takes time, and so did the way here. What has ended, drained or gone meanwhile gets nothing new, nor does
+	// a client that has left, which the context may hear of only later.
+	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) || a.req.left() {
 		a.pool.keep(c)
 		return result{status: logic.Moot}
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -114,6 +114,8 @@
 		f.reply(w, bad)
 		return
 	}
+	req.client = r.Context()
+	req.peer, _ = r.Context().Value(connKey{}).(net.Conn)
 	body := f.newUpload(w, r, began)
 	defer f.endUpload(body)
 	own, bad := f.receive(w, r, req, body)
@@ -122,23 +124,30 @@
 		return
 	}
 	defer own.end(0) // however else this returns
+	ans := f.await(req)
+	if ans.status == 0 {
+		panic(http.ErrAbortHandler) // a return would answer 200
+	}
+	if ans.stream != nil {
+		f.streams.Add(1)
+		defer f.streams.Add(-1)
+	}
+	if f.reply(w, ans); ans.stream != nil {
+		ans.stream.passOn(w, r)
+	}
+	own.end(ans.status)
+}
+
+// await returns a request's answer, with no status if its client has gone or the loop has ended.
+func (f *frontend) await(req *request) (ans answer) {
 	l := f.loop
 	select {
-	case ans := <-req.answer:
-		if ans.stream != nil {
-			f.streams.Add(1)
-			defer f.streams.Add(-1)
-		}
-		if f.reply(w, ans); ans.stream != nil {
-			ans.stream.passOn(w, r)
-		}
-		own.end(ans.status)
-	case <-r.Context().Done(): // the client has gone
+	case ans = <-req.answer:
+	case <-req.client.Done():
 		l.post(func() { l.gone(req) })
-		panic(http.ErrAbortHandler) // a return would answer 200
 	case <-l.done:
-		panic(http.ErrAbortHandler)
 	}
+	return ans
 }
 
 // health answers a check. Its connection is closed each time: kept ones, of however many checkers, would take
--- /dev/null
+++ b/internal/proxy/gone.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"unsafe"
+)
+
+// left tells whether the client has gone: nothing new is to begin for it. What net/http has noticed shows in the
+// context; what it cannot have seen yet, or never will, shows at the socket.
+func (r *request) left() bool {
+	return r.client != nil && (r.client.Err() != nil || departed(r.peer))
+}
+
+// departed tells whether the peer of a connection has closed it, or has ended its sending, which looks the same from
+// here and by the protocol means the same. net/http hears of that by a read of its own, which comes after the handler
+// has begun, may come after what the handler has begun in turn, and stops at the first byte behind the request. So the
+// socket itself is asked, for one system call, and for two where bytes are unread. A connection that has no socket, or
+// whose system does not tell, counts as there.
+func departed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	// Control, not Read: Read waits for any other reader, and the server always has one on its client.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil && n > 0:
+			gone = hungUp(fd)
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		default:
+			gone = true
+		}
+	})
+	return err != nil || gone
+}
+
+const (
+	pollErr   = 0x8
+	pollHup   = 0x10
+	pollRDHup = 0x2000 // Linux: the peer has ended its sending, whatever is still unread
+)
+
+// hungUp tells whether an end stands behind bytes that nobody has read yet.
+func hungUp(fd uintptr) bool {
+	p := struct {
+		fd              int32
+		events, revents int16
+	}{fd: int32(fd), events: pollRDHup}
+	var now syscall.Timespec // no wait
+	n, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&p)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0)
+	return errno == 0 && n == 1 && p.revents&(pollRDHup|pollHup|pollErr) != 0
+}
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"fernlanding/internal/discovery"
+	"fernlanding/logic"
 )
 
 // The ways in which a client goes; each with what it has sent behind its request.
@@ -29,6 +35,16 @@
 func (c *client) half()             { _ = c.tcp().CloseWrite() }
 func (c *client) reset()            { _ = c.tcp().SetLinger(0); c.Close() }
 
+// stall has the loop stand still, once it has come to what is in its queue by now, until goOn is called.
+func stall(t *testing.T, p *running) (stands chan struct{}, goOn func()) {
+	t.Helper()
+	stands, again := make(chan struct{}), make(chan struct{})
+	p.loop.post(func() { close(stands); <-again })
+	goOn = sync.OnceFunc(func() { close(again) })
+	t.Cleanup(goOn)
+	return stands, goOn
+}
+
 // nothingLeft checks the books once a client has gone: no request, attempt or connection that is in use.
 func nothingLeft(t *testing.T, p *running) {
 	t.Helper()
@@ -50,6 +66,188 @@
 	})
 }
 
+// nothingSent checks that so many requests have reached the backend over one connection, and that all goes on.
+func nothingSent(t *testing.T, p *running, b *fakeBackend, before int32) {
+	t.Helper()
+	nothingLeft(t, p)
+	cl := connect(t, p)
+	cl.send(t, look("after", 4000))
+	if resp, _ := cl.answer(t); resp.StatusCode != 200 {
+		t.Errorf("then got %s", resp.Status)
+	}
+	if n, conns := b.requests.Load(), b.conns.Load(); n != before+1 || conns != 1 {
+		t.Errorf("%d requests reached the backend, want %d; on %d connections", n, before+1, conns)
+	}
+}
+
+// leaves has a client go at the worst instant: the loop has the event, which cause makes, before it, and the attempt that
+// follows from that has all its time before the loop hears of the departure.
+func leaves(t *testing.T, p *running, cause, depart func()) {
+	t.Helper()
+	stands, goOn := stall(t, p)
+	wait(t, "stand of the loop", stands)
+	cause()
+	waitUntil(t, func() bool { return len(p.loop.events) == 1 })
+	stands, end := stall(t, p)
+	depart()
+	goOn()
+	wait(t, "stand behind the event", stands)
+	attemptsEnd(t, p)
+	end()
+}
+
+func attemptsEnd(t *testing.T, p *running) {
+	t.Helper()
+	ended := make(chan struct{})
+	go func() { p.loop.attempts.Wait(); close(ended) }()
+	wait(t, "end of the attempts", ended)
+}
+
+// The client goes while its request stands in the loop's queue.
+func TestNothingIsSentForAClientThatLeftInTheQueue(t *testing.T) {
+	for _, d := range departures {
+		for _, draining := range []bool{false, true} {
+			if draining && d.behind != look("next", 4000) {
+				continue // each takes the time of a drain
+			}
+			t.Run(fmt.Sprintf("%s, draining %v", d.name, draining), func(t *testing.T) {
+				t.Parallel()
+				p, b := serving(t, says(served, true))
+				cl := connect(t, p)
+				if draining {
+					p.times = func([]logic.Class) (stay, left time.Duration) { return 4 * time.Second, 5 * time.Second }
+					p.stop()
+					waitUntil(t, p.front.draining.Load)
+				}
+				leaves(t, p, func() { cl.send(t, look("1", 4000)+d.behind) }, func() { d.leave(cl) })
+				nothingSent(t, p, b, 0)
+			})
+		}
+	}
+}
+
+// The client goes while the first attempt's failure stands in the loop's queue: no further one follows.
+func TestNothingIsSentAgainForAClientThatLeft(t *testing.T) {
+	for _, d := range departures {
+		t.Run(d.name, func(t *testing.T) {
+			fail := make(chan struct{})
+			p, b := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+				if n == 1 {
+					<-fail
+					return says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true)(w, nil, n)
+				}
+				return says(served, true)(w, nil, n)
+			})
+			cl := connect(t, p)
+			cl.send(t, look("1", 4000)+d.behind)
+			waitUntil(t, func() bool { return b.requests.Load() == 1 })
+			leaves(t, p, func() { close(fail) }, func() { d.leave(cl) })
+			nothingSent(t, p, b, 1)
+			spent := make(chan int, 1)
+			p.loop.post(func() { spent <- len(p.loop.bal.HandOver(p.loop.clock.now()).Further) })
+			if n := <-spent; n != 0 {
+				t.Errorf("%d of the allowance for further attempts is taken", n)
+			}
+		})
+	}
+}
+
+// The client goes while its request waits for its key's turn, which comes before the departure is heard of.
+func TestNothingIsSentForAClientThatLeftItsTurn(t *testing.T) {
+	rate := func(id string) string {
+		return "POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nRequest-Class: rate\r\nIdempotency-Key: x\r\nContent-Length: 0\r\n\r\n"
+	}
+	text := strings.Replace(siteText, `"dedup_scope":"cell"`, `"by_arrival":true,"dedup_scope":"cell"`, 1)
+	for _, d := range departures {
+		t.Run(d.name, func(t *testing.T) {
+			turn := make(chan struct{})
+			b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+				if n == 1 {
+					<-turn
+				}
+				return says(served, true)(w, nil, n)
+			})
+			p := startSite(t, text, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)), t.TempDir())
+			first, cl, third := connect(t, p), connect(t, p), connect(t, p)
+			first.send(t, rate("1"))
+			waitUntil(t, func() bool { return b.requests.Load() == 1 })
+			cl.send(t, rate("2")+d.behind)
+			waitUntil(t, func() bool { return p.Figures().Outstanding == 2 })
+			leaves(t, p, func() { close(turn) }, func() { d.leave(cl) })
+			third.send(t, rate("3")) // its turn comes
+			for _, c := range []*client{first, third} {
+				if resp, _ := c.answer(t); resp.StatusCode != 200 {
+					t.Errorf("got %s", resp.Status)
+				}
+			}
+			nothingSent(t, p, b, 2)
+		})
+	}
+}
+
+// The client goes while a connection to the backend comes up; the loop, which would stop the attempt, is busy.
+func TestNothingIsSentOnALateConnectionForAClientThatLeft(t *testing.T) {
+	for _, text := range []string{look("1", 4000), post("1", "Content-Length: 1000000") + strings.Repeat("x", holdMost+1),
+		post("1", "Transfer-Encoding: chunked") + "1\r\nx\r\n0\r\n\r\n"} {
+		for _, d := range departures {
+			if strings.Contains(text, "1000000") && d.behind != "" {
+				d.behind = strings.Repeat("x", 100_000) // of the body; more than is read while nobody takes it
+			}
+			t.Run(text[:5]+d.name, func(t *testing.T) {
+				p, b := serving(t, says(served, true))
+				dialing, up := make(chan struct{}, 1), make(chan struct{})
+				pool := p.loop.pool
+				pool.mu.Lock()
+				dial := pool.dialer
+				pool.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					dialing <- struct{}{}
+					<-up
+					return dial(context.WithoutCancel(ctx), network, addr)
+				}
+				pool.mu.Unlock()
+				cl := connect(t, p)
+				cl.send(t, text+d.behind)
+				wait(t, "dial", dialing)
+				stands, end := stall(t, p)
+				wait(t, "stand of the loop", stands)
+				d.leave(cl)
+				close(up)
+				attemptsEnd(t, p)
+				end()
+				nothingSent(t, p, b, 0)
+			})
+		}
+	}
+}
+
+// The client goes while its connection waits to be accepted, its request in the kernel.
+func TestNothingIsSentForAClientThatLeftUnread(t *testing.T) {
+	for _, d := range departures {
+		t.Run(d.name, func(t *testing.T) {
+			over := make(chan struct{})
+			p, b := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+				if n == 1 {
+					<-over
+				}
+				return says(served, true)(w, nil, n)
+			})
+			p.front.listener.limit(1)
+			busy := connect(t, p)
+			busy.send(t, look("1", 4000))
+			waitUntil(t, func() bool { return b.requests.Load() == 1 })
+			cl := connect(t, p)
+			cl.send(t, look("2", 4000)+d.behind)
+			d.leave(cl)
+			close(over)
+			busy.answer(t)
+			taken := p.Figures().Outstanding
+			p.front.listener.limit(50)
+			waitUntil(t, func() bool { return taken == 0 && p.front.open() <= 1 && len(p.front.listener.freed) == 0 })
+			nothingSent(t, p, b, 1)
+		})
+	}
+}
+
 // A client that goes while its attempt is out takes that along, whatever it has sent behind its request.
 func TestADepartureEndsTheAttemptThatIsOut(t *testing.T) {
 	long := strings.NewReplacer("4000000", "60000000", "8000000", "90000000").Replace(siteText) // no attempt ends by itself
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -18,6 +18,9 @@
 	if res.status == logic.OK {
 		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
 	}
+	if res.status != logic.OK && !r.over && r.left() {
+		l.gone(r) // or a further attempt might follow
+	}
 	now := l.clock.now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
 		Closed: r.over, Spent: r.spent})
@@ -66,7 +69,8 @@
 	}
 	var ok bool
 	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
-	if !ok || r.over || r.current != nil { // never two attempts of a request at once
+	// Never two attempts of a request at once, and none for a client that has gone.
+	if !ok || r.over || r.current != nil || r.client != nil && r.client.Err() != nil {
 		l.unsent = append(l.unsent, a)
 		return
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -30,6 +32,9 @@
 	unsafe bool          // its class must never run twice
 	answer chan answer   // takes the one final answer without a wait
 
+	client context.Context // ends once net/http has noticed that the client has gone; nil in a test without one
+	peer   net.Conn        // the client's connection
+
 	// Of a body that is too large to be held. While Uploading the rest is still coming.
 	rest     io.Reader // what comes after body
 	length   int64     // of all; -1: not told
@@ -43,7 +48,7 @@
 
 // answer is a final answer.
 type answer struct {
-	status  int
+	status  int // 0: nobody is there to have one
 	body    []byte
 	stream  *download // in body's place: it is passed on as it comes
 	content string
@@ -59,6 +64,10 @@
 		}
 		return
 	}
+	if r.client != nil && r.client.Err() != nil { // it left while this stood in the queue
+		r.turnAway(answer{})
+		return
+	}
 	l.reqs[r.ID] = r
 	if !r.Uploading {
 		l.limit(r)
@@ -66,6 +75,15 @@
 	l.bal.Request(l.clock.now(), l, r.Request)
 }
 
+// turnAway ends a request that the loop does not take: neither its table nor the module has it.
+func (r *request) turnAway(ans answer) {
+	r.over = true
+	r.answer <- ans
+	if r.stopBody != nil {
+		r.stopBody()
+	}
+}
+
 // limit has a request end when its client gives up, at the latest.
 func (l *loop) limit(r *request) {
 	if l.cutoff > 0 {
