Leave a request alone when another under its ID departs

The loop turns away a second request under an ID that it has. When that one's client had gone by then, its departure was taken for the first one's: gone() deleted the table's entry and withdrew the request from the module, which then never answered: after a failed attempt the client waited to its time-out.

A request that is turned away is over, so its departure means nothing. Shown to fail without that: TestADepartureUnderATakenIDLeavesTheOther.

--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -299,3 +299,31 @@
 	}
 	nothingLeft(t, p)
 }
+
+// Of two requests under one id the later is none: its departure says nothing of the other.
+func TestADepartureUnderATakenIDLeavesTheOther(t *testing.T) {
+	fail := make(chan struct{})
+	p, b := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n == 1 {
+			<-fail
+			return says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true)(w, nil, n)
+		}
+		return says(served, true)(w, nil, n)
+	})
+	one, two := connect(t, p), connect(t, p)
+	one.send(t, look("1", 4000))
+	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	stands, goOn := stall(t, p)
+	wait(t, "stand of the loop", stands)
+	two.send(t, look("1", 4000))
+	waitUntil(t, func() bool { return len(p.loop.events) == 1 })
+	two.Close()
+	waitUntil(t, func() bool { return len(p.loop.events) == 2 })
+	goOn()
+	waitUntil(t, func() bool { return p.front.open() == 1 })
+	close(fail)
+	if resp, _ := one.answer(t); resp.StatusCode != 200 {
+		t.Errorf("got %s", resp.Status)
+	}
+	nothingLeft(t, p)
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -58,10 +58,7 @@
 // take hands a request to the module. It has until GiveUp to end it.
 func (l *loop) take(r *request) {
 	if l.reqs[r.ID] != nil { // two under one id could not be told apart
-		r.answer <- answer{status: http.StatusBadRequest}
-		if r.stopBody != nil {
-			r.stopBody()
-		}
+		r.turnAway(answer{status: http.StatusBadRequest})
 		return
 	}
 	if r.client != nil && r.client.Err() != nil { // it left while this stood in the queue
