Give an answer that comes before the body's end each time

Such an answer stops the upload by a read deadline. net/http ends a request's context at any read error, so the handler found both an answer and a departure, took one by chance, and aborted the connection of a client that was there. The answer goes first now.

Shown to fail without it: TestAnAnswerBeforeTheBodyIsNoDeparture.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -144,7 +144,11 @@
 	select {
 	case ans = <-req.answer:
 	case <-req.client.Done():
-		l.post(func() { l.gone(req) })
+		select {
+		case ans = <-req.answer: // one that came before all of the body cut that off, which ends the context, too
+		default: // the client has gone
+			l.post(func() { l.gone(req) })
+		}
 	case <-l.done:
 	}
 	return ans
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -327,3 +327,22 @@
 	}
 	nothingLeft(t, p)
 }
+
+// An answer that comes before all of the body has cuts the rest off, which ends the request's context like a departure:
+// the client, which is there, gets it each time.
+func TestAnAnswerBeforeTheBodyIsNoDeparture(t *testing.T) {
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", "127.0.0.1:1", discovery.Draining)))
+	for i := range 20 {
+		cl := connect(t, p)
+		stands, goOn := stall(t, p)
+		wait(t, "stand of the loop", stands)
+		cl.send(t, post(fmt.Sprint(i), "Content-Length: 1000000")+strings.Repeat("x", holdMost)) // and a read waits for more
+		waitUntil(t, func() bool { return len(p.loop.events) == 1 })
+		goOn()
+		if resp, _ := cl.answer(t); resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("got %s", resp.Status)
+		}
+		cl.Close()
+	}
+	nothingLeft(t, p)
+}
