Blame no server for a write that was stopped

Stopping an attempt while it writes ends the write with an error, which was told to the module as a server that cannot be connected to. Nothing was written whole and nobody is at fault: the outcome is Moot.

Shown to fail without it: TestAWriteThatIsStoppedBlamesNobody.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -104,6 +104,9 @@
 		}
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
+			if a.ctx.Err() != nil {
+				return result{status: logic.Moot}, false // its connection was not at fault
+			}
 			return result{status: logic.ConnectFailed}, false
 		}
 	}
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -346,3 +346,27 @@
 	}
 	nothingLeft(t, p)
 }
+
+// An attempt that is stopped before it is written is none: the server is not to blame for it.
+func TestAWriteThatIsStoppedBlamesNobody(t *testing.T) {
+	near, far := net.Pipe() // takes nothing until it is read from
+	defer far.Close()
+	pool := poolWith(5)
+	pool.open = 1
+	ctx, stop := context.WithCancel(context.Background())
+	a := &attempt{req: &request{method: "GET", uri: "/", header: http.Header{}}, deadline: time.Now().Add(patience),
+		pool: pool, ctx: ctx, stop: stop}
+	writes := make(chan struct{})
+	c := &conn{Conn: writeSeen{near, writes}, of: &backend{}}
+	go func() { <-writes; stop() }()
+	if res, keep := a.exchange(c); res.status != logic.Moot || keep {
+		t.Errorf("got %v, keep %v", res.status, keep)
+	}
+}
+
+type writeSeen struct {
+	net.Conn
+	seen chan struct{}
+}
+
+func (w writeSeen) Write(p []byte) (int, error) { close(w.seen); return w.Conn.Write(p) }
