--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -47,6 +47,9 @@
 func (a *attempt) run() result {
 	c := a.pool.reuse(a.backend, a.epoch, a.req.unsafe)
 	if c == nil {
+		if a.req.left() {
+			return result{status: logic.Moot} // a connection costs the backend work
+		}
 		var err error
 		if c, err = a.dial(); err != nil {
 			if a.ctx.Err() != nil || a.barred() || errors.Is(err, errNoSockets) || errors.Is(err, errTurned) {
@@ -55,8 +58,9 @@
 			return result{status: logic.ConnectFailed}
 		}
 	}
-	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
+	// A dial takes time, and so did the way here. What has ended, drained or gone meanwhile gets nothing new, nor does
+	// a client that has left, which the context may hear of only later.
+	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) || a.req.left() {
 		a.pool.keep(c)
 		return result{status: logic.Moot}
 	}
@@ -121,7 +125,7 @@
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
 			if a.ctx.Err() != nil {
-				return result{status: logic.Moot}, false
+				return result{status: logic.Moot}, false // its connection was not at fault
 			}
 			return result{status: logic.ConnectFailed}, false
 		}
