--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -69,6 +69,7 @@
 // nothingSent checks that so many requests have reached the backend over one connection, and that all goes on.
 func nothingSent(t *testing.T, p *running, b *fakeBackend, before int32) {
 	t.Helper()
+	unrested(p.loop.pool) // what it goes on has just been used
 	nothingLeft(t, p)
 	cl := connect(t, p)
 	cl.send(t, look("after", 4000))
@@ -84,6 +85,7 @@
 // follows from that has all its time before the loop hears of the departure.
 func leaves(t *testing.T, p *running, cause, depart func()) {
 	t.Helper()
+	unrested(p.loop.pool) // what it went on may have just been used
 	stands, goOn := stall(t, p)
 	wait(t, "stand of the loop", stands)
 	cause()
@@ -231,6 +233,7 @@
 				}
 				return says(served, true)(w, nil, n)
 			})
+			unrested(p.loop.pool)
 			p.front.listener.limit(1)
 			busy := connect(t, p)
 			busy.send(t, look("1", 4000))
