Call the process before and the one after predecessor and successor

Two words of our own hid a common pair, which log and docs/oncall.md use already.

| old | new | | --- | --- | | elder, findElder, Proxy.elder | predecessor, findPredecessor, Proxy.predecessor | | heirs, openHeirs, Proxy.heirs | successors, openSuccessors, Proxy.successors |

Names and comments only. go test -race ./internal/proxy (handover, SIGTERM): ok.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -26,7 +26,7 @@
 
 const (
 	handoverName     = "handover.sock"
-	handoverPatience = 2 * time.Second // for the elder's word; it may have little of a core
+	handoverPatience = 2 * time.Second // for the predecessor's word; it may have little of a core
 	freshPatience    = 3 * time.Second // for a list from discovery; the successor has 6 s to be ready in all
 	maxHandover      = 1 << 20
 )
@@ -37,16 +37,16 @@
 	Seen  []string    `json:"seen"`  // servers that lists have named
 }
 
-// elder is a predecessor that lives.
-type elder struct {
+// predecessor is the process of this proxy that served before and still lives.
+type predecessor struct {
 	conn     *net.UnixConn
 	listener net.Listener
 	legacy   legacy
 }
 
-// findElder asks a predecessor for its socket. There is none where nobody answers: a dead one's leftovers, or one
+// findPredecessor asks a predecessor for its socket. There is none where nobody answers: a dead one's leftovers, or one
 // that does not speak in time, must not keep this process from starting.
-func findElder(dir string, log *slog.Logger) *elder {
+func findPredecessor(dir string, log *slog.Logger) *predecessor {
 	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Net: "unix", Name: filepath.Join(dir, handoverName)})
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
@@ -54,21 +54,21 @@
 		}
 		return nil
 	}
-	e := &elder{conn: conn}
-	if err := e.receive(); err != nil {
+	p := &predecessor{conn: conn}
+	if err := p.receive(); err != nil {
 		log.Warn("the predecessor handed nothing over", "error", err)
 		conn.Close()
 		return nil
 	}
-	log.Info("the predecessor handed its listener over", "address", e.listener.Addr())
-	return e
+	log.Info("the predecessor handed its listener over", "address", p.listener.Addr())
+	return p
 }
 
-func (e *elder) receive() error {
-	_ = e.conn.SetDeadline(time.Now().Add(handoverPatience))
+func (p *predecessor) receive() error {
+	_ = p.conn.SetDeadline(time.Now().Add(handoverPatience))
 	oob := make([]byte, syscall.CmsgSpace(4))
 	var mark [1]byte
-	n, oobn, _, _, err := e.conn.ReadMsgUnix(mark[:], oob)
+	n, oobn, _, _, err := p.conn.ReadMsgUnix(mark[:], oob)
 	if err != nil || n != 1 {
 		return fmt.Errorf("no socket came: %w", cmp.Or(err, io.ErrUnexpectedEOF))
 	}
@@ -84,8 +84,8 @@
 		for _, fd := range fds {
 			syscall.CloseOnExec(fd)
 			f := os.NewFile(uintptr(fd), "listener")
-			if e.listener == nil {
-				e.listener, err = net.FileListener(f)
+			if p.listener == nil {
+				p.listener, err = net.FileListener(f)
 			}
 			f.Close()
 			if err != nil {
@@ -93,34 +93,34 @@
 			}
 		}
 	}
-	if e.listener == nil {
+	if p.listener == nil {
 		return errors.New("no socket came")
 	}
-	line, err := bufio.NewReader(io.LimitReader(e.conn, maxHandover)).ReadBytes('\n')
+	line, err := bufio.NewReader(io.LimitReader(p.conn, maxHandover)).ReadBytes('\n')
 	if err == nil {
-		err = json.Unmarshal(line, &e.legacy)
+		err = json.Unmarshal(line, &p.legacy)
 	}
 	if err != nil {
-		e.listener.Close()
+		p.listener.Close()
 		return fmt.Errorf("what the rules need: %w", err)
 	}
-	return e.conn.SetDeadline(time.Time{})
+	return p.conn.SetDeadline(time.Time{})
 }
 
-// serving tells the elder that clients are served here too.
-func (e *elder) serving() error {
-	_, err := e.conn.Write([]byte{'s'})
+// serving tells the predecessor that clients are served here too.
+func (p *predecessor) serving() error {
+	_, err := p.conn.Write([]byte{'s'})
 	return err
 }
 
-// wait returns once the elder has ended.
-func (e *elder) wait() {
-	_, _ = io.Copy(io.Discard, e.conn)
-	e.conn.Close()
+// wait returns once the predecessor has ended.
+func (p *predecessor) wait() {
+	_, _ = io.Copy(io.Discard, p.conn)
+	p.conn.Close()
 }
 
-// heirs hands the listener over to a successor, one at a time.
-type heirs struct {
+// successors takes successors, one at a time, and hands the listener over to them.
+type successors struct {
 	listener *net.UnixListener
 	shared   syscall.Conn // the clients' listener
 	log      *slog.Logger
@@ -134,8 +134,8 @@
 	done    sync.WaitGroup
 }
 
-// openHeirs listens for successors. The name is taken over from a predecessor, dead or alive, in one step.
-func openHeirs(dir string, shared syscall.Conn, log *slog.Logger) (*heirs, error) {
+// openSuccessors listens for successors. The name is taken over from a predecessor, dead or alive, in one step.
+func openSuccessors(dir string, shared syscall.Conn, log *slog.Logger) (*successors, error) {
 	path := filepath.Join(dir, handoverName)
 	own := fmt.Sprintf("%s.%d", path, os.Getpid())
 	_ = os.Remove(own)
@@ -149,69 +149,69 @@
 		_ = os.Remove(own)
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	return &heirs{listener: l, shared: shared, log: log}, nil
+	return &successors{listener: l, shared: shared, log: log}, nil
 }
 
 // serve takes successors until close.
-func (h *heirs) serve() {
+func (s *successors) serve() {
 	for {
-		conn, err := h.listener.AcceptUnix()
+		conn, err := s.listener.AcceptUnix()
 		if err != nil {
 			return
 		}
-		h.mu.Lock()
-		taken := h.conn != nil
+		s.mu.Lock()
+		taken := s.conn != nil
 		if !taken {
-			h.conn = conn
+			s.conn = conn
 		}
-		h.mu.Unlock()
+		s.mu.Unlock()
 		if taken { // one that hangs has its connection ended by its end
-			h.log.Warn("a second successor was turned away")
+			s.log.Warn("a second successor was turned away")
 			conn.Close()
 			continue
 		}
-		h.done.Go(func() { h.attend(conn) })
+		s.done.Go(func() { s.attend(conn) })
 	}
 }
 
 // attend hands over and stays until the successor has ended.
-func (h *heirs) attend(conn *net.UnixConn) {
-	h.log.Info("a successor has started")
-	told, err := h.tell()
+func (s *successors) attend(conn *net.UnixConn) {
+	s.log.Info("a successor has started")
+	told, err := s.tell()
 	if err == nil {
-		defer h.gone()
-		err = h.send(conn, told)
+		defer s.gone()
+		err = s.send(conn, told)
 	}
 	if err != nil {
-		h.log.Warn("handover", "error", err)
+		s.log.Warn("handover", "error", err)
 	} else {
 		var b [1]byte
 		for {
 			if _, err := conn.Read(b[:]); err != nil {
 				break
 			}
-			h.log.Info("the successor serves")
-			h.mu.Lock()
-			h.serving = true
-			h.mu.Unlock()
+			s.log.Info("the successor serves")
+			s.mu.Lock()
+			s.serving = true
+			s.mu.Unlock()
 		}
 	}
 	conn.Close()
-	h.mu.Lock()
-	h.conn, h.serving = nil, false
-	closed := h.closed
-	h.mu.Unlock()
+	s.mu.Lock()
+	s.conn, s.serving = nil, false
+	closed := s.closed
+	s.mu.Unlock()
 	if !closed { // else it is this process that ends
-		h.log.Warn("the successor has ended")
+		s.log.Warn("the successor has ended")
 	}
 }
 
-func (h *heirs) send(conn *net.UnixConn, l legacy) error {
+func (s *successors) send(conn *net.UnixConn, l legacy) error {
 	line, err := json.Marshal(l)
 	if err != nil {
 		return fmt.Errorf("what the rules need: %w", err)
 	}
-	raw, err := h.shared.SyscallConn()
+	raw, err := s.shared.SyscallConn()
 	if err != nil {
 		return fmt.Errorf("listener: %w", err)
 	}
@@ -228,20 +228,20 @@
 }
 
 // served tells whether there is a successor that serves.
-func (h *heirs) served() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.serving
+func (s *successors) served() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving
 }
 
 // close ends the listener and the connection to a successor, which then knows that this process has ended.
-func (h *heirs) close() {
-	h.listener.Close()
-	h.mu.Lock()
-	h.closed = true
-	if h.conn != nil {
-		h.conn.Close()
-	}
-	h.mu.Unlock()
-	h.done.Wait()
+func (s *successors) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	if s.conn != nil {
+		s.conn.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
 }
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -22,7 +22,7 @@
 	known := listText(1, true, listed("a", b.addr, discovery.Serving))
 	state := t.TempDir()
 	first := startProxyAt(t, d.addr, 400, known, state)
-	waitUntil(t, func() bool { return first.heirs.Load() != nil })
+	waitUntil(t, func() bool { return first.successors.Load() != nil })
 	kept := connect(t, first)
 	kept.send(t, look("kept", 4000))
 	kept.answer(t)
@@ -58,7 +58,7 @@
 		t.Fatalf("the successor listens at %s and not %s", second.Addr(), first.Addr())
 	}
 	waitUntil(t, second.Ready)
-	waitUntil(t, func() bool { return first.heirs.Load().served() })
+	waitUntil(t, func() bool { return first.successors.Load().served() })
 	kept.send(t, look("kept to the end", 4000))
 	if resp, _ := kept.answer(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("before the end: %s, close %v", resp.Status, resp.Close)
@@ -82,7 +82,7 @@
 	all, _, _ := second.cfg.parts(false)
 	waitUntil(t, func() bool { return int(second.front.most.Load()) == all })
 	third := startProxyAt(t, d.addr, 400, known, state) // and the successor can be succeeded
-	if third.elder == nil {
+	if third.predecessor == nil {
 		t.Error("the successor hands nothing over")
 	}
 }
@@ -112,7 +112,7 @@
 	known := listText(1, true, listed("a", b.addr, discovery.Serving))
 	state := t.TempDir()
 	first := startProxyAt(t, d.addr, 400, known, state)
-	waitUntil(t, func() bool { return first.heirs.Load() != nil })
+	waitUntil(t, func() bool { return first.successors.Load() != nil })
 	half, backends, over := first.cfg.parts(true)
 	if all := 2 * (half + backends + over + ownShared + mgmt.MaxConns + 1); all > 400 {
 		t.Errorf("two processes may hold %d descriptors", all)
@@ -158,7 +158,7 @@
 			leave(t, filepath.Join(state, handoverName))
 			b := startBackend(t, says(served, true))
 			p := startProxyAt(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, discovery.Serving)), state)
-			if p.elder != nil {
+			if p.predecessor != nil {
 				t.Error("it takes itself for a successor")
 			}
 			if status := oneShot(p.Addr(), look("1", 4000)); status != 200 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,17 +65,17 @@
 
 // Proxy is one proxy with its listener open.
 type Proxy struct {
-	cfg    Config
-	loop   *loop
-	front  *frontend
-	figs   *figures
-	lists  *discovery.Client
-	bans   *bans.Bans                                     // nil unless watched
-	fleet  Fleet                                          // nil on its own
-	elder  *elder                                         // the predecessor that lives, or nil
-	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
-	others atomic.Int32                                   // processes of this proxy that live beside this one
-	times  func([]logic.Class) (stay, left time.Duration) // of a drain
+	cfg         Config
+	loop        *loop
+	front       *frontend
+	figs        *figures
+	lists       *discovery.Client
+	bans        *bans.Bans                                     // nil unless watched
+	fleet       Fleet                                          // nil on its own
+	predecessor *predecessor                                   // the one that lives, or nil
+	successors  atomic.Pointer[successors]                     // once this process serves, if watched
+	others      atomic.Int32                                   // processes of this proxy that live beside this one
+	times       func([]logic.Class) (stay, left time.Duration) // of a drain
 
 }
 
@@ -89,12 +89,12 @@
 	if min(clients, backends) < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
-	var before *elder
+	var before *predecessor
 	if cfg.Watched {
 		if err := os.MkdirAll(cfg.State, 0o700); err != nil {
 			return nil, fmt.Errorf("state: %w", err)
 		}
-		before = findElder(cfg.State, cfg.Log)
+		before = findPredecessor(cfg.State, cfg.Log)
 	}
 	listener, err := cfg.listen(before)
 	if err != nil {
@@ -105,7 +105,7 @@
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
-	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, times: drainTimes}
+	p := &Proxy{cfg: cfg, loop: l, figs: figs, predecessor: before, times: drainTimes}
 	p.follow()
 	p.front = newFrontend(cfg.Site, l, listener, cfg.Log)
 	p.share(false)
@@ -143,7 +143,7 @@
 
 // listen takes the predecessor's listener over, or opens one. On the platform a predecessor whose word did not come
 // leaves the address to be shared.
-func (cfg Config) listen(before *elder) (net.Listener, error) {
+func (cfg Config) listen(before *predecessor) (net.Listener, error) {
 	if before != nil {
 		return before.listener, nil
 	}
@@ -226,7 +226,7 @@
 // serve takes clients. With a predecessor alive that waits for a list from discovery, or for too long: until then
 // the predecessor takes them all.
 func (p *Proxy) serve(ctx context.Context) error {
-	if p.elder != nil {
+	if p.predecessor != nil {
 		late := time.NewTimer(freshPatience)
 		defer late.Stop()
 		select {
@@ -238,12 +238,12 @@
 		}
 	}
 	if p.cfg.Watched {
-		if err := p.openHeirs(); err != nil { // not worth an end: a successor then shares the address, at some cost
+		if err := p.openSuccessors(); err != nil { // not worth an end: a successor then shares the address, at some cost
 			p.cfg.Log.Error("no successor can take over", "error", err)
 		}
 	}
-	if p.elder != nil {
-		if err := p.elder.serving(); err != nil {
+	if p.predecessor != nil {
+		if err := p.predecessor.serving(); err != nil {
 			p.cfg.Log.Warn("the predecessor has ended", "error", err)
 		}
 	}
@@ -339,15 +339,15 @@
 		defer leave()
 		parts.Go(func() { p.fleet.Run(present) })
 	}
-	if p.elder != nil {
-		parts.Go(func() { p.elder.wait(); p.join(-1) })
-		defer p.elder.conn.Close()
+	if p.predecessor != nil {
+		parts.Go(func() { p.predecessor.wait(); p.join(-1) })
+		defer p.predecessor.conn.Close()
 	}
 	served := make(chan error, 1)
 	parts.Go(func() { served <- p.serve(ctx) })
 	defer func() {
-		if h := p.heirs.Load(); h != nil {
-			h.close()
+		if s := p.successors.Load(); s != nil {
+			s.close()
 		}
 	}()
 	select {
@@ -359,24 +359,24 @@
 	cutoff := time.Now().Add(left)
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
 	p.front.drain(stay, cutoff, func() bool {
-		h := p.heirs.Load()
-		return h != nil && h.served()
+		s := p.successors.Load()
+		return s != nil && s.served()
 	})
 	return <-served
 }
 
-func (p *Proxy) openHeirs() error {
+func (p *Proxy) openSuccessors() error {
 	shared, ok := p.front.listener.Listener.(syscall.Conn)
 	if !ok {
 		return errors.New("the listener has no descriptor")
 	}
-	h, err := openHeirs(p.cfg.State, shared, p.cfg.Log)
+	s, err := openSuccessors(p.cfg.State, shared, p.cfg.Log)
 	if err != nil {
 		return err
 	}
-	h.tell, h.gone = p.handOver, func() { p.join(-1) }
-	h.done.Go(h.serve)
-	p.heirs.Store(h)
+	s.tell, s.gone = p.handOver, func() { p.join(-1) }
+	s.done.Go(s.serve)
+	p.successors.Store(s)
 	return nil
 }
 
