Shut a client's connection down in one step with the look at it, and linger

Cause: closeIdle and shedLocked looked at fc.asked and peeked at the kernel's buffer, and closed after that. The server's goroutine reads meanwhile: bytes that it had read and not noted yet (Conn.Read, then move) showed nowhere, and the request was closed on; bytes that came between peek and Close were read after the close (net.Conn.Close waits for a reader that is under way) and sent on. Every close over unread bytes reset the connection and took the rest of the last answer along: net/http lingers only behind a body that it left unread, and then without reading. Half a head on a kept connection had the idle patience of 2 min, not requestPatience: net/http's Peek waits inside framedConn.head.

Change: a read and its note are one step under the connection's lock, as are the look and the shutdown (retire). After that all that comes is dropped, for 500 ms at most, and then the descriptor closed (linger.go); slots are given back by then, and connections that linger are the first to make room. A request whose head is not whole at the cutoff, or that is shed, is refused with 503. After the cutoff drain waits up to 150 ms until what it ended is written, and http.Server's Shutdown, which drops requests that it has just read, is not used.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -25,21 +25,19 @@
 type connState struct {
 	state http.ConnState
 	since time.Time
-	whole bool // the request on it has come in
+	whole bool      // the request on it has come in
+	cut   time.Time // when its request was ended to make room, if it was
 }
 
 func (f *frontend) connState(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
-		if _, ok := f.conns[c]; ok {
-			delete(f.conns, c)
-			f.listener.free()
-		}
+		delete(f.conns, c)
 		return
 	}
-	if fc, ok := c.(*framedConn); ok && s == http.StateIdle {
-		fc.answered()
+	if s == http.StateIdle {
+		c.(*framedConn).answered()
 	}
 	f.conns[c] = connState{state: s, since: time.Now()}
 	if s == http.StateNew && f.short(len(f.conns)) {
@@ -80,36 +78,63 @@
 }
 
 // shedLocked picks by how long a connection has been silent, not by its age: a slow client that keeps sending is
-// owed its answer, one that has stopped is not.
+// owed its answer, one that has stopped is not. Those that have had their close already go first.
 func (f *frontend) shedLocked() {
-	var victim net.Conn
+	if f.listener.lingers.endOldest() {
+		return
+	}
+	var victim *framedConn
 	var over time.Duration
 	for c, s := range f.conns {
-		if d := s.spare(c); d > over && (s.state != http.StateIdle || quiet(c)) {
-			victim, over = c, d
+		fc := c.(*framedConn)
+		if d := s.spare(fc); d > over && (fc.at() != resting || fc.raw == nil || quiet(c)) {
+			victim, over = fc, d
 		}
 	}
-	if victim != nil {
-		victim.Close() // the server's read ends and reports it closed
+	if victim != nil && f.cutLocked(victim) {
 		f.shedded++
 		f.sayShort()
 	}
 }
 
+// cutLocked closes a connection with no whole request on it. One whose body is still coming is refused by its own
+// goroutine, and closed if that takes long.
+func (f *frontend) cutLocked(c *framedConn) bool {
+	s := f.conns[c]
+	if c.at() != passed {
+		if !c.retire(true) {
+			return false // a request has come
+		}
+	} else if s.cut.IsZero() {
+		for u := range f.uploads {
+			if u.conn == c {
+				s.cut = time.Now()
+				f.conns[c] = s
+				u.end(&u.short)
+				return true
+			}
+		}
+	}
+	c.end()
+	return true
+}
+
 // spare tells for how long a connection could have been closed to make room; not at all if that is not positive.
-func (s connState) spare(c net.Conn) time.Duration {
-	fc, ok := c.(*framedConn)
+func (s connState) spare(c *framedConn) time.Duration {
+	at := c.at()
 	switch {
-	case s.whole || !ok:
+	case s.whole:
 		return 0
-	case fc.asked.Load() && s.state == http.StateActive:
-		return fc.silent() - pauseLeast
-	case fc.asked.Load():
-		return fc.silent() - stallLeast
+	case !s.cut.IsZero():
+		return time.Since(s.cut) - lingerLeast + pauseLeast
+	case at == passed:
+		return c.silent() - pauseLeast
+	case at == heading:
+		return c.silent() - stallLeast
 	case s.state == http.StateIdle:
 		return time.Since(s.since) - idleLeast
 	}
-	return fc.silent() - muteLeast
+	return c.silent() - muteLeast
 }
 
 // sayShort tells the log what holds the connections, now and then while they are short.
@@ -160,17 +185,15 @@
 }
 
 // closeIdle closes the connections that have carried no request for some time, and returns how many others there
-// are. One on which a request has just come in is left alone: closing it would lose that request.
-func (f *frontend) closeIdle(idleFor, newFor time.Duration) (busy int) {
+// are. One on which a request has just come in is left alone: closing it would lose that request. With cut those whose
+// request has no whole head yet are refused.
+func (f *frontend) closeIdle(idleFor, newFor time.Duration, cut bool) (busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, s := range f.conns {
 		d := time.Since(s.since)
-		fc, ok := c.(*framedConn)
 		idle := s.state == http.StateIdle && d >= idleFor || s.state == http.StateNew && d > newFor
-		if idle && !(ok && fc.asked.Load()) && quiet(c) {
-			c.Close()
-		} else {
+		if !(idle || cut) || !c.(*framedConn).retire(cut) {
 			busy++
 		}
 	}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -1,14 +1,12 @@
 package proxy
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 const (
 	leaveIdle  = 100 * time.Millisecond // see drain
 	leaveSoon  = 500 * time.Millisecond
 	streamMost = time.Minute
+	endMargin  = 150 * time.Millisecond // after the cutoff: SIGKILL comes killLeeway + 200 ms after the longest deadline
 )
 
 // drain closes the doors after SIGTERM. Clients still come for a while, and those that keep a connection may
@@ -32,7 +30,7 @@
 	}
 	f.closing.Store(true)
 	f.listener.Close()
-	for f.closeIdle(idleFor, acceptAfter) > 0 && time.Now().Before(cutoff) {
+	for f.closeIdle(idleFor, acceptAfter, time.Until(cutoff) < killMargin) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 		if time.Since(start) > leaveSoon {
 			idleFor = 0
@@ -41,15 +39,20 @@
 			f.turnAway()
 		}
 	}
+	// What the cutoff has ended is still being answered, and what was answered being received.
+	for f.closeIdle(0, 0, true) > int(f.streams.Load()) || f.listener.lingers.open() > 0 {
+		if time.Since(cutoff) > endMargin {
+			break
+		}
+		f.turnAway()
+		time.Sleep(drainStep)
+	}
 	// A long answer that a backend is still giving is owed to its client: it goes on until it ends or this process is
 	// killed, which is better than to cut it off by ourselves.
 	for f.streams.Load() > 0 && time.Since(start) < streamMost {
 		time.Sleep(drainStep)
-		f.closeIdle(0, 0)
+		f.closeIdle(0, 0, true)
 	}
 	f.log.Info("drained", "after", time.Since(start), "left", f.open())
-	ctx, cancel := context.WithTimeout(context.Background(), drainStep)
-	defer cancel()
-	_ = f.server.Shutdown(ctx)
-	_ = f.server.Close()
+	_ = f.server.Close() // not Shutdown, which drops a request that it has just read
 }
--- /dev/null
+++ b/internal/proxy/ending_test.go
@@ -0,0 +1,358 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/settings"
+	"fernlanding/logic"
+)
+
+// hooks stop a client's connection where an order is to be forced.
+type hooks struct {
+	read    atomic.Pointer[func()]           // bytes were read, and nobody has heard of it
+	control atomic.Pointer[func(fd uintptr)] // something was looked up at the descriptor
+}
+
+type hookedListener struct {
+	*net.TCPListener
+	hooks *hooks
+}
+
+func (l hookedListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return hookedConn{c, l.hooks}, nil
+}
+
+type hookedConn struct {
+	*net.TCPConn
+	hooks *hooks
+}
+
+func (c hookedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if f := c.hooks.read.Load(); n > 0 && f != nil {
+		(*f)()
+	}
+	return n, err
+}
+
+func (c hookedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return hookedRaw{raw, c.hooks}, err
+}
+
+type hookedRaw struct {
+	syscall.RawConn
+	hooks *hooks
+}
+
+func (r hookedRaw) Read(f func(uintptr) bool) error {
+	err := r.RawConn.Read(f)
+	if f := r.hooks.read.Load(); err == nil && f != nil {
+		(*f)()
+	}
+	return err
+}
+
+func (r hookedRaw) Control(f func(uintptr)) error {
+	return r.RawConn.Control(func(fd uintptr) {
+		f(fd)
+		if f := r.hooks.control.Load(); f != nil {
+			(*f)(fd)
+		}
+	})
+}
+
+// startHooked is a frontend alone, whose handler counts requests and answers each with body.
+func startHooked(t *testing.T, most int, body string) (f *frontend, h *hooks, requests *atomic.Int32, p *running) {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	site, err := settings.Decode([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, requests = &hooks{}, &atomic.Int32{}
+	l := &loop{figs: newFigures(nil)}
+	f = newFrontend(site, l, hookedListener{tcp.(*net.TCPListener), h}, slog.New(slog.DiscardHandler))
+	f.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		f.reply(w, answer{status: 200, body: []byte(body)})
+	})
+	f.limit(most, most, 0)
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = f.serve() }()
+	t.Cleanup(func() { f.server.Close(); wait(t, "end of the frontend", ended) })
+	return f, h, requests, &running{Proxy: &Proxy{front: f}}
+}
+
+// once is a hook that does something the first time only.
+func once[F any](at *atomic.Pointer[F], f F) { at.Store(&f) }
+
+// kept is a connection with an answered request on it.
+func kept(t *testing.T, f *frontend, p *running) *client {
+	t.Helper()
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	c.answer(t)
+	waitUntil(t, func() bool { return f.resting() == 1 })
+	return c
+}
+
+// resting counts the connections that wait for a next request.
+func (f *frontend) resting() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, s := range f.conns {
+		if s.state == http.StateIdle && c.(*framedConn).at() == resting {
+			n++
+		}
+	}
+	return n
+}
+
+// A request that had just been read, with nobody told of it, was closed on: its connection showed nothing to read.
+func TestARequestThatIsBeingReadIsNotClosedOn(t *testing.T) {
+	for name, end := range map[string]func(*frontend){
+		"drain": func(f *frontend) { f.closeIdle(0, 0, false) },
+		"shed": func(f *frontend) {
+			f.mu.Lock()
+			for c, s := range f.conns { // it has rested long enough to make room
+				s.since = time.Now().Add(-time.Hour)
+				f.conns[c] = s
+			}
+			f.mu.Unlock()
+			f.shed()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, h, _, p := startHooked(t, 4, "ok")
+			c := kept(t, f, p)
+			once(&h.read, func() {
+				h.read.Store(nil)
+				done := make(chan struct{})
+				go func() { defer close(done); end(f) }()
+				select {
+				case <-done:
+				case <-time.After(200 * time.Millisecond): // it waits until the read is noted
+				}
+			})
+			c.send(t, look("2", 4000))
+			if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+				t.Errorf("got %s %q", resp.Status, body)
+			}
+		})
+	}
+}
+
+// A request that came between the look at a connection that rests and its close was read after the close and sent on,
+// or its connection was reset.
+func TestARequestThatCrossesTheCloseIsNeverServed(t *testing.T) {
+	f, h, requests, p := startHooked(t, 4, "ok")
+	c := kept(t, f, p)
+	once(&h.control, func(fd uintptr) {
+		h.control.Store(nil)
+		c.send(t, look("2", 4000))
+		var b [1]byte
+		waitUntil(t, func() bool {
+			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return n > 0 && err == nil || requests.Load() > 1
+		})
+	})
+	f.closeIdle(0, 0, false)
+	if rest, err := io.ReadAll(c.r); err != nil || len(rest) > 0 {
+		t.Errorf("got %q and %v, want an end", rest, err)
+	}
+	c.Close()
+	waitUntil(t, func() bool { return f.open() == 0 && f.listener.lingers.open() == 0 })
+	if n := requests.Load(); n != 1 {
+		t.Errorf("%d requests were taken, want the first alone", n)
+	}
+}
+
+// A close over bytes that nobody had read reset the connection and took the rest of the answer before along.
+func TestAnAnswerOutlivesWhatIsSentBehindIt(t *testing.T) {
+	large := strings.Repeat("x", 400<<10)
+	f, _, _, p := startHooked(t, 4, large)
+	f.closing.Store(true)
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error { // most of the answer waits at the proxy
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	conn, err := d.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	c := &client{conn, bufio.NewReaderSize(conn, 16)}
+	c.send(t, strings.Repeat(look("1", 4000), 100))
+	if _, err := c.r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, func() bool { return f.open() == 0 }) // the server is through with it
+	if resp, body := c.answer(t); resp.StatusCode != 200 || body != large {
+		t.Errorf("got %s and %d bytes", resp.Status, len(body))
+	}
+}
+
+// Peers that do not close after the proxy has keep no slot that another wants.
+func TestPeersThatLingerGiveWay(t *testing.T) {
+	f, _, _, p := startHooked(t, 2, "ok")
+	for range 8 {
+		c := connect(t, p)
+		c.send(t, "GET /no HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		start := time.Now()
+		c.answer(t)
+		if took := time.Since(start); took > lingerMost/2 {
+			t.Errorf("waited %v for a slot", took)
+		}
+		if open := f.open() + f.listener.lingers.open(); open > 2 {
+			t.Errorf("%d descriptors for 2 slots", open)
+		}
+	}
+}
+
+// A request whose head was not whole at the end was closed on; its last bytes may have been on their way.
+func TestHalfARequestIsRefusedAtTheEnd(t *testing.T) {
+	for _, open := range []func(*frontend, *running) *client{
+		func(_ *frontend, p *running) *client { return connect(t, p) },
+		func(f *frontend, p *running) *client { return kept(t, f, p) },
+	} {
+		f, _, requests, p := startHooked(t, 4, "ok")
+		c := open(f, p)
+		text := look("2", 4000)
+		c.send(t, text[:len(text)/2])
+		waitUntil(t, func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for c := range f.conns {
+				if c.(*framedConn).at() == heading {
+					return true
+				}
+			}
+			return false
+		})
+		came := requests.Load()
+		f.closeIdle(time.Hour, time.Hour, true)
+		c.send(t, text[len(text)/2:])
+		if resp, _ := c.answer(t); resp.StatusCode != 503 || !resp.Close {
+			t.Errorf("got %s, close %v", resp.Status, resp.Close)
+		}
+		if _, err := c.r.ReadByte(); err != io.EOF {
+			t.Errorf("then %v, want an end", err)
+		}
+		if requests.Load() != came {
+			t.Error("it was served too")
+		}
+	}
+}
+
+// Half a head on a kept connection had the two minutes of one that rests.
+func TestHalfAHeadOnAKeptConnectionIsClosedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPiped(t, 8)
+		defer p.stop()
+		c := p.connect()
+		defer c.Close()
+		go func() { _, _ = io.WriteString(c, "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		time.Sleep(time.Minute)
+		go func() { _, _ = io.WriteString(c, "GET /look") }()
+		if text, after := ends(c); text != "" || after > 3*time.Second {
+			t.Errorf("got %q and the end after %v", text, after)
+		}
+	})
+}
+
+// A drain ends while clients send on every connection that is open: what was taken has its answer, the rest an end that
+// shows that it was not.
+func TestClientsThatSendUpToTheEndLoseNothing(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	p := startProxy(t, startDiscovery(t).addr, 300, listText(1, true, listed("a", b.addr, discovery.Serving)))
+	p.times = func([]logic.Class) (stay, left time.Duration) { return 100 * time.Millisecond, 600 * time.Millisecond }
+	const clients = 16
+	var answers atomic.Int64
+	ends, started := make(chan error, clients), make(chan struct{}, clients)
+	for range clients {
+		go func() {
+			c, err := net.Dial("tcp", p.Addr())
+			if err != nil {
+				ends <- err
+				return
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(patience))
+			r := bufio.NewReader(c)
+			for i := 0; ; i++ {
+				if _, err = io.WriteString(c, look(fmt.Sprint(c.LocalAddr(), "-", i), 4000)); err != nil {
+					break
+				}
+				var resp *http.Response
+				if resp, err = http.ReadResponse(r, nil); err != nil {
+					break
+				}
+				var body bytes.Buffer
+				if _, err = body.ReadFrom(resp.Body); err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 {
+					err = errors.New("a bad answer: " + resp.Status)
+					break
+				}
+				answers.Add(1)
+				if i == 0 {
+					started <- struct{}{}
+				}
+				if resp.Close {
+					err = nil
+					break
+				}
+			}
+			if err != nil && err != io.EOF && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.EPIPE) {
+				ends <- err
+				return
+			}
+			ends <- nil
+		}()
+	}
+	for range clients {
+		select {
+		case <-started:
+		case err := <-ends:
+			t.Fatal(err)
+		}
+	}
+	p.stop()
+	for range clients {
+		if err := wait(t, "end of a client", ends); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	f := p.Figures()
+	if ends := f.Classes["look"]; ends.Succeeded+ends.Declined != answers.Load() || ends.Aborted != 0 || f.Outstanding != 0 {
+		t.Errorf("%d answers, figures %+v", answers.Load(), f)
+	}
+}
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -263,7 +263,7 @@
 				}
 				time.Sleep(100 * time.Millisecond)
 				if i > len(text)/2 {
-					p.closeIdle(0, 0)
+					p.closeIdle(0, 0, false)
 				}
 			}
 			synctest.Wait()
--- /dev/null
+++ b/internal/proxy/linger.go
@@ -0,0 +1,178 @@
+package proxy
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// How a client's connection ends. A close over bytes that nobody has read resets the connection, and takes what the
+// client has not received yet along, be it the answer that came just before. So the sending side is shut down first;
+// what still comes is read and dropped, never passed on, until the client has closed its side too or lingerMost is over;
+// then the descriptor is closed. A request that crosses the shutdown has no answer: its client sends it once more.
+
+const (
+	lingerMost  = 500 * time.Millisecond
+	lingerLeast = 20 * time.Millisecond // even where slots are short
+	lingerBytes = 1 << 20               // a peer that goes on sending has had its close
+)
+
+// busyAnswer is for a request that was cut short before it was whole. It has not been sent on and may come again.
+const busyAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// lingers holds the connections that have been shut down and are not closed yet.
+type lingers struct {
+	mu    sync.Mutex
+	since map[*framedConn]time.Time
+}
+
+func (l *lingers) add(c *framedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since == nil {
+		l.since = map[*framedConn]time.Time{}
+	}
+	l.since[c] = time.Now()
+}
+
+func (l *lingers) remove(c *framedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.since, c)
+}
+
+func (l *lingers) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.since)
+}
+
+// endOldest closes the one that has lingered longest, if any has for lingerLeast.
+func (l *lingers) endOldest() bool {
+	l.mu.Lock()
+	var oldest *framedConn
+	for c, t := range l.since {
+		if oldest == nil || t.Before(l.since[oldest]) {
+			oldest = c
+		}
+	}
+	if oldest != nil && time.Since(l.since[oldest]) < lingerLeast {
+		oldest = nil
+	}
+	l.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	oldest.end()
+	return true
+}
+
+// retire ends a connection that has no request on it, or with cut one whose head is not whole: that is refused. False
+// if a request has come, even one that is not read yet.
+func (c *framedConn) retire(cut bool) bool {
+	c.mu.Lock()
+	switch {
+	case c.retired, c.phase == passed, c.phase == heading && !cut, c.phase == resting && c.raw != nil && !quiet(c.Conn):
+		c.mu.Unlock()
+		return false
+	case c.phase == heading:
+		c.refuseLocked()
+	}
+	lingers := c.shutLocked()
+	c.mu.Unlock()
+	if !lingers {
+		c.end()
+	}
+	return true
+}
+
+// refuseLocked answers a request that is not whole, in one write that does not wait: if there is no room for so little,
+// the client takes nothing.
+func (c *framedConn) refuseLocked() {
+	if c.raw != nil {
+		_ = c.raw.Write(func(fd uintptr) bool {
+			_, _ = syscall.Write(int(fd), []byte(busyAnswer))
+			return true
+		})
+	}
+}
+
+// shutLocked ends the sending side; from here on all that comes is dropped. False if it cannot be shut by itself.
+func (c *framedConn) shutLocked() bool {
+	if c.retired {
+		return !c.closed
+	}
+	c.retired = true
+	cw, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || cw.CloseWrite() != nil {
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerMost))
+	c.lingers.add(c)
+	go c.drop()
+	return true
+}
+
+// drop reads what still comes, beside whoever reads already, until the client or the time ends it.
+func (c *framedConn) drop() {
+	defer c.end()
+	buf := make([]byte, 2<<10) // there may be many
+	for left := lingerBytes; left > 0; {
+		n, err := c.Conn.Read(buf)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
+// end closes the descriptor and gives the slot back.
+func (c *framedConn) end() {
+	c.mu.Lock()
+	first := !c.closed
+	c.retired, c.closed = true, true
+	c.mu.Unlock()
+	if first {
+		_ = c.Conn.Close()
+		c.lingers.remove(c)
+		c.release()
+	}
+}
+
+// Close ends the connection as soon as its client has taken what it was sent, or lingerMost later.
+func (c *framedConn) Close() error {
+	c.mu.Lock()
+	lingers := c.shutLocked()
+	c.mu.Unlock()
+	if !lingers {
+		c.end()
+	}
+	return nil
+}
+
+// CloseWrite lets net/http end an answer gently before it closes on a peer that still sends.
+func (c *framedConn) CloseWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.shutLocked() {
+		return net.ErrClosed
+	}
+	return nil
+}
+
+// SetReadDeadline leaves a connection that lingers the time that it has.
+func (c *framedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline is not to go round SetReadDeadline.
+func (c *framedConn) SetDeadline(t time.Time) error {
+	_ = c.Conn.SetWriteDeadline(t)
+	return c.SetReadDeadline(t)
+}
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -10,10 +10,11 @@
 // shed is called for as long as they must.
 type cappedListener struct {
 	net.Listener
-	shed   func()
-	freed  chan struct{} // holds a value after a slot came free
-	closed chan struct{}
-	once   sync.Once
+	shed    func()
+	lingers lingers
+	freed   chan struct{} // holds a value after a slot came free
+	closed  chan struct{}
+	once    sync.Once
 
 	mu         sync.Mutex
 	used, most int
@@ -23,7 +24,7 @@
 	return &cappedListener{Listener: l, shed: shed, freed: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
-// Accept takes a slot, which the connection gives back when the server reports it closed.
+// Accept takes a slot, which the connection gives back when its descriptor is closed.
 func (l *cappedListener) Accept() (net.Conn, error) {
 	if !l.slot() {
 		return nil, net.ErrClosed
@@ -33,7 +34,7 @@
 		l.free()
 		return nil, err
 	}
-	return newFramedConn(c), nil
+	return newFramedConn(c, &l.lingers, l.free), nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -36,6 +37,7 @@
 var (
 	errTooLarge    = errors.New("the body is too large")
 	errDraining    = errors.New("the proxy ends before the body has come")
+	errShort       = errors.New("connections run short and the body stands still")
 	errRequestOver = errors.New("the request is over")
 )
 
@@ -77,16 +79,19 @@
 	got      int64
 	holds    *holds
 	taken    int // of holds
+	conn     net.Conn
 
-	mu   sync.Mutex
-	done bool // all has come
-	cut  bool // nobody wants the rest
-	late bool // the process ends
+	mu    sync.Mutex
+	done  bool // all has come
+	cut   bool // nobody wants the rest
+	late  bool // the process ends
+	short bool // connections run short
 }
 
 func (f *frontend) newUpload(w http.ResponseWriter, r *http.Request, began time.Time) *upload {
 	u := &upload{body: r.Body, length: r.ContentLength, deadline: http.NewResponseController(w).SetReadDeadline,
 		began: began, last: time.Now(), holds: f.holds}
+	u.conn, _ = r.Context().Value(connKey{}).(net.Conn)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.uploads[u] = true
@@ -145,6 +150,8 @@
 		return errRequestOver
 	case u.late:
 		return errDraining
+	case u.short:
+		return errShort
 	}
 	_ = u.deadline(until)
 	return nil
@@ -304,7 +311,7 @@
 	switch {
 	case errors.Is(err, errTooLarge):
 		return fault(http.StatusRequestEntityTooLarge, "the body is too large")
-	case errors.Is(err, errDraining): // it has not run, and may come again
+	case errors.Is(err, errDraining), errors.Is(err, errShort): // it has not run, and may come again
 		return fault(http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault(http.StatusRequestTimeout, "the body came too slowly")
