--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -29,6 +29,14 @@
 		idleFor = leaveIdle
 	}
 	f.closing.Store(true)
+	// Connections that wait for a slot would be reset: they come in as those that are open are told to close.
+	for calm := 0; calm < 2 && !succeeded() && time.Until(cutoff) > killMargin; calm++ {
+		if f.listener.full() {
+			calm = -1
+		}
+		f.closeIdle(idleFor, acceptAfter, false)
+		time.Sleep(drainStep / 2)
+	}
 	f.listener.Close()
 	for f.closeIdle(idleFor, acceptAfter, time.Until(cutoff) < killMargin) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
--- /dev/null
+++ b/internal/proxy/drain_test.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"fernlanding/logic"
+)
+
+// held has requests wait before they are answered; it returns what lets them go on.
+func held(h *hooks) (release func()) {
+	gate := make(chan struct{})
+	at := func() { <-gate }
+	h.request.Store(&at)
+	return func() { h.request.Store(nil); close(gate) }
+}
+
+// begin starts a drain of which the doors close at once, and returns when they do.
+func begin(t *testing.T, f *frontend, left time.Duration) (ended chan struct{}) {
+	t.Helper()
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.drain(0, time.Now().Add(left), func() bool { return false })
+	}()
+	waitUntil(t, f.closing.Load)
+	return ended
+}
+
+// The listener closed on connections that waited in the kernel for a slot: they were reset unheard.
+func TestConnectionsThatWaitForASlotComeInBeforeTheDoorsClose(t *testing.T) {
+	f, h, requests, p := startHooked(t, 2, "ok")
+	release := held(h)
+	var all []*client
+	for i := range 6 { // two are served, the others wait
+		c := connect(t, p)
+		c.send(t, look("1", 4000))
+		all = append(all, c)
+		waitUntil(t, func() bool { return int(requests.Load()) == min(i+1, 2) })
+	}
+	ended := begin(t, f, patience)
+	time.Sleep(5 * drainStep) // for a listener that closes too soon
+	release()
+	for i, c := range all {
+		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || !resp.Close {
+			t.Errorf("client %d: %s %q, close %v", i, resp.Status, body, resp.Close)
+		}
+	}
+	wait(t, "end of the drain", ended)
+}
+
+// What the cutoff ended was cut off 20 ms later, written or not.
+func TestAnswersAtTheCutoffAreWritten(t *testing.T) {
+	f, h, requests, p := startHooked(t, 2, "ok")
+	release := held(h)
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	waitUntil(t, func() bool { return requests.Load() == 1 })
+	ended := begin(t, f, 0)
+	select {
+	case <-ended:
+		t.Error("the drain ended over a request")
+	case <-time.After(endMargin / 2):
+	}
+	release()
+	if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("got %s %q", resp.Status, body)
+	}
+	wait(t, "end of the drain", ended)
+}
+
+// A peer that takes nothing and never closes does not keep the process beyond its time.
+func TestADrainEndsInTime(t *testing.T) {
+	f, h, requests, p := startHooked(t, 4, "ok")
+	release := held(h)
+	defer release()
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	waitUntil(t, func() bool { return requests.Load() == 1 })
+	start := time.Now()
+	wait(t, "end of the drain", begin(t, f, 2*killMargin))
+	if took := time.Since(start); took > 2*killMargin+endMargin+patience/10 {
+		t.Errorf("it took %v", took)
+	}
+}
+
+// Whatever the settings: new connections come for 400 ms after SIGTERM, SIGKILL follows the longest deadline (3 s at
+// most) by 700 ms, and between the doors' close and the cutoff there is time for what came last.
+func TestDrainTimesOfAnySettings(t *testing.T) {
+	for _, deadline := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+		250 * time.Millisecond, time.Second, 2999 * time.Millisecond, 3 * time.Second, 8 * time.Second, time.Minute} {
+		for _, part := range []float64{0, 0.01, 0.3, 0.7, 1} {
+			aim := time.Duration(part * float64(deadline))
+			stay, left := drainTimes([]logic.Class{{Deadline: deadline.Microseconds(), Aim: aim.Microseconds()},
+				{Deadline: 1, Aim: 1}})
+			kill := min(deadline, 3*time.Second) + 700*time.Millisecond
+			if stay < 400*time.Millisecond || stay > left-killMargin || left+endMargin+2*drainStep > kill {
+				t.Errorf("deadline %v, aim %v: doors close after %v, cutoff after %v, SIGKILL after %v", deadline, aim, stay, left, kill)
+			}
+		}
+	}
+}
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -25,6 +25,7 @@
 type hooks struct {
 	read    atomic.Pointer[func()]           // bytes were read, and nobody has heard of it
 	control atomic.Pointer[func(fd uintptr)] // something was looked up at the descriptor
+	request atomic.Pointer[func()]           // one is about to be answered
 }
 
 type hookedListener struct {
@@ -96,6 +97,9 @@
 	f = newFrontend(site, l, hookedListener{tcp.(*net.TCPListener), h}, slog.New(slog.DiscardHandler))
 	f.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
+		if at := h.request.Load(); at != nil {
+			(*at)()
+		}
 		f.reply(w, answer{status: 200, body: []byte(body)})
 	})
 	f.limit(most, most, 0)
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -68,6 +68,13 @@
 	return true
 }
 
+// full tells whether connections may wait in the kernel since there is no slot for them.
+func (l *cappedListener) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used >= l.most
+}
+
 func (l *cappedListener) free() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -388,5 +388,6 @@
 		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
 	}
 	left = min(time.Duration(deadline)*time.Microsecond, killAfter) + killLeeway
-	return max(acceptAfter, left-time.Duration(aim)*time.Microsecond), left
+	stay = max(acceptAfter, left-time.Duration(aim)*time.Microsecond)
+	return min(stay, left-killMargin), left // with deadlines of some tens of milliseconds the doors close before the cutoff
 }
