Heed SIGHUP to the process's last instant, SIGTERM from its first

Cause: run's deferred signal.Stop(hup) gave SIGHUP its default action back between the end of the drain and the process's: 'signal: hangup', which counts as a crash. SIGTERM had its default action until the configuration was read.

Change: SIGHUP stays caught; SIGTERM is from the start, and ends a start by the drain of what it has begun.

Tests with real processes (signal_test.go): a second SIGTERM and SIGHUP all through a drain, SIGHUP after it, SIGTERM 0 to 20 ms after the start.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -37,7 +37,10 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	hup := make(chan os.Signal, 1) // from the first moment: unheeded, it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	// And to the last: SIGHUP is not let go of when this returns. SIGTERM is taken from here on as well, so that one in the
+	// first instant ends a process in one way only; a second one changes nothing.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	conf, err := config.Load(os.Getenv, fleet)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -54,8 +57,6 @@
 	if conf.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(conf.Cores)))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	p, err := proxy.New(cfg)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/program/signal_test.go
@@ -0,0 +1,116 @@
+package program
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const asProgram = "FERNLANDING_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		if err := run(nil); err != nil {
+			os.Exit(1)
+		}
+		_ = syscall.Kill(os.Getpid(), syscall.SIGHUP) // between run's end and the process's
+		time.Sleep(50 * time.Millisecond)
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// process starts the program on settings whose deadlines are short; up closes when it has its list, of no servers.
+func process(t *testing.T) (cmd *exec.Cmd, up chan struct{}, log *bytes.Buffer) {
+	t.Helper()
+	up, over := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.RawQuery, "from=5") {
+			once.Do(func() { close(up) })
+			select {
+			case <-over:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		_, _ = io.WriteString(w, `{"index":5,"snapshot":true,"endpoints":[]}`)
+	}))
+	t.Cleanup(func() { close(over); discovery.Close() })
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := strings.NewReplacer("127.0.0.1:1", strings.TrimPrefix(discovery.URL, "http://"),
+		`"give_up_us":8`, `"give_up_us":80000`, `"objective_us":4`, `"objective_us":40000`).Replace(good)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log = &bytes.Buffer{}
+	cmd = exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+path)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	return cmd, up, log
+}
+
+// Signals that come while the process drains, up to its last instant, neither end it early nor make its end a crash.
+func TestSignalsDuringADrain(t *testing.T) {
+	for name, sig := range map[string]syscall.Signal{"SIGTERM": syscall.SIGTERM, "SIGHUP": syscall.SIGHUP} {
+		t.Run(name, func(t *testing.T) {
+			cmd, up, log := process(t)
+			select {
+			case <-up: // it has its list
+			case <-time.After(20 * time.Second):
+				t.Fatalf("not up: %s", log)
+			}
+			start := time.Now()
+			_ = cmd.Process.Signal(syscall.SIGTERM)
+			time.Sleep(50 * time.Millisecond)
+			ended := make(chan error, 1)
+			go func() { ended <- cmd.Wait() }()
+			for {
+				select {
+				case err := <-ended:
+					if err != nil && !(sig == syscall.SIGTERM && strings.Contains(err.Error(), "terminated")) {
+						t.Errorf("ended by %v", err)
+					}
+					if took := time.Since(start); took < 400*time.Millisecond || !strings.Contains(log.String(), "drained") {
+						t.Errorf("ended after %v without a drain:\n%s", took, log)
+					}
+					return
+				case <-time.After(5 * time.Millisecond):
+					_ = cmd.Process.Signal(sig)
+				}
+			}
+		})
+	}
+}
+
+// SIGTERM at any instant of a start ends the process, and soon.
+func TestSIGTERMDuringAStart(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		cmd, _, log := process(t)
+		time.Sleep(after)
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.Wait() }()
+		select {
+		case err := <-ended:
+			if err != nil && !strings.Contains(err.Error(), "terminated") {
+				t.Errorf("after %v: %v\n%s", after, err, log)
+			}
+		case <-time.After(20 * time.Second):
+			t.Errorf("after %v: it goes on\n%s", after, log)
+		}
+	}
+}
