Bound what is held of heads and bodies over all connections together

Cause: up to 20 KiB of a head (framedConn.buf) and 32 KiB of a body (holdLeast, not asked of holds) were held for each connection with no bound over all: with 1,024 descriptors and 32 MB 548 clients could hold 17 MB of bodies beside net/http's own buffers.

Change: beyond 4 KiB each, heads and first bytes of bodies come out of one part of the memory, as large as that for the rest (an eighth of the limit); what finds none is refused with 503 at once. Rejected: to pass bodies on as they come when memory is short, which costs 64 KiB of buffers each.

Idle clients in every slot while discovery is down: the list comes back, health and requests are answered (no fault found).

--- /dev/null
+++ b/internal/proxy/burst_test.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+func (h *holds) held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.used
+}
+
+// Peers that send much and go, in the head or in the body: each held up to 20 KiB of a head and 32 KiB of a body, without
+// a bound over all. Those beyond it are refused at once, and it is all given back.
+func TestWhatPeersSendIsBoundedOverAllConnections(t *testing.T) {
+	const peers, room = 40, 200 << 10
+	for name, text := range map[string]string{
+		"heads":  "GET /look/k HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", maxHead-1000),
+		"bodies": post("%d", "Content-Length: 60000") + strings.Repeat("x", 31<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, says(served, true))
+			p := startProxy(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, discovery.Serving)))
+			p.front.firsts.limit(room)
+			answers := make(chan int, peers)
+			var all []*client
+			for i := range peers {
+				c := connect(t, p)
+				c.send(t, strings.Replace(text, "%d", fmt.Sprint(i), 1))
+				all = append(all, c)
+				go func() {
+					if resp, err := http.ReadResponse(c.r, nil); err == nil {
+						answers <- resp.StatusCode
+					}
+				}()
+			}
+			for range peers - room/(16<<10) { // a peer that is let in takes as much, or more
+				if got := wait(t, "refusal", answers); got != 503 {
+					t.Errorf("got %d", got)
+				}
+			}
+			if n := p.front.firsts.held(); n > room || n == 0 {
+				t.Errorf("%d bytes are held", n)
+			}
+			for _, c := range all {
+				c.Close()
+			}
+			waitUntil(t, func() bool { return p.front.firsts.held() == 0 })
+			c := connect(t, p)
+			c.send(t, strings.Replace(post("n", "Content-Length: 31744"), "Host: h", "Host: h\r\nX: "+strings.Repeat("x", 8<<10), 1)+
+				strings.Repeat("x", 31744))
+			if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+				t.Errorf("then got %s", resp.Status)
+			}
+			waitUntil(t, func() bool { return p.front.firsts.held() == 0 })
+		})
+	}
+}
+
+// Idle clients in every slot while discovery is down: the calls to it, to backends and for health have their descriptors.
+func TestACrowdLeavesDescriptorsToTheRest(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	p := startProxy(t, d.addr, 120, "")
+	d.say <- "" // a call that breaks
+	most := int(p.front.most.Load())
+	for i := range 2 * most {
+		c := connect(t, p)
+		if i%2 == 0 { // the others never say a word
+			go func() { _, _ = io.WriteString(c, "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		}
+	}
+	waitUntil(t, func() bool { return p.front.open() >= most })
+	d.say <- listText(1, true, listed("a", b.addr, discovery.Serving)) // it is back
+	waitUntil(t, p.Ready)
+	for i, want := range []string{"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n", look("1", 4000), "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		start := time.Now()
+		c := connect(t, p)
+		c.send(t, want)
+		if resp, _ := c.answer(t); resp.StatusCode != 200 {
+			t.Errorf("call %d: %s", i, resp.Status)
+		}
+		if took := time.Since(start); took > idleLeast+time.Second {
+			t.Errorf("call %d waited %v", i, took)
+		}
+	}
+}
+
+// All parts of the descriptors together are no more than there are, alone and beside another process of the proxy.
+func TestThePartsOfTheDescriptorsAddUp(t *testing.T) {
+	for sockets := 128; sockets <= 1024; sockets++ {
+		for _, watched := range []bool{false, true} {
+			for _, shared := range []bool{false, true} {
+				cfg := Config{Sockets: sockets, Watched: watched}
+				clients, backends, over := cfg.parts(shared)
+				clients, backends = max(clients, leastEach), max(backends, leastEach)
+				have, own := sockets, ownSockets
+				if shared {
+					have, own = sockets/2, ownShared
+				}
+				if watched {
+					own += 17 // callers of the management address, and its listener
+				}
+				if clients+backends+over+own > have || over < overLeast {
+					t.Errorf("%d sockets, watched %v, shared %v: %d+%d+%d+%d", sockets, watched, shared, clients, backends, over, own)
+				}
+			}
+		}
+	}
+}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -20,9 +20,8 @@
 // before the shutdown, and answered, or never passed on. See linger.go for how a connection ends.
 type framedConn struct {
 	net.Conn
-	raw     syscall.RawConn // nil if there is no descriptor
-	lingers *lingers
-	release func() // gives the slot back, once the descriptor is closed
+	raw syscall.RawConn // nil if there is no descriptor
+	of  *cappedListener
 
 	buf  []byte // read and not passed yet
 	pass int64  // bytes that may pass before the next head is looked at; negative: all
@@ -37,6 +36,7 @@
 	phase   phase
 	retired bool // whatever comes now is dropped
 	closed  bool // the descriptor is
+	charged int  // of the memory for heads
 }
 
 // phase is how far the request on a client's connection has come.
@@ -53,8 +53,8 @@
 const flaw = "ambiguous\r\n\r\n"
 
 // newFramedConn wraps a connection that has just come.
-func newFramedConn(c net.Conn, all *lingers, release func()) *framedConn {
-	f := &framedConn{Conn: c, lingers: all, release: release}
+func newFramedConn(c net.Conn, of *cappedListener) *framedConn {
+	f := &framedConn{Conn: c, of: of}
 	if sc, ok := c.(syscall.Conn); ok {
 		f.raw, _ = sc.SyscallConn()
 	}
@@ -82,6 +82,7 @@
 		n = copy(p, c.buf)
 		if c.buf = c.buf[n:]; len(c.buf) == 0 {
 			c.buf = nil
+			c.discharge()
 		}
 	} else {
 		n, err = c.receive(p)
@@ -201,6 +202,9 @@
 			}
 			from = max(0, len(c.buf)-len("\r\n\r")) // what may begin the end of the head
 		}
+		if len(c.buf) > holdFirst && !c.charge() && c.retire(true) {
+			return io.EOF
+		}
 		c.buf = slices.Grow(c.buf, 1<<10)
 		n, err := c.receive(c.buf[len(c.buf):cap(c.buf)])
 		if c.served && len(c.buf) == 0 && n > 0 {
@@ -213,6 +217,25 @@
 	}
 }
 
+// charge takes the memory of the longest head, once; false if there is none.
+func (c *framedConn) charge() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.charged == 0 && !c.closed && c.of.firsts.take(maxHead+headSlack) {
+		c.charged = maxHead + headSlack
+	}
+	return c.charged > 0
+}
+
+func (c *framedConn) discharge() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.charged > 0 {
+		c.of.firsts.free(c.charged)
+		c.charged = 0
+	}
+}
+
 // let passes a head on, unless the connection has been retired over it.
 func (c *framedConn) let(judge func()) error {
 	c.mu.Lock()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -31,6 +31,7 @@
 	server   *http.Server
 	listener *cappedListener
 	holds    *holds
+	firsts   *holds
 	log      *slog.Logger
 	most     atomic.Int64 // connections of clients, and some more to refuse on
 	flight   atomic.Int64 // requests in flight, each of which may need a connection to a backend; more are refused
@@ -53,7 +54,7 @@
 type connKey struct{}
 
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, holds: &holds{}, conns: map[net.Conn]connState{},
+	f := &frontend{loop: l, log: log, holds: &holds{}, firsts: &holds{most: defaultHold}, conns: map[net.Conn]connState{},
 		uploads: map[*upload]bool{}}
 	first := make([]int, len(site.Classes))
 	for i := range first {
@@ -61,6 +62,7 @@
 	}
 	f.turn(newView(site, l.rules(site), first))
 	f.listener = newCappedListener(listener, f.shed)
+	f.listener.firsts = f.firsts
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		ConnState: f.connState, ErrorLog: quietLog(log),
--- a/internal/proxy/linger.go
+++ b/internal/proxy/linger.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerMost))
-	c.lingers.add(c)
+	c.of.lingers.add(c)
 	go c.drop()
 	return true
 }
@@ -135,8 +135,9 @@
 	c.mu.Unlock()
 	if first {
 		_ = c.Conn.Close()
-		c.lingers.remove(c)
-		c.release()
+		c.of.lingers.remove(c)
+		c.discharge()
+		c.of.free() // the slot
 	}
 }
 
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -12,6 +12,7 @@
 	net.Listener
 	shed    func()
 	lingers lingers
+	firsts  *holds        // for heads
 	freed   chan struct{} // holds a value after a slot came free
 	closed  chan struct{}
 	once    sync.Once
@@ -34,7 +35,7 @@
 		l.free()
 		return nil, err
 	}
-	return newFramedConn(c, &l.lingers, l.free), nil
+	return newFramedConn(c, l), nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -193,6 +193,7 @@
 		part, hold = 0.5, hold/2
 	}
 	p.front.holds.limit(hold)
+	p.front.firsts.limit(hold)
 	p.loop.pool.limit(max(backends, leastEach), hold)
 	if p.cfg.Memory != nil {
 		p.cfg.Memory(part)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -24,7 +24,7 @@
 
 	holdMost  = 256 << 10 // of a body is held, to be sent again, before the rest is passed on as it comes
 	holdLeast = 32 << 10  // whatever memory is left: so much goes out with the head at once
-	holdFirst = 4 << 10
+	holdFirst = 4 << 10   // of a body, and of a head, is held without asking
 
 	// A body is to come at this rate at least, from the end of requestPatience on, and not to stand still for
 	// stillPatience. Slow clients send 64 kB a second.
@@ -38,10 +38,12 @@
 	errTooLarge    = errors.New("the body is too large")
 	errDraining    = errors.New("the proxy ends before the body has come")
 	errShort       = errors.New("connections run short and the body stands still")
+	errNoMemory    = errors.New("too many bodies are held")
 	errRequestOver = errors.New("the request is over")
 )
 
-// holds bounds the memory of bodies that are held beyond holdLeast each.
+// holds bounds the memory of what is held: one the bodies beyond holdLeast each, another the first bytes, which are heads
+// and bodies beyond holdFirst each.
 type holds struct {
 	mu         sync.Mutex
 	used, most int
@@ -79,6 +81,8 @@
 	got      int64
 	holds    *holds
 	taken    int // of holds
+	firsts   *holds
+	first    int // of firsts
 	conn     net.Conn
 
 	mu    sync.Mutex
@@ -90,7 +94,8 @@
 
 func (f *frontend) newUpload(w http.ResponseWriter, r *http.Request, began time.Time) *upload {
 	u := &upload{body: r.Body, length: r.ContentLength, deadline: http.NewResponseController(w).SetReadDeadline,
-		began: began, last: time.Now(), holds: f.holds}
+		began: began, last: time.Now(), holds: f.holds,
+		firsts: f.firsts}
 	u.conn, _ = r.Context().Value(connKey{}).(net.Conn)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,6 +106,7 @@
 // endUpload gives back what an upload held.
 func (f *frontend) endUpload(u *upload) {
 	u.holds.free(u.taken)
+	u.firsts.free(u.first)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.uploads, u)
@@ -192,8 +198,13 @@
 			if cap(body)+more > holdMost || cap(body)+more > holdLeast && !u.holds.take(more) {
 				return body, false, nil
 			}
-			if cap(body)+more > holdLeast {
+			switch size := cap(body) + more; {
+			case size > holdLeast:
 				u.taken += more
+			case size > holdFirst && !u.firsts.take(more):
+				return nil, false, errNoMemory
+			case size > holdFirst:
+				u.first += more
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
 		}
@@ -311,7 +322,7 @@
 	switch {
 	case errors.Is(err, errTooLarge):
 		return fault(http.StatusRequestEntityTooLarge, "the body is too large")
-	case errors.Is(err, errDraining), errors.Is(err, errShort): // it has not run, and may come again
+	case errors.Is(err, errDraining), errors.Is(err, errShort), errors.Is(err, errNoMemory): // it has not run, and may come again
 		return fault(http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault(http.StatusRequestTimeout, "the body came too slowly")
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -166,7 +166,7 @@
 				if c.whole {
 					time.Sleep(2 * time.Second) // the head
 				}
-				u := &upload{body: &c.r, length: 200_000, began: began, last: time.Now(), holds: &holds{most: 1 << 20},
+				u := &upload{body: &c.r, length: 200_000, began: began, last: time.Now(), holds: &holds{most: 1 << 20}, firsts: &holds{most: holdMost},
 					deadline: func(at time.Time) error { c.r.deadline = at; return nil }}
 				_, whole, err := u.hold()
 				if whole != c.whole || (err == nil) != c.whole {
@@ -186,7 +186,7 @@
 	var all []*upload
 	held := 0
 	for range 10 {
-		u := &upload{body: bytes.NewReader(make([]byte, 2*holdMost)), length: 2 * holdMost, holds: h,
+		u := &upload{body: bytes.NewReader(make([]byte, 2*holdMost)), length: 2 * holdMost, holds: h, firsts: &holds{most: holdMost},
 			deadline: func(time.Time) error { return nil }}
 		body, whole, err := u.hold()
 		if err != nil || whole || len(body) < holdLeast {
