--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -23,6 +23,7 @@
 
 // hooks stop a client's connection where an order is to be forced.
 type hooks struct {
+	reading atomic.Pointer[func()]           // something may be there to read
 	read    atomic.Pointer[func()]           // bytes were read, and nobody has heard of it
 	control atomic.Pointer[func(fd uintptr)] // something was looked up at the descriptor
 	request atomic.Pointer[func()]           // one is about to be answered
@@ -65,6 +66,9 @@
 }
 
 func (r hookedRaw) Read(f func(uintptr) bool) error {
+	if f := r.hooks.reading.Load(); f != nil {
+		(*f)()
+	}
 	err := r.RawConn.Read(f)
 	if f := r.hooks.read.Load(); err == nil && f != nil {
 		(*f)()
--- /dev/null
+++ b/internal/proxy/peers_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/settings"
+)
+
+// A new connection whose request lay in the kernel, its reader not having had its turn, was closed to make room for another:
+// it had sent nothing that anybody had read.
+func TestANewConnectionWithARequestUnreadIsNotShed(t *testing.T) {
+	f, h, _, p := startHooked(t, 4, "ok")
+	turn := make(chan struct{})
+	once(&h.reading, func() { <-turn })
+	c := connect(t, p)
+	waitUntil(t, func() bool { return f.open() == 1 })
+	c.send(t, look("1", 4000))
+	f.mu.Lock()
+	for conn := range f.conns {
+		conn.(*framedConn).moved.Store(time.Now().Add(-time.Hour).UnixNano()) // it was accepted long ago
+		waitUntil(t, func() bool { return !quiet(conn) })
+	}
+	f.mu.Unlock()
+	f.shed()
+	f.closeIdle(0, 0, true)
+	close(turn)
+	if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("got %s %q", resp.Status, body)
+	}
+}
+
+// endless gives so many bytes.
+func endless(n int64) io.Reader {
+	return io.LimitReader(readFunc(func(p []byte) (int, error) {
+		for i := range p {
+			p[i] = 'x'
+		}
+		return len(p), nil
+	}), n)
+}
+
+// Peers with 60 MB to send that is no request have an error or a close in 6 s, whether they read meanwhile or not.
+func TestPeersThatSendMuchHaveTheirEnd(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	for name, head := range map[string]string{
+		"no head's end": "GET /look/k HTTP/1.1\r\nHost: h\r\nX: ",
+		"no line":       "",
+		"a body":        post("1", "Content-Length: 60000000"),
+		"on a GET":      strings.Replace(look("2", 4000), "Tenant: acme", "Content-Length: 60000000", 1),
+		"no class":      strings.ReplaceAll(post("3", "Content-Length: 60000000"), "post", "leap"),
+		"a bare LF":     "GET /look/k HTTP/1.1\nHost: h\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := connect(t, p)
+			start := time.Now()
+			_ = c.SetDeadline(start.Add(patience))
+			_, err := io.Copy(struct{ io.Writer }{c}, io.MultiReader(strings.NewReader(head), endless(60e6)))
+			if err == nil {
+				var got bytes.Buffer
+				_, err = got.ReadFrom(c)
+				if got.Len() > 0 {
+					err = io.EOF
+				}
+			}
+			if took := time.Since(start); took > 6*time.Second {
+				t.Errorf("%v after %v", err, took)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		if n := b.requests.Load(); n > 0 {
+			t.Errorf("%d requests went on", n)
+		}
+	})
+}
+
+// SIGTERM between New and Run: who has connected by then has an answer, and the process ends.
+func TestSIGTERMBeforeRun(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	site, err := settings.Decode([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, err := discovery.Parse([]byte(listText(1, true, listed("a", b.addr, discovery.Serving))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy, err := New(Config{Listen: "127.0.0.1:0", Discovery: discovery.Source{Address: startDiscovery(t).addr}, Seed: 7, Sockets: 200,
+		Site: site, Watched: true, State: t.TempDir(), Known: known, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	c := connect(t, &running{Proxy: proxy})
+	c.send(t, look("1", 4000))
+	done := make(chan error, 1)
+	go func() { done <- proxy.Run(ctx) }()
+	if resp, _ := c.answer(t); resp.StatusCode != 200 {
+		t.Errorf("got %s", resp.Status)
+	}
+	if err := wait(t, "end of Run", done); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", proxy.Addr()); err == nil {
+		t.Error("the listener is open")
+	} else if !strings.Contains(err.Error(), syscall.ECONNREFUSED.Error()) {
+		t.Error(err)
+	}
+}
