--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -187,6 +187,7 @@
 		d.end(err)
 		if c, ok := r.Context().Value(connKey{}).(*framedConn); ok && d.length < 0 && !r.ProtoAtLeast(1, 1) {
 			resetOnClose(c.Conn) // without chunks an end is all that such a client has to see the answer's end by
+			c.end()              // with no shutdown first, which is such an end
 		}
 		panic(http.ErrAbortHandler)
 	}
