--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -141,8 +141,8 @@
 	return max(left, 1)
 }
 
-// within keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere (-1), and a
-// keyed one only to the group that drops its repeats, while that remembers it: for so long, 0 for no limit.
+// within keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere (-1), a
+// keyed one only to the group that drops its repeats, while that remembers it: for so long; 0 for no limit.
 func (b *Balancer) within(now int64, q *request, s *server) (left int64) {
 	k := q.s.Classes[q.Class]
 	for _, a := range q.attempts {
