--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -46,6 +46,9 @@
 // run carries the attempt out; it returns exactly one result, when nothing of the attempt is left.
 func (a *attempt) run() result {
 	c := a.pool.reuse(a.backend, a.epoch, a.req.unsafe)
+	if c == nil {
+		c = a.pool.await(a.ctx, a.backend, a.epoch)
+	}
 	if c == nil {
 		if a.req.left() {
 			return result{status: logic.Moot} // a connection costs the backend work
@@ -262,7 +265,7 @@
 	if !a.stream(answer{status: http.StatusOK, content: content, stream: d}) {
 		return result{status: logic.Cancelled}, false, nil
 	}
-	overdue := time.NewTimer(time.Until(d.due.Add(lateMost)))
+	overdue := time.NewTimer(time.Until(d.due.Add(lateMost - wholeWait)))
 	defer overdue.Stop()
 	for {
 		select {
@@ -279,7 +282,7 @@
 			if length > wholeMost {
 				continue // it takes as long as it takes
 			}
-			if ahead, ok := body.(*prefetch); ok && !ahead.dry(wholeMost) {
+			if ahead, ok := body.(*prefetch); ok && !ahead.still(wholeMost) {
 				overdue.Reset(wholeWait)
 				continue
 			}
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -66,6 +66,7 @@
 	cond sync.Cond
 	buf  []byte
 	got  int64 // bytes so far
+	seen int64 // got, at the last look
 	size int
 	err  error // of the source; its end is io.EOF
 	over bool  // nobody reads any more
@@ -122,12 +123,15 @@
 	return n, nil
 }
 
-// dry tells whether the source stands still after no more than most bytes: all that came has been read on. Where it has
-// not, the client is the one that is waited for, and the answer may be a large one.
-func (p *prefetch) dry(most int64) bool {
+// still tells whether the source has stood still since the last look, after no more than most bytes: nothing came, and all
+// that came before has been read on. Where it has not, the client is the one that is waited for, and the answer may be a
+// large one.
+func (p *prefetch) still(most int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.got <= most && len(p.buf) == 0 && p.err == nil
+	was := p.seen
+	p.seen = p.got
+	return p.got == was && p.got <= most && len(p.buf) == 0 && p.err == nil
 }
 
 // whole returns the body if all of it is here.
