--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -44,14 +44,8 @@
 		return
 	}
 	b.watch(now)
-	b.born = cmp.Or(b.born, now)
-	b.taken.add(now, b.s.BudgetSpan)
-	b.came.add(now)
 	q := &request{Request: r, s: under, came: now}
-	if t := b.origin(q); t != nil {
-		t.came.add(now)
-	}
-	b.reqs[r.ID] = q
+	b.arrived(now, q)
 	if r.Key == "" || !under.Classes[r.Class].ByArrival {
 		b.start(now, h, q)
 		return
@@ -159,15 +153,8 @@
 // mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
 func (b *Balancer) mayRefuse(q *request) bool {
 	k := q.s.Classes[q.Class]
-	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
-		return true
-	}
-	for _, a := range q.attempts {
-		if a.mayRun {
-			return false
-		}
-	}
-	return true
+	return k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll ||
+		!slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayRun })
 }
 
 // Started takes the news that a streamed answer has begun: from now on that attempt is the client's, whose
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -2,9 +2,7 @@
 
 // Which server a call goes to.
 
-import (
-	"math"
-)
+import "math"
 
 const (
 	heldPower  = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
@@ -63,33 +61,18 @@
 	}
 	// One that fails fast holds few calls, and these weigh heavily: by that alone it would draw the most. Its
 	// trials are a part of what goes to those that are well.
-	for i, w := range b.weights {
-		part := b.drawn[i].healthFor(q.Class)
-		s, unsafe := b.drawn[i], q.s.Classes[q.Class].Repeat == Unsafe
+	for i, s := range b.drawn {
+		part, unsafe := s.healthFor(q.Class), q.s.Classes[q.Class].Repeat == Unsafe
 		if unsafe && (s.damped || s.whole.left*s.told < wellPart) {
 			part *= riskPart
 		}
-		if best > 0 && part < wellPart && w > part*best {
-			total -= w - part*best
-			b.weights[i] = part * best
+		if over := b.weights[i] - part*best; best > 0 && part < wellPart && over > 0 {
+			total, b.weights[i] = total-over, part*best
 		}
 	}
 	return b.pick(b.rnd.Float64() * total)
 }
 
-// pick returns the drawn server at which the sum of weights passes x, or nil if none has weight.
-func (b *Balancer) pick(x float64) (last *server) {
-	for i, w := range b.weights {
-		if w > 0 {
-			last = b.drawn[i]
-			if x -= w; x < 0 {
-				break
-			}
-		}
-	}
-	return last
-}
-
 // weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
 // of this copy that it already holds.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,15 +1,12 @@
 // The decisions of the balancer: here how one begins, in rules.go, members.go, attempts.go, draw.go,
 // learning.go, verdicts.go and zones.go the rest. The interface (settings, events, actions) is in api.go.
-//
 // Before each send the rules are checked in order, as Sentinel's FlowSlot does: the tier's (thread grade,
 // cluster node), the tenant's (QPS grade, origin node), the class's (thread grade, default node). A rule
 // over its count fails fast and unsent. Counts are learned: they start high, rise after rounds of timely
 // finishes and are cut after bad ones. A call that passes goes to a server by a weighted random draw.
 package logic
 
-import (
-	"math/rand/v2"
-)
+import "math/rand/v2"
 
 const (
 	ownSpan  = 10 * second // without a stated budget, this one holds
@@ -25,7 +22,6 @@
 	b := &Balancer{s: &s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
 		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
 		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
-	b.ownBudget()
 	b.share, b.spill, b.shareBad = shareStart, spillStart, sharePress
 	if s.Stage > 0 {
 		b.share, b.spill, b.shareBad = shareDeep, spillLow, shareDeep
@@ -39,15 +35,11 @@
 	return b, nil
 }
 
-// ownBudget stands in where no budget for further attempts is stated.
-func (b *Balancer) ownBudget() {
+// derive takes what follows from the settings in force.
+func (b *Balancer) derive() {
 	if b.s.BudgetSpan == 0 {
 		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
 	}
-}
-
-// derive takes what follows from the settings in force.
-func (b *Balancer) derive() {
 	b.fair = 0
 	for _, t := range b.s.Tenants { // a copy that carries more than its part learns a higher multiple
 		b.fair += t.Quota / float64(b.s.Siblings)
--- a/logic/reconfigure.go
+++ b/logic/reconfigure.go
@@ -48,11 +48,10 @@
 		}
 	}
 	b.tenants = tenants
-	b.ownBudget()
+	b.derive()
 	if b.s.BudgetSpan > old.BudgetSpan { // what was spent before the former span is forgotten
 		b.free = max(b.free, now+b.s.BudgetSpan)
 	}
-	b.derive()
 	b.relist()
 	return numbers, nil
 }
--- a/logic/rules.go
+++ b/logic/rules.go
@@ -118,11 +118,9 @@
 	if !b.tier.canPass(b.rnd.Float64()) {
 		return false
 	}
-	if i := b.tenant(q); i >= 0 {
-		count := b.share * b.fair * b.s.Tenants[i].Portion
-		if !b.tenants[i].canPass(now, b.born, count, b.room(now, i), b.rnd.Float64()) {
-			return false
-		}
+	if i := b.tenant(q); i >= 0 && !b.tenants[i].canPass(now, b.born, b.share*b.fair*b.s.Tenants[i].Portion,
+		b.room(now, i), b.rnd.Float64()) {
+		return false
 	}
 	return b.classes[q.Class].rule.canPass(b.rnd.Float64())
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -247,6 +248,30 @@
 	}
 }
 
+// pick returns the drawn server at which the sum of weights passes x, or nil if none has weight.
+func (b *Balancer) pick(x float64) (last *server) {
+	for i, w := range b.weights {
+		if w > 0 {
+			last = b.drawn[i]
+			if x -= w; x < 0 {
+				break
+			}
+		}
+	}
+	return last
+}
+
+// arrived notes a request that this copy has taken.
+func (b *Balancer) arrived(now int64, q *request) {
+	b.born = cmp.Or(b.born, now)
+	b.taken.add(now, b.s.BudgetSpan)
+	b.came.add(now)
+	if t := b.origin(q); t != nil {
+		t.came.add(now)
+	}
+	b.reqs[q.ID] = q
+}
+
 // leave counts an attempt out.
 func (b *Balancer) leave(q *request, a *attempt) {
 	if !a.counted {
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -28,15 +28,8 @@
 
 // causeOf is how an attempt that ended so counts as evidence on its server.
 func causeOf(s Status) Cause {
-	switch s {
-	case OK:
-		return NoCause
-	case Error:
-		return Failing
-	case FullUp:
-		return Crowded
-	}
-	return Silent
+	return [...]Cause{OK: NoCause, Error: Failing, FullUp: Crowded, TimedOut: Silent, ConnectFailed: Silent,
+		Reset: Silent, Cancelled: Silent, Moot: Silent}[s]
 }
 
 // quiet tells whether a call is out for far longer than calls take: it then counts as bad until it ends. Of
--- a/logic/zones.go
+++ b/logic/zones.go
@@ -40,13 +40,14 @@
 func (b *Balancer) lookAt(now int64, h Host, z *zone) {
 	lost, age, others := b.lost(z), now-z.Since, b.othersGive(z)
 	answers := z.sum.calls >= zoneCalls && z.sum.part() <= trialBad // nobody is followed out of such a zone
+	slow := z.Zone == b.s.Zone && 2*z.sum.slow > z.sum.say          // most copies find home so
 	switch z.Standing {
 	case Well, Pressed:
 		if lost {
 			b.stand(now, h, z, Leaving, leaveShare)
 		} else if others < 1 && age >= settle && (others > 0 || !answers) {
 			b.follow(now, h, z, others)
-		} else if b.pressed(z) != (z.Standing == Pressed) && age >= settle {
+		} else if slow != (z.Standing == Pressed) && age >= settle {
 			b.stand(now, h, z, Pressed-z.Standing, 1)
 		}
 	case Leaving:
@@ -76,9 +77,6 @@
 	}
 }
 
-// pressed tells whether most copies of this zone find home slow.
-func (b *Balancer) pressed(z *zone) bool { return z.Zone == b.s.Zone && 2*z.sum.slow > z.sum.say }
-
 // lost tells whether the copies of this zone see another, or home, as lost: most of those with evidence, more
 // than a third of all (so many may lie) and most calls say so, over several servers, while the others are
 // clearly better and can take what it had. A copy that hears nobody knows too little to tell a lost zone from
