Hold a cold server's chance in each draw to what all copies together may send it

Now the chance of a cold server in a draw is at most half (tipPart) of the multiple that tips it, times its present part of capacity, over the servers that the copy spreads its calls over; less when more comes than usual. A chance, not a count of calls, so that 300 copies with less than a call each add up to Poisson about the same mean. What is over goes to warm servers as far as they are well, and is refused early where there is none.

Rejected: tokens for each cold server and copy. Each needs one whole to begin with, and 300 first tokens are the fault itself.

--- a/internal/lab/model/config.go
+++ b/internal/lab/model/config.go
@@ -120,7 +120,8 @@
 // settings is what a proxy is told.
 func (c *Config) settings(ordinal, zone int) logic.Settings {
 	s := logic.Settings{Siblings: c.Proxies, Ordinal: ordinal, Zone: zone, Zones: c.Zones, MaxAttempts: 3,
-		DrainGrace: 500 * ms, StartCapacity: c.StartCapacity, Cold: c.Cold}
+		DrainGrace: 500 * ms, StartCapacity: c.StartCapacity, Cold: c.Cold,
+		TipMultiple: c.TipMultiple, FallSpan: c.Fall}
 	for _, k := range c.Classes {
 		s.Classes = append(s.Classes, k.Class)
 	}
--- /dev/null
+++ b/internal/lab/ramp/ramp_test.go
@@ -0,0 +1,114 @@
+package ramp
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"testing"
+	"text/tabwriter"
+)
+
+var (
+	seeds = flag.Int("ramp.seeds", 13, "fleets to play; each seed draws its settings and plays one scene at one size")
+	table = flag.Bool("ramp.table", false, "print the distribution of the worst window")
+)
+
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(800) // runs are short and make much garbage
+	debug.SetMemoryLimit(2 << 30)
+	os.Exit(m.Run())
+}
+
+// size is that of a fleet; with peers all of its processes hear each other.
+type size struct {
+	proxies int
+	peers   bool
+}
+
+// sizes are those that the scenes go through. Each pair of scene and size comes once in 52 seeds.
+var sizes = []size{{20, false}, {300, false}, {30, false}, {30, true}}
+
+// broken are seeds over the bound while weights alone bounded what a cold server gets: they are always played.
+var broken = []int{122, 142, 442, 780}
+
+// fleet is the fleet of a seed, from 1 on.
+func fleet(seed int) Config {
+	i, n := seed-1, len(Scenes)
+	z := sizes[(i%n+i/n)%len(sizes)]
+	return Drawn(uint64(seed), z.proxies, Scenes[i%n], z.peers)
+}
+
+// What all processes together send a cold server stays within its budget and what chance adds to that, in each window.
+func TestTheRampHoldsForTheFleet(t *testing.T) {
+	play := slices.Clone(broken)
+	for i := range *seeds {
+		if !slices.Contains(play, i+1) {
+			play = append(play, i+1)
+		}
+	}
+	results, wait, room := make([]Result, len(play)), sync.WaitGroup{}, make(chan bool, runtime.GOMAXPROCS(0))
+	for i := range results {
+		room <- true
+		wait.Go(func() {
+			results[i] = Run(fleet(play[i]))
+			<-room
+		})
+	}
+	wait.Wait()
+	rows, order := map[string][]Result{}, []string{"all"}
+	for i, r := range results {
+		c := fleet(play[i])
+		if r.Excess > 0 {
+			t.Errorf("seed %d, %s, %d processes: %.1f calls over the bound of a window with N = %.1f", c.Seed, c.Scene, c.Proxies, r.Excess, r.N)
+		}
+		for _, k := range []string{"all", fmt.Sprintf("%d processes, fleet %v", c.Proxies, c.Peers), string(c.Scene)} {
+			if !slices.Contains(order, k) {
+				order = append(order, k)
+			}
+			rows[k] = append(rows[k], r)
+		}
+	}
+	if *table {
+		print(order, rows)
+	}
+}
+
+// print writes a row for each group of runs: how many broke the bound, the fullest window as a part of N + 2 root N + 2,
+// what cold servers got against warm ones by their capacity, and what became of requests from the event on.
+func print(order []string, rows map[string][]Result) {
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer out.Flush()
+	fmt.Fprintln(out, "fleets\tplayed\tover the bound\tfullest window p50\tp90\tp99\tmax\tcold against warm p50\tserved p50\trefused unsent p50")
+	for _, k := range order {
+		at := func(part float64, of func(r Result) float64) float64 {
+			var x []float64
+			for _, r := range rows[k] {
+				x = append(x, of(r))
+			}
+			slices.Sort(x)
+			return x[min(len(x)-1, int(part*float64(len(x))))]
+		}
+		worst := func(r Result) float64 { return r.Worst }
+		over := 0
+		for _, r := range rows[k] {
+			if r.Excess > 0 {
+				over++
+			}
+		}
+		fmt.Fprintf(out, "%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\n", k, len(rows[k]), over, at(0.5, worst), at(0.9, worst),
+			at(0.99, worst), at(1, worst), at(0.5, func(r Result) float64 { return r.Ramp }),
+			at(0.5, func(r Result) float64 { return r.Served }), at(0.5, func(r Result) float64 { return r.Unsent }))
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	for _, seed := range []int{1, 4} {
+		if one, two := Run(fleet(seed)), Run(fleet(seed)); one != two {
+			t.Errorf("seed %d: %+v and then %+v", seed, one, two)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,8 @@
 		Cold          int64   `json:"cold_us"`
 		DrainGrace    int64   `json:"drain_grace_us"`
 		StartCapacity float64 `json:"start_capacity"`
+		TipMultiple   float64 `json:"tip_multiple"`
+		FallSpan      int64   `json:"fall_us"`
 	} `json:"contract"`
 	CountedBy string   `json:"counted_by"`
 	Zones     []string `json:"failure_domains"`
@@ -142,6 +144,7 @@
 		BudgetSpan:  o.Contract.RatioSpan, BudgetFree: o.Contract.Spare, BudgetShare: o.Contract.ResendRatio,
 		DrainGrace: o.Contract.DrainGrace,
 		AskEvery:   o.Contract.AskEvery, StartCapacity: o.Contract.StartCapacity, Cold: o.Contract.Cold,
+		TipMultiple: o.Contract.TipMultiple, FallSpan: o.Contract.FallSpan,
 		ByWork: o.CountedBy == "work",
 	}
 	if o.Membership != "automatic" && o.Membership != "subscribe" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -18,7 +18,7 @@
 // Rules that did not reach the module were broken on every rough day.
 func TestTheRulesOfASiteReachTheModule(t *testing.T) {
 	text := strings.Replace(object1, `"contract":{`, `"contract":{"busy_is_no_proof":true,"order_settle_us":7,`+
-		`"ratio_span_us":5000000,"resend_ratio":0.05,"spare_attempts":3,`, 1)
+		`"ratio_span_us":5000000,"resend_ratio":0.05,"spare_attempts":3,"tip_multiple":2.5,"fall_us":1000000,`, 1)
 	text = strings.Replace(text, `"dedup_scope":"cell"`, `"by_arrival":true,"dedup_scope":"cell"`, 1)
 	site, err := Decode([]byte(text))
 	if err != nil {
@@ -26,7 +26,7 @@
 	}
 	s := site.Logic
 	if !s.FullMayRun || s.OrderSettle != 7 || s.BudgetSpan != 5_000_000 || s.BudgetShare != 0.05 ||
-		s.BudgetFree != 3 || !s.Classes[0].ByArrival || s.Classes[0].Group != logic.GroupCell {
+		s.BudgetFree != 3 || s.TipMultiple != 2.5 || s.FallSpan != 1_000_000 || !s.Classes[0].ByArrival || s.Classes[0].Group != logic.GroupCell {
 		t.Errorf("got %+v", s)
 	}
 	if site.Classes[0] != "put" || site.Tenants[0] != "acme" || site.DialTimeout != 200*time.Millisecond {
--- a/logic/api.go
+++ b/logic/api.go
@@ -79,6 +79,8 @@
 
 	StartCapacity float64 // part of its capacity that a server starts with, at least
 	Cold          int64   // a server is warm after this at the latest
+	TipMultiple   float64 // of its present capacity: a cold server that all copies together send more than this
+	FallSpan      int64   // for so long falls over; a TipMultiple of 0: not stated
 
 	Undamped bool // with others told: servers that swing are not damped
 	Untuned  bool // with others told: weights are not tuned for the tail
@@ -276,6 +278,8 @@
 		{s.AskEvery < 0 || s.Subscribe && s.AskEvery == 0, "AskEvery: not positive"},
 		{!(s.StartCapacity >= 0 && s.StartCapacity <= 1), "StartCapacity: not within 0 and 1"},
 		{s.Cold < 0, "Cold: negative"},
+		{!(s.TipMultiple >= 0), "TipMultiple: negative"},
+		{s.FallSpan < 0 || s.FallSpan == 0 && s.TipMultiple > 0, "FallSpan: not positive"},
 	} {
 		if c.bad {
 			return fmt.Errorf("logic: Settings.%s", c.field)
--- a/logic/ban_test.go
+++ b/logic/ban_test.go
@@ -8,7 +8,15 @@
 // A ban is above all that the module prefers, and a server that comes back is tried with the next call, cold and
 // far as it may be.
 func TestABannedServerGetsNothingAndIsTriedOnceBack(t *testing.T) {
-	b, h := with(t, testSettings(), 4) // s2 and s3 are in the other zone
+	for _, tip := range []float64{0, 3} { // a copy with so much traffic tries it at once, too, where cold servers fall over
+		t.Run(fmt.Sprint(tip), func(t *testing.T) { bannedAndBack(t, tip) })
+	}
+}
+
+func bannedAndBack(t *testing.T, tip float64) {
+	set := testSettings()
+	set.TipMultiple, set.FallSpan = tip, 2*second
+	b, h := with(t, set, 4) // s2 and s3 are in the other zone
 	now, n := start, 0
 	next := func() string {
 		now, n = now+1000, n+1
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -6,13 +6,13 @@
 )
 
 // BenchmarkPick draws among a thousand servers, alone and with others that are heard, where all is well and where
-// home is away.
+// home is away, and alone where a third is cold.
 func BenchmarkPick(b *testing.B) {
 	for _, zones := range []int{3, 9, 30} {
-		for _, how := range []string{"off", "on", "away"} {
+		for _, how := range []string{"off", "on", "away", "cold"} {
 			b.Run(fmt.Sprintf("zones=%d/%s", zones, how), func(b *testing.B) {
 				set := testSettings()
-				set.Zones = zones
+				set.Zones, set.TipMultiple, set.FallSpan = zones, 3, 2*second
 				bal, err := New(set, 1)
 				if err != nil {
 					b.Fatal(err)
@@ -20,13 +20,16 @@
 				var list []Server
 				for i := range 1000 {
 					list = append(list, Server{ID: fmt.Sprint("s", i), Zone: i % zones, State: Ready, Size: 1})
+					if how == "cold" && i%3 == 0 {
+						list[i].Launched = start
+					}
 				}
 				h := &recorder{}
 				bal.List(start, h, Full, list)
 				for i := range 8 * 100 { // 100 requests a second
 					bal.tier.pass.add(start + int64(i)*second/100)
 				}
-				if how != "off" {
+				if how == "on" || how == "away" {
 					bal.open()
 					bal.zones[0].fresh = evidence{calls: 6, last: start + 8*second}
 					bal.Seen(start + 8*second)
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -10,15 +10,17 @@
 	riskPart   = 0.2  // of the trials of a silent server go on with calls that cannot be made again
 	wellPart   = 0.5  // of its health left: a server below it only gets trials
 	coldMargin = 0.6  // part of its least capacity that a cold server is given
+	tipPart    = 0.5  // of what tips a cold server over is the most that all copies may send it
 )
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
 // subset grows where it has too few warm and healthy servers, or none that the request may go to. A server
-// that is back from a ban gets the first call that may go there: it may be cold, in another zone or outside
-// the subset, and who called it back wants to see it serve.
+// that is back from a ban gets the first call that may go there and that it stands: it may be cold, in another
+// zone or outside the subset, and who called it back wants to see it serve.
 func (b *Balancer) draw(now int64, q *request) *server {
+	b.draws.add(now)
 	for _, s := range b.ready {
-		if s.owed && b.mayGo(now, q, s) {
+		if s.owed && b.mayGo(now, q, s) && b.stands(now, s) {
 			s.owed = false
 			return s
 		}
@@ -28,7 +30,7 @@
 	}
 	b.drawn, b.weights = b.drawn[:0], b.weights[:0]
 	total, best, room := 0.0, 0.0, b.subset(now)
-	beyond := max(1, room*b.beyond())
+	beyond, spread, cold := max(1, room*b.beyond()), min(room, float64(len(b.ready)/b.s.Zones)), false
 	for i := 0; i < len(b.ready); i++ {
 		if i < b.near && room <= 0 && total > 0 {
 			i = b.near
@@ -46,6 +48,7 @@
 		}
 		s := b.ready[i]
 		room -= s.healthFor(q.Class) * b.warmth(now, s)
+		cold = cold || b.grown(now, s) < 1 && b.s.TipMultiple > 0
 		w := 0.0
 		if b.mayGo(now, q, s) {
 			w = b.weigh(now, s, q.Class)
@@ -70,21 +73,68 @@
 			total, b.weights[i] = total-over, part*best
 		}
 	}
-	return b.pick(b.rnd.Float64() * total)
+	x := b.rnd.Float64() * total
+	if cold {
+		x -= b.ration(now, q.Class, total, spread)
+	}
+	return b.pick(x)
 }
 
-// weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
-// of this copy that it already holds.
-func (b *Balancer) weigh(now int64, s *server, class int) float64 {
-	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
-	w /= math.Pow(float64(1+s.inflight), heldPower)
-	w *= s.tuned
+// ration keeps rule 4 for the sum of all copies, where weights alone do not: a cold server that holds no calls
+// beside warm ones that do, or fail, or are few, draws the most by far. Its chance is held to what it stands by all
+// that this copy knows (see rush). The rest goes to the warm ones, as far as they are well, or is refused: the
+// weight of that is returned.
+func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
+	all, warm, able, more := 0.0, 0.0, 0.0, 0.0
+	for i, s := range b.drawn {
+		if all += b.reach(s); b.grown(now, s) == 1 && b.weights[i] > 0 {
+			warm, able = warm+b.weights[i], max(able, s.healthFor(class))
+		}
+	}
+	usual, present := b.rush(now)
+	most := total * tipPart * b.s.TipMultiple * min(1, (usual+1)/present) / max(all, spread)
+	for i, s := range b.drawn {
+		if over := b.weights[i] - most*b.reach(s)*b.grown(now, s); over > 0 && b.grown(now, s) < 1 {
+			b.weights[i], refused = b.weights[i]-over, refused+over
+		}
+	}
+	if warm > 0 {
+		more = refused * min(1, able/wellPart) / warm
+	}
+	for i, s := range b.drawn {
+		if b.grown(now, s) == 1 {
+			b.weights[i] *= 1 + more
+		}
+	}
+	return refused - more*warm
+}
+
+// stands tells whether a server that is back from a ban may get this copy's first call: if it is warm, or this
+// copy's part of what it stands is a whole call; otherwise by chance, lest all copies call at once.
+func (b *Balancer) stands(now int64, s *server) bool {
+	usual, present := b.rush(now)
+	part := usual * tipPart * b.s.TipMultiple * b.grown(now, s) / float64(len(b.ready))
+	return b.grown(now, s) == 1 || b.s.TipMultiple == 0 || part >= 1 || b.rnd.Float64() < part/present
+}
+
+// reach is how far calls go to a server for its size and zone alone.
+func (b *Balancer) reach(s *server) float64 {
+	w := 1.0
 	if b.s.SizeHints && s.Size > 0 {
-		w *= s.Size
+		w = s.Size
 	}
 	if s.Zone != b.s.Zone { // calls stay at home while home copes
 		w *= b.beyond()
 	}
+	return w
+}
+
+// weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
+// of this copy that it already holds.
+func (b *Balancer) weigh(now int64, s *server, class int) float64 {
+	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
+	w *= b.reach(s) * s.tuned
+	w /= math.Pow(float64(1+s.inflight), heldPower)
 	if z := b.zone(s.Zone); z != nil && z.Standing != Away { // one that is away comes last anyway
 		w *= z.Share
 	}
@@ -94,14 +144,12 @@
 // warmth guards against pushing a cold server over (rule 4): its weight is under the least capacity that
 // a server of its age has.
 func (b *Balancer) warmth(now int64, s *server) float64 {
-	age := now - s.Launched
-	if s.Launched == 0 || age >= b.s.Cold {
+	part := b.grown(now, s)
+	if part == 1 {
 		return 1
 	}
-	part := float64(max(age, 0)) / float64(b.s.Cold)
-	margin := coldMargin
 	if b.shared { // the other process sends there too
-		margin /= 2
+		part /= 2
 	}
-	return margin * (b.s.StartCapacity + (1-b.s.StartCapacity)*part)
+	return coldMargin * part
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -876,6 +876,8 @@
 		"BudgetFree":           func(s *Settings) { s.BudgetFree = math.NaN() },
 		"BudgetShare":          func(s *Settings) { s.BudgetShare = -1 },
 		"AskEvery":             func(s *Settings) { s.Subscribe = true },
+		"TipMultiple":          func(s *Settings) { s.TipMultiple = -1 },
+		"FallSpan":             func(s *Settings) { s.TipMultiple = 3 },
 		"StartCapacity":        func(s *Settings) { s.StartCapacity = math.NaN() },
 		"Classes[1].Aim":       func(s *Settings) { s.Classes[1].Aim = -5 },
 		"Classes[2].Deadline":  func(s *Settings) { s.Classes[2].Deadline = 0 },
--- /dev/null
+++ b/logic/ramp_test.go
@@ -0,0 +1,99 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The chance that a copy gives a cold server is held to what all copies may send it, however the others stand; what is
+// over goes to warm ones that are well, and is refused where there is none. Before, the weights alone gave a cold server
+// beside three busy ones all calls but few.
+func TestAColdServersChanceIsHeldHoweverTheOthersStand(t *testing.T) {
+	for _, k := range []struct {
+		name    string
+		cold    int
+		spoil   func(warm *server)
+		refused float64 // part of the draws that finds no server
+	}{
+		{"all is well", 1, func(s *server) {}, 0},
+		{"the warm ones hold calls", 1, func(s *server) { s.inflight = 2 }, 0},
+		{"the warm ones fail", 1, func(s *server) { s.whole.left = healthFloor }, 0.65},
+		{"the warm ones were tried", 1, func(s *server) { s.tuned = triedPart }, 0},
+		{"one warm one is left", 3, func(s *server) { s.inflight = 2 }, 0},
+		{"all are cold", 4, func(s *server) {}, 0.7},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			set := testSettings()
+			set.Zones, set.TipMultiple, set.FallSpan = 1, 3, 2*second
+			list := fleet(4)
+			for i := range list {
+				if list[i].Zone = 0; i < k.cold {
+					list[i].Launched = start
+				}
+			}
+			b, h := mustNew(t, set), &recorder{}
+			b.List(start, h, Full, list)
+			for _, s := range b.ready {
+				if s.Launched == 0 {
+					k.spoil(s)
+				}
+			}
+			const n = 20000
+			got := map[string]float64{}
+			for i := range n {
+				now := start + int64(i) // grown hardly changes meanwhile
+				q := &request{s: b.s, Request: Request{ID: fmt.Sprint(i), Class: 2}}
+				b.arrived(now, q)
+				if s := b.draw(now, q); s != nil {
+					got[s.ID] += 1.0 / n
+				} else {
+					got["none"] += 1.0 / n
+				}
+			}
+			most := tipPart * set.TipMultiple * set.StartCapacity / 4
+			for i := range k.cold {
+				if got[list[i].ID] > 1.1*most || got[list[i].ID] == 0 {
+					t.Errorf("%s got %.3f of the draws, may get %.3f", list[i].ID, got[list[i].ID], most)
+				}
+			}
+			if got["none"] < k.refused || k.refused == 0 && got["none"] > 0 {
+				t.Errorf("%.3f of the draws found no server", got["none"])
+			}
+		})
+	}
+}
+
+// What comes beyond the usual, as from clients that were refused and come again, is no reason to send a cold server more.
+func TestARushIsNoReasonToSendAColdServerMore(t *testing.T) {
+	set := testSettings()
+	set.Zones, set.TipMultiple, set.FallSpan = 1, 3, 2*second
+	list := fleet(4)
+	for i := range list {
+		list[i].Zone = 0
+	}
+	b, h := mustNew(t, set), &recorder{}
+	b.List(start, h, Full, list)
+	n, now := 0, start
+	play := func(span, gap int64) (cold float64) {
+		for end := now + span; now < end; now += gap {
+			n++
+			q := &request{s: b.s, Request: Request{ID: fmt.Sprint(n), Class: 2}}
+			b.arrived(now, q)
+			if s := b.draw(now, q); s != nil && s.Launched > 0 {
+				cold++
+			}
+		}
+		return cold
+	}
+	play(30*second, 20_000) // 50 a second
+	for i := range list {
+		list[i].Launched = now
+	}
+	b.List(now, h, Full, list)
+	play(2*second, 2_000)                                              // 500 a second
+	got := play(2*second, 2_000)                                       // by now the usual is up by two thirds
+	most := 100 * tipPart * set.TipMultiple * b.grown(now, b.ready[0]) // of the usual, by all four
+	if got > 2.5*most {
+		t.Errorf("cold servers got %v calls in a span, %v of the usual", got, most)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -199,6 +199,7 @@
 	taken     timeline  // requests
 	came      tally     // requests, over a longer time
 	further   timeline  // attempts beyond each request's first
+	draws     window    // whether a server was found or none
 	free      int64     // the free part of the allowance for further attempts is this Balancer's from then on
 	shared    bool      // another process of this proxy sends too
 	born      int64     // when the first request came
@@ -248,10 +249,10 @@
 	}
 }
 
-// pick returns the drawn server at which the sum of weights passes x, or nil if none has weight.
+// pick returns the drawn server at which the sum of weights passes x, or nil if none has weight or x is below 0.
 func (b *Balancer) pick(x float64) (last *server) {
 	for i, w := range b.weights {
-		if w > 0 {
+		if w > 0 && x >= 0 {
 			last = b.drawn[i]
 			if x -= w; x < 0 {
 				break
