--- a/logic/draw.go
+++ b/logic/draw.go
@@ -47,9 +47,8 @@
 			break
 		}
 		s := b.ready[i]
-		room -= s.healthFor(q.Class) * b.warmth(now, s)
-		s.grown = b.grown(now, s)
-		cold = cold || s.grown < 1 && b.s.TipMultiple > 0
+		warmth := b.warmth(now, s)
+		room, cold = room-s.healthFor(q.Class)*warmth, cold || warmth < 1 && b.s.TipMultiple > 0
 		w := 0.0
 		if b.mayGo(now, q, s) {
 			w = b.weigh(now, s, q.Class)
@@ -87,6 +86,7 @@
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
 	all, warm, able, more := 0.0, 0.0, 0.0, 0.0
 	for i, s := range b.drawn {
+		s.grown = b.grown(now, s)
 		if all += b.reach(s); s.grown == 1 && b.weights[i] > 0 {
 			warm, able = warm+b.weights[i], max(able, s.healthFor(class))
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -40,7 +40,7 @@
 	classes  []health // for the calls of each class
 	inflight int
 	hash     uint64
-	grown    float64 // least part of its capacity, as of the last draw that it was among
+	grown    float64 // least part of its capacity, as of the last draw among cold ones
 	owed     bool    // back from a ban and not tried since
 	seen     evidence
 	okAt     int64   // when this copy was last answered by it
