--- a/logic/state.go
+++ b/logic/state.go
@@ -1,9 +1,9 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -12,77 +12,7 @@
 
 // The data that decisions read. This file keeps books; it decides nothing.
 
-const (
-	second       = int64(1_000_000) // all times are microseconds
-	windowTicks  = 64               // buckets of the sliding window
-	windowBucket = second / 8
-	reportEvery  = 10 * second // between log lines of one copy
-	tallySpan    = 30 * second // memory of a tally
-	windowWhole  = windowTicks * windowBucket
-)
-
-// window counts events over a sliding time of up to windowTicks buckets.
-type window struct {
-	n    [windowTicks]int32
-	last int64
-}
-
-func (w *window) add(now int64) {
-	w.advance(now)
-	w.n[w.last%windowTicks]++
-}
-
-func (w *window) advance(now int64) {
-	b := now / windowBucket
-	for i := max(w.last+1, b-windowTicks+1); i <= b; i++ {
-		w.n[i%windowTicks] = 0
-	}
-	w.last = max(w.last, b)
-}
-
-func (w *window) sum(now, span int64) float64 {
-	w.advance(now)
-	total := int32(0)
-	for i := int64(0); i < span/windowBucket; i++ {
-		if w.last-i >= 0 {
-			total += w.n[(w.last-i)%windowTicks]
-		}
-	}
-	return float64(total)
-}
-
-// tally counts events and forgets them over about tallySpan.
-type tally struct {
-	n    float64
-	last int64
-}
-
-func (t *tally) at(now int64) float64 {
-	t.n *= math.Exp(-float64(now-t.last) / float64(tallySpan))
-	t.last = now
-	return t.n
-}
-
-func (t *tally) add(now int64) { t.n = t.at(now) + 1 }
-
-// timeline holds the times of events, oldest first.
-type timeline []int64
-
-// add takes an event and forgets those that are older than span.
-func (l *timeline) add(now, span int64) {
-	*l = append(*l, now)
-	l.since(now - span)
-}
-
-// since forgets the events before from and counts the rest.
-func (l *timeline) since(from int64) float64 {
-	n := 0
-	for n < len(*l) && (*l)[n] < from {
-		n++
-	}
-	*l = (*l)[n:]
-	return float64(len(*l))
-}
+const reportEvery = 10 * second // between log lines of one copy
 
 // node holds the statistics that rules read: calls in flight and calls passed.
 type node struct {
@@ -110,7 +40,8 @@
 	classes  []health // for the calls of each class
 	inflight int
 	hash     uint64
-	owed     bool // back from a ban and not tried since
+	grown    float64 // least part of its capacity, as of the last draw among cold ones
+	owed     bool    // back from a ban and not tried since
 	seen     evidence
 	okAt     int64   // when this copy was last answered by it
 	told     float64 // part of its weight that the verdicts of others leave
@@ -269,6 +200,7 @@
 	taken     timeline  // requests
 	came      tally     // requests, over a longer time
 	further   timeline  // attempts beyond each request's first
+	draws     window    // whether a server was found or none
 	free      int64     // the free part of the allowance for further attempts is this Balancer's from then on
 	shared    bool      // another process of this proxy sends too
 	born      int64     // when the first request came
@@ -318,6 +250,30 @@
 	}
 }
 
+// pick returns the drawn server at which the sum of weights passes x, or nil if none has weight or x is below 0.
+func (b *Balancer) pick(x float64) (last *server) {
+	for i, w := range b.weights {
+		if w > 0 && x >= 0 {
+			last = b.drawn[i]
+			if x -= w; x < 0 {
+				break
+			}
+		}
+	}
+	return last
+}
+
+// arrived notes a request that this copy has taken.
+func (b *Balancer) arrived(now int64, q *request) {
+	b.born = cmp.Or(b.born, now)
+	b.taken.add(now, b.s.BudgetSpan)
+	b.came.add(now)
+	if t := b.origin(q); t != nil {
+		t.came.add(now)
+	}
+	b.reqs[q.ID] = q
+}
+
 // leave counts an attempt out.
 func (b *Balancer) leave(q *request, a *attempt) {
 	if !a.counted {
