--- a/internal/lab/ramp/proxy.go
+++ b/internal/lab/ramp/proxy.go
@@ -92,7 +92,7 @@
 }
 
 // Send, Refuse, Fail, SetTimer, Watch and Log make it the Balancer's host.
-func (p *proxy) Send(id, server string, timeout int64) {
+func (p *proxy) Send(id, server string, _, timeout int64) {
 	q := p.reqs[id]
 	a := &attempt{p: p, q: q, n: q.sends, life: p.life, sent: p.w.now, work: 0.4 + 1.2*p.w.rnd.Float64()}
 	q.sends++
