--- a/logic/draw.go
+++ b/logic/draw.go
@@ -15,8 +15,8 @@
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
 // subset grows where it has too few warm and healthy servers, or none that the request may go to. A server
-// that is back from a ban gets the first call that may go there and that it stands: it may be cold, in another
-// zone or outside the subset, and who called it back wants to see it serve.
+// that is back from a ban gets the first call that may go there and that it stands: it may be cold, in
+// another zone or outside the subset, and who called it back wants to see it serve.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.draws.add(now)
 	for _, s := range b.ready {
@@ -80,8 +80,8 @@
 	return b.pick(x)
 }
 
-// ration keeps rule 4 for the sum of all copies, where weights alone do not: a cold server that holds no calls beside
-// warm ones that do, or fail, or are few, draws the most by far. Its chance is held to what it stands (see rush).
+// ration keeps rule 4 for the sum of all copies, where weights alone do not: a cold server that holds no calls
+// beside warm ones that do, or fail, draws the most by far. Its chance is held to what it stands (see rush).
 // The rest goes to the warm ones, as far as they are well, or is refused: the weight of that is returned.
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
 	all, warm, able, more := 0.0, 0.0, 0.0, 0.0
@@ -109,8 +109,8 @@
 	return refused - more*warm
 }
 
-// stands tells whether a server that is back from a ban may get this copy's first call: if it is warm, or this
-// copy's part of what it stands is a whole call; otherwise by chance, lest all copies call at once.
+// stands tells whether a server that is back from a ban may get this copy's first call: if it is warm, or
+// this copy's part of what it stands is a whole call; otherwise by chance, lest all copies call at once.
 func (b *Balancer) stands(now int64, s *server) bool {
 	usual, present := b.rush(now)
 	part := usual * tipPart * b.s.TipMultiple * b.grown(now, s) / float64(len(b.ready))
--- a/logic/members.go
+++ b/logic/members.go
@@ -13,7 +13,7 @@
 	subsetRoot  = 3.0      // and times the root of its calls a second, so that it meets each one often enough
 	golden      = 0.618034 // steps of this part of a ring spread any number of starts evenly
 
-	watchFirst, watchMost = second / 4, second // backoff of a failed subscription doubles, whatever AskEvery is
+	watchFirst, watchMost = second / 4, second // backoff of a failed subscription doubles up to this
 	watchPart, watchToken = 8, "watch"         // and up to this part of AskEvery if that is less
 )
 
