--- a/logic/draw.go
+++ b/logic/draw.go
@@ -80,7 +80,7 @@
 	return b.pick(x)
 }
 
-// ration keeps rule 4 for the sum of all copies, where weights alone do not: a cold server that holds no calls
+// ration keeps rule 4 for the sum of all copies, as weights alone do not: a cold server that holds no calls
 // beside warm ones that do, or fail, draws the most by far. Its chance is held to what it stands (see rush).
 // The rest goes to the warm ones, as far as they are well, or is refused: the weight of that is returned.
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
