Wait for the call that is out before a test of the list reads what was asked

It read the list of calls after the client's end was asked for, while one was still out: a data race in the test, seen once under load and with -race -count=60. With the wait 40 of 40 pass.

--- a/internal/discovery/platform_test.go
+++ b/internal/discovery/platform_test.go
@@ -42,6 +42,7 @@
 			t.Errorf("heard again after %v; it counts as told after 6 s", took)
 		}
 		stop()
+		synctest.Wait() // a call is out
 		if got := strings.Join(calls[:3], " "); got != "5 6 6" {
 			t.Errorf("calls went from versions %s", got)
 		}
