--- a/logic/draw.go
+++ b/logic/draw.go
@@ -10,7 +10,7 @@
 	riskPart   = 0.2  // of the trials of a silent server go on with calls that cannot be made again
 	wellPart   = 0.5  // of its health left: a server below it only gets trials
 	coldMargin = 0.6  // part of its least capacity that a cold server is given
-	tipPart    = 0.5  // of what tips a cold server over is the most that all copies may send it
+	tipPart    = 0.65 // of what tips a cold server over is the most that all copies may send it
 )
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
