--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,6 +22,7 @@
 	number   int
 	sent     int64 // when the module decided
 	deadline time.Time
+	until    time.Time // its last byte goes out before this or never; zero: no limit
 	pool     *backends
 	backend  *backend
 	addr     string
@@ -46,32 +47,49 @@
 func (a *attempt) run() result {
 	c := a.pool.reuse(a.backend, a.epoch, a.req.unsafe)
 	if c == nil {
+		c = a.pool.await(a.ctx, a.backend, a.epoch)
+	}
+	if c == nil {
+		if a.req.left() {
+			return result{status: logic.Moot} // a connection costs the backend work
+		}
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil {
-				return result{status: logic.Moot} // stopped before anything was sent
+			if a.ctx.Err() != nil || a.barred() || errors.Is(err, errNoSockets) || errors.Is(err, errTurned) {
+				return result{status: logic.Moot} // stopped before anything was sent, by no fault of the backend's
 			}
 			return result{status: logic.ConnectFailed}
 		}
 	}
-	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
+	// A dial takes time, and so did the way here. What has ended, drained or gone meanwhile gets nothing new, nor does
+	// a client that has left, which the context may hear of only later.
+	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) || a.req.left() {
 		a.pool.keep(c)
 		return result{status: logic.Moot}
 	}
 	res, keep := a.exchange(c)
-	if keep {
+	switch {
+	case keep:
 		a.pool.keep(c)
-	} else {
+	case res.status == logic.OK, res.status == logic.Error, res.status == logic.FullUp:
 		a.pool.drop(c)
+	default:
+		a.pool.abandon(c)
 	}
 	return res
 }
 
 func (a *attempt) late() bool { return !time.Now().Before(a.deadline) }
 
+// barred tells whether the time in which the request may go out is over: the connection came up too late.
+func (a *attempt) barred() bool { return !a.until.IsZero() && !time.Now().Before(a.until) }
+
 func (a *attempt) dial() (*conn, error) {
-	ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
+	end := a.deadline
+	if !a.until.IsZero() && a.until.Before(end) {
+		end = a.until
+	}
+	ctx, cancel := context.WithDeadline(a.ctx, end)
 	defer cancel()
 	return a.pool.dial(ctx, a.backend, a.addr, a.epoch)
 }
@@ -89,6 +107,15 @@
 	if a.ctx.Err() != nil { // stopped while the deadline was set
 		return result{status: logic.Moot}, false
 	}
+	if a.barred() {
+		return result{status: logic.Moot}, true
+	}
+	if !a.until.IsZero() && a.until.Before(a.deadline) {
+		_ = c.SetWriteDeadline(a.until)
+		if a.ctx.Err() != nil {
+			return result{status: logic.Moot}, false
+		}
+	}
 	if a.whole != nil {
 		if status, ok := a.passOnBody(c); !ok {
 			return result{status: status}, false
@@ -100,6 +127,9 @@
 		}
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
+			if a.ctx.Err() != nil {
+				return result{status: logic.Moot}, false // its connection was not at fault
+			}
 			return result{status: logic.ConnectFailed}, false
 		}
 	}
@@ -139,16 +169,13 @@
 // passed on as it comes, and so is one of untold length that is not here soon.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
 	resp, err := c.response(a.req.method)
-	for err == nil && resp.StatusCode < 200 {
-		resp, err = c.response(a.req.method)
-	}
 	if err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
 	defer resp.Body.Close()
 	clean := func() bool { return !resp.Close && c.body.Buffered() == 0 && c.r.Buffered() == 0 }
 	if resp.StatusCode != http.StatusOK {
-		return a.declined(resp, clean)
+		return a.declined(c, resp, clean)
 	}
 	content := resp.Header.Get("Content-Type")
 	switch n := resp.ContentLength; {
@@ -166,12 +193,10 @@
 	}
 	ahead := newPrefetch(patientReader{resp.Body, c, a.ctx}, int(a.pool.whole.Load()))
 	defer ahead.close()
-	soon := time.NewTimer(min(wholeWait, time.Until(a.deadline)))
-	defer soon.Stop()
-	select {
-	case <-ahead.full:
-	case <-soon.C:
-	case <-a.ctx.Done():
+	waits, cancel := context.WithDeadline(a.ctx, a.deadline)
+	defer cancel()
+	if err := ahead.begin(waits); err != nil {
+		return res, false, fmt.Errorf("read body: %w", err)
 	}
 	body, err, ok := ahead.whole()
 	switch {
@@ -208,20 +233,27 @@
 	return err
 }
 
-// declined takes an answer that serves nobody: only its status counts.
-func (a *attempt) declined(resp *http.Response, clean func() bool) (result, bool, error) {
+// declined takes an answer that serves nobody: only its status counts. The body of one that proves nothing is waited for
+// no longer than wholeWait, since what it says makes no difference, and another attempt may follow.
+func (a *attempt) declined(c *conn, resp *http.Response, clean func() bool) (result, bool, error) {
+	proof := resp.Header.Get("Not-Started") == "1" &&
+		(resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout)
+	if soon := time.Now().Add(wholeWait); !proof && soon.Before(a.deadline) {
+		_ = c.SetReadDeadline(soon)
+		if a.ctx.Err() != nil { // stopped, maybe before the deadline was set anew
+			return result{}, false, context.Cause(a.ctx)
+		}
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeMost+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && a.ctx.Err() == nil && !a.late():
+		return result{status: logic.Error}, false, nil
+	case err != nil:
 		return result{}, false, fmt.Errorf("read body: %w", err)
+	case proof:
+		return result{status: logic.FullUp}, n <= wholeMost && clean(), nil
 	}
-	keep := n <= wholeMost && clean()
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("Not-Started") == "1" {
-			return result{status: logic.FullUp}, keep, nil
-		}
-	}
-	return result{status: logic.Error}, keep, nil // it may have run
+	return result{status: logic.Error}, n <= wholeMost && clean(), nil // it may have run
 }
 
 // passOn has the client's side read the answer, and waits until it has.
@@ -233,17 +265,31 @@
 	if !a.stream(answer{status: http.StatusOK, content: content, stream: d}) {
 		return result{status: logic.Cancelled}, false, nil
 	}
-	select {
-	case err := <-d.ended:
-		switch {
-		case err == nil:
-			return result{status: logic.OK}, clean(), nil
-		case errors.Is(err, errClientGone):
+	overdue := time.NewTimer(time.Until(d.due.Add(lateMost - wholeWait)))
+	defer overdue.Stop()
+	for {
+		select {
+		case err := <-d.ended:
+			switch {
+			case err == nil:
+				return result{status: logic.OK}, clean(), nil
+			case errors.Is(err, errClientGone):
+				return result{status: logic.Cancelled}, false, nil
+			}
+			a.pool.broken(a.backend, err)
+			return result{status: logic.Reset}, false, nil
+		case <-overdue.C:
+			if length > wholeMost {
+				continue // it takes as long as it takes
+			}
+			if ahead, ok := body.(*prefetch); ok && !ahead.still(wholeMost) {
+				overdue.Reset(wholeWait)
+				continue
+			}
+			a.stop()
+			return result{status: logic.TimedOut}, false, nil
+		case <-a.ctx.Done():
 			return result{status: logic.Cancelled}, false, nil
 		}
-		a.pool.broken(a.backend, err)
-		return result{status: logic.Reset}, false, nil
-	case <-a.ctx.Done():
-		return result{status: logic.Cancelled}, false, nil
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -31,6 +31,7 @@
 	server   *http.Server
 	listener *cappedListener
 	holds    *holds
+	firsts   *holds
 	log      *slog.Logger
 	most     atomic.Int64 // connections of clients, and some more to refuse on
 	flight   atomic.Int64 // requests in flight, each of which may need a connection to a backend; more are refused
@@ -53,7 +54,7 @@
 type connKey struct{}
 
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, holds: &holds{}, conns: map[net.Conn]connState{},
+	f := &frontend{loop: l, log: log, holds: &holds{}, firsts: &holds{most: defaultHold}, conns: map[net.Conn]connState{},
 		uploads: map[*upload]bool{}}
 	first := make([]int, len(site.Classes))
 	for i := range first {
@@ -61,6 +62,7 @@
 	}
 	f.turn(newView(site, l.rules(site), first))
 	f.listener = newCappedListener(listener, f.shed)
+	f.listener.firsts = f.firsts
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		ConnState: f.connState, ErrorLog: quietLog(log),
@@ -114,6 +116,8 @@
 		f.reply(w, bad)
 		return
 	}
+	req.client = r.Context()
+	req.peer, _ = r.Context().Value(connKey{}).(net.Conn)
 	body := f.newUpload(w, r, began)
 	defer f.endUpload(body)
 	own, bad := f.receive(w, r, req, body)
@@ -122,23 +126,34 @@
 		return
 	}
 	defer own.end(0) // however else this returns
+	ans := f.await(req)
+	if ans.status == 0 {
+		panic(http.ErrAbortHandler) // a return would answer 200
+	}
+	if ans.stream != nil {
+		f.streams.Add(1)
+		defer f.streams.Add(-1)
+	}
+	if f.reply(w, ans); ans.stream != nil {
+		ans.stream.passOn(w, r)
+	}
+	own.end(ans.status)
+}
+
+// await returns a request's answer, with no status if its client has gone or the loop has ended.
+func (f *frontend) await(req *request) (ans answer) {
 	l := f.loop
 	select {
-	case ans := <-req.answer:
-		if ans.stream != nil {
-			f.streams.Add(1)
-			defer f.streams.Add(-1)
+	case ans = <-req.answer:
+	case <-req.client.Done():
+		select {
+		case ans = <-req.answer: // one that came before all of the body cut that off, which ends the context, too
+		default: // the client has gone
+			l.post(func() { l.gone(req) })
 		}
-		if f.reply(w, ans); ans.stream != nil {
-			ans.stream.passOn(w, r)
-		}
-		own.end(ans.status)
-	case <-r.Context().Done(): // the client has gone
-		l.post(func() { l.gone(req) })
-		panic(http.ErrAbortHandler) // a return would answer 200
 	case <-l.done:
-		panic(http.ErrAbortHandler)
 	}
+	return ans
 }
 
 // health answers a check. Its connection is closed each time: kept ones, of however many checkers, would take
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -18,6 +18,9 @@
 	if res.status == logic.OK {
 		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
 	}
+	if res.status != logic.OK && !r.over && r.left() {
+		l.gone(r) // or a further attempt might follow
+	}
 	now := l.clock.now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
 		Closed: r.over, Spent: r.spent})
@@ -33,6 +36,7 @@
 			begun <- false
 			return
 		}
+		ans.stream.due = l.clock.time(a.req.GiveUp)
 		l.bal.Started(l.clock.now(), a.req.ID)
 		l.end(a.req, ans)
 		begun <- true
@@ -46,7 +50,7 @@
 }
 
 // Send implements logic.Host.
-func (l *loop) Send(id, server string, timeout int64) {
+func (l *loop) Send(id, server string, within, timeout int64) {
 	r := l.reqs[id]
 	if r == nil {
 		l.log.Error("send for an unknown request", "id", id)
@@ -60,13 +64,17 @@
 		until = min(until, now+timeout)
 	}
 	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
+	if within > 0 {
+		a.until = l.clock.time(now + within)
+	}
 	r.sends++
 	if r.Uploading {
 		a.whole = make(chan time.Time, 1)
 	}
 	var ok bool
 	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
-	if !ok || r.over || r.current != nil { // never two attempts of a request at once
+	// Never two attempts of a request at once, and none for a client that has gone.
+	if !ok || r.over || r.current != nil || r.client != nil && r.client.Err() != nil {
 		l.unsent = append(l.unsent, a)
 		return
 	}
@@ -101,8 +109,8 @@
 	heap.Push(&l.timers, timer{at: l.clock.now() + delay, token: token})
 }
 
-// Watch implements logic.Host. Where the list is pushed the watch stands anyway.
-func (l *loop) Watch() { l.ask() }
+// Watch implements logic.Host. The client of the list watches from its start, and knows itself when to try again.
+func (l *loop) Watch() {}
 
 // Log implements logic.Host.
 func (l *loop) Log(line string) { l.log.Info(line) }
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -10,10 +10,12 @@
 // shed is called for as long as they must.
 type cappedListener struct {
 	net.Listener
-	shed   func()
-	freed  chan struct{} // holds a value after a slot came free
-	closed chan struct{}
-	once   sync.Once
+	shed    func()
+	lingers lingers
+	firsts  *holds        // for heads
+	freed   chan struct{} // holds a value after a slot came free
+	closed  chan struct{}
+	once    sync.Once
 
 	mu         sync.Mutex
 	used, most int
@@ -23,7 +25,7 @@
 	return &cappedListener{Listener: l, shed: shed, freed: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
-// Accept takes a slot, which the connection gives back when the server reports it closed.
+// Accept takes a slot, which the connection gives back when its descriptor is closed.
 func (l *cappedListener) Accept() (net.Conn, error) {
 	if !l.slot() {
 		return nil, net.ErrClosed
@@ -33,7 +35,7 @@
 		l.free()
 		return nil, err
 	}
-	return newFramedConn(c), nil
+	return newFramedConn(c, l), nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
@@ -67,6 +69,13 @@
 	return true
 }
 
+// full tells whether connections may wait in the kernel since there is no slot for them.
+func (l *cappedListener) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used >= l.most
+}
+
 func (l *cappedListener) free() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,17 +65,17 @@
 
 // Proxy is one proxy with its listener open.
 type Proxy struct {
-	cfg    Config
-	loop   *loop
-	front  *frontend
-	figs   *figures
-	lists  *discovery.Client
-	bans   *bans.Bans                                     // nil unless watched
-	fleet  Fleet                                          // nil on its own
-	elder  *elder                                         // the predecessor that lives, or nil
-	heirs  atomic.Pointer[heirs]                          // once this process serves, if watched
-	others atomic.Int32                                   // processes of this proxy that live beside this one
-	times  func([]logic.Class) (stay, left time.Duration) // of a drain
+	cfg         Config
+	loop        *loop
+	front       *frontend
+	figs        *figures
+	lists       *discovery.Client
+	bans        *bans.Bans                                     // nil unless watched
+	fleet       Fleet                                          // nil on its own
+	predecessor *predecessor                                   // the one that lives, or nil
+	successors  atomic.Pointer[successors]                     // once this process serves, if watched
+	others      atomic.Int32                                   // processes of this proxy that live beside this one
+	times       func([]logic.Class) (stay, left time.Duration) // of a drain
 
 }
 
@@ -89,12 +89,12 @@
 	if min(clients, backends) < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
-	var before *elder
+	var before *predecessor
 	if cfg.Watched {
 		if err := os.MkdirAll(cfg.State, 0o700); err != nil {
 			return nil, fmt.Errorf("state: %w", err)
 		}
-		before = findElder(cfg.State, cfg.Log)
+		before = findPredecessor(cfg.State, cfg.Log)
 	}
 	listener, err := cfg.listen(before)
 	if err != nil {
@@ -105,7 +105,7 @@
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
-	p := &Proxy{cfg: cfg, loop: l, figs: figs, elder: before, times: drainTimes}
+	p := &Proxy{cfg: cfg, loop: l, figs: figs, predecessor: before, times: drainTimes}
 	p.follow()
 	p.front = newFrontend(cfg.Site, l, listener, cfg.Log)
 	p.share(false)
@@ -143,7 +143,7 @@
 
 // listen takes the predecessor's listener over, or opens one. On the platform a predecessor whose word did not come
 // leaves the address to be shared.
-func (cfg Config) listen(before *elder) (net.Listener, error) {
+func (cfg Config) listen(before *predecessor) (net.Listener, error) {
 	if before != nil {
 		return before.listener, nil
 	}
@@ -193,6 +193,7 @@
 		part, hold = 0.5, hold/2
 	}
 	p.front.holds.limit(hold)
+	p.front.firsts.limit(hold)
 	p.loop.pool.limit(max(backends, leastEach), hold)
 	if p.cfg.Memory != nil {
 		p.cfg.Memory(part)
@@ -226,7 +227,7 @@
 // serve takes clients. With a predecessor alive that waits for a list from discovery, or for too long: until then
 // the predecessor takes them all.
 func (p *Proxy) serve(ctx context.Context) error {
-	if p.elder != nil {
+	if p.predecessor != nil {
 		late := time.NewTimer(freshPatience)
 		defer late.Stop()
 		select {
@@ -238,12 +239,15 @@
 		}
 	}
 	if p.cfg.Watched {
-		if err := p.openHeirs(); err != nil { // not worth an end: a successor then shares the address, at some cost
+		if err := p.openSuccessors(); err != nil { // not worth an end: a successor then shares the address, at some cost
 			p.cfg.Log.Error("no successor can take over", "error", err)
 		}
 	}
-	if p.elder != nil {
-		if err := p.elder.serving(); err != nil {
+	if !p.front.healthy() {
+		p.cfg.Log.Warn("not ready, requests are refused until it is", "missing", p.Missing())
+	}
+	if p.predecessor != nil {
+		if err := p.predecessor.serving(); err != nil {
 			p.cfg.Log.Warn("the predecessor has ended", "error", err)
 		}
 	}
@@ -270,9 +274,9 @@
 
 // follow has the loop hear of the list.
 func (p *Proxy) follow() {
-	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Subscribe: p.cfg.Site.Logic.Subscribe, Seed: p.cfg.Seed,
+	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Pushed: !p.cfg.Site.Logic.Subscribe, Seed: p.cfg.Seed,
 		State: p.cfg.Kept, Log: p.cfg.Log})
-	p.loop.lists, p.loop.ask = p.lists.News(), p.lists.Ask
+	p.loop.lists = p.lists.News()
 }
 
 // known is the newest list that the proxy can begin with: what it kept itself, or what its configuration says.
@@ -295,7 +299,24 @@
 }
 
 // Ready tells whether requests that come now are served: clients can connect and there is a list of servers.
-func (p *Proxy) Ready() bool { return p.front.serving.Load() && p.front.healthy() }
+func (p *Proxy) Ready() bool { return p.Missing() == "" }
+
+// Missing is what this proxy lacks to be ready, for on-call staff; nothing if it is.
+func (p *Proxy) Missing() string {
+	if p.front.draining.Load() {
+		return "it drains"
+	}
+	select {
+	case <-p.loop.listed:
+	default:
+		return fmt.Sprintf("no list of servers: the configuration has none (known), and discovery at %v has not answered yet",
+			p.cfg.Discovery)
+	}
+	if !p.front.serving.Load() {
+		return "clients are not accepted yet"
+	}
+	return ""
+}
 
 // Suspend has a server get nothing new, whatever the list says, until Resume. Any process of this proxy may be
 // told. The answer comes once this one acts on it; its errors are those of
@@ -339,15 +360,15 @@
 		defer leave()
 		parts.Go(func() { p.fleet.Run(present) })
 	}
-	if p.elder != nil {
-		parts.Go(func() { p.elder.wait(); p.join(-1) })
-		defer p.elder.conn.Close()
+	if p.predecessor != nil {
+		parts.Go(func() { p.predecessor.wait(); p.join(-1) })
+		defer p.predecessor.conn.Close()
 	}
 	served := make(chan error, 1)
 	parts.Go(func() { served <- p.serve(ctx) })
 	defer func() {
-		if h := p.heirs.Load(); h != nil {
-			h.close()
+		if s := p.successors.Load(); s != nil {
+			s.close()
 		}
 	}()
 	select {
@@ -359,24 +380,24 @@
 	cutoff := time.Now().Add(left)
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
 	p.front.drain(stay, cutoff, func() bool {
-		h := p.heirs.Load()
-		return h != nil && h.served()
+		s := p.successors.Load()
+		return s != nil && s.served()
 	})
 	return <-served
 }
 
-func (p *Proxy) openHeirs() error {
+func (p *Proxy) openSuccessors() error {
 	shared, ok := p.front.listener.Listener.(syscall.Conn)
 	if !ok {
 		return errors.New("the listener has no descriptor")
 	}
-	h, err := openHeirs(p.cfg.State, shared, p.cfg.Log)
+	s, err := openSuccessors(p.cfg.State, shared, p.cfg.Log)
 	if err != nil {
 		return err
 	}
-	h.tell, h.gone = p.handOver, func() { p.join(-1) }
-	h.done.Go(h.serve)
-	p.heirs.Store(h)
+	s.tell, s.gone = p.handOver, func() { p.join(-1) }
+	s.done.Go(s.serve)
+	p.successors.Store(s)
 	return nil
 }
 
@@ -388,5 +409,6 @@
 		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
 	}
 	left = min(time.Duration(deadline)*time.Microsecond, killAfter) + killLeeway
-	return max(acceptAfter, left-time.Duration(aim)*time.Microsecond), left
+	stay = max(acceptAfter, left-time.Duration(aim)*time.Microsecond)
+	return min(stay, left-killMargin), left // with deadlines of some tens of milliseconds the doors close before the cutoff
 }
--- /dev/null
+++ b/internal/proxy/rest_test.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/keepalive"
+	"fernlanding/logic"
+)
+
+// unrested has a pool use connections again at once.
+func unrested(p *backends) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rest = 0
+}
+
+// A second answer that comes after the next request is on its way here is not that one's: the connection rests until it has
+// come, is found to hold what nobody asked for, and is closed.
+func TestASecondAnswerIsNotTheNextRequests(t *testing.T) {
+	next, spoilt := make(chan struct{}), make(chan struct{})
+	b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n == 2 {
+			wait(t, "second answer to the first request", spoilt)
+		}
+		_, _ = io.WriteString(w, served)
+		if n == 1 {
+			go func() {
+				<-next
+				_, _ = io.WriteString(w, strings.Replace(served, "ok", "no", 1))
+				close(spoilt)
+			}()
+		}
+		return true
+	})
+	p := poolWith(4, b.addr)
+	if p.rest != keepalive.Rest {
+		t.Errorf("connections rest for %v", p.rest)
+	}
+	p.rest = time.Second // for a machine that stands still now and then
+	for n := range 2 {
+		if n == 1 {
+			close(next)
+		}
+		if res := newAttempt(p, "a", patience).run(); res.status != logic.OK || string(res.body) != "ok" {
+			t.Fatalf("request %d: got %v %q", n+1, res.status, res.body)
+		}
+	}
+	if b.conns.Load() != 2 || p.open != 1 {
+		t.Errorf("%d connections, %d open", b.conns.Load(), p.open)
+	}
+}
+
+// A call that finds only connections that rest waits for the one that has rested longest; only one call does.
+func TestACallWaitsForAConnectionThatRests(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	p := poolWith(4, b.addr)
+	p.rest = 200 * time.Millisecond
+	for n := range 3 {
+		began := time.Now()
+		if res := newAttempt(p, "a", patience).run(); res.status != logic.OK || b.conns.Load() != 1 {
+			t.Fatalf("request %d: got %v on %d connections", n+1, res.status, b.conns.Load())
+		}
+		if took := time.Since(began); n > 0 && took < p.rest/2 {
+			t.Errorf("request %d took %v", n+1, took)
+		}
+	}
+	p.rest = patience
+	first := newAttempt(p, "a", 2*patience)
+	results := make(chan result, 1)
+	go func() { results <- first.run() }()
+	waitUntil(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(first.backend.idle) == 0 })
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.OK || b.conns.Load() != 2 {
+		t.Errorf("beside one that waits: got %v on %d connections", res.status, b.conns.Load())
+	}
+	first.stop()
+	if res := wait(t, "result", results); res.status != logic.Moot || b.requests.Load() != 4 {
+		t.Errorf("stopped in the rest: got %v after %d requests", res.status, b.requests.Load())
+	}
+}
+
+// One that has rested is used before a new one is opened, though others are more recent.
+func TestAConnectionThatHasRestedIsFoundBehindThoseThatRest(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	p := poolWith(4, b.addr)
+	e := p.byName["a"]
+	var two []*conn
+	for range 2 {
+		c, err := p.dial(context.Background(), e, b.addr, e.epoch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		two = append(two, c)
+		p.keep(c)
+	}
+	p.rest = patience
+	two[0].since = two[0].since.Add(-patience)
+	if c := p.reuse(e, e.epoch, false); c != two[0] {
+		t.Error("not the one that has rested")
+	}
+	if c := p.reuse(e, e.epoch, false); c != nil || len(e.idle) != 1 || p.open != 2 {
+		t.Errorf("%d idle and %d open beside one that rests", len(e.idle), p.open)
+	}
+}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -44,14 +44,8 @@
 		return
 	}
 	b.watch(now)
-	b.born = cmp.Or(b.born, now)
-	b.taken.add(now, b.s.BudgetSpan)
-	b.came.add(now)
 	q := &request{Request: r, s: under, came: now}
-	if t := b.origin(q); t != nil {
-		t.came.add(now)
-	}
-	b.reqs[r.ID] = q
+	b.arrived(now, q)
 	if r.Key == "" || !under.Classes[r.Class].ByArrival {
 		b.start(now, h, q)
 		return
@@ -116,6 +110,7 @@
 	if s == nil {
 		return false
 	}
+	within := b.within(now, q, s)
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
 	q.out++
@@ -123,7 +118,7 @@
 	if !q.Uploading {
 		b.count(q, a)
 	}
-	h.Send(q.ID, s.ID, b.timeout(now, q))
+	h.Send(q.ID, s.ID, within, b.timeout(now, q))
 	return true
 }
 
@@ -140,9 +135,9 @@
 	return max(left, 1)
 }
 
-// mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
-// keyed one only to the group that drops its repeats, while that remembers it.
-func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
+// within keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere (-1), a
+// keyed one only to the group that drops its repeats, while that remembers it: for so long; 0 for no limit.
+func (b *Balancer) within(now int64, q *request, s *server) (left int64) {
 	k := q.s.Classes[q.Class]
 	for _, a := range q.attempts {
 		if !a.mayRun || k.Repeat == Safe {
@@ -150,24 +145,20 @@
 		}
 		if k.Repeat == Unsafe || now-a.sent >= k.Window ||
 			k.Group == GroupZone && a.zone != s.Zone || k.Group == GroupCell && a.cell != s.Cell {
-			return false
+			return -1
 		}
+		left = cmp.Or(left, a.sent+k.Window-now) // the first one's ends first
 	}
-	return true
+	return left
 }
 
+func (b *Balancer) mayGo(now int64, q *request, s *server) bool { return b.within(now, q, s) >= 0 }
+
 // mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
 func (b *Balancer) mayRefuse(q *request) bool {
 	k := q.s.Classes[q.Class]
-	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
-		return true
-	}
-	for _, a := range q.attempts {
-		if a.mayRun {
-			return false
-		}
-	}
-	return true
+	return k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll ||
+		!slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayRun })
 }
 
 // Started takes the news that a streamed answer has begun: from now on that attempt is the client's, whose
