Look at a socket in one place for connections that rest and clients that left

quiet and departed each had the same peek with its own way to the descriptor. peek has it once; what each makes of the answer is as before. go test -race ./internal/proxy on the tests of departures, closes, rests and shedding: ok.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -44,22 +44,28 @@
 // quiet tells whether a connection is open with nothing to read: an idle peer that has closed it, or sends
 // what nobody asked for, shows here without a wait.
 func quiet(c net.Conn) bool {
+	open := false
+	_, err := peek(c, func(_ uintptr, _ int, err error) { open = errors.Is(err, syscall.EAGAIN) })
+	return err == nil && open
+}
+
+// peek looks at what there is to read on a connection, without a wait and without taking it. False if it has no socket
+// to be looked at; an error is one of getting at the socket, look is then not called.
+func peek(c net.Conn, look func(fd uintptr, n int, err error)) (ok bool, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, nil
 	}
-	open := false
-	// Control, not Read: Read waits for any other reader, and the server always has one on an idle client.
-	err = raw.Control(func(fd uintptr) {
+	// Control, not Read: Read waits for any other reader, and the server always has one on its client.
+	return true, raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		look(fd, n, err)
 	})
-	return err == nil && open
 }
 
 // resetOnClose has a connection's close drop what the system still holds back, and tell the peer that it broke.
--- a/internal/proxy/gone.go
+++ b/internal/proxy/gone.go
@@ -19,19 +19,8 @@
 // socket itself is asked, for one system call, and for two where bytes are unread. A connection that has no socket, or
 // whose system does not tell, counts as there.
 func departed(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	gone := false
-	// Control, not Read: Read waits for any other reader, and the server always has one on its client.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	ok, err := peek(c, func(fd uintptr, n int, err error) {
 		switch {
 		case err == nil && n > 0:
 			gone = hungUp(fd)
@@ -40,7 +29,7 @@
 			gone = true
 		}
 	})
-	return err != nil || gone
+	return ok && (err != nil || gone)
 }
 
 const (
