--- /dev/null
+++ b/internal/lab/path/nodos.go
@@ -0,0 +1,146 @@
+package path
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// answer is what every stand-in nodo gives, at once: what is measured is the way there and back.
+const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
+
+// Nodo is a stand-in nodo with a listener of its own on loopback.
+type Nodo struct {
+	Name string
+	Zone int
+	Addr string
+
+	mu    sync.Mutex
+	l     net.Listener
+	conns map[net.Conn]bool
+}
+
+// Nodos are n of them, spread evenly over zones. They share a process with the callers.
+type Nodos struct {
+	All   []*Nodo
+	Zones int
+	serve sync.WaitGroup
+}
+
+// ListenNodos has n nodos listen, each on a port of 127.0.0.1.
+func ListenNodos(n, zones int) (*Nodos, error) {
+	s := &Nodos{Zones: zones}
+	for i := range n {
+		nodo := &Nodo{Name: fmt.Sprintf("s%d", i), Zone: i % zones, Addr: "127.0.0.1:0"}
+		if err := s.up(nodo); err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.All = append(s.All, nodo)
+	}
+	return s, nil
+}
+
+func (s *Nodos) up(n *Nodo) error {
+	l, err := net.Listen("tcp", n.Addr)
+	if err != nil {
+		return fmt.Errorf("nodo %s of %d at %s: %w (a nodo takes a port and a descriptor)", n.Name, len(s.All), n.Addr, err)
+	}
+	n.mu.Lock()
+	n.l, n.Addr, n.conns = l, l.Addr().String(), map[net.Conn]bool{}
+	n.mu.Unlock()
+	s.serve.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			lives := n.l == l
+			if lives {
+				n.conns[c] = true
+			}
+			n.mu.Unlock()
+			if !lives {
+				c.Close()
+				continue
+			}
+			s.serve.Go(func() { n.one(c) })
+		}
+	})
+	return nil
+}
+
+// one answers the requests of a connection. They have no body.
+func (n *Nodo) one(c net.Conn) {
+	defer func() {
+		c.Close()
+		n.mu.Lock()
+		delete(n.conns, c)
+		n.mu.Unlock()
+	}()
+	for r := bufio.NewReader(c); skipHead(r) == nil; {
+		if _, err := c.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+// skipHead reads up to the empty line.
+func skipHead(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			return nil
+		}
+	}
+}
+
+// down ends a nodo as a process's death does: connections are reset and new ones refused.
+func (n *Nodo) down() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.l == nil {
+		return
+	}
+	n.l.Close()
+	n.l = nil
+	for c := range n.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// Lose ends the nodos of a zone.
+func (s *Nodos) Lose(zone int) {
+	for _, n := range s.All {
+		if n.Zone == zone {
+			n.down()
+		}
+	}
+}
+
+// Return has them listen again where they did.
+func (s *Nodos) Return(zone int) error {
+	for _, n := range s.All {
+		if n.Zone == zone {
+			if err := s.up(n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends all and waits for that.
+func (s *Nodos) Close() {
+	for _, n := range s.All {
+		n.down()
+	}
+	s.serve.Wait()
+}
