Look through all backends for those that are gone only when a whole list came

A change of one entry walked the table of all backends, and a whole list built a table of names beside it, on the event loop. Each backend now notes by which list it was last named. What each list does is unchanged.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -28,6 +28,7 @@
 
 	mu     sync.Mutex
 	byName map[string]*backend
+	lists  int // that have come
 	banned map[string]bool
 	outs   map[string]bool // zones that get nothing
 	open   int
@@ -49,6 +50,7 @@
 	addr    string
 	zone    string
 	started int64
+	listed  int                          // by the latest list that named it, counted from 1
 	serving bool                         // by the list
 	ready   bool                         // serving, and neither banned nor in a zone that is drained
 	epoch   int                          // goes up when what is told of it changes: drained, gone, restarted, moved, banned or not
@@ -76,14 +78,15 @@
 func (p *backends) apply(full bool, entries []discovery.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, listed := time.Now(), make(map[string]bool, len(entries))
+	now := time.Now()
+	p.lists++
 	for _, e := range entries {
-		listed[e.Name] = true
 		b := p.byName[e.Name]
 		if b == nil {
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
+		b.listed = p.lists
 		if b.started != e.SinceMs {
 			p.trust.Died(now, e.Name)
 		}
@@ -98,8 +101,11 @@
 			delete(p.byName, e.Name)
 		}
 	}
+	if !full {
+		return
+	}
 	for name, b := range p.byName {
-		if full && !listed[name] {
+		if b.listed != p.lists {
 			b.serving, b.ready = false, false
 			p.trust.Died(now, name)
 			p.turn(b)
