Model a chain of 12 tiers, and hold its last one to what the allowances add up to

A call goes up to 12 deep, and each tier may send it again: three tries each are 531,441 attempts at the last one for one call. What bounds that is the allowance of each proxy for further attempts, and nothing tested it over a chain. The model plays the real module before each of 12 tiers of 4 nodos in virtual time, with the last one slow, hanging or failing.

go test ./internal/lab/chain -v -run Allowance

--- /dev/null
+++ b/internal/lab/chain/chain_test.go
@@ -0,0 +1,112 @@
+package chain
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"fernlanding/logic"
+)
+
+var table = flag.Bool("chain.table", false, "print attempts by tier for more rates, seeds and tries")
+
+// config is a chain of 12 with the allowance that holds where the settings state none.
+func config(rate float64, seconds int64, tries int) Config {
+	return Config{Tiers: 12, Width: 4, Rate: rate, Seconds: seconds, Slots: 4, Work: 2 * milli, GiveUp: 2 * second, Seed: 1,
+		Settings: logic.Settings{Zones: 1, MaxAttempts: tries, DrainGrace: second, StartCapacity: 0.32, Cold: 8_800 * milli,
+			TipMultiple: 3, FallSpan: 2 * second, MaxRetryAfter: 2 * second, BudgetSpan: 10 * second, BudgetFree: 5, BudgetShare: 0.1,
+			Classes: []logic.Class{{Name: "read", Aim: 400 * milli, Deadline: 2 * second, Worth: 1}}}}
+}
+
+var troubles = []struct {
+	name string
+	last Last
+	keep bool
+}{
+	{name: "nothing"},
+	{name: "10 times as slow", last: Last{Slow: 10}},
+	{name: "100 times as slow", last: Last{Slow: 100}},
+	{name: "100 times as slow, nodos go on for callers that left", last: Last{Slow: 100}, keep: true},
+	{name: "half of them hang", last: Last{Hang: true, Share: 0.5}},
+	{name: "all hang", last: Last{Hang: true}},
+	{name: "all fail", last: Last{Errors: 1}},
+	{name: "a third of calls fail", last: Last{Errors: 0.33}},
+}
+
+// However the last of 12 tiers fails, it gets no more attempts than the allowances of the proxies before it add up to.
+func TestTheAllowanceBoundsAChain(t *testing.T) {
+	for _, trouble := range troubles {
+		t.Run(trouble.name, func(t *testing.T) {
+			cfg := config(20, 12, 3)
+			cfg.Last, cfg.Keeps = trouble.last, trouble.keep
+			cfg.Last.From = 3 * second
+			r, err := Play(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(line(r))
+			if r.Came < 500 || r.Served+r.Refused+r.Failed != r.Came {
+				t.Errorf("%d calls came, %d were served, %d refused and %d failed", r.Came, r.Served, r.Refused, r.Failed)
+			}
+			for _, over := range r.Over {
+				t.Error(over)
+			}
+			for tier, most := range r.Bound {
+				if float64(r.Attempts[tier]) > most {
+					t.Errorf("tier %d got %d attempts, of %.0f that the allowances add up to", tier+1, r.Attempts[tier], most)
+				}
+			}
+			if trouble.name == "nothing" && (r.Served < r.Came*99/100 || r.Amplification() > 1.01) {
+				t.Errorf("with nothing wrong: %s", line(r))
+			}
+		})
+	}
+}
+
+// Without an allowance the same chain goes far over that bound: the bound is the allowance's doing and no chance.
+func TestWithoutAnAllowanceAChainGoesOver(t *testing.T) {
+	cfg := config(20, 12, 3)
+	cfg.Last = Last{Errors: 1, From: 3 * second}
+	cfg.Settings.BudgetFree = 1e9
+	free, err := Play(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Settings.BudgetFree = 5
+	held, err := Play(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("without: %s; with: %s", line(free), line(held))
+	if last := len(held.Bound) - 1; float64(free.Attempts[last]) <= held.Bound[last] {
+		t.Errorf("%d attempts without an allowance, within the bound of %.0f with one", free.Attempts[last], held.Bound[last])
+	}
+}
+
+func line(r *Result) string {
+	each := func(tier int) float64 { return float64(r.Attempts[tier-1]) / float64(r.Came) }
+	return fmt.Sprintf("came %d served %d refused %d failed %d; attempts for each call: tier 1 %.2f, 4 %.2f, 8 %.2f, 12 %.2f "+
+		"(since it began %.2f), at most %.2f; refused before tiers %v", r.Came, r.Served, r.Refused, r.Failed, each(1), each(4),
+		each(8), each(12), r.Amplification(), r.Bound[len(r.Bound)-1]/float64(r.Came), r.Declined)
+}
+
+// TestTable prints attempts at the last tier for each call that came in.
+func TestTable(t *testing.T) {
+	if !*table {
+		t.Skip("-chain.table")
+	}
+	for _, rate := range []float64{1, 10, 66} {
+		for _, trouble := range troubles {
+			for seed := range uint64(3) {
+				cfg := config(rate, 40, 3)
+				cfg.Last, cfg.Keeps, cfg.Seed = trouble.last, trouble.keep, seed+1
+				cfg.Last.From = 10 * second
+				r, err := Play(cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				fmt.Printf("rate %g, %s, seed %d: %s\n", rate, trouble.name, cfg.Seed, line(r))
+			}
+		}
+	}
+}
