--- a/internal/lab/path/path_test.go
+++ b/internal/lab/path/path_test.go
@@ -18,6 +18,7 @@
 	listed  = flag.Int("path.nodos", 1300, "listed nodos, in 9 zones")
 	long    = flag.Duration("path.long", 10*time.Second, "of each phase")
 	repeat  = flag.Int("path.repeat", 3, "proxies, one after another")
+	phase   = flag.String("path.phase", "", "the one phase that is played; none: all")
 	cores   = flag.Int("path.cores", DeploymentLimits.Cores, "that the proxy is told")
 )
 
@@ -141,6 +142,9 @@
 	limits := DeploymentLimits
 	limits.Cores = *cores
 	phases := []Phase{Calm, Whole, Gone}
+	if *phase != "" {
+		phases = []Phase{Phase(*phase)}
+	}
 	all := map[Phase][][2]float64{}
 	for r := range *repeat {
 		s, err := Open(*program, t.TempDir(), *listed, zones, limits, uint64(r+1))
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 )
 
@@ -49,3 +50,72 @@
 		}
 	}
 }
+
+// BenchmarkPickListed draws for a copy on its own by the servers that are listed, the zones that these are spread over,
+// and its calls a second.
+func BenchmarkPickListed(b *testing.B) {
+	for _, rate := range []int{66, 660} {
+		for _, zones := range []int{1, 3, 9} {
+			for _, n := range []int{15, 150, 1300, 2600} {
+				b.Run(fmt.Sprintf("rate=%d/zones=%d/nodos=%d", rate, zones, n), func(b *testing.B) {
+					bal := listedCopy(b, n, zones, 4)
+					for i := range 8 * rate {
+						bal.tier.pass.add(start + int64(i)*second/int64(rate))
+					}
+					q := &request{s: bal.s}
+					b.ReportAllocs()
+					for b.Loop() {
+						if bal.draw(start+8*second, q) == nil {
+							b.Fatal("nothing drawn")
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkServersHeld is what a copy on its own holds for each listed server, as bytes of the heap, by the classes that
+// it knows.
+func BenchmarkServersHeld(b *testing.B) {
+	for _, classes := range []int{1, 4, 16} {
+		for _, n := range []int{15, 150, 1300, 2600} {
+			b.Run(fmt.Sprintf("classes=%d/nodos=%d", classes, n), func(b *testing.B) {
+				for b.Loop() {
+					var before, after runtime.MemStats
+					runtime.GC()
+					runtime.ReadMemStats(&before)
+					bal := listedCopy(b, n, 9, classes)
+					runtime.GC()
+					runtime.ReadMemStats(&after)
+					held := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+					b.ReportMetric(held, "B-held")
+					b.ReportMetric(held/float64(n), "B-held/nodo")
+					runtime.KeepAlive(bal)
+				}
+			})
+		}
+	}
+}
+
+// listedCopy is a copy of a late tier that has a list and has heard of no other.
+func listedCopy(b *testing.B, n, zones, classes int) *Balancer {
+	b.Helper()
+	set := testSettings()
+	set.Stage, set.Zones, set.TipMultiple, set.FallSpan = 1, zones, 3, 2*second
+	one := set.Classes[0]
+	set.Classes = nil
+	for range classes {
+		set.Classes = append(set.Classes, one)
+	}
+	bal, err := New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Server
+	for i := range n {
+		list = append(list, Server{ID: fmt.Sprintf("nodo-%05d", i), Zone: i % zones, Cell: i / 8, State: Ready, Size: 1})
+	}
+	bal.List(start, &recorder{}, Full, list)
+	return bal
+}
