--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -199,6 +199,14 @@
 		})
 	}
 	t.Run("a cell", func(t *testing.T) {
+		p, err := Read(os.DirFS(folder))
+		if err != nil {
+			t.Fatal(err)
+		}
+		tables, err := p.Tables()
+		if err != nil {
+			t.Fatal(err)
+		}
 		lines := strings.Split(string(text), "\n")
 		cells, inside := 0, false
 		for i, l := range lines {
@@ -214,7 +222,8 @@
 			changed := []byte(l)
 			changed[at] = '0' + (changed[at]-'0'+1)%10
 			lines[i] = string(changed)
-			if parts(t, os.DirFS(folder), strings.Join(lines, "\n")) == "" {
+			damaged := strings.Join(lines, "\n")
+			if filled, err := Fill(damaged, tables); err != nil || Part(damaged, filled) == "" {
 				t.Errorf("line %d: not found: %s", i+1, changed)
 			}
 			lines[i] = l
--- a/internal/lab/capacity/numbers.go
+++ b/internal/lab/capacity/numbers.go
@@ -167,6 +167,8 @@
 
 func (r Range) by(f func(float64) float64) Range { return Range{f(r.Low), f(r.Likely), f(r.High)} }
 
+func (r Range) three() [3]float64 { return [3]float64{r.Low, r.Likely, r.High} }
+
 // is tells whether the three are one.
 func (r Range) is() bool { return r.Low == r.Likely && r.Likely == r.High }
 
@@ -201,8 +203,8 @@
 	}, true, "in the list that a proxy follows: one list holds all today (likely, high); one service's alone (low)"},
 	"changes a minute": {func(n *Numbers) Range {
 		day := (n.Letter.FailsPerDay + n.Letter.RestartsPerDay) * n.assumption("changes_per_restart").Likely / minutesADay
-		r := n.assumption("release_part").by(func(v float64) float64 { return v * n.Letter.Nodos * n.assumption("changes_per_restart").Likely })
-		return Range{day, r.Low, r.High}
+		part, each := n.assumption("release_part"), n.assumption("changes_per_restart")
+		return Range{day, part.Low * n.Letter.Nodos * each.Likely, part.High * n.Letter.Nodos * each.High}
 	}, true, "of the list: an ordinary day's mean (low), one service released within a minute (likely), the greatest release within one (high)"},
 	"changes of configuration a minute": {func(n *Numbers) Range {
 		r := n.assumption("config_burst")
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -89,20 +89,30 @@
 	for _, s := range stands {
 		for _, r := range s.Rows {
 			class := r.Class()
-			budget, ratio, crosses, two := "-", "-", "-", "-"
+			budget, ratio, crosses := "-", "-", "-"
 			if r.Budgeted {
-				budget, ratio, two = quantity(r.Budget.Value, class), number(r.Ratio), r.WordTwo
+				budget, ratio = quantity(r.Budget.Value, class), number(r.Ratio)
 				if !strings.HasPrefix(r.Budget.From, "letter") {
 					budget += " (ours)"
 				}
-				crosses = p.size(r.Crosses)
+				if crosses = p.size(r.Crosses); r.CrossesHigh != r.Crosses {
+					crosses += ", " + p.size(r.CrossesHigh) + " at high"
+				}
 			}
-			t.row(r.Role, r.Figure, quantities(r.Value, class), r.How, quantities(r.Twice, class), r.HowTwo, budget, ratio, crosses, r.Word(), two)
+			t.row(r.Role, r.Figure, quantities(r.Value, class), hows(r.How), quantities(r.Twice, class), hows(r.HowTwo), budget, ratio, crosses, word(r.Words), word(r.Two))
 		}
 	}
 	return t.b.String()
 }
 
+// hows are how three values are known, as one word if they are alike.
+func hows(h [3]string) string {
+	if h[0] == h[1] && h[1] == h[2] {
+		return h[1]
+	}
+	return strings.Join(h[:], " / ")
+}
+
 // size is a part of the size to plan for in nodos.
 func (p *Page) size(part float64) string {
 	switch {
@@ -123,8 +133,11 @@
 		if len(s.Lacks) > 0 {
 			lacks = "`" + strings.Join(s.Lacks, "`, `") + "`"
 		}
-		t.row(s.What, s.Class, quantity(s.Value, s.Class), quantity(s.Twice, s.Class), quantity(s.Budget.Value, s.Class),
-			number(s.Value/s.Budget.Value), p.size(s.Crosses), "**"+s.Word+"**", lacks)
+		value, twice, ratio, crosses := quantity(s.Value, s.Class), quantity(s.Twice, s.Class), number(s.Value/s.Budget.Value), p.size(s.Crosses)
+		if len(s.Lacks) == len(s.Parts) {
+			value, twice, ratio, crosses = "-", "-", "-", "-"
+		}
+		t.row(s.What, s.Class, value, twice, quantity(s.Budget.Value, s.Class), ratio, crosses, "**"+s.Word+"**", lacks)
 	}
 	return t.b.String()
 }
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -12,24 +12,21 @@
 type Row struct {
 	*Slope
 	Value, Twice Range // in the class's own unit
-	How, HowTwo  string
+	How, HowTwo  [3]string
 	Budget       Budget
 	Budgeted     bool
-	Ratio        float64 // of the likely value to the budget
-	Crosses      float64 // the part of the size to plan for, all grown together, at which the budget is passed
-	Words        [3]string
-	WordTwo      string
+	Ratio        float64   // of the likely value to the budget
+	Crosses      float64   // the part of the size to plan for, all grown together, at which the budget is passed
+	CrossesHigh  float64   // the same with the assumptions high
+	Words, Two   [3]string // at low, likely and high; Two at twice the size
 }
 
-// Word is the word on it, with what the assumptions make of it.
-func (r *Row) Word() string {
-	if !r.Budgeted {
-		return "-"
-	}
-	out := r.Words[1]
-	for i, at := range []string{"low", "", "high"} {
-		if at != "" && r.Words[i] != r.Words[1] {
-			out += ", " + r.Words[i] + " at " + at
+// word is the word at the likely value, with what the others make of it.
+func word(w [3]string) string {
+	out := cmp.Or(w[1], "-")
+	for i, at := range [...]string{"low", "", "high"} {
+		if w[i] != w[1] {
+			out += ", " + w[i] + " at " + at
 		}
 	}
 	return out
@@ -41,15 +38,17 @@
 	value := func(x float64) float64 { v, _, _ := s.At(x); return v }
 	size, two := p.Size(s.Of, false), p.Size(s.Of, true)
 	r.Value, r.Twice = size.by(value), two.by(value)
-	_, _, r.How = s.At(size.Likely)
-	_, _, r.HowTwo = s.At(two.Likely)
+	for i := range size.three() {
+		_, _, r.How[i] = s.At(size.three()[i])
+		_, _, r.HowTwo[i] = s.At(two.three()[i])
+	}
 	if r.Budget, r.Budgeted = p.budget(s.Role, s.Class(), s.Figure); r.Budgeted {
 		r.Ratio = r.Value.Likely / r.Budget.Value
 		r.Crosses = s.Crosses(r.Budget.Value) / size.Likely
-		for i, x := range []float64{size.Low, size.Likely, size.High} {
-			r.Words[i] = s.Judge(x, r.Budget.Value)
+		r.CrossesHigh = s.Crosses(r.Budget.Value) / size.High
+		for i, x := range size.three() {
+			r.Words[i], r.Two[i] = s.Judge(x, r.Budget.Value), s.Judge(two.three()[i], r.Budget.Value)
 		}
-		r.WordTwo = s.Judge(two.Likely, r.Budget.Value)
 	}
 	return r
 }
@@ -210,7 +209,7 @@
 		if worst != nil {
 			out = append(out, Missing{Word: Over, What: s.Duty.Duty, Role: s.Role, Crosses: worst.Crosses, Instead: s.Instead,
 				Why: fmt.Sprintf("%s: %s at the size to plan for (%s), %s allowed", worst.Figure, quantity(worst.Value.Likely, worst.Class()),
-					worst.How, quantity(worst.Budget.Value, worst.Class()))})
+					worst.How[1], quantity(worst.Budget.Value, worst.Class()))})
 		}
 	}
 	for _, t := range p.Totals() {
--- a/internal/lab/capacity/slope.go
+++ b/internal/lab/capacity/slope.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -158,11 +159,12 @@
 	}
 	// No repeat can have been flatter or steeper than what the least and the most at each size allow.
 	flat, steep := bounds(xs, least, most)
-	slack := rounding * top / (xs[len(xs)-1] - xs[0])
+	far := xs[len(xs)-1] - xs[0]
+	slack := rounding * slices.Max(append(most, top)) / far
 	if s.Spread[0] < flat-slack || s.Spread[1] > steep+slack {
 		return fmt.Errorf("spread: %v is stated, and the points allow %.6g to %.6g", s.Spread, flat, steep)
 	}
-	if per < s.Spread[0]-slack || per > s.Spread[1]+slack {
+	if slack = rounding * top / far; per < s.Spread[0]-slack || per > s.Spread[1]+slack {
 		return fmt.Errorf("spread: the slope over the medians, %.6g, is not within %v", per, s.Spread)
 	}
 	return nil
@@ -249,15 +251,22 @@
 		_, per := line(xs, r)
 		s.Spread[0], s.Spread[1] = min(s.Spread[0], per), max(s.Spread[1], per)
 	}
-	s.Base, s.Per, s.Spread[0], s.Spread[1] = round(s.Base), round(s.Per), round(s.Spread[0]), round(s.Spread[1])
+	// Rounded by what counts over the range: a base far outside of it may be large.
+	far := max(xs[len(xs)-1], -xs[0])
+	top := slices.MaxFunc(ys, func(a, b float64) int { return cmp.Compare(math.Abs(a), math.Abs(b)) })
+	s.Base, s.Per = roundBy(s.Base, top), roundBy(s.Per, top/far)
+	s.Spread[0], s.Spread[1] = min(s.Per, roundBy(s.Spread[0], top/far)), max(s.Per, roundBy(s.Spread[1], top/far))
 }
 
 // round keeps five figures, which lie well within what a stated line may part from its points.
-func round(v float64) float64 {
-	if v == 0 || math.IsInf(v, 0) || math.IsNaN(v) {
+func round(v float64) float64 { return roundBy(v, v) }
+
+// roundBy keeps as much of a value as five figures of another have.
+func roundBy(v, by float64) float64 {
+	if by == 0 {
 		return v
 	}
-	p := math.Pow(10, 4-math.Floor(math.Log10(math.Abs(v))))
+	p := math.Pow(10, 4-math.Floor(math.Log10(math.Abs(by))))
 	return math.Round(v*p) / p
 }
 
