Bring verdicts, cold servers' ration and health under policy

Room was made in the policy files by merging serversSince with the choice of evidence and callsZoneBad with what is told, tables in place of a switch, pairs of constants that are read together, and shorter comments; nothing was moved out.

--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -12,10 +12,10 @@
 const (
 	hintPart = 0.5 // of the aim: the longest hint
 
-	hangMeans  = 12.0    // an attempt is given up after this many mean times
-	leastMeans = 0.5     // a request with less time left than this many mean times cannot make it
-	heldToken  = "held " // and a request
-	turnToken  = "turn " // and a key
+	hangMeans  = 12.0 // an attempt is given up after this many mean times
+	leastMeans = 0.5  // a request with less time left than this many mean times cannot make it
+
+	heldToken, turnToken = "held ", "turn " // and a request, and a key
 )
 
 // Timer takes a timer that was asked for.
@@ -32,8 +32,7 @@
 	}
 }
 
-// Request takes a request, and sends or refuses it at once: none is held unsent but those that must wait
-// for their key's turn (rule 5), and these no longer than they can still make it.
+// Request takes a request and sends or refuses it at once, unless it must wait for its key's turn (rule 5).
 func (b *Balancer) Request(now int64, h Host, r Request) {
 	if b.reqs[r.ID] != nil {
 		return
@@ -79,8 +78,7 @@
 	b.tidy(now, t)
 }
 
-// refuse gives a hint spread so that clients do not return together, nor so late that an answer then misses
-// its aim.
+// refuse gives a hint spread so that clients don't return together, nor too late for an answer in their aim.
 func (b *Balancer) refuse(now int64, h Host, q *request) {
 	most := min(q.s.MaxRetryAfter, int64(hintPart*float64(q.s.Classes[q.Class].Aim)))
 	h.Refuse(q.ID, most/2+b.rnd.Int64N(most/2+1))
@@ -89,11 +87,10 @@
 
 // deadline is when an answer stops being worth anything.
 func (b *Balancer) deadline(q *request) int64 {
-	k := q.s.Classes[q.Class]
-	if q.Uploading {
+	switch k := q.s.Classes[q.Class]; {
+	case q.Uploading:
 		return math.MaxInt64 / 2
-	}
-	if b.s.Stage == 0 && k.LateWorth == 0 {
+	case b.s.Stage == 0 && k.LateWorth == 0:
 		return min(q.GiveUp, q.came+k.Aim)
 	}
 	return q.GiveUp
@@ -152,8 +149,6 @@
 	return left
 }
 
-func (b *Balancer) mayGo(now int64, q *request, s *server) bool { return b.within(now, q, s) >= 0 }
-
 // mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
 func (b *Balancer) mayRefuse(q *request) bool {
 	k := q.s.Classes[q.Class]
@@ -161,8 +156,7 @@
 		!slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayRun })
 }
 
-// Started takes the news that a streamed answer has begun: from now on that attempt is the client's, whose
-// pace says nothing of the server. What is learned from is the time that this took.
+// Started takes the news that a streamed answer has begun and learns from it: the rest is at a client's pace.
 func (b *Balancer) Started(now int64, id string) {
 	q := b.reqs[id]
 	if q == nil || q.over {
@@ -178,8 +172,7 @@
 	}
 }
 
-// Uploaded takes the news that a request whose body was still coming is whole: its time begins now. It
-// returns the time-out of the attempt that is out, if one is; no other can follow that.
+// Uploaded takes the news that a request's body has come: its time begins. It returns its attempt's time-out.
 func (b *Balancer) Uploaded(now int64, id string, giveUp int64) (timeout int64) {
 	q := b.reqs[id]
 	if q == nil || q.over {
@@ -202,8 +195,7 @@
 	}
 }
 
-// Outcome takes the end of an attempt; where the request is still owed an answer it gets a further
-// attempt or its final answer at once.
+// Outcome takes the end of an attempt; a request that is owed an answer gets it or a further attempt at once.
 func (b *Balancer) Outcome(now int64, h Host, o Outcome) {
 	q := b.reqs[o.ID]
 	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || !q.attempts[o.Attempt].out {
@@ -239,8 +231,8 @@
 	}
 }
 
-// again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget is
-// exact in the window that ends now: an attempt at its far edge counts, a request taken there does not.
+// again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget's
+// window ends now: an attempt at its far edge counts, a request taken there does not.
 func (b *Balancer) again(now int64, h Host, q *request) bool {
 	u, rule, from, free := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan, b.s.BudgetFree
 	if now < b.free {
--- a/logic/books.go
+++ b/logic/books.go
@@ -32,6 +32,9 @@
 // amend takes back that a call was bad: it was answered after all.
 func (e *evidence) amend() { e.bad = max(0, e.bad-1) }
 
+// since tells whether the latest call was no longer ago than span.
+func (e *evidence) since(now, span int64) bool { return e.last != 0 && now-e.last <= span }
+
 func (e *evidence) part() float64 { return e.bad / max(e.calls, 1e-9) }
 
 // zone is how another zone, or home, stands as seen from home.
@@ -69,12 +72,11 @@
 	b.relist()
 }
 
-// note takes the end of an attempt as evidence on its server and zone. One that was turned away says nothing of a
-// zone: it is there, and has no room.
+// note takes the end of an attempt as evidence on its server and zone.
 func (b *Balancer) note(now int64, a *attempt, cause Cause) {
 	z := cmp.Or(b.zone(a.zone), &zone{})
 	if cause == NoCause {
-		a.srv.okAt, a.srv.told = now, 1
+		a.srv.okAt = now
 	}
 	if a.quiet && cause == NoCause {
 		a.srv.seen.amend()
@@ -85,11 +87,8 @@
 		return
 	}
 	a.srv.seen.add(now, freshSpan, serverCalls, cause)
-	if cause == Crowded {
-		cause = NoCause
-	}
-	z.fresh.add(now, freshSpan, zoneMost, cause)
-	z.long.add(now, trialSpan, zoneMost, cause)
+	z.fresh.add(now, freshSpan, zoneMost, zoneCause[cause])
+	z.long.add(now, trialSpan, zoneMost, zoneCause[cause])
 }
 
 // listen notes calls that are out for too long.
@@ -116,29 +115,26 @@
 	var sum tried
 	of := map[int]tried{}
 	for _, s := range b.all {
-		if s.State != Ready || s.seen.last == 0 || now-s.seen.last > serverFresh {
+		if s.State != Ready || !s.seen.since(now, serverFresh) {
 			continue
 		}
-		t, latest := of[s.Zone], serversSince(b.zone(s.Zone))
-		t.all++
-		t.late += int(partOf(now-s.seen.last <= latest))
+		t := of[s.Zone]
+		_, _, span := cmp.Or(b.zone(s.Zone), &zone{}).lately(now)
+		late := int(partOf(s.seen.since(now, span)))
+		t.all, t.late = t.all+1, t.late+late
+		b.swings(now, s)
 		n := Notice{Zone: b.s.Zone, Server: s.ID, Launched: s.Launched, Calls: s.seen.calls, Bad: s.seen.part()}
-		if b.swings(now, s); s.callsBad() {
-			t.bad++
-			t.lateBad += int(partOf(now-s.seen.last <= latest))
-			n.Kind, n.Cause, n.At = ServerBad, s.seen.cause, s.seen.badAt
-			b.tells = append(b.tells, n)
-		} else if s.verdict.others > 0 && now-s.okAt <= serverFresh {
-			n.Kind, n.At = ServerWell, s.okAt
+		says := false
+		if n.Kind, n.Cause, n.At, says = s.says(now); says {
 			b.tells = append(b.tells, n)
 		}
+		if n.Kind == ServerBad {
+			t.bad, t.lateBad = t.bad+1, t.lateBad+late
+		}
 		of[s.Zone] = t
 	}
-	anyWell := false
 	for i := range b.zones {
-		e, ok := b.zones[i].evidence(now)
-		anyWell = anyWell || ok && e.part() < zoneBad
-		if n := b.tellZone(now, i, of[i], e, ok); ok || b.zones[i].Epoch > 0 {
+		if n, ok := b.tellZone(now, &b.zones[i], of[i]); ok || b.zones[i].Epoch > 0 {
 			b.tells = append(b.tells, n)
 		}
 	}
@@ -146,35 +142,21 @@
 		sum.all, sum.bad, sum.badZones = sum.all+t.all, sum.bad+t.bad, sum.badZones+int(partOf(t.bad > 0))
 	}
 	b.tells = append(append(b.tells, b.tellSwings(now)...), b.tellLoads(now)...)
-	if ownLink(&sum, anyWell) {
+	if b.ownLink(now, sum) {
 		b.tells = nil
 	}
 	return slices.Clone(b.tells)
 }
 
-// evidence is what this copy has lately seen of a zone, if anything.
-func (z *zone) evidence(now int64) (e evidence, ok bool) {
-	if z.Standing == Away {
-		return z.long, z.long.last != 0 && now-z.long.last <= trialFresh
-	}
-	return z.fresh, z.fresh.last != 0 && now-z.fresh.last <= zoneFresh
-}
-
-// tellZone is what this copy tells of a zone.
-func (b *Balancer) tellZone(now int64, i int, t tried, e evidence, ok bool) Notice {
-	n := Notice{Kind: ZoneWell, Zone: b.s.Zone, Of: i, Value: b.zones[i].Share, At: now}
-	if b.zones[i].Standing == Leaving { // not yet left
-		n.Value = 1
-	}
+// tellZone is what this copy tells of a zone, and whether it has evidence on it.
+func (b *Balancer) tellZone(now int64, z *zone, t tried) (n Notice, ok bool) {
+	e, ok, _ := z.lately(now)
+	n = Notice{Zone: b.s.Zone, Of: z.Zone, At: now}
 	if ok {
 		n.Calls, n.Bad, n.At = e.calls, e.part(), e.last
 	}
-	if ok && callsZoneBad(e, t) {
-		n.Kind, n.Cause = ZoneBad, e.cause
-	} else if i == b.s.Zone && b.spill > pressBar {
-		n.Cause = Slow
-	}
-	return n
+	b.sayOf(z, &n, e, ok, t)
+	return n, ok
 }
 
 // Peers takes what others tell now.
--- a/logic/damping.go
+++ b/logic/damping.go
@@ -1,24 +1,41 @@
 package logic
 
+import "slices"
+
 // Removals and returns that follow each other fast do more harm than the server does: each moves load, costs
 // handshakes and starts the next one elsewhere. So what swings gets one steady, small share until it rests.
 const (
 	swingHalf   = 20 * second // a penalty halves in this time
 	swingMost   = 5.0         // and is no more than this: what has rested is back within 2.4 half times
-	swingMark   = 2.2         // a penalty over it damps: the third swing, where they are 10 s apart or less
-	swingReuse  = 1.0         // and one under it ends that
 	swingLong   = 60 * second // so does this time; the next swing then damps again
 	swingWindow = 2 * second  // swings that several observers saw within this are one
 	swingVotes  = 3           // observers that must have seen one; fewer where fewer live, see enough
 	swingDown   = 0.1         // health left from which a server has fallen: two failures in a row
 	swingWell   = 0.2         // part of bad calls of late from which it is back
 	dampedPart  = 0.1         // of its share is left to a server that swings
+
+	swingMark, swingReuse = 2.2, 1.0 // over it damps: the third swing, if 10 s apart or less; under this ends
 )
 
-// enough is how many observers must have seen a swing where so many proxies live: a single one's link can be
-// bad, and in a large fleet only some call a given server.
+// enough is how many observers must have seen a swing where so many live: one's own link can be bad.
 func enough(living int) int { return min(swingVotes, 1+living/4) }
 
+// counts tells whether a swing, seen by one observer more, now counts: enough saw it, and it leads back.
+func (r *swing) counts(now int64, down bool, v vote, enough int) bool {
+	if down == r.down || v.at <= r.last || v.at > now {
+		return false
+	}
+	r.votes = slices.DeleteFunc(r.votes, func(o vote) bool {
+		return o.observer == v.observer || v.at-o.at > swingWindow
+	})
+	if r.votes = append(r.votes, v); len(r.votes) < enough {
+		return false
+	}
+	r.down, r.last, r.votes = down, v.at, nil
+	r.penalty, r.at, r.fresh = min(r.left(now)+1, swingMost), now, true
+	return true
+}
+
 // steady tells whether a key is to get its steady share now.
 func (r *swing) steady(now int64) bool {
 	if left := r.left(now); r.since != 0 && (left < swingReuse || now-r.since >= swingLong) {
@@ -30,9 +47,8 @@
 	return r.since != 0
 }
 
-// swings looks whether a server that was well to this copy is bad or the other way round. Calls that are only
-// slow are no swing, a single failure is one where others show it, too, and having no room is none, or a
-// crowd would damp a part of its own tier.
+// swings looks whether a server that was well to this copy is bad or the other way round. Slow calls are no
+// swing, nor is having no room, or a crowd would damp its tier; a single failure is, if others show it, too.
 func (b *Balancer) swings(now int64, s *server) {
 	left := s.whole.left
 	for _, c := range s.classes {
@@ -45,9 +61,18 @@
 	}
 }
 
-// damp takes the swings that copies tell of, and damps servers, the longest damped first, as far as the
-// budget for removals goes, or alone this zone's part of it. It returns what is left of the budget and what
-// each zone has used. Silence counts as with verdicts. No list, ban, age or refused connection is overruled.
+// leases has a server that the list has no longer fall: one that comes back with the same start swings.
+func (b *Balancer) leases(now int64) {
+	for _, s := range b.all {
+		if f := b.flaps[s.ID]; b.zones != nil && (s.State == Gone || f.down && f.cause == leaseEnded) {
+			b.swung(now, s, s.State == Gone, leaseEnded)
+		}
+	}
+}
+
+// damp takes the swings that copies tell of, and damps servers, the longest damped first, within the budget
+// for removals, or alone this zone's part of it; it returns what is left and what each zone has used.
+// Silence counts as with verdicts. No list, ban, age or refused connection is overruled.
 func (b *Balancer) damp(now int64) (left int, out map[int]int) {
 	need := enough(b.peers.Near)
 	for n := range b.notices {
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -14,13 +14,12 @@
 )
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
-// subset grows where it has too few warm and healthy servers, or none that the request may go to. A server
-// that is back from a ban gets the first call that may go there and that it stands: it may be cold, in
-// another zone or outside the subset, and who called it back wants to see it serve.
+// subset grows where it has too few warm and healthy servers, or none that the request may go to. One back
+// from a ban gets the first call that it stands, wherever it is: who called it back wants to see it serve.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.draws.add(now)
 	for _, s := range b.ready {
-		if s.owed && b.mayGo(now, q, s) && b.stands(now, s) {
+		if s.owed && b.within(now, q, s) >= 0 && b.stands(now, s) {
 			s.owed = false
 			return s
 		}
@@ -50,7 +49,7 @@
 		warmth := b.warmth(now, s)
 		room, cold = room-s.healthFor(q.Class)*warmth, cold || warmth < 1 && b.s.TipMultiple > 0
 		w := 0.0
-		if b.mayGo(now, q, s) {
+		if b.within(now, q, s) >= 0 {
 			w = b.weigh(now, s, q.Class)
 		}
 		if q.tried(s) {
@@ -62,8 +61,7 @@
 		}
 		b.drawn, b.weights = append(b.drawn, s), append(b.weights, w)
 	}
-	// One that fails fast holds few calls, and these weigh heavily: by that alone it would draw the most. Its
-	// trials are a part of what goes to those that are well.
+	// One that fails fast holds few calls, so it would draw the most: its trials are a part of the best.
 	for i, s := range b.drawn {
 		part, unsafe := s.healthFor(q.Class), q.s.Classes[q.Class].Repeat == Unsafe
 		if unsafe && (s.damped || s.whole.left*s.told < wellPart) {
@@ -80,11 +78,11 @@
 	return b.pick(x)
 }
 
-// ration keeps rule 4 for the sum of all copies, as weights alone do not: a cold server that holds no calls
-// beside warm ones that do, or fail, draws the most by far. Its chance is held to what it stands (see rush).
-// The rest goes to the warm ones, as far as they are well, or is refused: the weight of that is returned.
+// ration keeps rule 4 for the sum of all copies: by weight alone a cold server without calls, beside warm
+// ones that have some or fail, draws the most by far. Its chance is held to what it stands (see rush). The
+// rest goes to warm ones, as far as they are well, or is refused: the weight of that is returned.
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
-	all, warm, able, more := 0.0, 0.0, 0.0, 0.0
+	all, warm, able := 0.0, 0.0, 0.0
 	for i, s := range b.drawn {
 		s.grown = b.grown(now, s)
 		if all += b.reach(s); s.grown == 1 && b.weights[i] > 0 {
@@ -98,9 +96,7 @@
 			b.weights[i], refused = b.weights[i]-over, refused+over
 		}
 	}
-	if warm > 0 {
-		more = refused * min(1, able/wellPart) / warm
-	}
+	more := refused * min(1, able/wellPart) / max(warm, math.SmallestNonzeroFloat64)
 	for i, s := range b.drawn {
 		if s.grown == 1 {
 			b.weights[i] *= 1 + more
@@ -109,14 +105,22 @@
 	return refused - more*warm
 }
 
-// stands tells whether a server that is back from a ban may get this copy's first call: if it is warm, or
-// this copy's part of what it stands is a whole call; otherwise by chance, lest all copies call at once.
+// stands tells whether one back from a ban may get a call: by chance, if this copy's part of it is under one.
 func (b *Balancer) stands(now int64, s *server) bool {
 	usual, present := b.rush(now)
 	part := usual * tipPart * b.s.TipMultiple * b.grown(now, s) / float64(len(b.ready))
 	return b.grown(now, s) == 1 || b.s.TipMultiple == 0 || part >= 1 || b.rnd.Float64() < part/present
 }
 
+// healthFor is a server's for a class; that of a damped one is steady, or less if it refuses connections.
+func (s *server) healthFor(class int) float64 {
+	left := s.whole.left * s.classes[class].left * s.told
+	if s.damped && (!s.refused || left > dampedPart) {
+		return dampedPart
+	}
+	return left
+}
+
 // reach is how far calls go to a server for its size and zone alone.
 func (b *Balancer) reach(s *server) float64 {
 	w := 1.0
@@ -129,8 +133,7 @@
 	return w
 }
 
-// weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
-// of this copy that it already holds.
+// weigh is a server's weight by its size, age and zone, what was learned of it and the calls that it holds.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
 	w *= b.reach(s) * s.tuned
@@ -141,8 +144,7 @@
 	return w
 }
 
-// warmth guards against pushing a cold server over (rule 4): its weight is under the least capacity that
-// a server of its age has.
+// warmth keeps a cold server's weight under the least capacity that one of its age has (rule 4).
 func (b *Balancer) warmth(now int64, s *server) float64 {
 	part := b.grown(now, s)
 	if part == 1 {
@@ -153,3 +155,22 @@
 	}
 	return coldMargin * part
 }
+
+// grown is the least part of its capacity that a server of its age has.
+func (b *Balancer) grown(now int64, s *server) float64 {
+	age := now - s.Launched
+	if s.Launched == 0 || age >= b.s.Cold {
+		return 1
+	}
+	return b.s.StartCapacity + (1-b.s.StartCapacity)*float64(max(age, 0))/float64(b.s.Cold)
+}
+
+// rush is how many requests usually come to this copy in Settings.FallSpan, and how many draws it has made in
+// the one that ends now. By these it judges what a cold server stands, as no copy knows its capacity or what
+// others send; docs/policy.md says what is taken for granted. Each draw has a chance, not each copy a number
+// of calls, so that the sum of all copies is as chance has it by Poisson, be they few or many.
+func (b *Balancer) rush(now int64) (usual, present float64) {
+	span := min(b.s.FallSpan, windowWhole)
+	seen := -math.Expm1(-float64(max(now-b.born, span)) / float64(tallySpan)) // of what a tally comes to hold
+	return b.came.at(now) * float64(span) / (float64(tallySpan) * seen), max(1, b.draws.sum(now, span))
+}
--- a/logic/learning.go
+++ b/logic/learning.go
@@ -13,15 +13,14 @@
 	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
 	slowMost    = 5.0  // times the mean: a single finish says no more than this
 	healthFloor = 0.05 // health left to a failing server, for trials
-	healthCut   = 0.3  // health kept after a failure that peers do not show
-	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
 	mostFail    = 0.75 // of all calls: where more fail, no server is blamed
 
-	spillLow   = 0.02 // weight of servers in other zones while home copes
-	spillStart = 0.3  // the same at a fresh copy of the front, which does not know how home copes
-	spillRise  = 0.15 // added after a round in which home was slow
-	spillFall  = 0.9  // factor after a good round
+	healthCut, healthRise = 0.3, 0.25 // health kept after an own failure; part of the loss a success mends
+
+	spillLow, spillStart = 0.02, 0.3 // weight of other zones while home copes; at a fresh copy of the front
+
+	spillRise, spillFall = 0.15, 0.9 // added after a round in which home was slow, a factor after a good one
 
 	meanGain = 0.05  // of the running means of time and of errors
 	baseGain = 0.001 // of the time under little load, upwards; it follows at once downwards
@@ -36,7 +35,7 @@
 	blame := b.judge(a.srv, q.Class, o.Status)
 	a.srv.refused = o.Status == ConnectFailed || failed && a.srv.refused
 	if b.zones != nil {
-		b.note(now, a, causeOf(o.Status))
+		b.note(now, a, causeOf[o.Status])
 		b.measure(now, a.srv, q.Class, o)
 	}
 	if !failed {
@@ -52,8 +51,8 @@
 	}
 }
 
-// slowBar is the time at which a call counts as slow: well before its aim, and also when it takes clearly
-// longer than calls do when little waits, since servers that hold too many turn slower for long.
+// slowBar is the time at which a call counts as slow: well before its aim, and clearly over the time of calls
+// when little waits, since servers that hold too many turn slower for long.
 func (b *Balancer) slowBar(class int) float64 {
 	bar := slowBar * float64(b.s.Classes[class].Aim)
 	if b.s.Stage > 0 || b.share <= crowdLow {
@@ -62,12 +61,10 @@
 	return min(bar, crowdBar*b.classes[class].base)
 }
 
-// press takes one piece of evidence on whether the shares and home are under pressure. A class also yields
-// to one that is worth clearly more: that one's slow calls cut its count.
+// press takes evidence on shares and home; slow calls of a class worth clearly more cut a class's count, too.
 func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
 	for i := range b.classes {
-		// One that has had no call out since it last learned has nothing to yield, and its count nothing to
-		// be cut to: it would fall to the least before its first call.
+		// One with no call out since it last learned has nothing to yield: its count would fall to the least.
 		if c := &b.classes[i]; c.rule.peak > 0 && b.value(class) > yieldRatio*b.value(i) {
 			c.rule.learn(&c.yield, now, a.sent, slow)
 		}
@@ -79,18 +76,16 @@
 	} else if f > 0 {
 		b.share = max(shareLow, min(b.share, b.shareBad)*f)
 	}
-	if a.zone != b.s.Zone {
-		return
-	}
-	if f := b.spillEv.add(now, a.sent, homeBad); f == 1 {
-		b.spill = max(spillLow, b.spill*spillFall)
-	} else if f > 0 {
-		b.spill = min(1, b.spill+spillRise)
+	if a.zone == b.s.Zone {
+		if f := b.spillEv.add(now, a.sent, homeBad); f == 1 {
+			b.spill = max(spillLow, b.spill*spillFall)
+		} else if f > 0 {
+			b.spill = min(1, b.spill+spillRise)
+		}
 	}
 }
 
-// watch counts calls as slow when they have been out for the slow bar, not when they end: in a jam that is
-// seconds later, and shares must fall before then.
+// watch counts calls as slow when they have been out for the slow bar: in a jam they end seconds later.
 func (b *Balancer) watch(now int64) {
 	for i := range b.classes {
 		c := &b.classes[i]
@@ -107,8 +102,7 @@
 
 // judge updates a server's health and tells whether a failure is its own. One that its peers show as well is
 // a deeper tier's and held against the counts; a refused connection never is, lest a lost zone be one. An
-// error that was answered concerns its class only, lest servers that fail one class be lost to all; silence
-// concerns the whole server.
+// error concerns its class only, lest servers that fail one class be lost to all; silence the whole server.
 func (b *Balancer) judge(s *server, class int, status Status) (blame bool) {
 	c, x := &b.classes[class], partOf(status != OK)
 	b.errs += (x - b.errs) * meanGain
@@ -124,9 +118,8 @@
 	return blame
 }
 
-// usual is the part of failed calls that a server may show unblamed when so many of all fail. Twice that part
-// would be out of reach from a half on, where a few servers that fail all drag the whole along. Where most
-// calls fail it is no server's own.
+// usual is the part of failed calls that a server may show unblamed when so many of all fail: twice that, or
+// less from a half on, where it would be out of reach. Where most calls fail it is no server's own.
 func usual(errs float64) float64 {
 	if errs > mostFail {
 		return 1
@@ -134,6 +127,9 @@
 	return min(blameRatio*errs, (1+errs)/2)
 }
 
+// gainAfter is the gain of a running mean: that of a plain mean over what was seen, but no less than least.
+func gainAfter(seen, least float64) float64 { return max(least, 1/(firstWorth+seen)) }
+
 // judge blames a failure where failures are more than a usual part.
 func (h *health) judge(x, usual float64) (blame bool) {
 	h.errs += (x - h.errs) * healthRise
@@ -145,12 +141,12 @@
 	return blame
 }
 
-// reward moves the weight of a server towards its speed: the mean time of all over its own.
-// The time itself sets the aim of each step; summing up steps would end with all calls at one server
-// wherever load does not slow it down.
+// reward moves the weight of a server towards its speed: the mean time of all over its own. The time sets the
+// aim of a step: steps alone would add up to all calls at one server where load does not slow it down.
 func (b *Balancer) reward(c *classState, s *server, took float64) {
 	ratio := min(took/max(c.mean, 1), slowMost)
 	s.slowness += (ratio - s.slowness) * slowGain
+	s.told = 1 // until others tell again that it is bad
 	c.seen++
 	c.mean += (took - c.mean) * gainAfter(c.seen, meanGain)
 	c.base = min(c.mean, c.base+(c.mean-c.base)*gainAfter(c.seen, baseGain))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,18 +1,13 @@
-// The decisions of the balancer: here how one begins, in rules.go, members.go, attempts.go, draw.go,
-// learning.go, verdicts.go and zones.go the rest. The interface (settings, events, actions) is in api.go.
-// Before each send the rules are checked in order, as Sentinel's FlowSlot does: the tier's (thread grade,
-// cluster node), the tenant's (QPS grade, origin node), the class's (thread grade, default node). A rule
-// over its count fails fast and unsent. Counts are learned: they start high, rise after rounds of timely
-// finishes and are cut after bad ones. A call that passes goes to a server by a weighted random draw.
+// The decisions of the balancer; its interface is in api.go. Before each send the rules are checked in order,
+// as Sentinel's FlowSlot does: the tier's (thread grade, cluster node), the tenant's (QPS grade, origin
+// node), the class's (thread grade, default node). A call over a count fails fast, unsent. Counts start high,
+// rise after timely rounds, are cut after bad ones. What passes goes to a server by a weighted random draw.
 package logic
 
 import "math/rand/v2"
 
-const (
-	ownSpan  = 10 * second // without a stated budget, this one holds
-	ownFree  = 5.0         // further attempts in it, whatever was taken
-	ownShare = 0.1         // and for each request taken
-)
+// Without a stated budget: its span, the further attempts in it, and those for each request taken.
+const ownSpan, ownFree, ownShare = 10 * second, 5.0, 0.1
 
 // New returns a Balancer for the settings; all its random draws come from the seed.
 func New(s Settings, seed uint64) (*Balancer, error) {
--- a/logic/members.go
+++ b/logic/members.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	subsetLeast = 4.0      // servers that a copy spreads its calls over, at least
-	subsetRoot  = 3.0      // and times the root of its calls a second, so that it meets each one often enough
-	golden      = 0.618034 // steps of this part of a ring spread any number of starts evenly
+	golden = 0.618034 // steps of this part of a ring spread any number of starts evenly
+
+	subsetLeast, subsetRoot = 4.0, 3.0 // servers of a copy: at least, and by the root of its calls a second
 
 	watchFirst, watchMost = second / 4, second // backoff of a failed subscription doubles up to this
 	watchPart, watchToken = 8, "watch"         // and up to this part of AskEvery if that is less
@@ -60,8 +60,7 @@
 	s.Server = e
 }
 
-// Ban has these servers and no others left out by hand, whatever the list says of them and if none is left.
-// One that comes back may have restarted meanwhile: it starts with nothing held against it.
+// Ban has these servers and no others left out by hand, if need be all. One that comes back starts afresh.
 func (b *Balancer) Ban(ids map[string]bool) {
 	was := b.banned
 	b.banned = ids
@@ -74,8 +73,7 @@
 	b.relist()
 }
 
-// relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is out of
-// the draw from the moment that the list says that it drains or is gone, or that it is banned.
+// relist forgets gone servers and gathers the ready: one that drains or is banned is out at once (rule 3).
 func (b *Balancer) relist() {
 	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
 		if s.State == Gone {
@@ -92,10 +90,8 @@
 	b.rotate()
 }
 
-// rotate orders the ready servers so that this copy's subset comes first: they stand on a ring in the order
-// of their hashes, and copies start at places spread over it. With many copies each server would otherwise
-// hold a connection of every one, which costs it capacity and turns new ones away, and each copy would see
-// too few calls to a server to judge it.
+// rotate puts this copy's subset first: copies start spread over a ring of servers by their hashes. Otherwise
+// each held a connection of every copy, which costs it capacity, and a copy saw too few calls to judge it.
 func (b *Balancer) rotate() {
 	slices.SortFunc(b.ready, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.ID, y.ID))
@@ -109,8 +105,7 @@
 	}
 }
 
-// rank orders the ready servers: those at home first, those of zones that are away last. At a low rate the
-// subset is a few servers: of the whole ring most of them would be far, whatever their weight.
+// rank puts servers at home first, as a small subset of the ring may be mostly far, and zones left last.
 func (b *Balancer) rank(s *server) int {
 	z := b.zone(s.Zone)
 	return 2*int(partOf(z != nil && z.Standing == Away)) + int(partOf(s.Zone != b.s.Zone))
--- a/logic/rules.go
+++ b/logic/rules.go
@@ -9,17 +9,11 @@
 
 const (
 	startCount = 1e6 // a count before its first round: a fresh copy refuses nothing while servers answer
-	minCount   = 0.3 // a count never falls below this: some calls must go on to bring evidence
-	deepCount  = 8.0 // the same in a late tier, where refusing wastes the work done so far
-	riseStep   = 1.0 // added to a count after a good round
-	risePart   = 0.2 // but no more than this part of a small count
 	spareTimes = 1.5 // a good round leaves a count no higher than this times the calls it saw out: an
 	spareCalls = 2.0 // unused count guards from no burst; and this many more, for chance at sparse copies
 	cutDepth   = 0.6 // a bad round cuts a count or a share by this times its bad part
 	roundSize  = 12  // finishes in a round of evidence: fewer are chance, more are late
 	roundSpan  = 2   // aims: a round with fewer finishes has lasted long enough
-	badPart    = 0.4 // a larger part of late or failed finishes makes a round bad for the counts
-	hopeless   = 0.7 // the same in a late tier
 	slowMuch   = 0.3 // a larger part of slow finishes makes a round bad for the shares and for home
 
 	shareStart = 2.0  // multiple of its share that a tenant may pass before any evidence, and at most
@@ -31,6 +25,12 @@
 	chanceRoom = 2.0  // standard deviations of a Poisson count above the mean that are taken for chance
 	windowHold = 24.0 // a QPS window stretches until its count times its length is this much
 
+	minCount, deepCount = 0.3, 8.0 // least counts: some calls must bring evidence; late refusals waste work
+
+	badPart, hopeless = 0.4, 0.7 // a larger part of late or failed finishes makes a round bad; in a late tier
+
+	riseStep, risePart = 1.0, 0.2 // added to a count after a good round, but no more than this part of it
+
 	firstMean = 0.25 // of the aim: a fresh copy's guess at the mean time
 )
 
@@ -73,9 +73,8 @@
 	r.peak = r.threads
 }
 
-// canPass stretches the one-second window of a small count, so that fractional counts work. A fresh copy's
-// window is no longer than its life, or it would let a long window's worth through at once. Room for chance
-// guards sparse copies, where single calls fill a tenant's count.
+// canPass stretches the one-second window of a small count, so that fractions work, but not beyond a fresh
+// copy's life: that would pass a long window's worth at once. Room for chance guards sparse copies.
 func (r *originRule) canPass(now, born int64, count, room, u float64) bool {
 	span := second
 	for span < windowWhole && count*float64(span/second) < windowHold && now-born >= span {
@@ -115,14 +114,11 @@
 
 // canPass checks the rules in order.
 func (b *Balancer) canPass(now int64, q *request) bool {
-	if !b.tier.canPass(b.rnd.Float64()) {
-		return false
-	}
-	if i := b.tenant(q); i >= 0 && !b.tenants[i].canPass(now, b.born, b.share*b.fair*b.s.Tenants[i].Portion,
-		b.room(now, i), b.rnd.Float64()) {
-		return false
-	}
-	return b.classes[q.Class].rule.canPass(b.rnd.Float64())
+	i := b.tenant(q)
+	return b.tier.canPass(b.rnd.Float64()) &&
+		(i < 0 || b.tenants[i].canPass(now, b.born, b.share*b.fair*b.s.Tenants[i].Portion, b.room(now, i),
+			b.rnd.Float64())) &&
+		b.classes[q.Class].rule.canPass(b.rnd.Float64())
 }
 
 // value is a class's worth for each unit of work, by the time that its calls take when little waits.
--- a/logic/state.go
+++ b/logic/state.go
@@ -79,16 +79,6 @@
 	return 0
 }
 
-// healthFor is a server's for the calls of a class; one that is damped has one that is steady, or less if it
-// refuses connections.
-func (s *server) healthFor(class int) float64 {
-	left := s.whole.left * s.classes[class].left * s.told
-	if s.damped && (!s.refused || left > dampedPart) {
-		return dampedPart
-	}
-	return left
-}
-
 type attempt struct {
 	srv     *server
 	sent    int64
@@ -308,9 +298,6 @@
 	return nil
 }
 
-// gainAfter is the gain of a running mean: that of a plain mean over what was seen, until that falls to least.
-func gainAfter(seen, least float64) float64 { return max(least, 1/(firstWorth+seen)) }
-
 // finish marks a request as over and forgets it once all its attempts have ended; only then is it the
 // turn of the next one with its key.
 func (b *Balancer) finish(now int64, h Host, q *request) {
--- a/logic/sums.go
+++ b/logic/sums.go
@@ -102,11 +102,6 @@
 	}
 }
 
-// sameStart tells whether a notice is of the server's present process; its start has come over another's clock.
-func sameStart(s *server, n Notice) bool { return sameTime(s.Launched, n.Launched) }
-
-func sameTime(x, y int64) bool { return max(x-y, y-x) < second }
-
 // within is a number that others told, kept between 0 and most.
 func within(x, most float64) float64 {
 	if !(x >= 0) {
--- a/logic/swings.go
+++ b/logic/swings.go
@@ -53,18 +53,7 @@
 		}
 		d.swings[key] = r
 	}
-	if !sameTime(start, r.start) || down == r.down || at <= r.last || at > now {
-		return false
-	}
-	r.votes = slices.DeleteFunc(r.votes, func(v vote) bool {
-		return v.observer == observer || at-v.at > swingWindow
-	})
-	if r.votes = append(r.votes, vote{observer, at}); len(r.votes) < enough {
-		return false
-	}
-	r.down, r.last, r.votes = down, at, nil
-	r.penalty, r.at, r.fresh = min(r.left(now)+1, swingMost), now, true
-	return true
+	return sameTime(start, r.start) && r.counts(now, down, vote{observer, at}, enough)
 }
 
 // left is the penalty now.
@@ -118,17 +107,6 @@
 	b.flaps[s.ID] = f
 }
 
-// leases notes the servers that a list has no longer: one that comes back with the same start swings.
-func (b *Balancer) leases(now int64) {
-	for _, s := range b.all {
-		if b.zones != nil {
-			if f := b.flaps[s.ID]; s.State == Gone || f.down && f.cause == leaseEnded {
-				b.swung(now, s, s.State == Gone, leaseEnded)
-			}
-		}
-	}
-}
-
 // leaseEnded is a cause that only this copy's books have: it is told as none.
 const leaseEnded Cause = -1
 
--- a/logic/tuning.go
+++ b/logic/tuning.go
@@ -6,19 +6,18 @@
 	"fernlanding/internal/tail"
 )
 
-// Weights tuned for the tail: what all copies tell of loads and times gives each server's curve, the curves
-// the loads whose tail is least, and each round moves the weights a step towards these. One that is cold,
-// bad, damped or hardly called is not tuned, and zones keep what they have.
+// Weights tuned for the tail: by what all copies tell, each round moves them a step towards the loads of the
+// least tail. One that is cold, bad, damped or hardly called is not tuned, and zones keep what they have.
 const (
 	tuneEvery  = 3 * second // a round lasts this long, and up to half of it more: copies do not step together
-	tuneStep   = 0.1        // the logarithm of a weight moves by this at most in a round
-	tuneGain   = 0.5        // and by this part of the way
-	tuneMost   = 1.0        // and stays within this
+	tuneMost   = 1.0        // the logarithm of a weight stays within this
 	tuneLeak   = 0.03       // part of it that each round takes back, that chance does not add up
 	tuneChance = 1.0        // standard deviations of the calls seen by which a load may miss by chance
 	tuneCalls  = 8.0        // lately seen calls of all copies from which a server is tuned
 	tuneWorse  = 4.0        // over the root of this copy's calls: a tail worse by more takes the step back
 	tuneFailed = 2.0        // the power of the answered part by which the time of one that fails counts more
+
+	tuneStep, tuneGain = 0.1, 0.5 // a round moves the logarithm by this at most, and this part of the way
 )
 
 var tuneLearning = tail.Learning{Use: 0.5, Spread: 0.3, Fade: 0.9, Miss: 1.6, Floor: 0.2}
@@ -61,8 +60,7 @@
 
 func clamp(x, most float64) float64 { return min(max(x, -most), most) }
 
-// tuneGroup steps the weights of servers towards the loads whose tail is least. The time of one that fails
-// counts for more: it is fast because it fails.
+// tuneGroup steps weights towards the loads of the least tail. One that fails counts as slower than it seems.
 func (b *Balancer) tuneGroup(group []*server) {
 	seen, mean := make([]tail.Seen, len(group)), 0.0
 	for i, s := range group {
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -8,32 +8,32 @@
 // What this copy calls bad when it tells others, and what the verdicts of others do to a server's weight.
 
 const (
-	freshSpan   = 2 * second / 5 // evidence on a zone that stands well, and on a server, fades over this
-	trialSpan   = 2 * second     // the same of a zone that gets trials only
-	zoneFresh   = second         // evidence on a zone is told for so long after the latest call
-	trialFresh  = 4 * second     // the same of a zone that gets trials only
-	serverFresh = 5 * second     // the same of a server
-	quietMeans  = 3.0            // a call that is out for so many mean times counts as bad until it ends
-	quietLeast  = second / 10    // but for so long at least
-	serverCalls = 5.0            // evidence on a server is that of about its last so many calls
-	badServer   = 0.5            // part of bad calls from which a server is called bad
-
-	verdictOthers = 2         // copies that must call a server bad before that touches its weight
-	verdictCalls  = 3.0       // and the bad calls that they must have seen together
-	verdictMost   = 10.0      // calls of one copy count as no more than this
-	verdictPart   = 1.0 / 3.0 // of a tier's or a zone's ready servers: verdicts take out no more
-	linkServers   = 3         // a copy that sees so many servers bad over two zones or more, and none well in
-	linkPart      = 0.6       // most of what it tried, has a bad link of its own and tells nothing
+	freshSpan, trialSpan = 2 * second / 5, 2 * second // evidence fades over this; that of trials over that
+
+	zoneFresh, trialFresh = second, 4 * second // evidence on a zone is told so long after a call, or a trial
+
+	serverFresh = 5 * second // evidence on a server is told for so long after the latest call
+	serverCalls = 5.0        // evidence on a server is that of about its last so many calls
+	badServer   = 0.5        // part of bad calls from which a server is called bad
+
+	verdictMost = 10.0      // calls of one copy count as no more than this
+	verdictPart = 1.0 / 3.0 // of a tier's or a zone's ready servers: verdicts take out no more
+	linkServers = 3         // a copy that sees so many servers bad over two zones or more, and none well in
+	linkPart    = 0.6       // most of what it tried, has a bad link of its own and tells nothing
+
+	quietMeans, quietLeast = 3.0, second / 10 // a call out for so many mean times, and so long, is bad
+
+	verdictOthers, verdictCalls = 2, 3.0 // copies that must call a server bad, and the bad calls they saw
 )
 
 // causeOf is how an attempt that ended so counts as evidence on its server.
-func causeOf(s Status) Cause {
-	return [...]Cause{OK: NoCause, Error: Failing, FullUp: Crowded, TimedOut: Silent, ConnectFailed: Silent,
-		Reset: Silent, Cancelled: Silent, Moot: Silent}[s]
-}
+var causeOf = [...]Cause{OK: NoCause, Error: Failing, FullUp: Crowded, TimedOut: Silent,
+	ConnectFailed: Silent, Reset: Silent, Cancelled: Silent, Moot: Silent}
 
-// quiet tells whether a call is out for far longer than calls take: it then counts as bad until it ends. Of
-// one that must not run twice the time-out comes seconds later.
+// zoneCause is how a cause counts for the zone: a server that turned a call away is there, and has no room.
+var zoneCause = [...]Cause{Failing: Failing, Silent: Silent, Slow: Slow, Crowded: NoCause}
+
+// quiet tells whether a call is out for far longer than calls take. A time-out may come seconds later.
 func (b *Balancer) quiet(now int64, class int, a *attempt) bool {
 	return now-a.sent > max(quietLeast, int64(quietMeans*b.classes[class].mean))
 }
@@ -43,27 +43,50 @@
 	return s.seen.part() >= badServer || s.whole.left < wellPart && s.seen.badAt > s.okAt
 }
 
-// callsZoneBad tells whether this copy calls a zone bad: most calls are, and at least half of its servers.
-func callsZoneBad(e evidence, t tried) bool {
-	return e.part() >= zoneBad && t.lateBad > 0 && 2*t.lateBad >= t.late
+// says is what this copy says of a server, if anything: that it is bad, or well where others call it bad.
+func (s *server) says(now int64) (kind NoticeKind, cause Cause, at int64, ok bool) {
+	if s.callsBad() {
+		return ServerBad, s.seen.cause, s.seen.badAt, true
+	}
+	return ServerWell, NoCause, s.okAt, s.verdict.others > 0 && now-s.okAt <= serverFresh
 }
 
-// serversSince is for how long a server that was tried counts for that.
-func serversSince(z *zone) int64 {
-	if z != nil && z.Standing == Away {
-		return trialFresh
+// lately is what this copy has lately seen of a zone, if anything, and for how long a server counts as tried.
+func (z *zone) lately(now int64) (e evidence, ok bool, tried int64) {
+	e, span, tried := z.fresh, zoneFresh, zoneFresh/2
+	if z.Standing == Away {
+		e, span, tried = z.long, trialFresh, trialFresh
+	}
+	return e, e.since(now, span), tried
+}
+
+// sayOf says of a zone that it is bad if most calls are, at half of its servers. Leaving is not yet left.
+func (b *Balancer) sayOf(z *zone, n *Notice, e evidence, ok bool, t tried) {
+	n.Kind, n.Value = ZoneWell, max(z.Share, partOf(z.Standing == Leaving))
+	if ok && e.part() >= zoneBad && t.lateBad > 0 && 2*t.lateBad >= t.late {
+		n.Kind, n.Cause = ZoneBad, e.cause
+	} else if z.Zone == b.s.Zone && b.spill > pressBar {
+		n.Cause = Slow
 	}
-	return zoneFresh / 2
 }
 
 // ownLink tells whether what this copy sees is more likely a bad link of its own: then it condemns nobody.
-func ownLink(t *tried, anyWell bool) bool {
-	return t.bad >= linkServers && t.badZones > 1 && float64(t.bad) > linkPart*float64(t.all) && !anyWell
+func (b *Balancer) ownLink(now int64, t tried) bool {
+	for i := range b.zones {
+		if e, ok, _ := b.zones[i].lately(now); ok && e.part() < zoneBad {
+			return false
+		}
+	}
+	return t.bad >= linkServers && t.badZones > 1 && float64(t.bad) > linkPart*float64(t.all)
 }
 
-// condemn leaves trials at most to servers that enough copies call bad, the worst first, as far as the budget
-// goes. What this copy was answered since tells more. Silence is told of a way, not of a server: only that of
-// copies in this zone counts.
+// sameStart tells whether a notice is of the server's present process; its start is by another's clock.
+func sameStart(s *server, n Notice) bool { return sameTime(s.Launched, n.Launched) }
+
+func sameTime(x, y int64) bool { return max(x-y, y-x) < second }
+
+// condemn leaves trials at most to servers that enough copies call bad, the worst first, within the budget.
+// What this copy was answered since tells more. Silence is told of a way: only that of its own zone counts.
 func (b *Balancer) condemn(now int64) {
 	b.sumServers(now, func(n Notice) bool { return n.Cause != Silent || n.Zone == b.s.Zone }, verdictMost)
 	var bad []*server
--- a/logic/zones.go
+++ b/logic/zones.go
@@ -2,35 +2,35 @@
 
 import "slices"
 
-// How a zone stands as seen from this copy's own, and what it gets. All copies of a zone decide from the same
-// evidence, the sum of what they tell of it, so that they leave it together and return at one pace.
+// How a zone stands as seen from home. All copies of a zone go by one sum, so that they act together.
 
 const (
-	zoneLeast  = 0.2             // calls from which a copy has evidence on a zone
-	zoneMost   = 6.0             // calls of one copy count as no more than this: one alone outvotes nobody
-	zoneCalls  = 4.0             // calls that the copies must have made together for a zone to be left
-	zoneAgain  = 2.0             // the same at a zone that is being returned to
-	zoneBad    = 0.6             // part of bad calls from which a copy calls a zone bad and copies leave it
-	betterPart = 0.5             // of its bad part: more must not fail in the other zones, or nobody leaves
-	leaveHold  = 3 * second / 20 // that must last so long
-	leaveShare = 0.3             // and until then it gets this part
-
-	pressBar   = 0.35 // weight of other zones above which a copy tells that home is slow
-	pressSpill = 0.15 // weight of other zones while most copies tell so, at least
-	spillWell  = 0.01 // weight of one server elsewhere, and no more than one, while all find that home copes
-
-	awayLeast  = 3 * second   // a zone stays away so long at least, doubled each time it was left lately
-	awayMost   = 60 * second  // and at most so long
+	zoneLeast  = 0.2 // calls from which a copy has evidence on a zone
+	zoneMost   = 6.0 // calls of one copy count as no more than this: one alone outvotes nobody
+	zoneBad    = 0.6 // part of bad calls from which a copy calls a zone bad and copies leave it
+	betterPart = 0.5 // of its bad part: more must not fail in the other zones, or nobody leaves
+
+	zoneCalls, zoneAgain = 4.0, 2.0 // calls of all copies that a zone is left by, and left again by
+
+	leaveHold, leaveShare = 3 * second / 20, 0.3 // that must last so long; until then it gets this part
+
+	pressBar, pressSpill = 0.35, 0.15 // spill from which a copy tells that home is slow; least while most do
+
+	spillWell = 0.01 // weight of one server elsewhere, and no more than one, while all find that home copes
+
+	awayLeast, awayMost = 3 * second, 60 * second // of a stay away, doubled for each time left lately
+
 	flapForget = 120 * second // after which none of those times counts
 	trialRate  = 3.0          // trials a second that a zone gets from all copies together
-	trialGood  = 3.0          // good ones, as far as they have not faded, that let it return
-	trialBad   = 0.25         // and the part of bad ones that does not
 	trialAlone = 0.9          // calls of which none was bad are enough at a copy that hears nobody
 	blindWait  = 30 * second  // with few trials or none, as where all calls are unsafe, it returns after this
-	stepLeast  = second       // each step of a return lasts this long
-	stepPart   = 0.2          // and this part of the time in which a server is warm
-	aloneTimes = 4            // and this many times as long at a copy that hears nobody
 	settle     = second       // a copy joins the others if they stand otherwise for so long
+
+	stepLeast, stepPart = second, 0.2 // a step of a return lasts so long, and this part of Settings.Cold
+
+	trialGood, trialBad = 3.0, 0.25 // good trials, unfaded, that let it return; a bad part that does not
+
+	aloneTimes = 4 // and this many times as long at a copy that hears nobody
 )
 
 // returnSteps are the parts of its fair weight that a zone gets one after the other as it is returned to.
@@ -78,9 +78,8 @@
 }
 
 // lost tells whether the copies of this zone see another, or home, as lost: most of those with evidence, more
-// than a third of all (so many may lie) and most calls say so, over several servers, while the others are
-// clearly better and can take what it had. A copy that hears nobody knows too little to tell a lost zone from
-// a bad link of its own.
+// than a third of all (so many may lie) and most calls say so, over several servers, and the others are
+// clearly better. A copy that hears nobody cannot tell a lost zone from a bad link of its own.
 func (b *Balancer) lost(z *zone) bool {
 	s, need, servers := &z.sum, zoneCalls, min(2, z.sum.ready)
 	if z.Standing == Returning {
@@ -94,8 +93,7 @@
 // open tells whether calls may go to a zone and would find a server.
 func (z *zone) open() bool { return z.Standing != Leaving && z.Share > 0 && z.sum.ready > 0 }
 
-// othersGive is the part that most of the other copies of this zone give a zone, if that is known to be more
-// or less than this one gives it.
+// othersGive is the part that most other copies of this zone give a zone, where known to differ from its own.
 func (b *Balancer) othersGive(z *zone) float64 {
 	least, most := z.sum.median(b.peers.Near - 1)
 	if b.peers.Alone || b.peers.Near < 3 {
@@ -106,14 +104,12 @@
 
 // follow puts a zone where most other copies have it.
 func (b *Balancer) follow(now int64, h Host, z *zone, share float64) {
-	if share == 0 {
-		if b.openBeside(z) {
-			b.leaveZone(now, h, z)
-		}
-		return
+	if share > 0 {
+		step, _ := slices.BinarySearch(returnSteps[:], min(share, 1))
+		b.returnTo(now, h, z, step)
+	} else if b.openBeside(z) {
+		b.leaveZone(now, h, z)
 	}
-	step, _ := slices.BinarySearch(returnSteps[:], min(share, 1))
-	b.returnTo(now, h, z, step)
 }
 
 func (b *Balancer) leaveZone(now int64, h Host, z *zone) {
@@ -148,21 +144,18 @@
 	return int64(float64(max(b.peers.Near, 1)) / trialRate * float64(second))
 }
 
-// trial is a server of a zone that is away, if one is due for a try and the request may be sent again
-// elsewhere.
+// trial is a server of a zone that is away and due for a try, if the request may then be sent elsewhere.
 func (b *Balancer) trial(now int64, q *request) *server {
 	k := q.s.Classes[q.Class]
 	if len(q.attempts) > 0 || k.Repeat == Unsafe || k.Repeat == Keyed && k.Group != GroupAll {
 		return nil
 	}
 	for i := range b.zones {
-		z := &b.zones[i]
-		if z.Standing != Away || now < z.trial {
-			continue
-		}
-		z.trial = now + b.trialGap()/2 + b.rnd.Int64N(b.trialGap())
-		if of := b.readyIn(z); len(of) > 0 {
-			return of[b.rnd.IntN(len(of))]
+		if z := &b.zones[i]; z.Standing == Away && now >= z.trial {
+			z.trial = now + b.trialGap()/2 + b.rnd.Int64N(b.trialGap())
+			if of := b.readyIn(z); len(of) > 0 {
+				return of[b.rnd.IntN(len(of))]
+			}
 		}
 	}
 	return nil
