Say of each function outside the policy files why it does not decide

docs/policy.md has a row for each function of logic and internal/tail outside the policy files: what it gives, and why that is no decision, or that it is one and left.

TestFit and FuzzSolve hand the 8 over.

--- a/internal/tail/aim.go
+++ b/internal/tail/aim.go
@@ -15,6 +15,7 @@
 	Spread float64 // loads that differ by this part of their mean say as much of a curve as that guess
 	Fade   float64 // what is left of what was seen before
 	Miss   float64 // a time that is this many times off its curve begins a new one: the server is another
+	Bend   float64 // a curve's slope stays within this factor of that guess
 	Floor  float64 // part of an equal load that each server gets at least
 }
 
@@ -29,13 +30,13 @@
 	}
 	servers := make([]Server, len(seen))
 	for i, x := range seen {
-		base, cap, ok := x.Fit.Curve(slots, l.Spread)
+		base, cap, ok := x.Fit.Curve(slots, l.Spread, l.Bend)
 		if off := x.Time / Time(base, cap, x.Load); !ok || off > l.Miss || off < 1/l.Miss {
 			*x.Fit = Fit{}
 		}
 		x.Fit.Fade(l.Fade)
 		x.Fit.Add(x.Load, x.Time, x.Weight)
-		base, cap, _ = x.Fit.Curve(slots, l.Spread)
+		base, cap, _ = x.Fit.Curve(slots, l.Spread, l.Bend)
 		servers[i] = Server{Base: base, Cap: cap, Floor: l.Floor * demand / n}
 	}
 	loads, _ := s.Solve(nil, servers, demand)
--- a/internal/tail/learn.go
+++ b/internal/tail/learn.go
@@ -30,15 +30,15 @@
 
 // Curve returns the curve through what was seen; ok is false where that is nothing. Loads that hardly differ
 // say nothing of the slope: slots is a guess at it, which counts as much as loads that differ by a part spread
-// of their mean, and the answer stays within a factor of 8 of it.
-func (f Fit) Curve(slots, spread float64) (base, cap float64, ok bool) {
+// of their mean, and the answer stays within a factor bend of it.
+func (f Fit) Curve(slots, spread, bend float64) (base, cap float64, ok bool) {
 	if slots = clean(slots); !(f.w > 0) || slots == 0 || math.IsInf(f.xx, 1) || math.IsInf(f.xy, 1) {
 		return 0, 0, false
 	}
 	x, y, guess := f.x/f.w, f.y/f.w, 1/slots
 	rigid := spread * spread * x * x
 	slope := (rigid*guess - (f.xy/f.w - x*y)) / (max(f.xx/f.w-x*x, 0) + rigid)
-	slope = min(max(slope, guess/8), 8*guess)
+	slope = min(max(slope, guess/bend), bend*guess)
 	top := y + slope*x
 	if base, cap = 1/top, top/slope; !(clean(base) > 0) || !(clean(cap) > 0) {
 		return 0, 0, false
--- a/internal/tail/tail_test.go
+++ b/internal/tail/tail_test.go
@@ -152,7 +152,7 @@
 		var g Fit
 		g.Add(base, cap, floor)
 		g.Add(other, worth, 1)
-		if b, c, ok := g.Curve(price, 0.2); ok && !(b > 0 && c > 0 && !math.IsInf(b+c, 1)) {
+		if b, c, ok := g.Curve(price, 0.2, 8); ok && !(b > 0 && c > 0 && !math.IsInf(b+c, 1)) {
 			t.Fatalf("a curve of base %g, capacity %g", b, c)
 		}
 	})
@@ -182,7 +182,7 @@
 		}
 		whole.Merge(part)
 		whole.Fade(0.5) // weights alone say nothing
-		base, cap, ok := whole.Curve(c.guess*1000, 0.1)
+		base, cap, ok := whole.Curve(c.guess*1000, 0.1, 8)
 		if !ok || math.Abs(base/c.wantBase-1) > c.within || math.Abs(base*cap/1000/c.wantSlots-1) > c.within {
 			t.Errorf("%s: base %g, %g slots, %v", c.name, base, base*cap/1000, ok)
 		}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -231,6 +231,9 @@
 	}
 }
 
+// unspent is from when on no window holds what was spent of the budget until now, here or elsewhere.
+func (b *Balancer) unspent(now int64) int64 { return now + b.s.BudgetSpan }
+
 // again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget's
 // window ends now: an attempt at its far edge counts, a request taken there does not.
 func (b *Balancer) again(now int64, h Host, q *request) bool {
--- a/logic/books.go
+++ b/logic/books.go
@@ -8,7 +8,7 @@
 )
 
 // The data that verdicts and zones are decided by: what this copy saw and tells, the sum of what all tell, and
-// how zones stand. This file keeps books; it decides nothing.
+// how zones stand. What here decides, or why it does not: docs/policy.md.
 
 // evidence counts calls and how many of them were bad. Both fade, with time and with each further call, so that
 // the part is that of the latest: it must also tell of a zone that calls have begun to avoid.
--- a/logic/counts.go
+++ b/logic/counts.go
@@ -8,7 +8,6 @@
 	second       = int64(1_000_000) // all times are microseconds
 	windowTicks  = 64               // buckets of the sliding window
 	windowBucket = second / 8
-	tallySpan    = 30 * second // memory of a tally
 	windowWhole  = windowTicks * windowBucket
 )
 
--- a/logic/damping.go
+++ b/logic/damping.go
@@ -10,10 +10,10 @@
 	swingLong   = 60 * second // so does this time; the next swing then damps again
 	swingWindow = 2 * second  // swings that several observers saw within this are one
 	swingVotes  = 3           // observers that must have seen one; fewer where fewer live, see enough
-	swingDown   = 0.1         // health left from which a server has fallen: two failures in a row
-	swingWell   = 0.2         // part of bad calls of late from which it is back
 	dampedPart  = 0.1         // of its share is left to a server that swings
 
+	swingDown, swingWell = 0.1, 0.2 // health of one that fell: two failures; bad part of one that is back
+
 	swingMark, swingReuse = 2.2, 1.0 // over it damps: the third swing, if 10 s apart or less; under this ends
 )
 
@@ -36,6 +36,9 @@
 	return true
 }
 
+// rested tells whether a record may be forgotten.
+func (r *swing) rested(now int64) bool { return r.left(now) < swingReuse/2 && now-r.last > swingHalf }
+
 // steady tells whether a key is to get its steady share now.
 func (r *swing) steady(now int64) bool {
 	if left := r.left(now); r.since != 0 && (left < swingReuse || now-r.since >= swingLong) {
@@ -70,9 +73,8 @@
 	}
 }
 
-// damp takes the swings that copies tell of, and damps servers, the longest damped first, within the budget
-// for removals, or alone this zone's part of it; it returns what is left and what each zone has used.
-// Silence counts as with verdicts. No list, ban, age or refused connection is overruled.
+// damp damps servers by the swings that copies tell of, the longest damped first, within the budget for
+// removals, alone this zone's part of it; it returns what is left and each zone's use. No ban is overruled.
 func (b *Balancer) damp(now int64) (left int, out map[int]int) {
 	need := enough(b.peers.Near)
 	for n := range b.notices {
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// How the allowance for further attempts passes to a successor and back. Nothing is decided here.
+// How the allowance for further attempts passes to a successor and back: docs/policy.md says why that is no decision.
 
 // HandOver tells a successor, which serves beside this Balancer from now on, what has been used of the
 // allowance for further attempts. The free part of it and what was earned are the successor's then; this one
@@ -23,6 +23,6 @@
 func (b *Balancer) Alone(now int64) {
 	b.shared = false
 	if b.free == math.MaxInt64 {
-		b.free = now + b.s.BudgetSpan
+		b.free = b.unspent(now)
 	}
 }
--- a/logic/learning.go
+++ b/logic/learning.go
@@ -1,7 +1,5 @@
 package logic
 
-// What the ends of attempts tell of servers, counts, shares and zones.
-
 const (
 	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
 	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
@@ -9,21 +7,21 @@
 	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
 	yieldRatio = 1.5 // a class yields to one that is worth more than this many times as much for its work
 
-	slowGain    = 0.1  // how far one finish moves a server's slowness
 	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
-	slowMost    = 5.0  // times the mean: a single finish says no more than this
 	healthFloor = 0.05 // health left to a failing server, for trials
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
 	mostFail    = 0.75 // of all calls: where more fail, no server is blamed
 
 	healthCut, healthRise = 0.3, 0.25 // health kept after an own failure; part of the loss a success mends
 
+	slowGain, slowMost = 0.1, 5.0 // how far a finish moves a slowness, and what it says at most, in means
+
+	meanGain, baseGain = 0.05, 0.001 // of means of time and errors; of time under little load, upwards only
+
 	spillLow, spillStart = 0.02, 0.3 // weight of other zones while home copes; at a fresh copy of the front
 
 	spillRise, spillFall = 0.15, 0.9 // added after a round in which home was slow, a factor after a good one
 
-	meanGain = 0.05  // of the running means of time and of errors
-	baseGain = 0.001 // of the time under little load, upwards; it follows at once downwards
 )
 
 // learn takes what an attempt's end tells of the server, the counts, the shares and the zones.
--- a/logic/loads.go
+++ b/logic/loads.go
@@ -6,14 +6,12 @@
 	"slices"
 )
 
-// The data that weights are tuned by. This file keeps books; it decides nothing.
+// The data that weights are tuned by. What here decides, or why it does not: docs/policy.md.
 
 const (
 	loadSpan  = 4 * second // loads fade over this
 	loadEvery = second     // and are told anew so often
 	loadFresh = 5 * second // older ones count for nothing
-	loadMost  = 2.0        // one copy's calls count as no more than this many times the median copy's
-	loadOdd   = 4.0        // and its times as no further than this factor from the median time
 )
 
 // load sums up a server's calls of late: all, those that failed, and the worth and times of those answered.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,11 +17,10 @@
 	b := &Balancer{s: &s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
 		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
 		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
-	b.share, b.spill, b.shareBad = shareStart, spillStart, sharePress
+	b.share, b.shareMost, b.shareBad, b.spill = shareStart, shareStart, sharePress, spillStart
 	if s.Stage > 0 {
-		b.share, b.spill, b.shareBad = shareDeep, spillLow, shareDeep
+		b.share, b.shareMost, b.shareBad, b.spill = shareDeep, shareDeep, shareDeep, spillLow
 	}
-	b.shareMost = b.share
 	for i, c := range s.Classes {
 		b.classes[i] = b.freshClass(c)
 	}
--- /dev/null
+++ b/logic/policy_test.go
@@ -0,0 +1,76 @@
+package logic
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// functions are those of a Go file: F, or T.F of a method.
+func functions(t *testing.T, path string) (names []string) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range file.Decls {
+		f, ok := d.(*ast.FuncDecl)
+		if !ok {
+			continue
+		}
+		name := f.Name.Name
+		if f.Recv != nil {
+			of := f.Recv.List[0].Type
+			if star, ok := of.(*ast.StarExpr); ok {
+				of = star.X
+			}
+			name = of.(*ast.Ident).Name + "." + name
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// docs/policy.md says of each function of the module and of its mathematics that does not stand under policy why it is
+// no decision, or that it is one and left.
+func TestEachFunctionOutsidePolicyHasARow(t *testing.T) {
+	read := func(path string) string {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	list := regexp.MustCompile(`(?m)^policy = \[(.*?)\]`).FindStringSubmatch(read("../deploy/balancer.toml"))
+	if list == nil {
+		t.Fatal("deploy/balancer.toml has no policy")
+	}
+	rows := map[string]int{} // by file and function
+	for _, m := range regexp.MustCompile(`(?m)^\| (\w+\.go) \| ([\w.]+) \| [^|]+ \| [^|]+ \|$`).FindAllStringSubmatch(read("../docs/policy.md"), -1) {
+		rows[m[1]+" "+m[2]]++
+	}
+	for _, dir := range []string{"../logic", "../internal/tail"} {
+		paths, _ := filepath.Glob(dir + "/*.go")
+		for _, path := range paths {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			decides := strings.Contains(list[1], `"`+strings.TrimPrefix(path, "../")+`"`)
+			for _, f := range functions(t, path) {
+				row := filepath.Base(path) + " " + f
+				if n := rows[row]; n > 1 || n == 0 && !decides {
+					t.Errorf("%s: %s has %d rows in docs/policy.md, not one", path, f, n)
+				}
+				delete(rows, row)
+			}
+		}
+	}
+	for row := range rows {
+		t.Errorf("docs/policy.md has a row for %s, which is not there", row)
+	}
+}
--- a/logic/reconfigure.go
+++ b/logic/reconfigure.go
@@ -50,7 +50,7 @@
 	b.tenants = tenants
 	b.derive()
 	if b.s.BudgetSpan > old.BudgetSpan { // what was spent before the former span is forgotten
-		b.free = max(b.free, now+b.s.BudgetSpan)
+		b.free = max(b.free, b.unspent(now))
 	}
 	b.relist()
 	return numbers, nil
--- a/logic/rules.go
+++ b/logic/rules.go
@@ -20,8 +20,6 @@
 	sharePress = 1.0  // and after a bad round: what is over the shares goes first
 	shareLow   = 0.2  // and at least
 	shareDeep  = 20.0 // start in a late tier: quotas count first calls, and the front has shed already
-	shareRise  = 0.1  // added after a good round: traffic over the shares is worth little, jams cost much
-	shareBack  = 0.15 // the same below 1, where traffic is worth its full price
 	chanceRoom = 2.0  // standard deviations of a Poisson count above the mean that are taken for chance
 	windowHold = 24.0 // a QPS window stretches until its count times its length is this much
 
@@ -29,8 +27,12 @@
 
 	badPart, hopeless = 0.4, 0.7 // a larger part of late or failed finishes makes a round bad; in a late tier
 
+	shareRise, shareBack = 0.1, 0.15 // added after a good round: over a share calls are worth little; below
+
 	riseStep, risePart = 1.0, 0.2 // added to a count after a good round, but no more than this part of it
 
+	tallySpan = 30 * second // over which a copy learns how many requests are usual
+
 	firstMean = 0.25 // of the aim: a fresh copy's guess at the mean time
 )
 
@@ -112,7 +114,6 @@
 		yield: round{allowed: slowMuch, span: span}}
 }
 
-// canPass checks the rules in order.
 func (b *Balancer) canPass(now int64, q *request) bool {
 	i := b.tenant(q)
 	return b.tier.canPass(b.rnd.Float64()) &&
--- a/logic/state.go
+++ b/logic/state.go
@@ -10,7 +10,7 @@
 	"fernlanding/internal/tail"
 )
 
-// The data that decisions read. This file keeps books; it decides nothing.
+// The data that decisions read. What here decides, or why it does not: docs/policy.md.
 
 const reportEvery = 10 * second // between log lines of one copy
 
--- a/logic/sums.go
+++ b/logic/sums.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// The sum of what all copies tell. This file keeps books; it decides nothing.
+// The sum of what all copies tell. What here decides, or why it does not: docs/policy.md.
 
 // verdict is what copies say of a server: how many call it bad or well, on what evidence and when.
 type verdict struct {
@@ -110,18 +110,4 @@
 	return min(x, most)
 }
 
-// median is what half of so many copies or more give the zone, at least and at most: those that tell nothing may
-// give it nothing or all.
-func (z *zoneSum) median(copies int) (least, most float64) {
-	n := max(copies, len(z.shares))
-	untold := n - len(z.shares)
-	if i := (n-1)/2 - untold; i >= 0 && i < len(z.shares) {
-		least = z.shares[i]
-	}
-	if most = 1; n/2 < len(z.shares) {
-		most = z.shares[n/2]
-	}
-	return least, most
-}
-
 func (z *zoneSum) part() float64 { return z.bad / max(z.calls, 1e-9) }
--- a/logic/swings.go
+++ b/logic/swings.go
@@ -9,7 +9,7 @@
 	"strings"
 )
 
-// The data that removals are damped by. This file keeps books; it decides nothing.
+// The data that removals are damped by. What here decides, or why it does not: docs/policy.md.
 
 const (
 	flapTold = 10 * second // a swing is told for so long
@@ -74,7 +74,7 @@
 // tidy forgets the records that have come to rest.
 func (d *damper) tidy(now int64) {
 	for key, r := range d.swings {
-		if r.left(now) < swingReuse/2 && now-r.last > swingHalf {
+		if r.rested(now) {
 			delete(d.swings, key)
 		}
 	}
@@ -138,9 +138,7 @@
 			swing = append(swing, s)
 		}
 	}
-	slices.SortFunc(swing, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(x.since, y.since), cmp.Compare(x.ID, y.ID))
-	})
+	slices.SortFunc(swing, longerDamped)
 	return swing, in
 }
 
--- a/logic/tuning.go
+++ b/logic/tuning.go
@@ -10,17 +10,19 @@
 // least tail. One that is cold, bad, damped or hardly called is not tuned, and zones keep what they have.
 const (
 	tuneEvery  = 3 * second // a round lasts this long, and up to half of it more: copies do not step together
-	tuneMost   = 1.0        // the logarithm of a weight stays within this
-	tuneLeak   = 0.03       // part of it that each round takes back, that chance does not add up
 	tuneChance = 1.0        // standard deviations of the calls seen by which a load may miss by chance
 	tuneCalls  = 8.0        // lately seen calls of all copies from which a server is tuned
 	tuneWorse  = 4.0        // over the root of this copy's calls: a tail worse by more takes the step back
 	tuneFailed = 2.0        // the power of the answered part by which the time of one that fails counts more
 
+	tuneMost, tuneLeak = 1.0, 0.03 // bound of a weight's logarithm; the part that a round takes back
+
 	tuneStep, tuneGain = 0.1, 0.5 // a round moves the logarithm by this at most, and this part of the way
+
+	loadMost, loadOdd = 2.0, 4.0 // a copy counts as so many median ones at most, its times within this factor
 )
 
-var tuneLearning = tail.Learning{Use: 0.5, Spread: 0.3, Fade: 0.9, Miss: 1.6, Floor: 0.2}
+var tuneLearning = tail.Learning{Use: 0.5, Spread: 0.3, Fade: 0.9, Miss: 1.6, Bend: 8, Floor: 0.2}
 
 // tune is one round, when it is due.
 func (b *Balancer) tune(now int64) {
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -18,8 +18,8 @@
 
 	verdictMost = 10.0      // calls of one copy count as no more than this
 	verdictPart = 1.0 / 3.0 // of a tier's or a zone's ready servers: verdicts take out no more
-	linkServers = 3         // a copy that sees so many servers bad over two zones or more, and none well in
-	linkPart    = 0.6       // most of what it tried, has a bad link of its own and tells nothing
+
+	linkServers, linkPart = 3, 0.6 // bad ones, over two zones, and their part of all: it is the link
 
 	quietMeans, quietLeast = 3.0, second / 10 // a call out for so many mean times, and so long, is bad
 
@@ -38,7 +38,6 @@
 	return now-a.sent > max(quietLeast, int64(quietMeans*b.classes[class].mean))
 }
 
-// callsBad tells whether this copy calls a server bad.
 func (s *server) callsBad() bool {
 	return s.seen.part() >= badServer || s.whole.left < wellPart && s.seen.badAt > s.okAt
 }
@@ -111,5 +110,10 @@
 	}
 }
 
+// longerDamped orders servers by which keep their steady share where the budget is short.
+func longerDamped(x, y *server) int {
+	return cmp.Or(cmp.Compare(x.since, y.since), cmp.Compare(x.ID, y.ID))
+}
+
 // budget is how many of so many servers verdicts may take out: never the only one.
 func budget(ready int) int { return min(ready-1, max(1, int(verdictPart*float64(ready)))) }
--- a/logic/zones.go
+++ b/logic/zones.go
@@ -5,11 +5,11 @@
 // How a zone stands as seen from home. All copies of a zone go by one sum, so that they act together.
 
 const (
-	zoneLeast  = 0.2 // calls from which a copy has evidence on a zone
-	zoneMost   = 6.0 // calls of one copy count as no more than this: one alone outvotes nobody
 	zoneBad    = 0.6 // part of bad calls from which a copy calls a zone bad and copies leave it
 	betterPart = 0.5 // of its bad part: more must not fail in the other zones, or nobody leaves
 
+	zoneLeast, zoneMost = 0.2, 6.0 // calls from which a copy has evidence, and that it counts at most
+
 	zoneCalls, zoneAgain = 4.0, 2.0 // calls of all copies that a zone is left by, and left again by
 
 	leaveHold, leaveShare = 3 * second / 20, 0.3 // that must last so long; until then it gets this part
@@ -90,15 +90,17 @@
 		s.servers >= servers && b.openBeside(z) && b.badBeside(z) <= betterPart*s.part()
 }
 
-// open tells whether calls may go to a zone and would find a server.
 func (z *zone) open() bool { return z.Standing != Leaving && z.Share > 0 && z.sum.ready > 0 }
 
 // othersGive is the part that most other copies of this zone give a zone, where known to differ from its own.
 func (b *Balancer) othersGive(z *zone) float64 {
-	least, most := z.sum.median(b.peers.Near - 1)
 	if b.peers.Alone || b.peers.Near < 3 {
 		return z.Share
 	}
+	shares, untold := z.sum.shares, max(0, b.peers.Near-1-len(z.sum.shares)) // these may give nothing or all
+	n := len(shares) + untold
+	least := slices.Concat(make([]float64, untold), shares)[(n-1)/2]
+	most := slices.Concat(shares, slices.Repeat([]float64{1}, untold))[n/2]
 	return min(max(z.Share, least), most)
 }
 
