Call flaps flaps in logic, and their thresholds suppress and reuse

The module called a server's removals and returns swings, where the field says flaps, as its own notices do (ServerFlap). logic/swings.go is logic/flaps.go; swing is record, swings is detectFlap, swung is flapped, swingMark is flapSuppress, and so on. TestDamperBySwings is TestDamperByFlaps, its cases unchanged. The log line on damped servers keeps its words, since it is an output.

--- a/logic/api.go
+++ b/logic/api.go
@@ -82,7 +82,7 @@
 	TipMultiple   float64 // of its present capacity: a cold server that all copies together send more than this
 	FallSpan      int64   // for so long falls over; a TipMultiple of 0: not stated
 
-	Undamped bool // with others told: servers that swing are not damped
+	Undamped bool // with others told: servers that flap are not damped
 	Untuned  bool // with others told: weights are not tuned for the tail
 
 	ByWork bool // worth is counted for each unit of work, not for each request
--- a/logic/books.go
+++ b/logic/books.go
@@ -122,7 +122,7 @@
 		_, _, span := cmp.Or(b.zone(s.Zone), &zone{}).lately(now)
 		late := int(partOf(s.seen.since(now, span)))
 		t.all, t.late = t.all+1, t.late+late
-		b.swings(now, s)
+		b.detectFlap(now, s)
 		n := Notice{Zone: b.s.Zone, Server: s.ID, Launched: s.Launched, Calls: s.seen.calls, Bad: s.seen.part()}
 		says := false
 		if n.Kind, n.Cause, n.At, says = s.says(now); says {
@@ -141,7 +141,7 @@
 	for _, t := range of {
 		sum.all, sum.bad, sum.badZones = sum.all+t.all, sum.bad+t.bad, sum.badZones+int(partOf(t.bad > 0))
 	}
-	b.tells = append(append(b.tells, b.tellSwings(now)...), b.tellLoads(now)...)
+	b.tells = append(append(b.tells, b.tellFlaps(now)...), b.tellLoads(now)...)
 	if b.ownLink(now, sum) {
 		b.tells = nil
 	}
--- a/logic/damping_test.go
+++ b/logic/damping_test.go
@@ -8,12 +8,12 @@
 	"pgregory.net/rapid"
 )
 
-// A server that swings every so often, as seen by three copies at slightly different times, changes state twice a
+// A server that flaps every so often, as seen by three copies at slightly different times, changes state twice a
 // minute at most once it is known for it; one that falls and comes back once is not damped.
-func TestDamperBySwings(t *testing.T) {
+func TestDamperByFlaps(t *testing.T) {
 	for _, c := range []struct {
 		name         string
-		every, until int64   // it swings, and rests from then on
+		every, until int64   // it flaps, and rests from then on
 		mostFirst    int     // changes of state in the first minute
 		most         int     // and in any later one
 		least, long  float64 // part of ten minutes for which it is damped
@@ -92,7 +92,7 @@
 			d.saw(now, "s", s.start, s.down, s.who, s.at, 2)
 		}
 		got := 0.0
-		if r := d.swings["s"]; r != nil {
+		if r := d.records["s"]; r != nil {
 			got = r.left(now)
 		}
 		if math.Abs(got-c.want) > 1e-3 {
@@ -102,7 +102,7 @@
 }
 
 // Whatever is told: a penalty stays within its bounds, damping begins only above the mark and ends within its
-// time, each swing counts once, and records stay few and go once they rest.
+// time, each flap counts once, and records stay few and go once they rest.
 func TestDamperAtRandom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var d damper
@@ -113,34 +113,34 @@
 			key := rapid.SampledFrom([]string{"s", "u"}).Draw(t, "key")
 			down := rapid.Bool().Draw(t, "down")
 			at := now - rapid.Int64Range(-second, 3*second).Draw(t, "age")
-			known := d.swings[key] != nil
+			known := d.records[key] != nil
 			if d.saw(now, key, 1, down, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "who"), at, 2) {
 				if known && state[key] == down || at <= counted[key] && counted[key] != 0 || at > now {
-					t.Fatalf("at %d a swing of %s to %v seen at %d counts again", now, key, down, at)
+					t.Fatalf("at %d a flap of %s to %v seen at %d counts again", now, key, down, at)
 				}
 				state[key], counted[key] = down, at
 			}
 			for _, key := range []string{"s", "u"} {
-				r := d.swings[key]
+				r := d.records[key]
 				if r == nil {
 					since[key] = 0
 					continue
 				}
-				if p := r.left(now); !(p >= 0 && p <= swingMost) {
+				if p := r.left(now); !(p >= 0 && p <= flapMost) {
 					t.Fatalf("a penalty of %g", p)
 				}
 				from, is := d.damped(now, key, 1)
-				if is && since[key] == 0 && r.left(now) <= swingMark || is && (now-from >= swingLong || r.left(now) < swingReuse) {
+				if is && since[key] == 0 && r.left(now) <= flapSuppress || is && (now-from >= flapLong || r.left(now) < flapReuse) {
 					t.Fatalf("at %d damped since %d at a penalty of %g", now, from, r.left(now))
 				}
-				if !is && since[key] != 0 && now-since[key] < swingLong && r.left(now) >= swingReuse {
+				if !is && since[key] != 0 && now-since[key] < flapLong && r.left(now) >= flapReuse {
 					t.Fatalf("at %d no longer damped at a penalty of %g", now, r.left(now))
 				}
 				since[key] = from
 			}
 		}
-		if d.tidy(now + 200*second); len(d.swings) != 0 {
-			t.Fatalf("%d records are kept of what rests", len(d.swings))
+		if d.tidy(now + 200*second); len(d.records) != 0 {
+			t.Fatalf("%d records are kept of what rests", len(d.records))
 		}
 	})
 }
@@ -277,7 +277,7 @@
 	}
 }
 
-// However many swing, and whoever hears each other, no copy damps more than its part of a tier's or zone's servers.
+// However many flap, and whoever hears each other, no copy damps more than its part of a tier's or zone's servers.
 func TestDampingBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b, h := mustNewFor(t, 3), &recorder{}
--- a/logic/swings.go
+++ b/logic/flaps.go
@@ -12,58 +12,58 @@
 // The data that removals are damped by. What here decides, or why it does not: docs/policy.md.
 
 const (
-	flapTold = 10 * second // a swing is told for so long
+	flapTold = 10 * second // a flap is told for so long
 	flapKept = 60 * second // and known for so long, to tell the next one
 
-	swingKept = 4096 // records of a damper at most
+	recordsKept = 4096 // records of a damper at most
 )
 
 // damper keeps one record for each key, which is a server or a zone. The zero value is ready.
-type damper struct{ swings map[string]*swing }
+type damper struct{ records map[string]*record }
 
-// swing is the record of one key. Swings alternate: one that leads where the last one led is the same, seen late.
-type swing struct {
+// record is the record of one key. Flaps alternate: one that leads where the last one led is the same, seen late.
+type record struct {
 	start   int64 // the key's own; another begins a new record
-	down    bool  // where the last swing that counted led
+	down    bool  // where the last flap that counted led
 	last    int64 // when it was first seen
 	votes   []vote
 	penalty float64
 	at      int64 // when the penalty was that
 	since   int64 // damped from then on; 0: not damped
-	fresh   bool  // a swing has counted since damped was asked
+	fresh   bool  // a flap has counted since damped was asked
 }
 
-// vote is the newest swing against the last one that counted, as one observer saw it.
+// vote is the newest flap against the last one that counted, as one observer saw it.
 type vote struct {
 	observer string
 	at       int64
 }
 
-// saw takes a swing of a key with the given start, seen by an observer at some time; it tells whether this one
+// saw takes a flap of a key with the given start, seen by an observer at some time; it tells whether this one
 // makes it count.
 func (d *damper) saw(now int64, key string, start int64, down bool, observer string, at int64, enough int) bool {
-	r := d.swings[key]
+	r := d.records[key]
 	if r == nil || start > r.start && !sameTime(start, r.start) {
-		if d.tidy(now); r == nil && len(d.swings) >= swingKept || !down {
+		if d.tidy(now); r == nil && len(d.records) >= recordsKept || !down {
 			return false // a record begins with a fall
 		}
-		r = &swing{start: start, last: at - swingWindow, at: now}
-		if d.swings == nil {
-			d.swings = map[string]*swing{}
+		r = &record{start: start, last: at - flapWindow, at: now}
+		if d.records == nil {
+			d.records = map[string]*record{}
 		}
-		d.swings[key] = r
+		d.records[key] = r
 	}
 	return sameTime(start, r.start) && r.counts(now, down, vote{observer, at}, enough)
 }
 
 // left is the penalty now.
-func (r *swing) left(now int64) float64 {
-	return r.penalty * math.Exp2(-float64(now-r.at)/float64(swingHalf))
+func (r *record) left(now int64) float64 {
+	return r.penalty * math.Exp2(-float64(now-r.at)/float64(flapHalf))
 }
 
 // damped tells whether a key that began at start is to get its steady share now, and since when.
 func (d *damper) damped(now int64, key string, start int64) (since int64, is bool) {
-	r := d.swings[key]
+	r := d.records[key]
 	if r == nil || !sameTime(r.start, start) {
 		return 0, false
 	}
@@ -73,14 +73,14 @@
 
 // tidy forgets the records that have come to rest.
 func (d *damper) tidy(now int64) {
-	for key, r := range d.swings {
+	for key, r := range d.records {
 		if r.rested(now) {
-			delete(d.swings, key)
+			delete(d.records, key)
 		}
 	}
 }
 
-// flap is the latest swing of a server's health as this copy saw it.
+// flap is the latest flap of a server's health as this copy saw it.
 type flap struct {
 	launched int64
 	down     bool
@@ -89,8 +89,8 @@
 	times    float64
 }
 
-// swung notes that a server is bad or well, if that is another than before.
-func (b *Balancer) swung(now int64, s *server, down bool, cause Cause) {
+// flapped notes that a server is bad or well, if that is another than before.
+func (b *Balancer) flapped(now int64, s *server, down bool, cause Cause) {
 	f := b.flaps[s.ID]
 	if f.launched != s.Launched {
 		f = flap{launched: s.Launched}
@@ -110,8 +110,8 @@
 // leaseEnded is a cause that only this copy's books have: it is told as none.
 const leaseEnded Cause = -1
 
-// tellSwings is what this copy tells of swings.
-func (b *Balancer) tellSwings(now int64) (out []Notice) {
+// tellFlaps is what this copy tells of flaps.
+func (b *Balancer) tellFlaps(now int64) (out []Notice) {
 	for _, id := range slices.Sorted(maps.Keys(b.flaps)) {
 		f := b.flaps[id]
 		if now-f.at > flapKept {
@@ -119,7 +119,7 @@
 		} else if now-f.at <= flapTold {
 			n := Notice{Kind: ServerFlap, Cause: max(f.cause, NoCause), Zone: b.s.Zone, Server: id,
 				Launched: f.launched, Calls: f.times, Bad: partOf(f.down), At: f.at}
-			if r := b.damper.swings[id]; r != nil {
+			if r := b.damper.records[id]; r != nil {
 				n.Value = r.left(now)
 			}
 			out = append(out, n)
@@ -128,18 +128,18 @@
 	return out
 }
 
-// swinging are the ready servers that the damper has damped, the longest so first, and how many are ready in each
+// flapping are the ready servers that the damper has damped, the longest so first, and how many are ready in each
 // zone.
-func (b *Balancer) swinging(now int64) (swing []*server, in map[int]int) {
+func (b *Balancer) flapping(now int64) (flapping []*server, in map[int]int) {
 	in = map[int]int{}
 	for _, s := range b.ready {
 		in[s.Zone]++
 		if s.since, s.damped = b.damper.damped(now, s.ID, s.Launched); s.damped {
-			swing = append(swing, s)
+			flapping = append(flapping, s)
 		}
 	}
-	slices.SortFunc(swing, longerDamped)
-	return swing, in
+	slices.SortFunc(flapping, longerDamped)
+	return flapping, in
 }
 
 // DampedState tells on-call staff and figures of a server whose removals and returns are not acted on.
@@ -153,7 +153,7 @@
 func (b *Balancer) Damped(now int64) (out []DampedState) {
 	for _, s := range b.ready {
 		if s.damped {
-			out = append(out, DampedState{s.ID, b.damper.swings[s.ID].left(now), s.since})
+			out = append(out, DampedState{s.ID, b.damper.records[s.ID].left(now), s.since})
 		}
 	}
 	slices.SortFunc(out, func(x, y DampedState) int {
