Call healthy servers healthy in logic

wellPart is healthyPart, spillWell spillHealthy, verdict.well healthy, and comments follow; "nodo" in a test's name is server.

--- a/logic/books.go
+++ b/logic/books.go
@@ -273,7 +273,7 @@
 // Condemned are the ready servers that get trials at most by the word of others.
 func (b *Balancer) Condemned() (ids []string) {
 	for _, s := range b.ready {
-		if s.told < wellPart {
+		if s.told < healthyPart {
 			ids = append(ids, s.ID)
 		}
 	}
--- a/logic/damping.go
+++ b/logic/damping.go
@@ -50,16 +50,16 @@
 	return r.since != 0
 }
 
-// detectFlap looks whether a server that was well here is bad or the other way round. Slow calls are no
+// detectFlap looks whether a server that was healthy is bad or the other way round. Slow calls are no
 // flap, nor is having no room, or a crowd would damp its tier; a single failure is, if others show it, too.
 func (b *Balancer) detectFlap(now int64, s *server) {
 	left := s.whole.left
 	for _, c := range s.classes {
 		left = min(left, s.whole.left*c.left)
 	}
-	if s.callsBad() && s.seen.cause != Crowded && (left <= flapDown || left < wellPart && s.told < 1) {
+	if s.callsBad() && s.seen.cause != Crowded && (left <= flapDown || left < healthyPart && s.told < 1) {
 		b.flapped(now, s, true, s.seen.cause)
-	} else if s.seen.part() <= flapHealthy && s.whole.left >= wellPart && s.told == 1 {
+	} else if s.seen.part() <= flapHealthy && s.whole.left >= healthyPart && s.told == 1 {
 		b.flapped(now, s, false, NoCause)
 	}
 }
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -5,12 +5,12 @@
 import "math"
 
 const (
-	heldPower  = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
-	triedPart  = 1e-6 // weight left to a server that the request has tried, for when there is no other
-	riskPart   = 0.2  // of the trials of a silent server go on with calls that cannot be made again
-	wellPart   = 0.5  // of its health left: a server below it only gets trials
-	coldMargin = 0.6  // part of its least capacity that a cold server is given
-	tipPart    = 0.65 // of what tips a cold server over is the most that all copies may send it
+	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
+	triedPart   = 1e-6 // weight left to a server that the request has tried, for when there is no other
+	riskPart    = 0.2  // of the trials of a silent server go on with calls that cannot be made again
+	healthyPart = 0.5  // of its health left: a server below it only gets trials
+	coldMargin  = 0.6  // part of its least capacity that a cold server is given
+	tipPart     = 0.65 // of what tips a cold server over is the most that all copies may send it
 )
 
 // draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
@@ -56,7 +56,7 @@
 			w *= triedPart
 		}
 		total += w
-		if s.healthFor(q.Class) >= wellPart {
+		if s.healthFor(q.Class) >= healthyPart {
 			best = max(best, w)
 		}
 		b.drawn, b.weights = append(b.drawn, s), append(b.weights, w)
@@ -64,10 +64,10 @@
 	// One that fails fast holds few calls, so it would draw the most: its trials are a part of the best.
 	for i, s := range b.drawn {
 		part, unsafe := s.healthFor(q.Class), q.s.Classes[q.Class].Repeat == Unsafe
-		if unsafe && (s.damped || s.whole.left*s.told < wellPart) {
+		if unsafe && (s.damped || s.whole.left*s.told < healthyPart) {
 			part *= riskPart
 		}
-		if over := b.weights[i] - part*best; best > 0 && part < wellPart && over > 0 {
+		if over := b.weights[i] - part*best; best > 0 && part < healthyPart && over > 0 {
 			total, b.weights[i] = total-over, part*best
 		}
 	}
@@ -80,7 +80,7 @@
 
 // ration keeps rule 4 for the sum of all copies: by weight alone a cold server without calls, beside warm
 // ones that have some or fail, draws the most by far. Its chance is held to what it stands (see rush). The
-// rest goes to warm ones, as far as they are well, or is refused: the weight of that is returned.
+// rest goes to warm ones, as far as they are healthy, or is refused: the weight of that is returned.
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
 	all, warm, able := 0.0, 0.0, 0.0
 	for i, s := range b.drawn {
@@ -96,7 +96,7 @@
 			b.weights[i], refused = b.weights[i]-over, refused+over
 		}
 	}
-	more := refused * min(1, able/wellPart) / max(warm, math.SmallestNonzeroFloat64)
+	more := refused * min(1, able/healthyPart) / max(warm, math.SmallestNonzeroFloat64)
 	for i, s := range b.drawn {
 		if s.grown == 1 {
 			b.weights[i] *= 1 + more
--- a/logic/flaps.go
+++ b/logic/flaps.go
@@ -89,7 +89,7 @@
 	times    float64
 }
 
-// flapped notes that a server is bad or well, if that is another than before.
+// flapped notes that a server is bad or healthy, if that is another than before.
 func (b *Balancer) flapped(now int64, s *server, down bool, cause Cause) {
 	f := b.flaps[s.ID]
 	if f.launched != s.Launched {
--- a/logic/state.go
+++ b/logic/state.go
@@ -316,7 +316,7 @@
 // failures, get trials at most.
 func (b *Balancer) Servers() (listed, avoided int) {
 	for _, s := range b.all {
-		if b.banned[s.ID] || s.State == Ready && (s.damped || s.whole.left < wellPart) {
+		if b.banned[s.ID] || s.State == Ready && (s.damped || s.whole.left < healthyPart) {
 			avoided++
 		}
 	}
--- a/logic/sums.go
+++ b/logic/sums.go
@@ -4,12 +4,12 @@
 
 // The sum of what all copies tell. What here decides, or why it does not: docs/policy.md.
 
-// verdict is what copies say of a server: how many call it bad or well, on what evidence and when.
+// verdict is what copies say of a server: how many call it bad or healthy, on what evidence and when.
 type verdict struct {
-	bad, well int
-	others    int // of bad
-	calls     float64
-	at        int64
+	bad, healthy int
+	others       int // of bad
+	calls        float64
+	at           int64
 }
 
 // zoneSum is the evidence of all copies of this zone on another.
@@ -46,7 +46,7 @@
 		}
 		v := &s.verdict
 		if n.Kind == ServerWell {
-			v.well++
+			v.healthy++
 			continue
 		}
 		v.bad++
--- a/logic/tuning.go
+++ b/logic/tuning.go
@@ -46,8 +46,8 @@
 	groups := map[int][]*server{}
 	for _, s := range b.ready {
 		s.tuneWas = s.tune
-		well := !s.damped && s.whole.left*s.told >= wellPart && b.warmth(now, s) == 1
-		if fresh && well && s.sum.calls >= tuneCalls && s.sum.time > 0 {
+		healthy := !s.damped && s.whole.left*s.told >= healthyPart && b.warmth(now, s) == 1
+		if fresh && healthy && s.sum.calls >= tuneCalls && s.sum.time > 0 {
 			groups[s.Zone] = append(groups[s.Zone], s)
 		} else {
 			s.tune -= clamp(s.tune, b.step)
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -39,10 +39,10 @@
 }
 
 func (s *server) callsBad() bool {
-	return s.seen.part() >= badServer || s.whole.left < wellPart && s.seen.badAt > s.okAt
+	return s.seen.part() >= badServer || s.whole.left < healthyPart && s.seen.badAt > s.okAt
 }
 
-// says is what this copy says of a server, if anything: that it is bad, or well where others call it bad.
+// says is what this copy says of a server, if anything: that it is bad, or healthy where others call it bad.
 func (s *server) says(now int64) (kind NoticeKind, cause Cause, at int64, ok bool) {
 	if s.callsBad() {
 		return ServerBad, s.seen.cause, s.seen.badAt, true
@@ -94,7 +94,7 @@
 		v := &s.verdict
 		s.told = 1
 		in[s.Zone]++
-		if v.others > 0 && v.bad >= min(verdictOthers, b.peers.Living-1) && v.bad > v.well &&
+		if v.others > 0 && v.bad >= min(verdictOthers, b.peers.Living-1) && v.bad > v.healthy &&
 			v.calls >= verdictCalls && s.okAt <= v.at {
 			bad = append(bad, s)
 		}
--- a/logic/zones.go
+++ b/logic/zones.go
@@ -16,7 +16,7 @@
 
 	pressBar, pressSpill = 0.35, 0.15 // spill from which a copy tells that home is slow; least while most do
 
-	spillWell = 0.01 // weight of one server elsewhere, and no more than one, while all find that home copes
+	spillHealthy = 0.01 // weight of one server elsewhere, and of no more, while all find that home copes
 
 	awayLeast, awayMost = 3 * second, 60 * second // of a stay away, doubled for each time left lately
 
@@ -171,7 +171,7 @@
 	} else if home.Standing == Pressed {
 		spill = max(spill, pressSpill)
 	} else if b.homeCopes() {
-		spill = min(spill, spillWell)
+		spill = min(spill, spillHealthy)
 	}
 	return max(spill, 1-home.Share)
 }
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -51,7 +51,7 @@
 			}
 			return w.well(c, s)
 		}, 1, [3][]int{1: {0}}, nil},
-		{"one bad nodo", func(w *world, c *copyOf, s Server) (Status, int64) {
+		{"one bad server", func(w *world, c *copyOf, s Server) (Status, int64) {
 			if s.ID == "s0" {
 				return OK, 1e12
 			}
