Call the good state of servers and zones healthy across packages

logic.Well, ServerWell and ZoneWell are Healthy, ServerHealthy and ZoneHealthy, with their users in internal/fleet/words, internal/lab/model and the proxy's tests. Figures, log lines and messages between members keep their words: a zone still stands "well" in them (docs/fleet.md).

Names only; both recorded hashes are as before (go test ./logic -run DecidesAsBefore).

--- a/internal/fleet/words/words.go
+++ b/internal/fleet/words/words.go
@@ -8,10 +8,10 @@
 )
 
 // kinds are the fleet's kinds, in the order of the module's.
-var kinds = [...]view.Kind{logic.ServerBad: view.ServerBad, logic.ServerWell: view.ServerWell, logic.ZoneBad: view.ZoneBad,
-	logic.ZoneWell: view.ZoneWell, logic.ServerFlap: view.ServerFlap, logic.ServerLoad: view.ServerLoad}
+var kinds = [...]view.Kind{logic.ServerBad: view.ServerBad, logic.ServerHealthy: view.ServerWell, logic.ZoneBad: view.ZoneBad,
+	logic.ZoneHealthy: view.ZoneWell, logic.ServerFlap: view.ServerFlap, logic.ServerLoad: view.ServerLoad}
 
-func ofZone(k logic.NoticeKind) bool { return k == logic.ZoneBad || k == logic.ZoneWell }
+func ofZone(k logic.NoticeKind) bool { return k == logic.ZoneBad || k == logic.ZoneHealthy }
 
 // names are the zones' names by number.
 func names(zones map[string]int) []string {
--- a/internal/fleet/words/words_test.go
+++ b/internal/fleet/words/words_test.go
@@ -16,7 +16,7 @@
 		n := logic.Notice{Kind: logic.NoticeKind(rapid.IntRange(0, int(logic.ServerLoad)).Draw(t, "kind")),
 			Cause: logic.Cause(rapid.IntRange(0, int(logic.Crowded)).Draw(t, "cause")),
 			Calls: rapid.Float64Range(0, 1e6).Draw(t, "calls"), Bad: rapid.Float64Range(0, 1).Draw(t, "bad"), Value: 2}
-		zone := n.Kind == logic.ZoneBad || n.Kind == logic.ZoneWell
+		zone := n.Kind == logic.ZoneBad || n.Kind == logic.ZoneHealthy
 		if zone {
 			n.Of = rapid.IntRange(0, 4).Draw(t, "of") // 3 and 4 have no name
 		} else {
--- a/internal/lab/model/fleet.go
+++ b/internal/lab/model/fleet.go
@@ -131,7 +131,7 @@
 	return n
 }
 
-func ofZone(k logic.NoticeKind) bool { return k == logic.ZoneBad || k == logic.ZoneWell }
+func ofZone(k logic.NoticeKind) bool { return k == logic.ZoneBad || k == logic.ZoneHealthy }
 
 // items are a Balancer's notices in the view's terms.
 func (p *proxy) items(notices []logic.Notice) []view.Item {
--- a/internal/proxy/zonehands_test.go
+++ b/internal/proxy/zonehands_test.go
@@ -47,7 +47,7 @@
 		}
 	}
 	asks(first, 50)
-	if z := stands(t, first, "a"); a.requests.Load() == 0 || z.Standing != logic.Well || z.Share != 1 || first.Figures().Zones != nil {
+	if z := stands(t, first, "a"); a.requests.Load() == 0 || z.Standing != logic.Healthy || z.Share != 1 || first.Figures().Zones != nil {
 		t.Fatalf("before: %d at a, %+v, figures %+v", a.requests.Load(), z, first.Figures().Zones)
 	}
 	for range 2 { // calls may be repeated
@@ -105,7 +105,7 @@
 	p := startProxy(t, d.addr, 200, known)
 	p.bans.Outside(map[string]bool{bans.OfZone("a"): true, bans.OfZone("b"): true})
 	waitUntil(t, func() bool { return stands(t, p, "b").Standing == logic.Drained })
-	if z := stands(t, p, "a"); z.Standing != logic.Well || z.Reason == "" {
+	if z := stands(t, p, "a"); z.Standing != logic.Healthy || z.Reason == "" {
 		t.Errorf("the first by name: %+v", z)
 	}
 	d.say <- listText(2, false, strings.Replace(listed("c/1", b.addr, discovery.Serving), `"zone":"a"`, `"zone":"c"`, 1))
--- a/logic/anynotice_test.go
+++ b/logic/anynotice_test.go
@@ -52,7 +52,7 @@
 			}
 			for i := range near {
 				for z, bad := range bad {
-					out = append(out, Notice{Kind: ZoneWell - NoticeKind(partOf(bad)), Observer: fmt.Sprint("p", i), Of: z, Calls: 5,
+					out = append(out, Notice{Kind: ZoneHealthy - NoticeKind(partOf(bad)), Observer: fmt.Sprint("p", i), Of: z, Calls: 5,
 						Bad: partOf(bad), Value: 1 - partOf(bad), At: now})
 				}
 				for _, s := range servers {
@@ -97,7 +97,7 @@
 		well := Peers{Living: near, Near: near}
 		for i := range near * rapid.IntRange(0, 1).Draw(t, "told") { // or nobody says anything
 			for z := range set.Zones {
-				well.Notices = append(well.Notices, Notice{Kind: ZoneWell, Observer: fmt.Sprint("p", i), Of: z, Calls: 5, Value: 1, At: now})
+				well.Notices = append(well.Notices, Notice{Kind: ZoneHealthy, Observer: fmt.Sprint("p", i), Of: z, Calls: 5, Value: 1, At: now})
 			}
 		}
 		for range 10 * (awayMost + 8*set.Cold) / second {
--- a/logic/api.go
+++ b/logic/api.go
@@ -139,12 +139,12 @@
 
 // The kinds of notice.
 const (
-	ServerBad  NoticeKind = iota // the observer's calls to a server fail: Cause says how
-	ServerWell                   // the observer's calls to a server that others call bad are answered
-	ZoneBad                      // most of what was sent lately from the observer's zone to the zone Of failed
-	ZoneWell                     // most of it was answered, or nothing was sent; Slow: it is, by the observer's measure
-	ServerFlap                   // transitions of a server's health: Value is the penalty that they add up to
-	ServerLoad                   // a summary of a server's load and time
+	ServerBad     NoticeKind = iota // the observer's calls to a server fail: Cause says how
+	ServerHealthy                   // the observer's calls to a server that others call bad are answered
+	ZoneBad                         // most of what was sent lately from the observer's zone to the zone Of failed
+	ZoneHealthy                     // most of it was answered, or nothing was sent; Slow: it is, by the observer's measure
+	ServerFlap                      // transitions of a server's health: Value is the penalty that they add up to
+	ServerLoad                      // a summary of a server's load and time
 )
 
 // Cause tells how calls fail.
@@ -187,7 +187,7 @@
 
 // The standings of a zone.
 const (
-	Well      Standing = iota
+	Healthy   Standing = iota
 	Pressed            // home is slow: other zones get a part of its calls
 	Leaving            // most calls fail; it gets less until that is sure
 	Away               // it gets trials only
--- a/logic/books.go
+++ b/logic/books.go
@@ -280,7 +280,7 @@
 	return ids
 }
 
-// String names a standing for log lines and figures.
+// String names a standing for log lines and figures, by the words of docs/fleet.md.
 func (s Standing) String() string {
 	names := []string{"well", "pressed", "leaving", "away", "returning", "drained"}
 	if s < 0 || int(s) >= len(names) {
--- a/logic/sums.go
+++ b/logic/sums.go
@@ -41,11 +41,11 @@
 	}
 	for n := range b.notices {
 		s := b.byID[n.Server]
-		if n.Kind != ServerBad && n.Kind != ServerWell || s == nil || !sameStart(s, n) || !counts(n) {
+		if n.Kind != ServerBad && n.Kind != ServerHealthy || s == nil || !sameStart(s, n) || !counts(n) {
 			continue
 		}
 		v := &s.verdict
-		if n.Kind == ServerWell {
+		if n.Kind == ServerHealthy {
 			v.healthy++
 			continue
 		}
@@ -78,7 +78,7 @@
 			}
 		}
 		of := b.zone(n.Of)
-		if n.Kind != ZoneBad && n.Kind != ZoneWell || of == nil {
+		if n.Kind != ZoneBad && n.Kind != ZoneHealthy || of == nil {
 			continue
 		}
 		z := &of.sum
--- a/logic/verdicts.go
+++ b/logic/verdicts.go
@@ -47,7 +47,7 @@
 	if s.callsBad() {
 		return ServerBad, s.seen.cause, s.seen.badAt, true
 	}
-	return ServerWell, NoCause, s.okAt, s.verdict.others > 0 && now-s.okAt <= serverFresh
+	return ServerHealthy, NoCause, s.okAt, s.verdict.others > 0 && now-s.okAt <= serverFresh
 }
 
 // lately is what this copy has lately seen of a zone, if anything, and for how long a server counts as tried.
@@ -61,7 +61,7 @@
 
 // sayOf says of a zone that it is bad if most calls are, at half of its servers. Leaving is not yet left.
 func (b *Balancer) sayOf(z *zone, n *Notice, e evidence, ok bool, t tried) {
-	n.Kind, n.Value = ZoneWell, max(z.Share, partOf(z.Standing == Leaving))
+	n.Kind, n.Value = ZoneHealthy, max(z.Share, partOf(z.Standing == Leaving))
 	if ok && e.part() >= zoneBad && t.lateBad > 0 && 2*t.lateBad >= t.late {
 		n.Kind, n.Cause = ZoneBad, e.cause
 	} else if z.Zone == b.s.Zone && b.spill > pressBar {
--- a/logic/verdicts_test.go
+++ b/logic/verdicts_test.go
@@ -108,7 +108,7 @@
 	}{
 		{"two say so", says(2, ServerBad, Failing, 0), nil, healthFloor},
 		{"one says so", says(1, ServerBad, Failing, 0), nil, 1},
-		{"as many say well", slices.Concat(says(2, ServerBad, Failing, 0), says(2, ServerWell, NoCause, 0)), nil, 1},
+		{"as many say well", slices.Concat(says(2, ServerBad, Failing, 0), says(2, ServerHealthy, NoCause, 0)), nil, 1},
 		{"silent to another zone", says(3, ServerBad, Silent, 1), nil, 1},
 		{"silent to this zone", says(3, ServerBad, Silent, 0), nil, healthFloor},
 		{"it has answered since", says(3, ServerBad, Failing, 0), func(b *Balancer, h Host) {
--- a/logic/zones.go
+++ b/logic/zones.go
@@ -42,7 +42,7 @@
 	answers := z.sum.calls >= zoneCalls && z.sum.part() <= trialBad // nobody is followed out of such a zone
 	slow := z.Zone == b.s.Zone && 2*z.sum.slow > z.sum.say          // most copies find home so
 	switch z.Standing {
-	case Well, Pressed:
+	case Healthy, Pressed:
 		if lost {
 			b.stand(now, h, z, Leaving, leaveShare)
 		} else if others < 1 && age >= settle && (others > 0 || !answers) {
@@ -52,7 +52,7 @@
 		}
 	case Leaving:
 		if !lost {
-			b.stand(now, h, z, Well, 1)
+			b.stand(now, h, z, Healthy, 1)
 		} else if age >= leaveHold {
 			b.leaveZone(now, h, z)
 		}
@@ -137,7 +137,7 @@
 	if z.step = step; step < len(returnSteps)-1 {
 		b.stand(now, h, z, Returning, returnSteps[step])
 	} else {
-		b.stand(now, h, z, Well, 1)
+		b.stand(now, h, z, Healthy, 1)
 	}
 }
 
@@ -179,6 +179,6 @@
 // homeCopes tells whether no copy of this zone, of those with evidence, finds home slow or bad.
 func (b *Balancer) homeCopes() bool {
 	home := b.zone(b.s.Zone)
-	return home != nil && home.Standing == Well && b.spill <= pressBar && home.sum.calls >= zoneCalls &&
+	return home != nil && home.Standing == Healthy && b.spill <= pressBar && home.sum.calls >= zoneCalls &&
 		home.sum.against == 0 && home.sum.slow == 0 && home.fresh.part() <= trialBad
 }
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -306,11 +306,11 @@
 		want      Standing
 	}{
 		{"enough", 3, 5, 0.9, 2, 0.1, Away},
-		{"too few copies", 1, 5, 0.9, 2, 0.1, Well},
-		{"too few calls", 3, 0.5, 0.9, 2, 0.1, Well},
-		{"too few bad", 3, 5, 0.5, 2, 0.1, Well},
-		{"one server", 3, 5, 0.9, 1, 0.1, Well},
-		{"the others no better", 3, 5, 0.9, 2, 0.55, Well},
+		{"too few copies", 1, 5, 0.9, 2, 0.1, Healthy},
+		{"too few calls", 3, 0.5, 0.9, 2, 0.1, Healthy},
+		{"too few bad", 3, 5, 0.5, 2, 0.1, Healthy},
+		{"one server", 3, 5, 0.9, 1, 0.1, Healthy},
+		{"the others no better", 3, 5, 0.9, 2, 0.55, Healthy},
 	} {
 		b, h := with(t, testSettings(), 8)
 		var p Peers
@@ -319,9 +319,9 @@
 			for i := range 4 {
 				n := Notice{Kind: ZoneBad, Cause: Silent, Observer: fmt.Sprint("p", i), Of: 1, Calls: c.calls, Bad: c.bad, Value: 1, At: now}
 				if i >= c.say {
-					n.Kind, n.Bad = ZoneWell, 0
+					n.Kind, n.Bad = ZoneHealthy, 0
 				}
-				other := Notice{Kind: ZoneWell, Observer: n.Observer, Calls: 5, Bad: c.elsewhere, Value: 1, At: now}
+				other := Notice{Kind: ZoneHealthy, Observer: n.Observer, Calls: 5, Bad: c.elsewhere, Value: 1, At: now}
 				p.Notices = append(p.Notices, n, other)
 				for s := range c.servers {
 					p.Notices = append(p.Notices, Notice{Kind: ServerBad, Observer: n.Observer, Server: []string{"s2", "s3"}[s], Calls: 5, Bad: 1})
