--- a/logic/sums.go
+++ b/logic/sums.go
@@ -2,14 +2,14 @@
 
 import "slices"
 
-// The sum of what all copies tell. This file keeps books; it decides nothing.
+// The sum of what all copies tell. What here decides, or why it does not: docs/policy.md.
 
-// verdict is what copies say of a server: how many call it bad or well, on what evidence and when.
+// verdict is what copies say of a server: how many call it bad or healthy, on what evidence and when.
 type verdict struct {
-	bad, well int
-	others    int // of bad
-	calls     float64
-	at        int64
+	bad, healthy int
+	others       int // of bad
+	calls        float64
+	at           int64
 }
 
 // zoneSum is the evidence of all copies of this zone on another.
@@ -41,12 +41,12 @@
 	}
 	for n := range b.notices {
 		s := b.byID[n.Server]
-		if n.Kind != ServerBad && n.Kind != ServerWell || s == nil || !sameStart(s, n) || !counts(n) {
+		if n.Kind != ServerBad && n.Kind != ServerHealthy || s == nil || !sameStart(s, n) || !counts(n) {
 			continue
 		}
 		v := &s.verdict
-		if n.Kind == ServerWell {
-			v.well++
+		if n.Kind == ServerHealthy {
+			v.healthy++
 			continue
 		}
 		v.bad++
@@ -78,7 +78,7 @@
 			}
 		}
 		of := b.zone(n.Of)
-		if n.Kind != ZoneBad && n.Kind != ZoneWell || of == nil {
+		if n.Kind != ZoneBad && n.Kind != ZoneHealthy || of == nil {
 			continue
 		}
 		z := &of.sum
@@ -102,11 +102,6 @@
 	}
 }
 
-// sameStart tells whether a notice is of the server's present process; its start has come over another's clock.
-func sameStart(s *server, n Notice) bool { return sameTime(s.Launched, n.Launched) }
-
-func sameTime(x, y int64) bool { return max(x-y, y-x) < second }
-
 // within is a number that others told, kept between 0 and most.
 func within(x, most float64) float64 {
 	if !(x >= 0) {
@@ -115,18 +110,4 @@
 	return min(x, most)
 }
 
-// median is what half of so many copies or more give the zone, at least and at most: those that tell nothing may
-// give it nothing or all.
-func (z *zoneSum) median(copies int) (least, most float64) {
-	n := max(copies, len(z.shares))
-	untold := n - len(z.shares)
-	if i := (n-1)/2 - untold; i >= 0 && i < len(z.shares) {
-		least = z.shares[i]
-	}
-	if most = 1; n/2 < len(z.shares) {
-		most = z.shares[n/2]
-	}
-	return least, most
-}
-
 func (z *zoneSum) part() float64 { return z.bad / max(z.calls, 1e-9) }
--- a/logic/zones.go
+++ b/logic/zones.go
@@ -2,35 +2,35 @@
 
 import "slices"
 
-// How a zone stands as seen from this copy's own, and what it gets. All copies of a zone decide from the same
-// evidence, the sum of what they tell of it, so that they leave it together and return at one pace.
+// How a zone stands as seen from home. All copies of a zone go by one sum, so that they act together.
 
 const (
-	zoneLeast  = 0.2             // calls from which a copy has evidence on a zone
-	zoneMost   = 6.0             // calls of one copy count as no more than this: one alone outvotes nobody
-	zoneCalls  = 4.0             // calls that the copies must have made together for a zone to be left
-	zoneAgain  = 2.0             // the same at a zone that is being returned to
-	zoneBad    = 0.6             // part of bad calls from which a copy calls a zone bad and copies leave it
-	betterPart = 0.5             // of its bad part: more must not fail in the other zones, or nobody leaves
-	leaveHold  = 3 * second / 20 // that must last so long
-	leaveShare = 0.3             // and until then it gets this part
-
-	pressBar   = 0.35 // weight of other zones above which a copy tells that home is slow
-	pressSpill = 0.15 // weight of other zones while most copies tell so, at least
-	spillWell  = 0.01 // weight of one server elsewhere, and no more than one, while all find that home copes
-
-	awayLeast  = 3 * second   // a zone stays away so long at least, doubled each time it was left lately
-	awayMost   = 60 * second  // and at most so long
+	zoneBad    = 0.6 // part of bad calls from which a copy calls a zone bad and copies leave it
+	betterPart = 0.5 // of its bad part: more must not fail in the other zones, or nobody leaves
+
+	zoneLeast, zoneMost = 0.2, 6.0 // calls from which a copy has evidence, and that it counts at most
+
+	zoneCalls, zoneAgain = 4.0, 2.0 // calls of all copies that a zone is left by, and left again by
+
+	leaveHold, leaveShare = 3 * second / 20, 0.3 // that must last so long; until then it gets this part
+
+	pressBar, pressSpill = 0.35, 0.15 // spill from which a copy tells that home is slow; least while most do
+
+	spillHealthy = 0.01 // weight of one server elsewhere, and of no more, while all find that home copes
+
+	awayLeast, awayMost = 3 * second, 60 * second // of a stay away, doubled for each time left lately
+
 	flapForget = 120 * second // after which none of those times counts
 	trialRate  = 3.0          // trials a second that a zone gets from all copies together
-	trialGood  = 3.0          // good ones, as far as they have not faded, that let it return
-	trialBad   = 0.25         // and the part of bad ones that does not
 	trialAlone = 0.9          // calls of which none was bad are enough at a copy that hears nobody
 	blindWait  = 30 * second  // with few trials or none, as where all calls are unsafe, it returns after this
-	stepLeast  = second       // each step of a return lasts this long
-	stepPart   = 0.2          // and this part of the time in which a server is warm
-	aloneTimes = 4            // and this many times as long at a copy that hears nobody
 	settle     = second       // a copy joins the others if they stand otherwise for so long
+
+	stepLeast, stepPart = second, 0.2 // a step of a return lasts so long, and this part of Settings.Cold
+
+	trialGood, trialBad = 3.0, 0.25 // good trials, unfaded, that let it return; a bad part that does not
+
+	aloneTimes = 4 // and this many times as long at a copy that hears nobody
 )
 
 // returnSteps are the parts of its fair weight that a zone gets one after the other as it is returned to.
@@ -42,7 +42,7 @@
 	answers := z.sum.calls >= zoneCalls && z.sum.part() <= trialBad // nobody is followed out of such a zone
 	slow := z.Zone == b.s.Zone && 2*z.sum.slow > z.sum.say          // most copies find home so
 	switch z.Standing {
-	case Well, Pressed:
+	case Healthy, Pressed:
 		if lost {
 			b.stand(now, h, z, Leaving, leaveShare)
 		} else if others < 1 && age >= settle && (others > 0 || !answers) {
@@ -52,7 +52,7 @@
 		}
 	case Leaving:
 		if !lost {
-			b.stand(now, h, z, Well, 1)
+			b.stand(now, h, z, Healthy, 1)
 		} else if age >= leaveHold {
 			b.leaveZone(now, h, z)
 		}
@@ -78,9 +78,8 @@
 }
 
 // lost tells whether the copies of this zone see another, or home, as lost: most of those with evidence, more
-// than a third of all (so many may lie) and most calls say so, over several servers, while the others are
-// clearly better and can take what it had. A copy that hears nobody knows too little to tell a lost zone from
-// a bad link of its own.
+// than a third of all (so many may lie) and most calls say so, over several servers, and the others are
+// clearly better. A copy that hears nobody cannot tell a lost zone from a bad link of its own.
 func (b *Balancer) lost(z *zone) bool {
 	s, need, servers := &z.sum, zoneCalls, min(2, z.sum.ready)
 	if z.Standing == Returning {
@@ -91,29 +90,28 @@
 		s.servers >= servers && b.openBeside(z) && b.badBeside(z) <= betterPart*s.part()
 }
 
-// open tells whether calls may go to a zone and would find a server.
 func (z *zone) open() bool { return z.Standing != Leaving && z.Share > 0 && z.sum.ready > 0 }
 
-// othersGive is the part that most of the other copies of this zone give a zone, if that is known to be more
-// or less than this one gives it.
+// othersGive is the part that most other copies of this zone give a zone, where known to differ from its own.
 func (b *Balancer) othersGive(z *zone) float64 {
-	least, most := z.sum.median(b.peers.Near - 1)
 	if b.peers.Alone || b.peers.Near < 3 {
 		return z.Share
 	}
+	shares, untold := z.sum.shares, max(0, b.peers.Near-1-len(z.sum.shares)) // these may give nothing or all
+	n := len(shares) + untold
+	least := slices.Concat(make([]float64, untold), shares)[(n-1)/2]
+	most := slices.Concat(shares, slices.Repeat([]float64{1}, untold))[n/2]
 	return min(max(z.Share, least), most)
 }
 
 // follow puts a zone where most other copies have it.
 func (b *Balancer) follow(now int64, h Host, z *zone, share float64) {
-	if share == 0 {
-		if b.openBeside(z) {
-			b.leaveZone(now, h, z)
-		}
-		return
+	if share > 0 {
+		step, _ := slices.BinarySearch(returnSteps[:], min(share, 1))
+		b.returnTo(now, h, z, step)
+	} else if b.openBeside(z) {
+		b.leaveZone(now, h, z)
 	}
-	step, _ := slices.BinarySearch(returnSteps[:], min(share, 1))
-	b.returnTo(now, h, z, step)
 }
 
 func (b *Balancer) leaveZone(now int64, h Host, z *zone) {
@@ -139,7 +137,7 @@
 	if z.step = step; step < len(returnSteps)-1 {
 		b.stand(now, h, z, Returning, returnSteps[step])
 	} else {
-		b.stand(now, h, z, Well, 1)
+		b.stand(now, h, z, Healthy, 1)
 	}
 }
 
@@ -148,21 +146,18 @@
 	return int64(float64(max(b.peers.Near, 1)) / trialRate * float64(second))
 }
 
-// trial is a server of a zone that is away, if one is due for a try and the request may be sent again
-// elsewhere.
+// trial is a server of a zone that is away and due for a try, if the request may then be sent elsewhere.
 func (b *Balancer) trial(now int64, q *request) *server {
 	k := q.s.Classes[q.Class]
 	if len(q.attempts) > 0 || k.Repeat == Unsafe || k.Repeat == Keyed && k.Group != GroupAll {
 		return nil
 	}
 	for i := range b.zones {
-		z := &b.zones[i]
-		if z.Standing != Away || now < z.trial {
-			continue
-		}
-		z.trial = now + b.trialGap()/2 + b.rnd.Int64N(b.trialGap())
-		if of := b.readyIn(z); len(of) > 0 {
-			return of[b.rnd.IntN(len(of))]
+		if z := &b.zones[i]; z.Standing == Away && now >= z.trial {
+			z.trial = now + b.trialGap()/2 + b.rnd.Int64N(b.trialGap())
+			if of := b.readyIn(z); len(of) > 0 {
+				return of[b.rnd.IntN(len(of))]
+			}
 		}
 	}
 	return nil
@@ -176,7 +171,7 @@
 	} else if home.Standing == Pressed {
 		spill = max(spill, pressSpill)
 	} else if b.homeCopes() {
-		spill = min(spill, spillWell)
+		spill = min(spill, spillHealthy)
 	}
 	return max(spill, 1-home.Share)
 }
@@ -184,6 +179,6 @@
 // homeCopes tells whether no copy of this zone, of those with evidence, finds home slow or bad.
 func (b *Balancer) homeCopes() bool {
 	home := b.zone(b.s.Zone)
-	return home != nil && home.Standing == Well && b.spill <= pressBar && home.sum.calls >= zoneCalls &&
+	return home != nil && home.Standing == Healthy && b.spill <= pressBar && home.sum.calls >= zoneCalls &&
 		home.sum.against == 0 && home.sum.slow == 0 && home.fresh.part() <= trialBad
 }
