--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -21,6 +21,7 @@
 
 	"fernlanding/experiments"
 	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/hollow"
 	"fernlanding/internal/lab/report"
 	"fernlanding/internal/lab/result"
 )
@@ -40,6 +41,7 @@
 	Report  reportCommand  `cmd:"" help:"Write report.html of a run again, and print its figures."`
 	Compare compareCommand `cmd:"" help:"Print the figures of two runs side by side."`
 	List    listCommand    `cmd:"" help:"List the experiments that come with the program."`
+	Hollow  hollowCommand  `cmd:"" hidden:"" help:"A process of hollow proxies or nodos, which run starts."`
 }
 
 type checkCommand struct {
@@ -57,6 +59,15 @@
 
 type listCommand struct{}
 
+type hollowCommand struct {
+	Config string `arg:"" help:"The process's file."`
+}
+
+// Run runs the process until it is told to end.
+func (c *hollowCommand) Run(ctx context.Context, log *slog.Logger) error {
+	return hollow.Main(ctx, c.Config, log)
+}
+
 // status is an exit status that is no error of the program's.
 type status int
 
--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -90,6 +90,13 @@
 			return err
 		}
 	}
+	if e.Hollow.On() {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		o.Hollow = []string{self, "hollow"}
+	}
 	seed, repeat := e.Seed, e.Repeat
 	if c.Seed != nil {
 		seed = *c.Seed
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -73,6 +73,7 @@
 		c.part("proxy.known", *p.KnownPart)
 	}
 	c.checkNodos()
+	c.checkHollow()
 	if c.positive("fleet.seeds", float64(e.Fleet.Seeds)); e.Fleet.Label == "" {
 		c.problem("fleet.label", "is empty: any fleet would be taken for this one")
 	}
--- a/internal/lab/experiment/check_fault.go
+++ b/internal/lab/experiment/check_fault.go
@@ -31,7 +31,7 @@
 	}
 	zones := c.e.ZoneNames()
 	for name, zone := range map[string]string{"zone": f.Zone, "from_zone": f.FromZone, "to_zone": f.ToZone} {
-		if zone != "" && !slices.Contains(zones, zone) {
+		if zone != "" && !slices.Contains(zones, zone) && !(kind.Hollow && name == "zone") {
 			c.problem(key+"."+name, "no zone %q; there are %s", zone, strings.Join(zones, ", "))
 		}
 	}
@@ -41,6 +41,7 @@
 	c.checkNames(key+".proxies", f.Proxies, c.e.ProxyNodes(), kind.Proxies || kind.Links, f.Kind)
 	c.checkNames(key+".nodos", f.Nodos, c.e.NodoNodes(), kind.Nodos || kind.Links, f.Kind)
 	c.checkMembers(key, f, kind)
+	c.checkHollowFault(key, f, kind)
 	if kind.Links {
 		if f.Link != "" {
 			c.oneOf(key+".link", f.Link, "client", "nodo", "list", "lease", "gossip")
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -29,6 +29,8 @@
 	Nodos   Nodos    `toml:"nodos"`
 	List    List     `toml:"list"`
 	Fleet   Fleet    `toml:"fleet"`
+	Hollow  Hollow   `toml:"hollow"`
+	Phases  []Phase  `toml:"phase"`
 	Faults  []Fault  `toml:"fault"`
 	Expect  []Expect `toml:"expect"`
 }
@@ -201,6 +203,8 @@
 	Part      float64 `toml:"part"`
 	Factor    float64 `toml:"factor"`
 	Versions  int     `toml:"versions"`
+	Service   int     `toml:"service"` // of hollow nodos: all of one of the services, from 1
+	Count     int     `toml:"count"`   // of hollow nodos: so many of those that are left
 	Liars     int     `toml:"liars"`
 	Keep      bool    `toml:"keep"` // a restarted proxy finds its directory as it was
 }
@@ -309,6 +313,9 @@
 	"loss":  {Links: true, Lasts: true, Needs: []string{"part"}, Text: "`part` of the writes come a retransmission later; of datagrams, never"},
 	"reset": {Links: true, Text: "open connections are reset; while it lasts new ones too, at their first byte"},
 
+	"hollow_replace": {Hollow: true, Text: "hollow nodos drain, go 2 s later, and are back at once as another process"},
+	"hollow_die":     {Hollow: true, Text: "hollow nodos die without a word; back after `for`"},
+
 	"gossip_lie": {Nodos: true, Lasts: true, Needs: []string{"liars"}, Text: "so many more members join the fleet and say that the nodos and all other zones fail"},
 
 	"member_kill":   {Members: true, Text: "members of the list service die in one instant; back after `for` with their directories"},
@@ -326,10 +333,10 @@
 
 // Kind says what a kind of fault needs.
 type Kind struct {
-	Proxies, Nodos, Zone, Links, Members bool // what it is aimed at
-	Lasts                                bool // it holds for `for`
-	Needs                                []string
-	Text                                 string
+	Proxies, Nodos, Zone, Links, Members, Hollow bool // what it is aimed at
+	Lasts                                        bool // it holds for `for`
+	Needs                                        []string
+	Text                                         string
 }
 
 // KindNames are the kinds in order.
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -48,6 +48,8 @@
 		return slices.Contains(spanFigures, name) || slices.Contains(wholeFigures, name) || slices.Contains(faultFigures, name)
 	}
 	switch {
+	case base == "control":
+		return controlFigure(rest, e)
 	case base == "broken":
 		return slices.Contains(Rules, rest)
 	case slices.Contains(faultFigures, base):
--- /dev/null
+++ b/internal/lab/experiment/hollow.go
@@ -0,0 +1,156 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Hollow is the hollow proxies and nodos beside the real ones: package hollow says what they are. They stand in the file's
+// zones in turn, and there in Zones parts, which the list has as zones of their own: a file's zone then is a region.
+type Hollow struct {
+	Proxies   int     `toml:"proxies"`
+	Nodos     int     `toml:"nodos"`
+	Processes int     `toml:"processes"` // of proxies; nodos have half as many
+	Zones     int     `toml:"zones"`     // in each of the file's zones
+	Services  int     `toml:"services"`  // that the nodos make up, for faults of one service
+	Calls     float64 `toml:"calls"`     // drawn, a second and proxy
+	Bad       float64 `toml:"bad"`       // part of the drawn calls that come to nothing
+}
+
+// Phase is a span of the run whose figures of control are told apart.
+type Phase struct {
+	Name string  `toml:"name"`
+	From float64 `toml:"from"`
+	To   float64 `toml:"to"`
+}
+
+const (
+	maxHollow          = 5000
+	maxHollowProcesses = 64
+	hollowPrefix       = "h"
+)
+
+// On tells whether there are any.
+func (h Hollow) On() bool { return h.Proxies+h.Nodos > 0 }
+
+// NodoProcesses is how many processes the nodos share.
+func (h Hollow) NodoProcesses() int { return min(max(1, h.Processes/2), h.Nodos) }
+
+// HollowProxies names the hollow proxies. A Node's zone is a part of the file's zone.
+func (e *Experiment) HollowProxies() []Node { return e.hollow("p", e.Hollow.Proxies) }
+
+// HollowNodos names the hollow nodos.
+func (e *Experiment) HollowNodos() []Node { return e.hollow("s", e.Hollow.Nodos) }
+
+func (e *Experiment) hollow(kind string, n int) (out []Node) {
+	zones := e.ZoneNames()
+	for i := range n {
+		region, part := i%len(zones), i/len(zones)%max(1, e.Hollow.Zones)
+		out = append(out, Node{Name: fmt.Sprintf("%s%s%d", hollowPrefix, kind, i+1), Zone: hollowZone(zones[region], part)})
+	}
+	return out
+}
+
+func hollowZone(region string, part int) string { return fmt.Sprintf("%s-%c", region, 'a'+rune(part)) }
+
+// HollowZones are the zones of the hollow ones.
+func (e *Experiment) HollowZones() (out []string) {
+	for _, z := range e.ZoneNames() {
+		for part := range e.Hollow.Zones {
+			out = append(out, hollowZone(z, part))
+		}
+	}
+	return out
+}
+
+// RegionOf is the file's zone that a hollow one's zone is a part of.
+func RegionOf(zone string) string { return zone[:strings.LastIndexByte(zone, '-')] }
+
+// InService tells whether the hollow nodo with a number from 0 belongs to a service from 1.
+func (h Hollow) InService(i, service int) bool { return i%h.Services == service-1 }
+
+func (c *checker) checkHollow() {
+	e, h := c.e, c.e.Hollow
+	for key, n := range map[string]int{"proxies": h.Proxies, "nodos": h.Nodos} {
+		if n < 0 || n > maxHollow {
+			c.problem("hollow."+key, "from 0 to %d, not %d", maxHollow, n)
+		}
+	}
+	if h.On() {
+		if e.List.Members == 0 {
+			c.problem("hollow", "they follow the list service: list.members is needed")
+		}
+		if h.Processes < 1 || h.Processes > maxHollowProcesses {
+			c.problem("hollow.processes", "from 1 to %d, not %d", maxHollowProcesses, h.Processes)
+		}
+		if h.Zones < 1 || h.Zones > 26 {
+			c.problem("hollow.zones", "from 1 to 26, not %d", h.Zones)
+		}
+		if h.Services < 1 {
+			c.problem("hollow.services", "has to be 1 or more, not %d", h.Services)
+		}
+		c.notNegative("hollow.calls", h.Calls)
+		c.part("hollow.bad", h.Bad)
+	}
+	seen := map[string]bool{}
+	for i, p := range e.Phases {
+		key := fmt.Sprintf("phase[%d]", i+1)
+		if p.Name == "" || seen[p.Name] || strings.ContainsAny(p.Name, " .") {
+			c.problem(key+".name", "%q is empty, given twice, or has a space or a dot", p.Name)
+		}
+		seen[p.Name] = true
+		if !(p.From >= 0 && p.To > p.From && p.To < e.Seconds) {
+			c.problem(key+".from", "%v to %v is no span that ends before the run's %v seconds do", p.From, p.To, e.Seconds)
+		}
+	}
+	if len(e.Phases) > 0 && !h.On() {
+		c.problem("phase", "figures of phases are of control, with hollow ones: hollow.proxies or hollow.nodos")
+	}
+}
+
+// checkHollowFault checks what only faults of hollow nodos have.
+func (c *checker) checkHollowFault(key string, f Fault, kind Kind) {
+	if !kind.Hollow {
+		if f.Service != 0 || f.Count != 0 {
+			c.problem(key, "service and count are for faults of hollow nodos; %s is none", f.Kind)
+		}
+		return
+	}
+	if c.e.Hollow.Nodos == 0 {
+		c.problem(key+".kind", "%s needs hollow.nodos", f.Kind)
+	}
+	if f.Service < 0 || f.Service > c.e.Hollow.Services {
+		c.problem(key+".service", "from 1 to %d, or 0 for all, not %d", c.e.Hollow.Services, f.Service)
+	}
+	if f.Count < 0 {
+		c.problem(key+".count", "has to be 0 or more, not %d", f.Count)
+	}
+	if zones := c.e.HollowZones(); f.Zone != "" && !slices.Contains(zones, f.Zone) {
+		c.problem(key+".zone", "no zone %q of hollow nodos; there are %s", f.Zone, strings.Join(zones, ", "))
+	}
+}
+
+// Roles of which figures of control are told, and the figures of each; and those that have no role.
+var (
+	controlRoles   = []string{"proxy", "real", "nodo", "leader", "follower", "five", "regions"}
+	controlFigures = []string{"in_b_s", "out_b_s", "calls_s", "cpu_pct", "memory_mb"}
+	controlWhole   = []string{"known_p50_ms", "known_p99_ms", "known_last_ms", "real_known_p50_ms", "real_known_p99_ms",
+		"real_known_last_ms", "confirmed_p50_ms", "confirmed_p99_ms", "confirmed_last_ms", "changes", "unknown", "turned",
+		"watches_most", "list_failures", "list_moves", "list_age_last_ms", "gossip_in_b_s", "gossip_out_b_s", "gossip_waiting",
+		"gossip_entries", "gossip_age_p50_ms", "gossip_age_p99_ms", "gossip_age_last_ms", "gossip_dropped", "living_least",
+		"real_gossip_in_b_s", "hollow_stall_ms"}
+)
+
+// controlFigure tells whether there is such a figure of control: PHASE.ROLE.FIGURE or PHASE.FIGURE.
+func controlFigure(name string, e *Experiment) bool {
+	phase, rest, ok := strings.Cut(name, ".")
+	if !ok || !slices.ContainsFunc(e.Phases, func(p Phase) bool { return p.Name == phase }) {
+		return false
+	}
+	role, figure, dotted := strings.Cut(rest, ".")
+	if !dotted {
+		return slices.Contains(controlWhole, rest)
+	}
+	return slices.Contains(controlRoles, role) && slices.Contains(controlFigures, figure)
+}
--- a/internal/lab/experiment/read.go
+++ b/internal/lab/experiment/read.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	for key, empty := range map[string]func(){"zone": func() { e.Zones = nil }, "class": func() { e.Classes = nil },
-		"fault": func() { e.Faults = nil }, "expect": func() { e.Expect = nil }} {
+		"fault": func() { e.Faults = nil }, "phase": func() { e.Phases = nil }, "expect": func() { e.Expect = nil }} {
 		if _, given := keys[key]; given {
 			empty()
 		}
@@ -126,7 +126,8 @@
 			Membership: "subscribe"},
 		Nodos: Nodos{StartCapacity: 0.32, ColdMs: 8800, TipMultiple: 3, FallMs: 2000, MaxConns: 64,
 			ConnectMs: 2, ConnectWork: 1, Cancelling: true},
-		Fleet: Fleet{Label: "lab", Seeds: 6},
+		Fleet:  Fleet{Label: "lab", Seeds: 6},
+		Hollow: Hollow{Processes: 4, Zones: 3, Services: 88, Calls: 0.2, Bad: 0.01},
 		List: List{LagMs: 1000, CallMs: 2, LineUs: 20, WaitMs: 2000, SyncMs: 500, RetainN: 200, MostN: 1000,
 			LeaseMs: 5000, ElectionMs: 500, StaleMs: 2000},
 	}
--- /dev/null
+++ b/internal/lab/hollow/decide.go
@@ -0,0 +1,159 @@
+package hollow
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/settings"
+	"fernlanding/logic"
+)
+
+const (
+	laterMost = 64               // events of a proxy that wait for its loop
+	callLeast = time.Millisecond // between two calls
+	tookLeast = 20 * time.Millisecond
+	tookMost  = 80 * time.Millisecond
+)
+
+// decider is the decision module with calls that are drawn: nobody sends them and nobody answers, but the module takes each,
+// picks a server, and hears what came of it. It is its own host. All but the counts is the proxy's loop's.
+type decider struct {
+	bal     *logic.Balancer
+	zones   map[string]int
+	classes int
+	rate    float64
+	bad     float64
+	later   chan func()
+	ctx     context.Context // of the event that is under way
+	rnd     *rand.Rand
+	n       int64
+	sends   map[string]int
+
+	taken, sent, refused, failed atomic.Int64
+}
+
+func newDecider(c *Config, p Proxy, site *settings.Site) (*decider, error) {
+	d := &decider{zones: map[string]int{}, classes: len(site.Logic.Classes), rate: c.Calls, bad: c.Bad,
+		later: make(chan func(), laterMost), sends: map[string]int{}, ctx: context.Background()}
+	for i, z := range site.Zones {
+		d.zones[z] = i
+	}
+	s := site.Logic
+	s.Ordinal, s.Zone = p.Ordinal, d.number(p.Zone)
+	var err error
+	d.bal, err = logic.New(s, p.Seed)
+	return d, err
+}
+
+func now() int64 { return time.Now().UnixMicro() }
+
+func (d *decider) number(zone string) int {
+	n, ok := d.zones[zone]
+	if !ok {
+		n = len(d.zones)
+		d.zones[zone] = n
+	}
+	return n
+}
+
+// list tells the module what is listed, as a real proxy does.
+func (d *decider) list(l *discovery.List) {
+	kind := logic.Delta
+	if l.Full {
+		kind = logic.Full
+	}
+	out := make([]logic.Server, 0, len(l.Endpoints))
+	for _, e := range l.Endpoints {
+		s := logic.Server{ID: e.Name, Zone: d.number(e.Zone), Cell: e.Group, Size: 1, Launched: e.SinceMs * 1000}
+		switch e.Status {
+		case discovery.Serving:
+			s.State = logic.Ready
+		case discovery.Draining:
+			s.State = logic.Draining
+		}
+		if e.Weight != nil {
+			s.Size = *e.Weight
+		}
+		out = append(out, s)
+	}
+	d.bal.List(now(), d, kind, out)
+}
+
+// pause is until the next call: drawn, and an hour if there are none.
+func (d *decider) pause(r *rand.Rand) time.Duration {
+	if d.rate <= 0 || d.classes == 0 {
+		return time.Hour
+	}
+	return max(callLeast, time.Duration(r.ExpFloat64()/d.rate*float64(time.Second)))
+}
+
+// call has the module decide on one call.
+func (d *decider) call(ctx context.Context, r *rand.Rand) {
+	d.ctx, d.rnd = ctx, r
+	d.n++
+	id := strconv.FormatInt(d.n, 16)
+	d.taken.Add(1)
+	d.sends[id] = 0
+	d.bal.Request(now(), d, logic.Request{ID: id, Class: r.IntN(d.classes), GiveUp: now() + time.Second.Microseconds()})
+}
+
+// after has the proxy's loop do something later; not once the proxy has ended.
+func (d *decider) after(delay time.Duration, do func()) {
+	ctx := d.ctx
+	time.AfterFunc(delay, func() {
+		select {
+		case d.later <- do:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// Send makes the decider the module's host, as do the others below: an attempt ends as it is drawn, after a time that is.
+func (d *decider) Send(id, _ string, _, timeout int64) {
+	n := d.sends[id]
+	d.sends[id] = n + 1
+	d.sent.Add(1)
+	status, took := logic.OK, tookLeast+time.Duration(d.rnd.Int64N(int64(tookMost-tookLeast)))
+	if d.rnd.Float64() < d.bad {
+		status = logic.Reset
+	}
+	d.after(took, func() {
+		_, open := d.sends[id]
+		closed := status == logic.OK || !open
+		d.bal.Outcome(now(), d, logic.Outcome{ID: id, Attempt: n, Status: status, Closed: closed, Took: took.Microseconds()})
+		if closed {
+			delete(d.sends, id)
+		}
+	})
+}
+
+// Refuse ends a call.
+func (d *decider) Refuse(id string, _ int64) {
+	d.refused.Add(1)
+	delete(d.sends, id)
+}
+
+// Fail ends a call.
+func (d *decider) Fail(id string) {
+	d.failed.Add(1)
+	delete(d.sends, id)
+}
+
+// SetTimer asks for a timer's event.
+func (d *decider) SetTimer(delay int64, token string) {
+	d.after(time.Duration(delay)*time.Microsecond, func() { d.bal.Timer(now(), d, token) })
+}
+
+// Watch is nothing: the list is followed in any case.
+func (d *decider) Watch() {}
+
+// Log is nothing: calls that are drawn are no news.
+func (d *decider) Log(string) {}
+
+func (d *decider) counted() DecidedFigures {
+	return DecidedFigures{d.taken.Load(), d.sent.Load(), d.refused.Load(), d.failed.Load()}
+}
--- /dev/null
+++ b/internal/lab/hollow/hollow_test.go
@@ -0,0 +1,179 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/roster/api"
+	"fernlanding/internal/roster/lease"
+	"fernlanding/internal/roster/member"
+)
+
+const patience = 30 * time.Second // for what takes a second or two
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// service is an only member of the list service, in this process.
+func service(t *testing.T) (addr string, m *member.Member, a *api.Server) {
+	t.Helper()
+	a, err := api.Listen(api.Config{Listen: "127.0.0.1:0", Name: "r1", Watchers: 100, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err = member.Open(t.Context(), member.Config{Name: "r1", Dir: t.TempDir(), Election: 100 * time.Millisecond,
+		Stale: time.Minute, Lease: lease.Defaults(), Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Open(m)
+	served := make(chan error, 1)
+	go func() { served <- a.Serve() }()
+	t.Cleanup(func() {
+		a.End(time.Second)
+		if err := errors.Join(<-served, m.Close()); err != nil {
+			t.Error(err)
+		}
+	})
+	eventually(t, "a leader", m.Serving)
+	return a.Addr(), m, a
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for ", what)
+		}
+	}
+}
+
+const told = `{"contract":{"start_capacity":0.3,"cold_us":1000000},"failure_domains":["a-a"],"my_zone":0,"ordinal":0,"siblings":3,
+"profiles":[{"name":"c","objective_us":500000,"give_up_us":1000000,"worth":1,"repeat":"idempotent"}],"tiers":["lab"],
+"limits":{"try_limit":3},"membership_mode":"automatic","counted_by":"request","weights":"off"}`
+
+// config is a process of so many proxies and nodos.
+func config(list string, proxies, nodos int) Config {
+	c := Config{Name: "h", Settings: []byte(told), Calls: 50, Bad: 0.1, LeaseMs: 3000}
+	for i := range proxies {
+		c.Proxies = append(c.Proxies, Proxy{Name: fmt.Sprintf("hp%d", i), Zone: "a-a", Ordinal: i, Seed: uint64(i), Lists: []string{list}})
+	}
+	for i := range nodos {
+		c.Nodos = append(c.Nodos, Nodo{Name: fmt.Sprintf("hs%d", i), Zone: "a-a", Address: "127.0.0.1:9", Lists: []string{list}})
+	}
+	return c
+}
+
+// start runs a process until the test ends.
+func start(t *testing.T, c Config, fault seeded) (p *Process, ended <-chan error) {
+	t.Helper()
+	p, err := newSeeded(c, quiet, fault)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	over := make(chan struct{})
+	go func() { defer close(over); done <- p.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-over })
+	return p, done
+}
+
+// What nodos do comes to all proxies, under versions that tell how late.
+func TestChangesAreKnown(t *testing.T) {
+	list, m, _ := service(t)
+	p, _ := start(t, config(list, 3, 4), sound)
+	eventually(t, "all", func() bool { return p.missing() == "" })
+	p.Begin()
+	if err := p.Do(Order{Act: "replace", Turns: []Turn{{Name: "hs0"}, {Name: "hs1", InMs: 100}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Do(Order{Act: "die", ForMs: 4000, Turns: []Turn{{Name: "hs2"}}}); err != nil {
+		t.Fatal(err)
+	}
+	// Two drain, go and are back; one dies, its lease ends, and it is back.
+	eventually(t, "the changes", func() bool { return len(p.Figures(true).Nodos.Changes) >= 7 })
+	_, index := m.Version()
+	var f Figures
+	eventually(t, "all to know", func() bool {
+		f = p.Figures(true)
+		for _, x := range f.Proxies {
+			if n := len(x.List.Steps); n == 0 || x.List.Steps[n-1].Index < index {
+				return false
+			}
+		}
+		return true
+	})
+	if f.Nodos.Living != 4 || !f.Ready {
+		t.Errorf("%d nodos live, ready %v (%s); want 4 and true", f.Nodos.Living, f.Ready, f.Missing)
+	}
+	for _, c := range f.Nodos.Changes {
+		if c.Index <= 0 || c.Sure < c.Asked {
+			t.Errorf("%+v: no version, or sure before it was asked", c)
+		}
+	}
+	for _, x := range f.Proxies {
+		if x.List.Servers != 4 {
+			t.Errorf("%s knows %d servers, want 4", x.Name, x.List.Servers)
+		}
+		if x.Calls.Taken == 0 || x.Calls.Sent < x.Calls.Taken/2 {
+			t.Errorf("%s: %+v: the module had nothing to decide", x.Name, x.Calls)
+		}
+	}
+	if light := p.Figures(false); len(light.Nodos.Changes) > 0 || len(light.Proxies[0].List.Steps) > 0 {
+		t.Error("figures without steps have some")
+	}
+}
+
+// A proxy that cannot go on ends its process, and is named with the cause: where it is made, where it runs, and on disk.
+func TestAFailureIsNamed(t *testing.T) {
+	list, _, _ := service(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	c := config(list, 2, 0)
+	c.Failure = filepath.Join(t.TempDir(), "failed")
+	c.Fleet = &Fleet{Label: "test"}
+	c.Proxies[0].Bind, c.Proxies[1].Bind = "127.0.0.1:0", taken.Addr().String()
+	var failed *FailedError
+	if _, err := New(c, quiet); !errors.As(err, &failed) || failed.Name != "hp1" || !strings.Contains(failed.Cause, "in use") {
+		t.Fatalf("%v; want hp1's, and that its address is in use", err)
+	}
+	if err := failed.write(c.Failure); err != nil {
+		t.Fatal(err)
+	}
+	var read *FailedError
+	if err := Failure("h", c.Failure); !errors.As(err, &read) || *read != *failed {
+		t.Errorf("left as %v, wanted %v", err, failed)
+	}
+	if err := Failure("h", c.Failure+"-none"); !errors.As(err, &read) || read.Name != "process h" {
+		t.Errorf("%v; want the process's own failure", err)
+	}
+
+	p, ended := start(t, config(list, 1, 0), sound)
+	go p.guard("hp0", func() { panic("so it is") })
+	if err := <-ended; !errors.As(err, &failed) || failed.Name != "hp0" || !strings.Contains(failed.Cause, "so it is") {
+		t.Errorf("%v; want hp0's, with its panic", err)
+	}
+}
+
+// Orders that make no sense change nothing.
+func TestBadOrders(t *testing.T) {
+	p, err := New(config("127.0.0.1:1", 0, 1), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range []Order{{Act: "replace", Turns: []Turn{{Name: "none"}}}, {Act: "sing", Turns: []Turn{{Name: "hs0"}}}} {
+		if err := p.Do(o); err == nil {
+			t.Errorf("%+v was taken", o)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/hollow/proxy.go
@@ -0,0 +1,164 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/settings"
+)
+
+// proxy is a hollow proxy: parts that each follow something, and one loop that owns the decision module. Its figures are read
+// from outside.
+type proxy struct {
+	Proxy
+	cfg    *Config
+	log    *slog.Logger
+	list   *followed
+	fleet  *fleetPart // nil without a fleet
+	decide *decider
+}
+
+// seeded is a fault of a hollow proxy that the checks must find; tests only.
+type seeded uint8
+
+const (
+	sound      seeded = iota
+	skipsWatch        // it hears the list once and follows it no more
+	skipsFleet        // it takes no part in the gossip
+)
+
+// followed is the list that a proxy follows.
+type followed struct {
+	client *discovery.Client
+
+	mu      sync.Mutex
+	steps   []Step
+	servers map[string]bool
+}
+
+func newProxy(c *Config, p Proxy, log *slog.Logger, fault seeded) (*proxy, error) {
+	site, err := settings.Decode(c.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	h := &proxy{Proxy: p, cfg: c, log: log.With("proxy", p.Name)}
+	h.list = &followed{servers: map[string]bool{}, client: discovery.New(discovery.Config{
+		Source: discovery.Source{Members: p.Lists}, Seed: p.Seed, Log: h.log})}
+	if h.decide, err = newDecider(c, p, site); err != nil {
+		return nil, err
+	}
+	if c.Fleet != nil && fault != skipsFleet {
+		if h.fleet, err = join(c.Fleet, p, h.log); err != nil {
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+// run takes part until the context ends.
+func (p *proxy) run(ctx context.Context, fault seeded) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	following, leave := context.WithCancel(ctx)
+	defer leave()
+	parts.Go(func() { p.list.client.Run(following) })
+	var peers <-chan peersWord
+	var meet <-chan time.Time
+	if p.fleet != nil {
+		parts.Go(func() { p.fleet.run(ctx) })
+		peers = p.fleet.words
+		tick := time.NewTicker(meetEvery)
+		defer tick.Stop()
+		meet = tick.C
+	}
+	r := rand.New(rand.NewPCG(p.Seed, 7))
+	calls := time.NewTimer(p.decide.pause(r))
+	defer calls.Stop()
+	for {
+		select {
+		case n := <-p.list.client.News():
+			p.list.took(n.List)
+			p.decide.list(n.List)
+			if fault == skipsWatch {
+				leave()
+			}
+		case w := <-peers:
+			p.fleet.last = w
+		case <-meet:
+			p.fleet.meet(p.decide)
+		case <-calls.C:
+			p.decide.call(ctx, r)
+			calls.Reset(p.decide.pause(r))
+		case do := <-p.decide.later:
+			do()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// took notes that a version is known.
+func (f *followed) took(l *discovery.List) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.steps); n == 0 || l.Index > f.steps[n-1].Index {
+		f.steps = append(f.steps, Step{l.Index, nanos()})
+	}
+	if l.Full {
+		clear(f.servers)
+	}
+	for _, e := range l.Endpoints {
+		if e.Status == discovery.Deleted {
+			delete(f.servers, e.Name)
+		} else {
+			f.servers[e.Name] = true
+		}
+	}
+}
+
+// begin forgets all steps but the last.
+func (f *followed) begin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.steps); n > 0 {
+		f.steps = append([]Step(nil), f.steps[n-1])
+	}
+}
+
+func (f *followed) figures(steps bool) ListFigures {
+	x := f.client.Figures()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := ListFigures{Servers: len(f.servers), Moves: x.Moves, Failures: x.Failures, AgeMs: -1}
+	if steps {
+		out.Steps = append(out.Steps, f.steps...)
+	}
+	if x.Age >= 0 {
+		out.AgeMs = float64(x.Age.Microseconds()) / 1000
+	}
+	return out
+}
+
+// missing says what a proxy still lacks before a play can begin; empty: nothing.
+func (p *proxy) missing() string {
+	if p.list.client.Figures().Age < 0 {
+		return p.Name + " has no list"
+	}
+	if p.fleet != nil && p.fleet.link.Figures().Living < 2 && len(p.Seeds) > 0 {
+		return p.Name + " has found nobody of its fleet"
+	}
+	return ""
+}
+
+func (p *proxy) figures(steps bool) ProxyFigures {
+	out := ProxyFigures{Name: p.Name, List: p.list.figures(steps), Calls: p.decide.counted()}
+	if p.fleet != nil {
+		out.Fleet = p.fleet.figures()
+	}
+	return out
+}
--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -18,6 +18,8 @@
 	gone chan struct{}
 	once sync.Once
 
+	came, went *direction // of the link's traffic
+
 	cutIn *state // of the newest bytes that came into a cut; fill's alone
 
 	mu       sync.Mutex
@@ -49,7 +51,10 @@
 	c := &Conn{raw: raw, link: l, gone: make(chan struct{}), wake: make(chan struct{}, 1)}
 	out, back := func(s *state) bool { return s.CutOut }, func(s *state) bool { return s.CutBack }
 	c.in, c.out = queue{cutOf: out}, queue{cutOf: back}
+	c.came, c.went = &l.traffic.sent, &l.traffic.answered
+	l.traffic.conns.Add(1)
 	if dialled {
+		c.came, c.went = c.went, c.came
 		c.in.cutOf, c.out.cutOf = back, out
 	}
 	c.in.news, c.out.news = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -90,6 +95,7 @@
 		n, err := c.raw.Read(buf)
 		at := time.Now()
 		if n > 0 {
+			c.came.add(n)
 			c.put(&c.in, piece{data: buf[:n], at: at})
 			c.unheard(at)
 		}
@@ -124,6 +130,7 @@
 			p.note(time.Now())
 		}
 		if len(p.data) > 0 {
+			c.went.add(len(p.data))
 			if _, err := c.raw.Write(p.data); err != nil {
 				c.put(&c.in, piece{end: err, at: time.Now()})
 				c.drop()
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -77,6 +77,8 @@
 	now   atomic.Pointer[state]
 	cut   func(Ends, time.Time) // is told what came into a cut; may be nil
 
+	traffic traffic
+
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 	port  *port // of a link that is dialled by others
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -166,6 +166,8 @@
 		all = e.ProxyNodes()
 	case kind.Nodos:
 		all, given = e.NodoNodes(), f.Nodos
+	case kind.Hollow:
+		all, given = hollow(e, f), nil
 	default:
 		return s
 	}
@@ -180,6 +182,9 @@
 			r.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 			names = names[:max(1, int(math.Round(f.Share*float64(len(names)))))]
 		}
+		if f.Count > 0 {
+			names = names[:min(f.Count, len(names))]
+		}
 	}
 	for i, name := range names {
 		at := s.At
@@ -191,6 +196,16 @@
 	return s
 }
 
+// hollow is the hollow nodos that a fault may be aimed at: those of its service, if it names one.
+func hollow(e *experiment.Experiment, f experiment.Fault) (out []experiment.Node) {
+	for i, n := range e.HollowNodos() {
+		if f.Service == 0 || e.Hollow.InService(i, f.Service) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Sum is a digest of the whole plan.
 func (p *Plan) Sum() (string, error) {
 	text, err := json.Marshal(p)
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -284,3 +284,17 @@
 
 // Release takes the mark away.
 func Release(dir string) { _ = os.Remove(filepath.Join(dir, holdFile)) }
+
+// Memory is a living process's resident memory now, in bytes; 0 if it cannot be told.
+func Memory(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(text))
+	if len(f) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(f[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -36,6 +36,8 @@
 	CPU    time.Duration // of all proxies
 	List   *List         // of a list service with members; else nil
 	Gossip *Gossip       // nil if the fleet is off
+
+	Control *Control // nil without hollow ones
 }
 
 // Gossip is what the proxies sent each other.
@@ -175,6 +177,9 @@
 		each := e.Seconds * float64(len(e.ProxyNodes()))
 		f["gossip_packets_s"], f["gossip_kb_s"] = float64(g.Packets)/each, float64(g.Bytes)/1000/each
 	}
+	if c := in.Control; c != nil {
+		c.figures(in, f)
+	}
 	f["handshakes_per_request"] = over(f["handshakes"], f["requests"])
 	f["proxy_memory_mb"], f["proxy_cpu_s"] = float64(in.Memory)/(1<<20), in.CPU.Seconds()
 	p.Late = lateness(in.Late, in.Stall)
--- a/internal/lab/run/block.go
+++ b/internal/lab/run/block.go
@@ -28,7 +28,9 @@
 	listOctet  = 5
 	rosterIP   = 8
 	nodoOctet  = 10
-	lastOctet  = 254
+	hollowOct  = 230 // and up, of hollow proxies in their fleet
+	controlOct = 229
+	lastOctet  = 228
 )
 
 func claimBlock() (*block, error) {
@@ -81,6 +83,20 @@
 	return b.addr(listOctet, proxy, listPort+1+member)
 }
 
+// Where the hollow proxies and nodos of a zone find a member, where a process of them is told what to do, where hollow proxy
+// n speaks to its fleet, and where hollow nodos are said to be.
+func (b *block) hollowList(zone, to int) string {
+	return b.addr(rosterIP, nearFrom+zone*mostOfEach+to, listPort+1)
+}
+
+func (b *block) hollowLease(zone, to int) string {
+	return b.addr(rosterIP, nearFrom+zone*mostOfEach+to, listPort+2)
+}
+
+func (b *block) hollowControl(n int) string { return b.addr(controlOct, n, mgmtPort) }
+func (b *block) hollowGossip(n int) string  { return b.addr(hollowOct, n, gossipPort) }
+func (b *block) hollowNodo() string         { return b.addr(controlOct, perOctet-1, 9) }
+
 func (b *block) nodo(n int) (string, error) {
 	if nodoOctet+n/perOctet > lastOctet {
 		return "", fmt.Errorf("over %d links from proxies to nodos", n)
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -54,6 +54,10 @@
 	work    string // directory of the proxies' own
 	logs    string
 
+	self     []string         // a hollow process's program
+	hollow   []*hollowProcess // of proxies, then of nodos
+	hollowOf map[string]*hollowProcess
+
 	members map[string]*member
 	order   []*member
 
@@ -115,7 +119,10 @@
 	}
 	l := f.exp.List
 	if l.Members > 0 {
-		return f.buildService()
+		if err := f.buildService(); err != nil {
+			return err
+		}
+		return f.buildHollow()
 	}
 	f.list = catalog.New(catalog.Config{Lag: experiment.Millis(l.LagMs), Call: experiment.Millis(l.CallMs),
 		Line: time.Duration(l.LineUs * float64(time.Microsecond)), Wait: experiment.Millis(l.WaitMs),
@@ -170,6 +177,11 @@
 	for _, m := range f.order {
 		ps = append(ps, m.processes()...)
 	}
+	for _, h := range f.hollow {
+		if h.proc != nil {
+			ps = append(ps, h.proc)
+		}
+	}
 	f.note(process.KillAll(ps))
 	if f.net != nil {
 		f.net.Close()
--- /dev/null
+++ b/internal/lab/run/hollow.go
@@ -0,0 +1,223 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/hollow"
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/process"
+	"fernlanding/internal/lab/wait"
+)
+
+const (
+	hollowFrom  = "hollow" // the name of the dialling side of links that hollow ones share
+	hollowCall  = 20 * time.Second
+	hollowPoll  = 200 * time.Millisecond
+	hollowSeeds = 3 // of its fleet that a hollow proxy is told in each region
+)
+
+// hollowProcess is a process of hollow proxies or nodos.
+type hollowProcess struct {
+	cfg  hollow.Config
+	path string
+	proc *process.Process
+}
+
+// buildHollow makes the links of hollow ones, which share one for each zone and member, and their processes' files.
+func (f *fleet) buildHollow() error {
+	h := f.exp.Hollow
+	if !h.On() {
+		return nil
+	}
+	zones := f.exp.ZoneNames()
+	members := f.service.Targets(nil)
+	lists, leases := map[string][]string{}, map[string][]string{}
+	for z, zone := range zones {
+		for n, m := range members {
+			for kind, of := range map[string]struct {
+				addr string
+				all  map[string][]string
+			}{"list": {f.block.hollowList(z, n), lists}, "lease": {f.block.hollowLease(z, n), leases}} {
+				ends := link.Ends{Kind: kind, From: hollowFrom, FromZone: zone, To: m.Name, ToZone: m.Zone}
+				own := f.block.member(n, listPort)
+				if _, err := f.net.Listen(ends, of.addr, f.delay(zone, m.Zone), func(c *link.Conn) { _ = link.Pass(c, own, nil) }); err != nil {
+					return err
+				}
+				of.all[zone] = append(of.all[zone], of.addr)
+			}
+		}
+	}
+	told, err := f.hollowSettings()
+	if err != nil {
+		return err
+	}
+	add := func(kind string, n int) (out []*hollowProcess) {
+		for i := range n {
+			p := &hollowProcess{cfg: hollow.Config{Name: fmt.Sprintf("%s%d", kind, i+1), Control: f.block.hollowControl(len(f.hollow)),
+				Settings: told, Calls: h.Calls, Bad: h.Bad, LeaseMs: int64(f.exp.List.LeaseMs)}}
+			p.path = filepath.Join(f.work, p.cfg.Name+".json")
+			p.cfg.Failure = filepath.Join(f.work, p.cfg.Name+".failed")
+			f.hollow = append(f.hollow, p)
+			out = append(out, p)
+		}
+		return out
+	}
+	proxies := add("hollow-proxies", min(h.Processes, h.Proxies))
+	r := f.plan.Source("hollow")
+	for i, n := range f.exp.HollowProxies() {
+		p := proxies[i%len(proxies)]
+		region := experiment.RegionOf(n.Zone)
+		x := hollow.Proxy{Name: n.Name, Zone: n.Zone, Ordinal: i, Seed: r.Uint64(), Lists: lists[region]}
+		if f.exp.Fleet.On {
+			p.cfg.Fleet = &hollow.Fleet{Label: f.exp.Fleet.Label}
+			x.Bind, x.Seeds = f.block.hollowGossip(i), f.hollowSeeds(i)
+			own := netip.MustParseAddrPort(x.Bind).Addr()
+			f.speakers[own] = experiment.Node{Name: n.Name, Zone: region}
+		}
+		p.cfg.Proxies = append(p.cfg.Proxies, x)
+	}
+	nodos := add("hollow-nodos", h.NodoProcesses())
+	f.hollowOf = map[string]*hollowProcess{}
+	for i, n := range f.exp.HollowNodos() {
+		p := nodos[i%len(nodos)]
+		f.hollowOf[n.Name] = p
+		p.cfg.Nodos = append(p.cfg.Nodos, hollow.Nodo{Name: n.Name, Zone: n.Zone, Address: f.block.hollowNodo(),
+			Lists: leases[experiment.RegionOf(n.Zone)]})
+	}
+	return nil
+}
+
+// hollowSettings are what hollow proxies are told: a real proxy's settings, with the hollow zones.
+func (f *fleet) hollowSettings() (json.RawMessage, error) {
+	s := settings(f.exp, 0, 0)
+	s["failure_domains"] = f.exp.HollowZones()
+	s["siblings"] = f.exp.Hollow.Proxies
+	s["membership_mode"] = "automatic"
+	return json.Marshal(s)
+}
+
+// hollowSeeds are the members that hollow proxy i is told to join at: the real ones' first and the hollow ones' first.
+func (f *fleet) hollowSeeds(i int) (out []string) {
+	for n := range min(hollowSeeds, f.exp.Hollow.Proxies) {
+		if n != i {
+			out = append(out, f.block.hollowGossip(n))
+		}
+	}
+	for n := range min(hollowSeeds, len(f.order)) {
+		out = append(out, f.order[n].relay.Addr())
+	}
+	return out
+}
+
+// startHollow starts all hollow processes and waits until each has what it follows. One that ends by itself ends the run.
+func (f *fleet) startHollow(ctx context.Context, fail context.CancelCauseFunc) error {
+	for _, p := range f.hollow {
+		text, err := json.Marshal(p.cfg)
+		if err == nil {
+			err = os.WriteFile(p.path, text, 0o644)
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrEnvironment, err)
+		}
+		if p.proc, err = f.starter.Start(process.Spec{Name: p.cfg.Name, Command: append(slices.Clone(f.self), p.path),
+			Env: os.Environ(), Log: filepath.Join(f.logs, p.cfg.Name+".log")}, f.log); err != nil {
+			return fmt.Errorf("%w: %w", ErrEnvironment, err)
+		}
+		go func() {
+			<-p.proc.Ended()
+			if p.proc.Crashed() {
+				fail(hollow.Failure(p.cfg.Name, p.cfg.Failure))
+			}
+		}()
+	}
+	patience, cancel := context.WithTimeout(ctx, experiment.Seconds(f.exp.Lab.ReadyWait))
+	defer cancel()
+	for _, p := range f.hollow {
+		for missing := "no answer yet"; missing != ""; {
+			if !wait.For(patience, hollowPoll) {
+				if ctx.Err() != nil {
+					return context.Cause(ctx)
+				}
+				return fmt.Errorf("%w: %w", ErrEnvironment, &hollow.FailedError{Process: p.cfg.Name, Name: missing,
+					Cause: fmt.Sprintf("not ready after %v s (lab.ready_wait)", f.exp.Lab.ReadyWait)})
+			}
+			if text, err := p.call(ctx, http.MethodGet, "/ready", nil); err == nil {
+				missing = string(text)
+			}
+		}
+	}
+	return nil
+}
+
+// call makes a call of a process's control address.
+func (p *hollowProcess) call(ctx context.Context, method, path string, body any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, hollowCall)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.cfg.Control+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err = io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s of %s: %s: %s", path, p.cfg.Name, resp.Status, strings.TrimSpace(string(text)))
+	}
+	return text, err
+}
+
+func (p *hollowProcess) figures(ctx context.Context, steps bool) (out hollow.Figures, err error) {
+	path := "/figures"
+	if !steps {
+		path += "?steps=0"
+	}
+	text, err := p.call(ctx, http.MethodGet, path, nil)
+	if err == nil {
+		err = json.Unmarshal(text, &out)
+	}
+	return out, err
+}
+
+// hollowNodos has hollow nodos do what a fault says, each at its turn.
+func (t *timeline) hollowNodos(ctx context.Context, s plan.Strike) error {
+	act, _ := strings.CutPrefix(s.Fault.Kind, "hollow_")
+	orders := map[*hollowProcess]*hollow.Order{}
+	last := time.Duration(0)
+	for _, turn := range s.Turns {
+		p := t.hollowOf[turn.Target]
+		o := orders[p]
+		if o == nil {
+			o = &hollow.Order{Act: act, ForMs: s.For.Milliseconds()}
+			orders[p] = o
+		}
+		o.Turns = append(o.Turns, hollow.Turn{Name: turn.Target, InMs: (turn.At - s.At).Milliseconds()})
+		last = max(last, turn.At)
+	}
+	for p, o := range orders {
+		if _, err := p.call(ctx, http.MethodPost, "/do", o); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+	t.until(ctx, last+s.For)
+	return nil
+}
--- a/internal/lab/run/lists.go
+++ b/internal/lab/run/lists.go
@@ -20,6 +20,14 @@
 // buildService makes the list service's members and links.
 func (f *fleet) buildService() (err error) {
 	l := f.exp.List
+	var carriesNone func(string) bool
+	if f.exp.Hollow.On() {
+		names := map[string]bool{}
+		for _, n := range f.exp.HollowNodos() {
+			names[n.Name] = true
+		}
+		carriesNone = func(nodo string) bool { return names[nodo] }
+	}
 	var proxies []service.Proxy
 	for _, m := range f.order {
 		proxies = append(proxies, service.Proxy{Name: m.node.Name, Zone: m.node.Zone})
@@ -28,7 +36,7 @@
 		Lease: experiment.Millis(l.LeaseMs), Election: experiment.Millis(l.ElectionMs), Stale: experiment.Millis(l.StaleMs),
 		Dir: filepath.Join(f.work, "roster"), Logs: f.logs, Seed: f.plan.Seed, Net: f.net, Ref: f.ref, Starter: f.starter,
 		Log: f.log, Delay: f.delay, Address: f.address, List: f.block.listMember, Own: f.block.member,
-		Between: f.block.memberLink, Near: f.block.memberNear})
+		Between: f.block.memberLink, Near: f.block.memberNear, Hollow: carriesNone})
 	return err
 }
 
--- a/internal/lab/run/play.go
+++ b/internal/lab/run/play.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/hollow"
 	"fernlanding/internal/lab/plan"
 	"fernlanding/internal/lab/process"
 	"fernlanding/internal/lab/result"
@@ -28,6 +29,7 @@
 // Options are what a run needs beside its experiment.
 type Options struct {
 	Command []string // a proxy
+	Hollow  []string // a process of hollow proxies or nodos, but for its file; needed if the experiment has any
 	Roster  []string // a member of the list service; needed if the experiment has any
 	Out     string   // directory for the proxies' logs
 	Log     *slog.Logger
@@ -53,13 +55,16 @@
 
 // Play plays an experiment once. When the context ends it stops, and the play is partial.
 func Play(ctx context.Context, e *experiment.Experiment, seed uint64, o Options) (result.Play, error) {
+	if err := bears(e, thisMachine()); err != nil {
+		return result.Play{}, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
 	p := plan.Draw(e, seed)
 	sum, err := p.Sum()
 	if err != nil {
 		return result.Play{}, err
 	}
 	out := result.Play{Seed: seed, Plan: sum}
-	f := &fleet{exp: e, plan: p, command: o.Command, roster: o.Roster, log: o.Log, logs: filepath.Join(o.Out, "logs")}
+	f := &fleet{exp: e, plan: p, command: o.Command, roster: o.Roster, self: o.Hollow, log: o.Log, logs: filepath.Join(o.Out, "logs")}
 	if err := os.MkdirAll(f.logs, 0o755); err != nil {
 		return out, fmt.Errorf("logs: %w", err)
 	}
@@ -88,6 +93,11 @@
 	go func() { f.runList(inner); served <- struct{}{} }()
 	go func() { f.front.Run(inner); served <- struct{}{} }()
 	go func() { f.watchDials(inner); served <- struct{}{} }()
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	if err := f.startHollow(ctx, fail); err != nil {
+		return out, err
+	}
 	if err := f.startProxies(ctx); err != nil {
 		return out, err
 	}
@@ -98,6 +108,7 @@
 	if o.Progress != nil {
 		go f.progress(canary, start, o.Progress)
 	}
+	phases := f.measure(canary, start)
 	events := f.play(ctx, start)
 	rest()
 	in := result.Input{Exp: e, Plan: p, Start: start, Record: f.ref.Close(), Events: events, Late: f.client.Late(),
@@ -106,6 +117,11 @@
 	f.note(err)
 	in.Gossip, err = f.gossipReport()
 	f.note(err)
+	in.Control = f.controlReport(phases())
+	var failed *hollow.FailedError
+	if errors.As(context.Cause(ctx), &failed) {
+		return out, failed
+	}
 	for _, m := range f.order {
 		for _, proc := range m.processes() {
 			u := proc.Usage()
@@ -115,7 +131,7 @@
 	out.Partial = ctx.Err() != nil
 	out.Fill(in)
 	out.LabMB = float64(process.PeakMemory(os.Getpid())) / (1 << 20)
-	out.Void = voids(e, out.Late, f.failed())
+	out.Void = voids(e, out.Late, in.Control.Stall(), f.failed())
 	stop()
 	for range cap(served) {
 		<-served
@@ -135,12 +151,14 @@
 }
 
 // voids tells why a play counts for nothing: the lab was late, or could not do what the file asks.
-func voids(e *experiment.Experiment, late result.Lateness, failed error) string {
+func voids(e *experiment.Experiment, late result.Lateness, hollowStall float64, failed error) string {
 	switch {
 	case failed != nil:
 		return fmt.Sprintf("the lab failed: %v", failed)
 	case late.P99 > e.Lab.LateMs:
 		return fmt.Sprintf("the lab was late: 99 %% of arrivals within %.1f ms, wanted %.1f", late.P99, e.Lab.LateMs)
+	case hollowStall > e.Lab.StallMs:
+		return fmt.Sprintf("a hollow process stood still for %.0f ms, wanted at most %.0f", hollowStall, e.Lab.StallMs)
 	case late.Stall > e.Lab.StallMs:
 		return fmt.Sprintf("the lab stood still for %.0f ms, wanted at most %.0f", late.Stall, e.Lab.StallMs)
 	}
--- a/internal/lab/run/run_test.go
+++ b/internal/lab/run/run_test.go
@@ -114,15 +114,17 @@
 	e := &experiment.Experiment{Lab: experiment.Lab{LateMs: 20, StallMs: 400}}
 	for _, test := range []struct {
 		late   result.Lateness
+		hollow float64
 		failed error
 		void   string
 	}{
-		{result.Lateness{P50: 1, P99: 19, Max: 300, Stall: 300}, nil, ""},
-		{result.Lateness{P50: 1, P99: 21, Max: 30, Stall: 30}, nil, "was late"},
-		{result.Lateness{P50: 1, P99: 2, Max: 3, Stall: 401}, nil, "stood still"},
-		{result.Lateness{}, io.ErrClosedPipe, "failed: io"},
+		{result.Lateness{P50: 1, P99: 19, Max: 300, Stall: 300}, 399, nil, ""},
+		{result.Lateness{P50: 1, P99: 21, Max: 30, Stall: 30}, 0, nil, "was late"},
+		{result.Lateness{P50: 1, P99: 2, Max: 3, Stall: 401}, 0, nil, "stood still"},
+		{result.Lateness{P50: 1, P99: 2, Max: 3, Stall: 3}, 401, nil, "a hollow process stood still"},
+		{result.Lateness{}, 0, io.ErrClosedPipe, "failed: io"},
 	} {
-		if got := voids(e, test.late, test.failed); (got == "") != (test.void == "") || !strings.Contains(got, test.void) {
+		if got := voids(e, test.late, test.hollow, test.failed); (got == "") != (test.void == "") || !strings.Contains(got, test.void) {
 			t.Errorf("%+v, %v: %q, want %q", test.late, test.failed, got, test.void)
 		}
 	}
--- a/internal/lab/run/strike.go
+++ b/internal/lab/run/strike.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +43,9 @@
 }
 
 func targets(s plan.Strike) (names []string) {
+	if experiment.Kinds[s.Fault.Kind].Hollow {
+		return []string{fmt.Sprintf("%d hollow nodos", len(s.Turns))}
+	}
 	for _, turn := range s.Turns {
 		names = append(names, turn.Target)
 	}
@@ -73,6 +77,8 @@
 		return t.proxies(ctx, s)
 	case s.Fault.Kind == "gossip_lie":
 		return t.lie(ctx, s)
+	case kind.Hollow:
+		return t.hollowNodos(ctx, s)
 	case kind.Nodos:
 		return t.each(ctx, s, func(turn plan.Turn) error { return t.nodo(ctx, s, turn) })
 	case kind.Links:
--- a/internal/lab/service/nodos.go
+++ b/internal/lab/service/nodos.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	readEvery  = 150 * time.Millisecond
-	readWait   = 3 * time.Second
-	renewPart  = 3 // of a lease passes between two renewals
-	againAfter = 100 * time.Millisecond
-	reader     = 0 // the reader's number in the history; nodos' are from 1 on
+	readEvery   = 150 * time.Millisecond
+	hollowReads = time.Second // where lists are long
+	readWait    = 3 * time.Second
+	renewPart   = 3 // of a lease passes between two renewals
+	againAfter  = 100 * time.Millisecond
+	reader      = 0 // the reader's number in the history; nodos' are from 1 on
 )
 
 // nodos is the registrations: one goroutine for each process of a nodo, which registers it, renews its lease, and says
@@ -209,7 +210,11 @@
 
 // read asks for the current list, of one member after another, until the context ends.
 func (s *Service) read(ctx context.Context) {
-	for n := 0; wait.For(ctx, readEvery); n++ {
+	every := readEvery
+	if s.cfg.Hollow != nil {
+		every = hollowReads
+	}
+	for n := 0; wait.For(ctx, every); n++ {
 		m := s.members[n%len(s.members)]
 		// Names that are not in the list count too: those that were there before the call.
 		s.nodos.mu.Lock()
@@ -225,7 +230,9 @@
 			continue
 		}
 		for _, e := range l.Endpoints {
-			values[e.Name] = linear.Value(e.Status, fmt.Sprint(e.Since))
+			if !s.hollow(e.Name) { // those are in no history
+				values[e.Name] = linear.Value(e.Status, fmt.Sprint(e.Since))
+			}
 		}
 		s.nodos.lack(living, values)
 		s.history.Seen(reader, begun, values)
--- a/internal/lab/service/relay.go
+++ b/internal/lab/service/relay.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -58,7 +59,7 @@
 					return
 				}
 				s.cfg.Ref.Told(proxy, entries(list), list.Snapshot, false, at)
-				s.delays.told(proxy, list, at)
+				s.delays.told(proxy, list, at, s.hollow)
 			}
 			if err := c.NoteThenWrite(wire.JSON(status, body), note); err != nil {
 				s.cfg.Ref.Told(proxy, nil, false, true, time.Now())
@@ -113,10 +114,18 @@
 // readdress has a list say where a proxy finds the nodos.
 func (s *Service) readdress(proxy string, l *fanout.Answer) {
 	for i, e := range l.Endpoints {
+		if s.hollow(e.Name) {
+			if e.Status == state.Serving {
+				l.Endpoints[i].Status = state.Draining // nobody would answer there
+			}
+			continue
+		}
 		l.Endpoints[i].Address = s.cfg.Address(proxy, e.Name)
 	}
 }
 
+func (s *Service) hollow(nodo string) bool { return s.cfg.Hollow != nil && s.cfg.Hollow(nodo) }
+
 // Snapshot is the list as a proxy is told it at its start, with what the referee notes of it.
 func (s *Service) Snapshot(proxy string, keep func() bool) (text json.RawMessage, told []referee.Entry) {
 	for _, m := range s.members {
@@ -137,11 +146,25 @@
 	confirmed map[string]time.Time            // by change
 	heard     map[string]map[string]time.Time // by proxy and change
 	since     map[string]time.Time            // that each proxy hears anything
+	steps     map[string][]Step               // versions that each proxy was told
+}
+
+// Step is a version of the list, and when it was told.
+type Step struct {
+	Index int64
+	At    time.Time
+}
+
+// Steps are the versions that each proxy was told, in order.
+func (s *Service) Steps() map[string][]Step {
+	s.delays.mu.Lock()
+	defer s.delays.mu.Unlock()
+	return maps.Clone(s.delays.steps)
 }
 
 func newDelays() *delays {
 	return &delays{confirmed: map[string]time.Time{}, heard: map[string]map[string]time.Time{},
-		since: map[string]time.Time{}}
+		since: map[string]time.Time{}, steps: map[string][]Step{}}
 }
 
 func change(name, status string, since int64) string {
@@ -156,7 +179,7 @@
 	}
 }
 
-func (d *delays) told(proxy string, l *fanout.Answer, at time.Time) {
+func (d *delays) told(proxy string, l *fanout.Answer, at time.Time, hollow func(string) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	of := d.heard[proxy]
@@ -164,7 +187,13 @@
 		of = map[string]time.Time{}
 		d.heard[proxy], d.since[proxy] = of, at
 	}
+	if steps := d.steps[proxy]; len(steps) == 0 || l.Index > steps[len(steps)-1].Index {
+		d.steps[proxy] = append(steps, Step{l.Index, at})
+	}
 	for _, e := range l.Endpoints {
+		if hollow(e.Name) {
+			continue
+		}
 		if key := change(e.Name, e.Status, e.Since); of[key].IsZero() {
 			of[key] = at
 		}
--- a/internal/lab/service/service.go
+++ b/internal/lab/service/service.go
@@ -70,12 +70,18 @@
 	Own     func(member, port int) string       // a member's own address
 	Between func(from, to, port int) string     // where a member finds another
 	Near    func(zone, member, port int) string // where a zone's nodos find a member
+
+	// Hollow tells the nodos by name that carry no calls; nil: none. Proxies are told that these drain. Then the members have
+	// figures too, and there is a look at the current list only each hollowReads.
+	Hollow func(nodo string) bool
 }
 
 // Ports of a member.
 const (
 	listPort = 8500
 	raftPort = 8600
+
+	figuresPort = 9500
 )
 
 // Member is a member over all its processes.
@@ -165,6 +171,9 @@
 func (s *Service) configure(m *Member) error {
 	f := config.Default()
 	f.Name, f.Dir, f.Listen, f.Figures = m.Name, m.dir, s.cfg.Own(m.n, listPort), ""
+	if s.cfg.Hollow != nil {
+		f.Figures = s.cfg.Own(m.n, figuresPort)
+	}
 	f.ElectionMs, f.StaleMs = int(s.cfg.Election.Milliseconds()), int(s.cfg.Stale.Milliseconds())
 	for _, o := range s.members {
 		at := func(port int) string {
