Test hollow processes, the calibration and what a scale run needs

Need: a hollow proxy that skips its watch or its gossip, or fails, has to be found. Seeded: a proxy that leaves its watch (factor.calls), one that joins no fleet (factor.gossip_in), a process that fails by script (the run ends with its name and cause).

--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -60,12 +60,26 @@
 		t.Fatal("no copy of this program: ", err)
 	}
 	t.Run("side by side", func(t *testing.T) {
-		for _, name := range []string{"calm", "kill-wave", "roster"} {
+		t.Run("a hollow proxy fails", func(t *testing.T) {
+			t.Parallel()
+			script := filepath.Join(t.TempDir(), "fails")
+			text := "#!/bin/sh\necho '{\"process\":\"h\",\"name\":\"hp2\",\"cause\":\"as seeded\"}' > \"${1%.json}.failed\"\nexit 1\n"
+			if err := os.WriteFile(script, []byte(text), 0o700); err != nil {
+				t.Fatal(err)
+			}
+			cmd, out := fleetlab("run", "testdata/scale.toml", "--proxy", program, "--roster", roster, "--out", t.TempDir(),
+				"--hollow", script)
+			err := cmd.Run()
+			if code := exit(t, cmd, err); code != exitUnable || !strings.Contains(out.String(), "hollow hp2 (process h) failed: as seeded") {
+				t.Errorf("exit %d, want %d, and the proxy's name and cause\n%s", code, exitUnable, out)
+			}
+		})
+		for _, name := range []string{"calm", "kill-wave", "roster", "scale"} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
 				dir := t.TempDir()
 				cmd, out := fleetlab("run", "testdata/"+name+".toml", "--proxy", program, "--roster", roster, "--out", dir,
-					"--tries", "3")
+					"--tries", "3", "--hollow", os.Args[0]+" as-fleetlab hollow")
 				err := cmd.Run()
 				if code := exit(t, cmd, err); code == exitUnable && strings.Contains(out.String(), "\nvoid: ") {
 					t.Skip("the machine was too busy to judge, four times:\n", out)
--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -26,6 +26,7 @@
 	Repeat int     `help:"Plays, in place of the file's."`
 	Proxy  string  `help:"Program to run as the proxy, with arguments. Default: beside this one, fernlanding, or fernlanding-fleet with the fleet on." default:""`
 	Roster string  `help:"Program to run as a member of the list service." default:""`
+	Hollow string  `help:"Program to run as a process of hollow proxies or nodos, which gets its file." hidden:"" default:""`
 	Tries  int     `help:"How often a void play is played again." default:"1"`
 	Both   bool    `help:"Play each seed with the fleet off and on, in turn, into OUT/off and OUT/on, and print the figures side by side. The exit status is that of on."`
 }
@@ -95,7 +96,9 @@
 		if err != nil {
 			return err
 		}
-		o.Hollow = []string{self, "hollow"}
+		if o.Hollow = strings.Fields(c.Hollow); len(o.Hollow) == 0 {
+			o.Hollow = []string{self, "hollow"}
+		}
 	}
 	seed, repeat := e.Seed, e.Repeat
 	if c.Seed != nil {
--- a/internal/lab/experiment/hollow.go
+++ b/internal/lab/experiment/hollow.go
@@ -135,22 +135,32 @@
 var (
 	controlRoles   = []string{"proxy", "real", "nodo", "leader", "follower", "five", "regions"}
 	controlFigures = []string{"in_b_s", "out_b_s", "calls_s", "cpu_pct", "memory_mb"}
-	controlWhole   = []string{"known_p50_ms", "known_p99_ms", "known_last_ms", "real_known_p50_ms", "real_known_p99_ms",
+	controlPhase   = []string{"known_p50_ms", "known_p99_ms", "known_last_ms", "real_known_p50_ms", "real_known_p99_ms",
 		"real_known_last_ms", "confirmed_p50_ms", "confirmed_p99_ms", "confirmed_last_ms", "changes", "unknown", "turned",
-		"watches_most", "list_failures", "list_moves", "list_age_last_ms", "gossip_in_b_s", "gossip_out_b_s", "gossip_waiting",
-		"gossip_entries", "gossip_age_p50_ms", "gossip_age_p99_ms", "gossip_age_last_ms", "gossip_dropped", "living_least",
-		"real_gossip_in_b_s", "hollow_stall_ms"}
+		"watches_most"}
+	controlGossip = []string{"gossip_in_b_s", "gossip_out_b_s", "gossip_sent_s", "gossip_waiting", "gossip_entries",
+		"gossip_oldest_ms", "gossip_dropped", "living_least", "gossip_age_p50_ms", "gossip_age_p99_ms", "gossip_age_last_ms"}
+	controlFactors = []string{"calls", "in", "out", "cpu", "memory", "known", "gossip_in", "gossip_out", "gossip_sent",
+		"gossip_oldest"}
+	controlWhole = []string{"hollow_stall_ms", "list_failures", "list_moves", "list_age_last_ms"}
 )
 
-// controlFigure tells whether there is such a figure of control: PHASE.ROLE.FIGURE or PHASE.FIGURE.
+// controlFigure tells whether there is such a figure of control: PHASE.ROLE.FIGURE, PHASE.factor.FIGURE, PHASE.FIGURE, or one
+// of the whole run.
 func controlFigure(name string, e *Experiment) bool {
 	phase, rest, ok := strings.Cut(name, ".")
-	if !ok || !slices.ContainsFunc(e.Phases, func(p Phase) bool { return p.Name == phase }) {
+	if !ok {
+		return slices.Contains(controlWhole, name)
+	}
+	if !slices.ContainsFunc(e.Phases, func(p Phase) bool { return p.Name == phase }) {
 		return false
 	}
 	role, figure, dotted := strings.Cut(rest, ".")
-	if !dotted {
-		return slices.Contains(controlWhole, rest)
+	switch {
+	case !dotted:
+		return slices.Contains(controlPhase, rest) || slices.Contains(controlGossip, strings.TrimPrefix(rest, "real_"))
+	case role == "factor":
+		return slices.Contains(controlFactors, figure)
 	}
 	return slices.Contains(controlRoles, role) && slices.Contains(controlFigures, figure)
 }
--- a/internal/lab/experiment/read_test.go
+++ b/internal/lab/experiment/read_test.go
@@ -60,6 +60,15 @@
 		{whole + "[[fault]]\nkind = \"member_kill\"\nat = 1\n", []string{"f:23: fault[1].kind: member_kill is for a list service"}},
 		{whole + "[list]\nmembers = 3\n[[fault]]\nkind = \"list_down\"\nat = 1\n[[fault]]\nkind = \"member_cut\"\nmembers = [\"r4\"]\nat = 1\n",
 			[]string{"f:25: fault[1].kind: list_down is for the stand-in", "f:29: fault[2].members: \"r4\" is none of leader, follower, r1, r2, r3"}},
+		{whole + "[hollow]\nproxies = 3\nnodos = -1\nprocesses = 0\n", []string{"f:24: hollow.nodos: from 0 to 5000",
+			"f:22: hollow: they follow the list service", "f:25: hollow.processes: from 1 to 64"}},
+		{whole + "[list]\nmembers = 3\n[hollow]\nnodos = 3\n[[phase]]\nname = \"p\"\nfrom = 3\nto = 10\n" +
+			"[[expect]]\nfigure = \"control.p.proxy.in_b\"\nmax = 1\n[[expect]]\nfigure = \"control.q.turned\"\nmax = 1\n" +
+			"[[fault]]\nkind = \"hollow_die\"\nzone = \"a\"\nservice = 89\n[[fault]]\nkind = \"kill\"\ncount = 1\n",
+			[]string{"f:28: phase[1].from: 3 to 10 is no span", "f:31: expect[1].figure: \"control.p.proxy.in_b\"",
+				"f:34: expect[2].figure: \"control.q.turned\"", "f:38: fault[1].zone: no zone \"a\" of hollow nodos; there are a-a",
+				"f:39: fault[1].service: from 1 to 88", "fault[2]: service and count are for faults of hollow nodos"}},
+		{whole + "[[fault]]\nkind = \"hollow_replace\"\n", []string{"f:23: fault[1].kind: hollow_replace needs hollow.nodos"}},
 		{"base = \"other.toml\"\n" + whole, []string{"f:1: base: file does not exist"}},
 	} {
 		_, err := Parse("f", test.text, noBase)
--- /dev/null
+++ b/internal/lab/hollow/calibrate_test.go
@@ -0,0 +1,128 @@
+package hollow_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/hollow"
+	"fernlanding/internal/lab/link"
+	"fernlanding/internal/lab/result"
+)
+
+// free is ports that nobody has, on all loopback addresses as far as is known.
+func free(t *testing.T) (ports [2]int) {
+	t.Helper()
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return ports
+}
+
+// What a process's proxies have passed so far, and its members of the fleet.
+func reading(links *link.Net, p *hollow.Process, from string, proxies int) (s result.Spent, fleet []*hollow.FleetFigures) {
+	links.Traffic(func(e link.Ends, t link.Traffic) {
+		if e.From == from {
+			s.In, s.Out, s.Calls = t.Answered, t.Sent, t.Pieces
+		}
+	})
+	for _, x := range p.Figures(false).Proxies {
+		if x.Fleet != nil {
+			fleet = append(fleet, x.Fleet)
+		}
+	}
+	s.Each = time.Duration(proxies) * time.Second
+	return s, fleet
+}
+
+// The calibration holds proxies that do all to others that do all, and fails those that skip the watch or the gossip.
+func TestCalibrationFindsWhatIsSkipped(t *testing.T) {
+	const proxies, nodos = 3, 12
+	within := func(factor string) experiment.Expect {
+		least, most := 0.5, 2.0
+		return experiment.Expect{Figure: "control.all.factor." + factor, Min: &least, Max: &most}
+	}
+	for _, test := range []struct {
+		name string
+		held map[string]bool // one that follows no list has nothing to gossip about: not judged
+	}{
+		{"sound", map[string]bool{"calls": true, "in": true, "gossip_in": true}},
+		{"watch", map[string]bool{"calls": false, "in": false}},
+		{"fleet", map[string]bool{"calls": true, "in": true, "gossip_in": false}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fault := hollow.Sound
+			switch test.name {
+			case "watch":
+				fault = hollow.SkipsWatch
+			case "fleet":
+				fault = hollow.SkipsFleet
+			}
+			own, _, _ := hollow.TestService(t)
+			links := link.New(1)
+			t.Cleanup(links.Close)
+			process := func(name, label string, port int) hollow.Config {
+				addr := fmt.Sprintf("127.0.0.1:%d", port)
+				if _, err := links.Listen(link.Ends{Kind: "list", From: name}, addr, 0, func(c *link.Conn) { _ = link.Pass(c, own, nil) }); err != nil {
+					t.Fatal(err)
+				}
+				c := hollow.TestConfig(addr, proxies, 0)
+				c.Fleet = &hollow.Fleet{Label: label}
+				for i := range c.Proxies {
+					c.Proxies[i].Name = name + c.Proxies[i].Name
+					c.Proxies[i].Bind = fmt.Sprintf("127.0.0.%d:%d", i+2, port)
+					c.Proxies[i].Seeds = []string{fmt.Sprintf("127.0.0.2:%d", port)}
+				}
+				return c
+			}
+			base := free(t)
+			real := hollow.StartSeeded(t, process("real", "a", base[0]), hollow.Sound)
+			judged := hollow.StartSeeded(t, process("hollow", "b", base[1]), fault)
+			hollow.Eventually(t, "both", func() bool { return real.Waits()+judged.Waits() == "" })
+			read := func() *result.Reading {
+				r := &result.Reading{At: time.Now(), Roles: map[string]result.Spent{}}
+				r.Roles["real"], r.RealGossip = reading(links, real, "real", proxies)
+				r.Roles["proxy"], r.Gossip = reading(links, judged, "hollow", proxies)
+				return r
+			}
+			c := &result.Control{Phases: []result.PhaseReading{{Before: read()}}}
+			nodo := hollow.StartSeeded(t, hollow.TestConfig(own, 0, nodos), hollow.Sound)
+			hollow.Eventually(t, "the nodos", func() bool { return nodo.Waits() == "" })
+			// So long the members of a fleet have spoken to each other, whoever does.
+			hollow.Eventually(t, "gossip", func() bool {
+				for i, x := range real.Figures(false).Proxies {
+					if x.Fleet.In-c.Phases[0].Before.RealGossip[i].In < 10000 {
+						return false
+					}
+				}
+				return true
+			})
+			after := read()
+			for role, s := range after.Roles {
+				s.Each *= 2
+				after.Roles[role] = s
+			}
+			c.Phases[0].After = after
+			e := &experiment.Experiment{Seconds: 10, Phases: []experiment.Phase{{Name: "all", From: 1, To: 9}}}
+			f := c.Figures(e, time.Now())
+			for factor, want := range test.held {
+				x := within(factor)
+				v, ok := f[x.Figure]
+				if !ok {
+					v = -1 // as a play has what did not come about
+				}
+				if held, text := x.Held(v); held != want {
+					t.Errorf("%s: held %v, want %v: %v %s", factor, held, want, v, text)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/hollow/export_test.go
@@ -0,0 +1,21 @@
+package hollow
+
+import "testing"
+
+// For the calibration's test, which judges a process with a seeded fault from outside.
+var (
+	Sound, SkipsWatch, SkipsFleet = sound, skipsWatch, skipsFleet
+
+	TestService = service
+	TestConfig  = config
+	Eventually  = eventually
+)
+
+// StartSeeded runs a process with a fault until the test ends.
+func StartSeeded(t *testing.T, c Config, fault seeded) *Process {
+	p, _ := start(t, c, fault)
+	return p
+}
+
+// Waits says what a process still lacks.
+func (p *Process) Waits() string { return p.missing() }
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -60,7 +60,7 @@
 
 // config is a process of so many proxies and nodos.
 func config(list string, proxies, nodos int) Config {
-	c := Config{Name: "h", Settings: []byte(told), Calls: 50, Bad: 0.1, LeaseMs: 3000}
+	c := Config{Name: "h", Settings: []byte(told), Calls: 50, Bad: 0.1, LeaseMs: 1000}
 	for i := range proxies {
 		c.Proxies = append(c.Proxies, Proxy{Name: fmt.Sprintf("hp%d", i), Zone: "a-a", Ordinal: i, Seed: uint64(i), Lists: []string{list}})
 	}
@@ -94,7 +94,7 @@
 	if err := p.Do(Order{Act: "replace", Turns: []Turn{{Name: "hs0"}, {Name: "hs1", InMs: 100}}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := p.Do(Order{Act: "die", ForMs: 4000, Turns: []Turn{{Name: "hs2"}}}); err != nil {
+	if err := p.Do(Order{Act: "die", ForMs: 1500, Turns: []Turn{{Name: "hs2"}}}); err != nil {
 		t.Fatal(err)
 	}
 	// Two drain, go and are back; one dies, its lease ends, and it is back.
--- a/internal/lab/result/control.go
+++ b/internal/lab/result/control.go
@@ -29,10 +29,10 @@
 type Reading struct {
 	At         time.Time
 	Roles      map[string]Spent
-	Turned     float64 // calls that members answered 503
-	Watches    float64 // held at all members together, at most
-	Gossip     []*hollow.FleetFigures
-	RealGossip int64 // bytes to real members of the fleet and back
+	Turned     float64                // calls that members answered 503
+	Watches    float64                // held at all members together, at most
+	Gossip     []*hollow.FleetFigures // of each hollow proxy; empty without a fleet
+	RealGossip []*hollow.FleetFigures // of each real one
 }
 
 // Clone is a copy.
@@ -56,8 +56,9 @@
 
 const sureBefore = 5 * time.Second // a change that was sure so long before the end should be known to all
 
-// control adds the figures of control, phase by phase.
-func (c *Control) figures(in Input, f map[string]float64) {
+// Figures are those of control, phase by phase, of a load that began at start.
+func (c *Control) Figures(e *experiment.Experiment, start time.Time) map[string]float64 {
+	f := map[string]float64{}
 	put := func(name string, v float64) {
 		if !math.IsNaN(v) && !math.IsInf(v, 0) {
 			f["control."+name] = v
@@ -65,22 +66,26 @@
 	}
 	var changes []hollow.Change
 	var tracks [][]Told
-	stall := 0.0
+	var failures, moves, age float64
 	for _, x := range c.Hollow {
 		changes = append(changes, x.Nodos.Changes...)
-		stall = max(stall, x.StallMs)
 		for _, p := range x.Proxies {
 			tracks = append(tracks, p.List.Steps)
+			failures, moves = failures+float64(p.List.Failures), moves+float64(p.List.Moves)
+			age = max(age, p.List.AgeMs)
 		}
 	}
-	for i, p := range in.Exp.Phases {
-		put(p.Name+".hollow_stall_ms", stall)
+	put("hollow_stall_ms", c.Stall())
+	put("list_failures", failures)
+	put("list_moves", moves)
+	put("list_age_last_ms", age)
+	end := start.Add(experiment.Seconds(e.Seconds)).UnixNano()
+	for i, p := range e.Phases {
 		if i < len(c.Phases) && c.Phases[i].Before != nil && c.Phases[i].After != nil {
-			c.spent(in.Exp, p.Name, c.Phases[i], put)
+			spent(e, p.Name, c.Phases[i], put)
 		}
-		from, to := in.Start.Add(experiment.Seconds(p.From)).UnixNano(), in.Start.Add(experiment.Seconds(p.To)).UnixNano()
+		from, to := start.Add(experiment.Seconds(p.From)).UnixNano(), start.Add(experiment.Seconds(p.To)).UnixNano()
 		own := slices.DeleteFunc(slices.Clone(changes), func(x hollow.Change) bool { return x.Asked < from || x.Asked >= to })
-		end := in.Start.Add(experiment.Seconds(in.Exp.Seconds)).UnixNano()
 		put(p.Name+".changes", float64(len(own)))
 		spread(p.Name+".known", known(own, tracks), put)
 		spread(p.Name+".real_known", known(own, c.Real), put)
@@ -91,11 +96,27 @@
 		slices.Sort(sure)
 		spread(p.Name+".confirmed", sure, put)
 		put(p.Name+".unknown", float64(unknown(own, tracks, end)))
+		factors(p.Name, f, put)
+	}
+	return f
+}
+
+// factors are what a real proxy's figures are of a hollow one's, where both are told: the calibration.
+func factors(phase string, f map[string]float64, put func(string, float64)) {
+	at := "control." + phase + "."
+	for factor, pair := range map[string][2]string{"calls": {"real.calls_s", "proxy.calls_s"}, "in": {"real.in_b_s", "proxy.in_b_s"},
+		"out": {"real.out_b_s", "proxy.out_b_s"}, "cpu": {"real.cpu_pct", "proxy.cpu_pct"},
+		"memory": {"real.memory_mb", "proxy.memory_mb"}, "known": {"real_known_p50_ms", "known_p50_ms"},
+		"gossip_in": {"real_gossip_in_b_s", "gossip_in_b_s"}, "gossip_out": {"real_gossip_out_b_s", "gossip_out_b_s"},
+		"gossip_sent": {"real_gossip_sent_s", "gossip_sent_s"}, "gossip_oldest": {"real_gossip_oldest_ms", "gossip_oldest_ms"}} {
+		if real, ok := f[at+pair[0]]; ok && f[at+pair[1]] > 0 {
+			put(phase+".factor."+factor, real/f[at+pair[1]])
+		}
 	}
 }
 
 // spent are the figures of one phase's two readings.
-func (c *Control) spent(e *experiment.Experiment, phase string, r PhaseReading, put func(string, float64)) {
+func spent(e *experiment.Experiment, phase string, r PhaseReading, put func(string, float64)) {
 	seconds := r.After.At.Sub(r.Before.At).Seconds()
 	borne := map[string]int{"proxy": e.Hollow.Proxies, "real": len(e.ProxyNodes()), "nodo": e.Hollow.Nodos}
 	for role, after := range r.After.Roles {
@@ -117,48 +138,44 @@
 	}
 	put(phase+".turned", r.After.Turned-r.Before.Turned)
 	put(phase+".watches_most", r.After.Watches)
-	c.gossip(e, phase, r, seconds, put)
-	var failures, moves, age float64
-	for _, x := range c.Hollow {
-		for _, p := range x.Proxies {
-			failures, moves = failures+float64(p.List.Failures), moves+float64(p.List.Moves)
-			age = max(age, p.List.AgeMs)
-		}
+	if len(r.Before.Gossip) == len(r.After.Gossip) {
+		gossip(phase+".", r.Before.Gossip, r.After.Gossip, seconds, put)
+	}
+	if len(r.Before.RealGossip) == len(r.After.RealGossip) {
+		gossip(phase+".real_", r.Before.RealGossip, r.After.RealGossip, seconds, put)
 	}
-	put(phase+".list_failures", failures)
-	put(phase+".list_moves", moves)
-	put(phase+".list_age_last_ms", age)
 }
 
-// gossip are the figures of the fleet in one phase.
-func (c *Control) gossip(e *experiment.Experiment, phase string, r PhaseReading, seconds float64, put func(string, float64)) {
-	if !e.Fleet.On || len(r.After.Gossip) == 0 || len(r.Before.Gossip) != len(r.After.Gossip) {
-		return
-	}
-	var in, out, waiting, entries, dropped float64
+// gossip are the figures of a fleet's members in one phase, a member each.
+func gossip(name string, before, after []*hollow.FleetFigures, seconds float64, put func(string, float64)) {
+	var in, out, sent, waiting, entries, dropped, oldest, n float64
 	least := math.Inf(1)
 	var ages []float64
-	for i, a := range r.After.Gossip {
-		b := r.Before.Gossip[i]
+	for i, a := range after {
+		b := before[i]
 		if a == nil || b == nil {
 			continue
 		}
-		in, out = in+float64(a.In-b.In), out+float64(a.Out-b.Out)
-		waiting, entries = waiting+float64(a.Waiting), entries+float64(a.Entries)
+		n++
+		in, out, sent = in+float64(a.In-b.In), out+float64(a.Out-b.Out), sent+float64(a.Sent-b.Sent)
+		waiting, entries, oldest = waiting+float64(a.Waiting), entries+float64(a.Entries), oldest+a.Oldest
 		dropped += float64(a.Dropped - b.Dropped)
 		least = min(least, float64(a.Living))
 		ages = append(ages, a.Ages...)
 	}
-	n := float64(len(r.After.Gossip))
-	put(phase+".gossip_in_b_s", in/n/seconds)
-	put(phase+".gossip_out_b_s", out/n/seconds)
-	put(phase+".gossip_waiting", waiting/n)
-	put(phase+".gossip_entries", entries/n)
-	put(phase+".gossip_dropped", dropped)
-	put(phase+".living_least", least)
-	put(phase+".real_gossip_in_b_s", float64(r.After.RealGossip-r.Before.RealGossip)/seconds/float64(max(1, len(e.ProxyNodes()))))
+	if n == 0 {
+		return
+	}
+	put(name+"gossip_in_b_s", in/n/seconds)
+	put(name+"gossip_out_b_s", out/n/seconds)
+	put(name+"gossip_sent_s", sent/n/seconds)
+	put(name+"gossip_waiting", waiting/n)
+	put(name+"gossip_entries", entries/n)
+	put(name+"gossip_oldest_ms", oldest/n)
+	put(name+"gossip_dropped", dropped)
+	put(name+"living_least", least)
 	slices.Sort(ages)
-	spread(phase+".gossip_age", ages, put)
+	spread(name+"gossip_age", ages, put)
 }
 
 // known is how late each proxy knew each change, in ms, sorted: from its being confirmed. One that was told before counts 0.
--- a/internal/lab/result/figures.go
+++ b/internal/lab/result/figures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -178,7 +179,7 @@
 		f["gossip_packets_s"], f["gossip_kb_s"] = float64(g.Packets)/each, float64(g.Bytes)/1000/each
 	}
 	if c := in.Control; c != nil {
-		c.figures(in, f)
+		maps.Copy(f, c.Figures(e, in.Start))
 	}
 	f["handshakes_per_request"] = over(f["handshakes"], f["requests"])
 	f["proxy_memory_mb"], f["proxy_cpu_s"] = float64(in.Memory)/(1<<20), in.CPU.Seconds()
--- a/internal/lab/run/meter.go
+++ b/internal/lab/run/meter.go
@@ -1,8 +1,11 @@
 package run
 
 import (
+	"bufio"
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -146,7 +149,11 @@
 func (m *meter) read(ctx context.Context) result.Reading {
 	m.look()
 	var fleet []hollow.ProxyFigures
+	var real []*hollow.FleetFigures
 	if m.exp.Fleet.On {
+		for _, x := range m.order {
+			real = append(real, realFleet(ctx, x.mgmt))
+		}
 		for _, p := range m.hollow {
 			f, err := p.figures(ctx, false)
 			if err != nil {
@@ -186,10 +193,8 @@
 			}
 			use("real", proc.Usage().CPU, memory)
 		}
-		if x.relay != nil {
-			out.RealGossip += x.relay.Passed().Bytes
-		}
 	}
+	out.RealGossip = real
 	for i := range fleet {
 		out.Gossip = append(out.Gossip, fleet[i].Fleet)
 	}
@@ -268,3 +273,27 @@
 	}
 	return out
 }
+
+// realFleet is how a real proxy stands with its fleet, by its management address; nil if it does not answer.
+func realFleet(ctx context.Context, mgmt string) *hollow.FleetFigures {
+	ctx, cancel := context.WithTimeout(ctx, callPatience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+mgmt+"/v1/metrics", nil)
+	if err != nil {
+		return nil
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	f := map[string]float64{}
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			f[strings.TrimPrefix(name, "app.fleet_")] = v
+		}
+	}
+	return &hollow.FleetFigures{Living: int(f["living"]), Entries: int(f["entries"]), Oldest: f["oldest_ms"], Sent: int64(f["sent"]),
+		In: int64(f["in_bytes"]), Out: int64(f["out_bytes"]), Dropped: int64(f["dropped"])}
+}
--- /dev/null
+++ b/internal/lab/run/need_test.go
@@ -0,0 +1,55 @@
+package run
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"fernlanding/experiments"
+	"fernlanding/internal/lab/experiment"
+)
+
+// A size that a machine can't bear is refused with the need and what there is; the sizes that come with the lab are borne by
+// a machine of 24 GB.
+func TestNeeds(t *testing.T) {
+	open := func(name string) *experiment.Experiment {
+		text, err := experiments.Files.ReadFile(name + ".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		e, err := experiment.Parse(name, string(text), experiments.Files.ReadFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return e
+	}
+	large := machine{memory: 20 << 30, files: 20000}
+	for _, test := range []struct {
+		name string
+		of   string
+		m    machine
+		but  func(*experiment.Experiment)
+		what string
+	}{
+		{"30", "scale-30", large, nil, ""},
+		{"1300", "scale-1300", large, nil, ""},
+		{"none hollow", "wide", machine{}, nil, ""},
+		{"little memory", "scale-1300", machine{memory: 1 << 30, files: 20000}, nil, "MB of memory"},
+		{"few descriptors", "scale-1300", machine{memory: 20 << 30, files: 1024}, nil, "descriptors"},
+		{"over half", "scale-1300", large, func(e *experiment.Experiment) { e.Hollow.Proxies, e.Hollow.Nodos = 5000, 5000 }, "MB of memory"},
+		{"many processes", "scale-30", large, func(e *experiment.Experiment) { e.Zones[0].Proxies = 290 }, "processes"},
+	} {
+		e := open(test.of)
+		if test.but != nil {
+			test.but(e)
+		}
+		err := bears(e, test.m)
+		var need *NeedError
+		switch {
+		case test.what == "" && err != nil:
+			t.Errorf("%s: %v", test.name, err)
+		case test.what != "" && (!errors.As(err, &need) || !strings.Contains(need.What, test.what) || need.Need <= need.Has || need.Remedy == ""):
+			t.Errorf("%s: %v, want a need of %s", test.name, err, test.what)
+		}
+	}
+}
