--- a/internal/lab/experiment/hollow.go
+++ b/internal/lab/experiment/hollow.go
@@ -16,6 +16,7 @@
 	Services  int     `toml:"services"`  // that the nodos make up, for faults of one service
 	Calls     float64 `toml:"calls"`     // drawn, a second and proxy
 	Bad       float64 `toml:"bad"`       // part of the drawn calls that come to nothing
+	Relays    bool    `toml:"relays"`    // between members of the fleet, for delays and faults of links that strike all gossip
 }
 
 // Phase is a span of the run whose figures of control are told apart.
@@ -90,6 +91,9 @@
 		if h.Services < 1 {
 			c.problem("hollow.services", "has to be 1 or more, not %d", h.Services)
 		}
+		if h.Relays && !e.Fleet.On {
+			c.problem("hollow.relays", "they stand between members of the fleet: fleet.on is needed")
+		}
 		c.notNegative("hollow.calls", h.Calls)
 		c.part("hollow.bad", h.Bad)
 	}
--- a/internal/lab/hollow/figures.go
+++ b/internal/lab/hollow/figures.go
@@ -24,6 +24,7 @@
 	Proxies []ProxyFigures `json:"proxies,omitempty"`
 	Nodos   NodoFigures    `json:"nodos"`
 	StallMs float64        `json:"stall_ms"` // the longest in which the process did not run, since the figures began
+	Over    int            `json:"over"`     // datagrams for which its relays had no room
 	RSS     int64          `json:"rss"`      // bytes of memory it has now
 	CPU     int64          `json:"cpu"`      // nanoseconds so far
 }
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -34,7 +34,7 @@
 }
 
 func join(f *Fleet, p Proxy, log *slog.Logger) (*fleetPart, error) {
-	k, err := link.Open(link.Config{Name: p.Name, Zone: p.Zone, Tier: tier, Bind: p.Bind, Label: f.Label, Seeds: p.Seeds,
+	k, err := link.Open(link.Config{Name: p.Name, Zone: p.Zone, Tier: tier, Bind: p.Bind, Advertise: p.Advertise, Label: f.Label, Seeds: p.Seeds,
 		Start: time.Now().UnixMilli(), Now: now, Log: log})
 	if err != nil {
 		return nil, err
--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -29,6 +29,7 @@
 	Calls    float64         `json:"calls"`              // drawn, a second and proxy
 	Bad      float64         `json:"bad"`                // part of them that come to nothing
 	Fleet    *Fleet          `json:"fleet,omitempty"`    // nil: each decides alone
+	Relays   *Relays         `json:"relays,omitempty"`   // nil: members find each other without
 
 	Nodos   []Nodo `json:"nodos,omitempty"`
 	LeaseMs int64  `json:"lease_ms,omitempty"`
@@ -43,6 +44,8 @@
 	Lists   []string `json:"lists"`          // members of the list service
 	Bind    string   `json:"bind,omitempty"` // its address in the fleet
 	Seeds   []string `json:"seeds,omitempty"`
+
+	Advertise string `json:"advertise,omitempty"` // its relay's address in the fleet
 }
 
 // Fleet is what the members of the fleet have in common.
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -165,6 +165,52 @@
 	}
 }
 
+// Relays pass the gossip on, and lose the part that they are told to, until its time is over.
+func TestRelaysLose(t *testing.T) {
+	list, _, _ := service(t)
+	c := config(list, 2, 2)
+	c.Fleet = &Fleet{Label: "test"}
+	c.Relays = &Relays{Speakers: map[string]Speaker{}, LocalUs: 100, CrossUs: 200}
+	for i := range c.Proxies {
+		ip := fmt.Sprintf("127.0.1.%d", i+1)
+		c.Relays.Speakers[ip] = Speaker{c.Proxies[i].Name, "a"}
+		c.Proxies[i].Bind, c.Proxies[i].Advertise = free(t, ip), free(t, ip)
+		c.Proxies[i].Seeds = []string{c.Proxies[0].Advertise}
+	}
+	p, _ := start(t, c, sound)
+	eventually(t, "both", func() bool { return p.missing() == "" })
+	passed := func() (on, lost int) {
+		for _, r := range p.befores {
+			x := r.Passed()
+			on, lost = on+x.On, lost+x.Lost
+		}
+		return on, lost
+	}
+	eventually(t, "gossip", func() bool { on, _ := passed(); return on > 5 })
+	if _, lost := passed(); lost != 0 {
+		t.Fatalf("%d lost before anything is", lost)
+	}
+	if err := p.Do(Order{Act: "lose", Part: 1, ForMs: 1500}); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := passed()
+	eventually(t, "losses", func() bool { _, lost := passed(); return lost > 3 })
+	if on, lost := passed(); on > before+2 { // what came in the instant of the order
+		t.Errorf("%d passed while all is lost, %d lost", on-before, lost)
+	}
+	eventually(t, "the end", func() bool { on, _ := passed(); return on > before+10 })
+}
+
+func free(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // Orders that make no sense change nothing.
 func TestBadOrders(t *testing.T) {
 	p, err := New(config("127.0.0.1:1", 0, 1), quiet)
--- a/internal/lab/hollow/process.go
+++ b/internal/lab/hollow/process.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/lab/link"
 	"fernlanding/internal/lab/process"
 	"fernlanding/internal/lab/wait"
 )
@@ -22,13 +23,17 @@
 const (
 	canaryEvery = 10 * time.Millisecond
 	headWait    = 5 * time.Second
+	// Those of a process begin one after another: a service that meets them all in one instant is another experiment.
+	proxyGap = 15 * time.Millisecond
+	nodoGap  = 5 * time.Millisecond
 )
 
 // Order tells a process to have nodos do something.
 type Order struct {
-	Act   string `json:"act"` // replace, die
-	Turns []Turn `json:"turns"`
-	ForMs int64  `json:"for_ms"` // die: until each is back; 0: never
+	Act   string  `json:"act"` // replace, die, lose
+	Turns []Turn  `json:"turns"`
+	ForMs int64   `json:"for_ms"` // die: until each is back; 0: never; lose: until it ends
+	Part  float64 `json:"part"`   // lose: of the gossip's datagrams
 }
 
 // Turn is a nodo, and how long from now its turn is.
@@ -43,6 +48,8 @@
 	log     *slog.Logger
 	seeded  seeded
 	proxies []*proxy
+	net     *link.Net // of relays
+	befores []*link.Relay
 	nodos   map[string]*nodo
 	acts    sync.WaitGroup
 	stop    context.CancelCauseFunc
@@ -59,6 +66,9 @@
 func newSeeded(c Config, log *slog.Logger, fault seeded) (*Process, error) {
 	p := &Process{cfg: c, log: log, seeded: fault, nodos: map[string]*nodo{}}
 	p.ctx, p.stop = context.WithCancelCause(context.Background())
+	if err := p.relays(); err != nil {
+		return nil, err
+	}
 	for _, x := range c.Proxies {
 		h, err := newProxy(&p.cfg, x, log, fault)
 		if err != nil {
@@ -87,16 +97,26 @@
 func (p *Process) Run(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() { p.stop(nil) })()
 	var all sync.WaitGroup
-	for _, h := range p.proxies {
-		all.Go(func() { p.guard(h.Name, func() { h.run(p.ctx, p.seeded) }) })
-	}
-	for _, n := range p.nodos {
-		n.start(p.ctx)
+	for i, h := range p.proxies {
+		all.Go(func() {
+			wait.For(p.ctx, time.Duration(i)*proxyGap)
+			p.guard(h.Name, func() { h.run(p.ctx, p.seeded) })
+		})
 	}
+	all.Go(func() {
+		for _, n := range p.nodos {
+			if wait.For(p.ctx, nodoGap) {
+				n.start(p.ctx)
+			}
+		}
+	})
 	all.Go(p.canary)
 	<-p.ctx.Done()
 	all.Wait()
 	p.acts.Wait()
+	if p.net != nil {
+		p.net.Close()
+	}
 	for _, n := range p.nodos {
 		n.close()
 	}
@@ -139,8 +159,18 @@
 			return fmt.Errorf("hollow process %s has no nodo %q", p.cfg.Name, t.Name)
 		}
 	}
-	if !slices.Contains([]string{"replace", "die"}, o.Act) {
-		return fmt.Errorf("hollow: no act %q: replace or die", o.Act)
+	if !slices.Contains([]string{"replace", "die", "lose"}, o.Act) {
+		return fmt.Errorf("hollow: no act %q: replace, die or lose", o.Act)
+	}
+	if o.Act == "lose" {
+		end, err := p.lose(o.Part)
+		p.acts.Go(func() {
+			wait.For(p.ctx, time.Duration(o.ForMs)*time.Millisecond)
+			if err := end(); err != nil {
+				p.fail("relays", err)
+			}
+		})
+		return err
 	}
 	for _, t := range o.Turns {
 		n := p.nodos[t.Name]
@@ -193,7 +223,7 @@
 // Figures are as of now; without steps the lists' versions and the nodos' changes are left out.
 func (p *Process) Figures(steps bool) Figures {
 	f := Figures{Missing: p.missing(), RSS: process.Memory(os.Getpid()), CPU: cpu()}
-	f.Ready = f.Missing == ""
+	f.Ready, f.Over = f.Missing == "", p.over()
 	for _, h := range p.proxies {
 		f.Proxies = append(f.Proxies, h.figures(steps))
 	}
--- a/internal/lab/hollow/proxy.go
+++ b/internal/lab/hollow/proxy.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	steps   []Step
 	servers map[string]bool
+	before  discovery.Figures // when the figures began
 }
 
 func newProxy(c *Config, p Proxy, log *slog.Logger, fault seeded) (*proxy, error) {
@@ -121,10 +122,11 @@
 	}
 }
 
-// begin forgets all steps but the last.
+// begin forgets all steps but the last, and what was counted.
 func (f *followed) begin() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.before = f.client.Figures()
 	if n := len(f.steps); n > 0 {
 		f.steps = append([]Step(nil), f.steps[n-1])
 	}
@@ -134,7 +136,8 @@
 	x := f.client.Figures()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := ListFigures{Servers: len(f.servers), Moves: x.Moves, Failures: x.Failures, AgeMs: -1}
+	out := ListFigures{Servers: len(f.servers), Moves: x.Moves - f.before.Moves, Failures: x.Failures - f.before.Failures,
+		AgeMs: -1}
 	if steps {
 		out.Steps = append(out.Steps, f.steps...)
 	}
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -26,9 +26,13 @@
 	}
 	fmt.Fprintln(t, "figure\tmedian\tmin\tmax")
 	for _, name := range r.Names() {
+		if _, _, _, ok := spentName(name); ok {
+			continue
+		}
 		g := r.Figures[name]
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", name, num(g.Median), num(g.Min), num(g.Max))
 	}
+	control(t, r)
 	for i, p := range r.Plays {
 		for _, ev := range p.Events {
 			back := fmt.Sprintf("back to 95 %% after %.1f s", ev.Recovery)
--- a/internal/lab/run/block.go
+++ b/internal/lab/run/block.go
@@ -95,6 +95,7 @@
 
 func (b *block) hollowControl(n int) string { return b.addr(controlOct, n, mgmtPort) }
 func (b *block) hollowGossip(n int) string  { return b.addr(hollowOct, n, gossipPort) }
+func (b *block) hollowRelay(n int) string   { return b.addr(hollowOct, n, relayPort) }
 func (b *block) hollowNodo() string         { return b.addr(controlOct, perOctet-1, 9) }
 
 func (b *block) nodo(n int) (string, error) {
--- a/internal/lab/run/hollow.go
+++ b/internal/lab/run/hollow.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -84,11 +85,20 @@
 		if f.exp.Fleet.On {
 			p.cfg.Fleet = &hollow.Fleet{Label: f.exp.Fleet.Label}
 			x.Bind, x.Seeds = f.block.hollowGossip(i), f.hollowSeeds(i)
+			if h.Relays {
+				x.Advertise = f.block.hollowRelay(i)
+			}
 			own := netip.MustParseAddrPort(x.Bind).Addr()
 			f.speakers[own] = experiment.Node{Name: n.Name, Zone: region}
 		}
 		p.cfg.Proxies = append(p.cfg.Proxies, x)
 	}
+	if f.exp.Fleet.On && h.Relays {
+		relays := f.hollowRelays()
+		for _, p := range proxies {
+			p.cfg.Relays = relays
+		}
+	}
 	nodos := add("hollow-nodos", h.NodoProcesses())
 	f.hollowOf = map[string]*hollowProcess{}
 	for i, n := range f.exp.HollowNodos() {
@@ -111,9 +121,13 @@
 
 // hollowSeeds are the members that hollow proxy i is told to join at: the real ones' first and the hollow ones' first.
 func (f *fleet) hollowSeeds(i int) (out []string) {
+	at := f.block.hollowGossip
+	if f.exp.Hollow.Relays {
+		at = f.block.hollowRelay
+	}
 	for n := range min(hollowSeeds, f.exp.Hollow.Proxies) {
 		if n != i {
-			out = append(out, f.block.hollowGossip(n))
+			out = append(out, at(n))
 		}
 	}
 	for n := range min(hollowSeeds, len(f.order)) {
@@ -122,46 +136,91 @@
 	return out
 }
 
-// startHollow starts all hollow processes and waits until each has what it follows. One that ends by itself ends the run.
-func (f *fleet) startHollow(ctx context.Context, fail context.CancelCauseFunc) error {
-	for _, p := range f.hollow {
-		text, err := json.Marshal(p.cfg)
-		if err == nil {
-			err = os.WriteFile(p.path, text, 0o644)
-		}
-		if err != nil {
-			return fmt.Errorf("%w: %w", ErrEnvironment, err)
-		}
-		if p.proc, err = f.starter.Start(process.Spec{Name: p.cfg.Name, Command: append(slices.Clone(f.self), p.path),
-			Env: os.Environ(), Log: filepath.Join(f.logs, p.cfg.Name+".log")}, f.log); err != nil {
-			return fmt.Errorf("%w: %w", ErrEnvironment, err)
+// hollowRelays are what relays before hollow members know of the fleet.
+func (f *fleet) hollowRelays() *hollow.Relays {
+	out := &hollow.Relays{Speakers: map[string]hollow.Speaker{}, LocalUs: micros(f.exp.Network.LocalMs),
+		CrossUs: micros(f.exp.Network.CrossMs)}
+	for ip, n := range f.speakers {
+		out.Speakers[ip.String()] = hollow.Speaker{Name: n.Name, Region: n.Zone}
+	}
+	return out
+}
+
+// hollowLoss has hollow members' relays lose datagrams while a fault of all gossip does.
+func (t *timeline) hollowLoss(ctx context.Context, s plan.Strike) error {
+	if s.Fault.Kind != "loss" || !t.exp.Hollow.Relays {
+		return nil
+	}
+	length := s.For
+	if length <= 0 {
+		length = experiment.Seconds(t.exp.Seconds) - s.At
+	}
+	var errs []error
+	for _, p := range t.hollow {
+		if len(p.cfg.Proxies) > 0 {
+			_, err := p.call(ctx, http.MethodPost, "/do", hollow.Order{Act: "lose", Part: s.Fault.Part, ForMs: length.Milliseconds()})
+			errs = append(errs, err)
 		}
-		go func() {
-			<-p.proc.Ended()
-			if p.proc.Crashed() {
-				fail(hollow.Failure(p.cfg.Name, p.cfg.Failure))
-			}
-		}()
 	}
+	return errors.Join(errs...)
+}
+
+// startHollow starts all hollow processes, nodos' first, and waits until each has what it follows. One that ends by itself
+// ends the run.
+func (f *fleet) startHollow(ctx context.Context, fail context.CancelCauseFunc) error {
 	patience, cancel := context.WithTimeout(ctx, experiment.Seconds(f.exp.Lab.ReadyWait))
 	defer cancel()
-	for _, p := range f.hollow {
-		for missing := "no answer yet"; missing != ""; {
-			if !wait.For(patience, hollowPoll) {
-				if ctx.Err() != nil {
-					return context.Cause(ctx)
+	for _, nodos := range []bool{true, false} {
+		var some []*hollowProcess
+		for _, p := range f.hollow {
+			if len(p.cfg.Nodos) > 0 != nodos {
+				continue
+			}
+			if err := f.startProcess(p, fail); err != nil {
+				return fmt.Errorf("%w: %w", ErrEnvironment, err)
+			}
+			some = append(some, p)
+		}
+		for _, p := range some {
+			missing := "no answer yet"
+			for missing != "" && wait.For(patience, hollowPoll) {
+				if text, err := p.call(ctx, http.MethodGet, "/ready", nil); err == nil {
+					missing = string(text)
 				}
+			}
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
+			if missing != "" {
 				return fmt.Errorf("%w: %w", ErrEnvironment, &hollow.FailedError{Process: p.cfg.Name, Name: missing,
 					Cause: fmt.Sprintf("not ready after %v s (lab.ready_wait)", f.exp.Lab.ReadyWait)})
 			}
-			if text, err := p.call(ctx, http.MethodGet, "/ready", nil); err == nil {
-				missing = string(text)
-			}
 		}
 	}
 	return nil
 }
 
+func (f *fleet) startProcess(p *hollowProcess, fail context.CancelCauseFunc) error {
+	text, err := json.Marshal(p.cfg)
+	if err == nil {
+		err = os.WriteFile(p.path, text, 0o644)
+	}
+	if err != nil {
+		return err
+	}
+	if p.proc, err = f.starter.Start(process.Spec{Name: p.cfg.Name, Command: append(slices.Clone(f.self), p.path),
+		Env: os.Environ(), Log: filepath.Join(f.logs, p.cfg.Name+".log")}, f.log); err != nil {
+		return err
+	}
+	go func() {
+		<-p.proc.Ended()
+		if p.proc.Crashed() {
+			fail(hollow.Failure(p.cfg.Name, p.cfg.Failure))
+		}
+	}()
+	return nil
+}
+
 // call makes a call of a process's control address.
 func (p *hollowProcess) call(ctx context.Context, method, path string, body any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, hollowCall)
--- a/internal/lab/run/meter.go
+++ b/internal/lab/run/meter.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -233,6 +234,9 @@
 		if err != nil {
 			return out, err
 		}
+		if x.Over > 0 {
+			return out, fmt.Errorf("%d datagrams of the gossip found no room in %s", x.Over, p.cfg.Name)
+		}
 		out = append(out, x)
 	}
 	return out, nil
--- a/internal/lab/run/need.go
+++ b/internal/lab/run/need.go
@@ -19,12 +19,16 @@
 	memberBytes   = 400 << 20
 	hollowBytes   = 40 << 20 // of a hollow process with nothing in it
 	hollowEach    = 500 << 10
-	hollowListed  = 900 // a hollow proxy keeps so much of each listed nodo
+	hollowListed  = 900       // a hollow proxy keeps so much of each listed nodo
+	labEach       = 100 << 10 // the lab for each connection that it passes on
+	labListed     = 250       // and of each listed nodo, for each proxy that is sent the whole list
 	nodoEach      = 150 << 10
 	memberEach    = 60 << 10 // a member for each caller
 	fleetEach     = 600 << 10
 	fleetKnown    = 1500 // a member of the fleet keeps so much of each other
-	fileEach      = 2    // of the lab for each connection that it passes on
+	relayKnown    = 500  // and its relay
+	relayEach     = 200 << 10
+	fileEach      = 2 // of the lab for each connection that it passes on
 	filesLeast    = 2000
 )
 
@@ -76,8 +80,11 @@
 	each := hollowEach + hollowListed*listed
 	if e.Fleet.On {
 		each += fleetEach + fleetKnown*int64(h.Proxies)
+		if h.Relays {
+			each += relayEach + relayKnown*(int64(h.Proxies)+real)
+		}
 	}
-	memory := labBytes + real*proxyBytes + members*(memberBytes+memberEach*int64(h.Proxies+h.Nodos)/max(1, members)) +
+	memory := labBytes + (labEach+labListed*listed)*int64(h.Proxies) + labEach*int64(h.Nodos) + real*proxyBytes + members*(memberBytes+memberEach*int64(h.Proxies+h.Nodos)/max(1, members)) +
 		int64(h.Processes+h.NodoProcesses())*hollowBytes + int64(h.Proxies)*each + int64(h.Nodos)*nodoEach
 	files := filesLeast + fileEach*int64(h.Proxies+h.Nodos)
 	const less = "give fewer hollow.proxies and hollow.nodos, or a larger machine"
--- a/internal/lab/run/play.go
+++ b/internal/lab/run/play.go
@@ -113,11 +113,11 @@
 	rest()
 	in := result.Input{Exp: e, Plan: p, Start: start, Record: f.ref.Close(), Events: events, Late: f.client.Late(),
 		Stall: <-stall}
+	in.Control = f.controlReport(phases())
 	in.List, err = f.listReport(&in.Record)
 	f.note(err)
 	in.Gossip, err = f.gossipReport()
 	f.note(err)
-	in.Control = f.controlReport(phases())
 	var failed *hollow.FailedError
 	if errors.As(context.Cause(ctx), &failed) {
 		return out, failed
--- a/internal/lab/run/strike_links.go
+++ b/internal/lab/run/strike_links.go
@@ -100,6 +100,9 @@
 	case "delay":
 		return over(link.Effect{Delay: experiment.Millis(f.Ms)})
 	case "loss":
+		if err := t.hollowLoss(ctx, s); err != nil {
+			return err
+		}
 		return over(link.Effect{Loss: f.Part})
 	case "reset":
 		if s.For <= 0 {
