--- /dev/null
+++ b/internal/lab/link/traffic_test.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// What passes is counted by who sent it, on a link that is dialled and on one that dials.
+func TestTraffic(t *testing.T) {
+	n := New(1)
+	defer n.Close()
+	addr := free(t)
+	if _, err := n.Listen(Ends{Kind: "list", From: "p"}, addr, time.Millisecond, func(c *Conn) {
+		b := make([]byte, 16)
+		k, _ := c.Read(b)
+		_, _ = c.Write(append(b[:k], "and more"...))
+		_ = c.Close()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(c); err != nil || string(got) != "helloand more" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	d, err := n.Dialer(Ends{Kind: "client"}, 0).Dial(t.Context(), addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.Write([]byte("hi")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(d); err != nil || string(got) != "hiand more" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	got := map[string]Traffic{}
+	n.Traffic(func(e Ends, t Traffic) { got[e.Kind] = got[e.Kind].Plus(t) })
+	for kind, want := range map[string]Traffic{"list": {Sent: 7, Answered: 23, Pieces: 2, Conns: 2}, "client": {Sent: 2, Answered: 10, Pieces: 1, Conns: 1}} {
+		if got[kind] != want {
+			t.Errorf("%s: %+v, want %+v", kind, got[kind], want)
+		}
+	}
+	if z := got["list"].Minus(got["list"]); z != (Traffic{}) {
+		t.Errorf("nothing since: %+v", z)
+	}
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -87,3 +87,34 @@
 		}
 	}
 }
+
+// Faults of hollow nodos take all of a service, a share of all, or the first so many of a zone.
+func TestHollowTargets(t *testing.T) {
+	e := &experiment.Experiment{Seconds: 10, Zones: []experiment.Zone{{Name: "n"}, {Name: "s"}}}
+	e.Hollow = experiment.Hollow{Nodos: 24, Zones: 3, Services: 8}
+	zone := map[string]string{}
+	for _, n := range e.HollowNodos() {
+		zone[n.Name] = n.Zone
+	}
+	for _, test := range []struct {
+		fault experiment.Fault
+		want  int
+	}{
+		{experiment.Fault{Service: 2}, 3},
+		{experiment.Fault{Share: 0.5, Spread: 4}, 12},
+		{experiment.Fault{Zone: "s-b"}, 4},
+		{experiment.Fault{Zone: "s-b", Count: 3}, 3},
+		{experiment.Fault{Count: 100}, 24},
+	} {
+		test.fault.Kind = "hollow_replace"
+		s := draw(e, test.fault, 1, source(1, "fault", 0))
+		if len(s.Turns) != test.want {
+			t.Errorf("%+v: %d turns, want %d", test.fault, len(s.Turns), test.want)
+		}
+		for _, turn := range s.Turns {
+			if z := zone[turn.Target]; z == "" || test.fault.Zone != "" && z != test.fault.Zone {
+				t.Errorf("%+v: meets %q of zone %q", test.fault, turn.Target, z)
+			}
+		}
+	}
+}
