Refuse a fleet whose gossip alone needs more cores than there are

Change: 20 thousandths of a core for each member, by scale-fleet-4 and -10; scale-fleet-4 (10 members) below the crossing of 19 KB/s.

--- a/internal/lab/run/need.go
+++ b/internal/lab/run/need.go
@@ -28,7 +28,8 @@
 	fleetKnown    = 1500 // a member of the fleet keeps so much of each other
 	relayKnown    = 500  // and its relay
 	relayEach     = 200 << 10
-	fileEach      = 2 // of the lab for each connection that it passes on
+	fleetMillis   = 20 // of a core in a thousand that a member of the fleet takes at least, from 10 members on
+	fileEach      = 2  // of the lab for each connection that it passes on
 	filesLeast    = 2000
 )
 
@@ -47,9 +48,11 @@
 type machine struct {
 	memory int64 // bytes that are available
 	files  int64 // descriptors of a process
+	cores  int64
 }
 
 func thisMachine() (m machine) {
+	m.cores = int64(Cores())
 	text, err := os.ReadFile("/proc/meminfo")
 	if err != nil {
 		return m
@@ -87,6 +90,10 @@
 	memory := labBytes + (labEach+labListed*listed)*int64(h.Proxies) + labEach*int64(h.Nodos) + real*proxyBytes + members*(memberBytes+memberEach*int64(h.Proxies+h.Nodos)/max(1, members)) +
 		int64(h.Processes+h.NodoProcesses())*hollowBytes + int64(h.Proxies)*each + int64(h.Nodos)*nodoEach
 	files := filesLeast + fileEach*int64(h.Proxies+h.Nodos)
+	cores := int64(0)
+	if e.Fleet.On {
+		cores = (fleetMillis*(int64(h.Proxies)+real) + 999) / 1000
+	}
 	const less = "give fewer hollow.proxies and hollow.nodos, or a larger machine"
 	switch {
 	case processes > processesMost:
@@ -95,6 +102,8 @@
 		return &NeedError{"MB of memory", memory >> 20, memoryMost >> 20, "the lab's bound is half of its machine; give fewer hollow.proxies"}
 	case memory > m.memory:
 		return &NeedError{"MB of memory", memory >> 20, m.memory >> 20, less}
+	case cores > m.cores:
+		return &NeedError{"cores at the least, for the gossip alone", cores, m.cores, "give fewer hollow.proxies, or a larger machine"}
 	case files > m.files:
 		return &NeedError{"descriptors in one process", files, m.files, "raise the limit (ulimit -n), or " + less}
 	}
--- a/internal/lab/run/need_test.go
+++ b/internal/lab/run/need_test.go
@@ -23,7 +23,7 @@
 		}
 		return e
 	}
-	large := machine{memory: 20 << 30, files: 20000}
+	large := machine{memory: 20 << 30, files: 20000, cores: 8}
 	for _, test := range []struct {
 		name string
 		of   string
@@ -34,8 +34,10 @@
 		{"30", "scale-30", large, nil, ""},
 		{"1300", "scale-1300", large, nil, ""},
 		{"none hollow", "wide", machine{}, nil, ""},
-		{"little memory", "scale-1300", machine{memory: 1 << 30, files: 20000}, nil, "MB of memory"},
-		{"few descriptors", "scale-1300", machine{memory: 20 << 30, files: 1024}, nil, "descriptors"},
+		{"little memory", "scale-1300", machine{memory: 1 << 30, files: 20000, cores: 8}, nil, "MB of memory"},
+		{"few descriptors", "scale-1300", machine{memory: 20 << 30, files: 1024, cores: 8}, nil, "descriptors"},
+		{"a fleet of 300", "scale-fleet-300", large, nil, ""},
+		{"a fleet of 1300", "scale-fleet-1300", large, nil, "cores"},
 		{"over half", "scale-1300", large, func(e *experiment.Experiment) { e.Hollow.Proxies, e.Hollow.Nodos = 5000, 5000 }, "MB of memory"},
 		{"many processes", "scale-30", large, func(e *experiment.Experiment) { e.Zones[0].Proxies = 290 }, "processes"},
 	} {
