Tell how long a dead nodo stays in the lists of hollow proxies

Need: what a rack's or a zone's loss costs is told by when all know of it. Change: deaths by name and moment, and what each proxy's list loses without a drain; control.PHASE.buried_p50_ms and on. Measured: TestChangesAreKnown, TestBuried pass; seeded: a list that forgets its entries' status fails the former.

--- a/internal/lab/experiment/hollow.go
+++ b/internal/lab/experiment/hollow.go
@@ -141,7 +141,7 @@
 	controlFigures = []string{"in_b_s", "out_b_s", "calls_s", "cpu_pct", "memory_mb"}
 	controlPhase   = []string{"known_p50_ms", "known_p99_ms", "known_last_ms", "real_known_p50_ms", "real_known_p99_ms",
 		"real_known_last_ms", "confirmed_p50_ms", "confirmed_p99_ms", "confirmed_last_ms", "changes", "unknown", "turned",
-		"watches_most"}
+		"watches_most", "deaths", "buried_p50_ms", "buried_p99_ms", "buried_last_ms", "unburied"}
 	controlGossip = []string{"gossip_in_b_s", "gossip_out_b_s", "gossip_sent_s", "gossip_waiting", "gossip_entries",
 		"gossip_oldest_ms", "gossip_dropped", "living_least", "gossip_age_p50_ms", "gossip_age_p99_ms", "gossip_age_last_ms"}
 	controlFactors = []string{"calls", "in", "out", "cpu", "memory", "known", "gossip_in", "gossip_out", "gossip_sent",
--- a/internal/lab/hollow/figures.go
+++ b/internal/lab/hollow/figures.go
@@ -17,6 +17,12 @@
 	Sure  int64 `json:"sure"`  // when it was answered
 }
 
+// Death is a nodo that dies without a word, or that a proxy no longer has in its list though it did not drain.
+type Death struct {
+	Name string `json:"name"`
+	At   int64  `json:"at"`
+}
+
 // Figures are a process's.
 type Figures struct {
 	Ready   bool           `json:"ready"` // all have a list, are in it, and are in the fleet
@@ -39,7 +45,8 @@
 
 // ListFigures are of the list that a proxy follows.
 type ListFigures struct {
-	Steps    []Step  `json:"steps"` // since the figures began, and the one before
+	Steps    []Step  `json:"steps"`          // since the figures began, and the one before
+	Lost     []Death `json:"lost,omitempty"` // since the figures began
 	Servers  int     `json:"servers"`
 	Moves    int64   `json:"moves"`
 	Failures int64   `json:"failures"`
@@ -71,8 +78,8 @@
 // NodoFigures are of all nodos of a process together.
 type NodoFigures struct {
 	Changes []Change `json:"changes,omitempty"` // since the figures began
+	Deaths  []Death  `json:"deaths,omitempty"`  // likewise
 	Living  int      `json:"living"`
-	Ended   int64    `json:"ended"` // calls that were refused for good
 }
 
 func fleetFigures(f link.Figures, ages []float64) *FleetFigures {
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -94,7 +94,7 @@
 	if err := p.Do(Order{Act: "replace", Turns: []Turn{{Name: "hs0"}, {Name: "hs1", InMs: 100}}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := p.Do(Order{Act: "die", ForMs: 1500, Turns: []Turn{{Name: "hs2"}}}); err != nil {
+	if err := p.Do(Order{Act: "die", ForMs: 2500, Turns: []Turn{{Name: "hs2"}}}); err != nil {
 		t.Fatal(err)
 	}
 	// Two drain, go and are back; one dies, its lease ends, and it is back.
@@ -122,6 +122,9 @@
 		if x.List.Servers != 4 {
 			t.Errorf("%s knows %d servers, want 4", x.Name, x.List.Servers)
 		}
+		if len(x.List.Lost) != 1 || x.List.Lost[0].Name != "hs2" || x.List.Lost[0].At < f.Nodos.Deaths[0].At {
+			t.Errorf("%s lost %v without a word, want hs2 after %v", x.Name, x.List.Lost, f.Nodos.Deaths)
+		}
 		if x.Calls.Taken == 0 || x.Calls.Sent < x.Calls.Taken/2 {
 			t.Errorf("%s: %+v: the module had nothing to decide", x.Name, x.Calls)
 		}
--- a/internal/lab/hollow/process.go
+++ b/internal/lab/hollow/process.go
@@ -57,6 +57,7 @@
 
 	mu      sync.Mutex
 	changes []Change
+	deaths  []Death
 	stall   time.Duration
 }
 
@@ -184,6 +185,9 @@
 				}
 				return
 			}
+			p.mu.Lock()
+			p.deaths = append(p.deaths, Death{n.Name, nanos()})
+			p.mu.Unlock()
 			n.dead()
 			if o.ForMs > 0 && wait.For(p.ctx, time.Duration(o.ForMs)*time.Millisecond) {
 				n.start(p.ctx)
@@ -196,7 +200,7 @@
 // Begin has the figures begin now.
 func (p *Process) Begin() {
 	p.mu.Lock()
-	p.changes, p.stall = nil, 0
+	p.changes, p.deaths, p.stall = nil, nil, 0
 	p.mu.Unlock()
 	for _, h := range p.proxies {
 		h.list.begin()
@@ -229,7 +233,7 @@
 	}
 	p.mu.Lock()
 	if steps {
-		f.Nodos.Changes = slices.Clone(p.changes)
+		f.Nodos.Changes, f.Nodos.Deaths = slices.Clone(p.changes), slices.Clone(p.deaths)
 	}
 	f.StallMs = float64(p.stall.Microseconds()) / 1000
 	p.mu.Unlock()
--- a/internal/lab/hollow/proxy.go
+++ b/internal/lab/hollow/proxy.go
@@ -38,7 +38,8 @@
 
 	mu      sync.Mutex
 	steps   []Step
-	servers map[string]bool
+	servers map[string]string // their status
+	lost    []Death
 	before  discovery.Figures // when the figures began
 }
 
@@ -48,7 +49,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	h := &proxy{Proxy: p, cfg: c, log: log.With("proxy", p.Name)}
-	h.list = &followed{servers: map[string]bool{}, client: discovery.New(discovery.Config{
+	h.list = &followed{servers: map[string]string{}, client: discovery.New(discovery.Config{
 		Source: discovery.Source{Members: p.Lists}, Seed: p.Seed, Log: h.log})}
 	if h.decide, err = newDecider(c, p, site); err != nil {
 		return nil, err
@@ -110,15 +111,30 @@
 	if n := len(f.steps); n == 0 || l.Index > f.steps[n-1].Index {
 		f.steps = append(f.steps, Step{l.Index, nanos()})
 	}
+	before := f.servers
 	if l.Full {
-		clear(f.servers)
+		f.servers = map[string]string{}
 	}
 	for _, e := range l.Endpoints {
-		if e.Status == discovery.Deleted {
-			delete(f.servers, e.Name)
-		} else {
-			f.servers[e.Name] = true
+		if e.Status != discovery.Deleted {
+			f.servers[e.Name] = e.Status
+			continue
 		}
+		f.gone(e.Name, before[e.Name])
+		delete(f.servers, e.Name)
+	}
+	if l.Full {
+		for name, status := range before {
+			if _, ok := f.servers[name]; !ok {
+				f.gone(name, status)
+			}
+		}
+	}
+}
+
+func (f *followed) gone(name, status string) {
+	if status == discovery.Serving {
+		f.lost = append(f.lost, Death{name, nanos()})
 	}
 }
 
@@ -126,7 +142,7 @@
 func (f *followed) begin() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.before = f.client.Figures()
+	f.before, f.lost = f.client.Figures(), nil
 	if n := len(f.steps); n > 0 {
 		f.steps = append([]Step(nil), f.steps[n-1])
 	}
@@ -139,7 +155,7 @@
 	out := ListFigures{Servers: len(f.servers), Moves: x.Moves - f.before.Moves, Failures: x.Failures - f.before.Failures,
 		AgeMs: -1}
 	if steps {
-		out.Steps = append(out.Steps, f.steps...)
+		out.Steps, out.Lost = append(out.Steps, f.steps...), append(out.Lost, f.lost...)
 	}
 	if x.Age >= 0 {
 		out.AgeMs = float64(x.Age.Microseconds()) / 1000
--- a/internal/lab/result/control.go
+++ b/internal/lab/result/control.go
@@ -66,10 +66,13 @@
 	}
 	var changes []hollow.Change
 	var tracks [][]Told
+	var deaths []hollow.Death
+	var lost [][]hollow.Death
 	var failures, moves, age float64
 	for _, x := range c.Hollow {
-		changes = append(changes, x.Nodos.Changes...)
+		changes, deaths = append(changes, x.Nodos.Changes...), append(deaths, x.Nodos.Deaths...)
 		for _, p := range x.Proxies {
+			lost = append(lost, p.List.Lost)
 			tracks = append(tracks, p.List.Steps)
 			failures, moves = failures+float64(p.List.Failures), moves+float64(p.List.Moves)
 			age = max(age, p.List.AgeMs)
@@ -96,6 +99,11 @@
 		slices.Sort(sure)
 		spread(p.Name+".confirmed", sure, put)
 		put(p.Name+".unknown", float64(unknown(own, tracks, end)))
+		died := slices.DeleteFunc(slices.Clone(deaths), func(x hollow.Death) bool { return x.At < from || x.At >= to })
+		late, never := buried(died, lost)
+		put(p.Name+".deaths", float64(len(died)))
+		spread(p.Name+".buried", late, put)
+		put(p.Name+".unburied", float64(never))
 		factors(p.Name, f, put)
 	}
 	return f
@@ -203,6 +211,23 @@
 	return n
 }
 
+// buried is how late each proxy had each nodo that died out of its list, in ms, sorted; never counts those that did not: the
+// nodo was back before its lease had ended, or its zone is held.
+func buried(deaths []hollow.Death, lost [][]hollow.Death) (late []float64, never int) {
+	for _, of := range lost {
+		for _, d := range deaths {
+			i := slices.IndexFunc(of, func(x hollow.Death) bool { return x.Name == d.Name && x.At >= d.At })
+			if i < 0 {
+				never++
+				continue
+			}
+			late = append(late, float64(of[i].At-d.At)/1e6)
+		}
+	}
+	slices.Sort(late)
+	return late, never
+}
+
 func spread(name string, sorted []float64, put func(string, float64)) {
 	if len(sorted) == 0 {
 		return
--- a/internal/lab/result/control_test.go
+++ b/internal/lab/result/control_test.go
@@ -35,6 +35,19 @@
 	}
 }
 
+// A death counts from its moment to the proxy's next loss of that nodo; one that never came is counted apart.
+func TestBuried(t *testing.T) {
+	const ms = int64(1e6)
+	deaths := []hollow.Death{{Name: "a", At: 100 * ms}, {Name: "b", At: 200 * ms}}
+	late, never := buried(deaths, [][]hollow.Death{
+		{{Name: "b", At: 50 * ms}, {Name: "a", At: 150 * ms}, {Name: "b", At: 230 * ms}},
+		{{Name: "a", At: 90 * ms}},
+	})
+	if !slices.Equal(late, []float64{30, 50}) || never != 2 {
+		t.Errorf("late %v, never %d; want [30 50] and 2", late, never)
+	}
+}
+
 // What roles spend is told for each that bears one, phase by phase, and a phase that was not read has none of it.
 func TestSpent(t *testing.T) {
 	e := &experiment.Experiment{Seconds: 30, Phases: []experiment.Phase{{Name: "a", From: 1, To: 11}, {Name: "b", From: 11, To: 20}}}
