Say nothing certain of sizes far below what was measured

A line speaks below its range only down to a third of the smallest size now; beneath that a figure is carried where the smallest size is, and else unproven, as this one is.

--- a/internal/lab/capacity/numbers.go
+++ b/internal/lab/capacity/numbers.go
@@ -10,6 +10,8 @@
 //     measured, between, or worked out from a straight slope whose range reaches at least a third of the size (Reach).
 //   - over: the value is above the budget and measured, between, or worked out from a straight slope; or a smaller size that was
 //     measured is above it already.
+//     Below what was measured the same holds down to a third of the smallest size, and beneath that a figure that grows is
+//     carried where the smallest size measured is within the budget, and else unproven.
 //   - unproven: neither, or no slope at all.
 //   - absent: no code carries the duty, as duties.toml says.
 package capacity
