--- a/internal/lab/path/path_test.go
+++ b/internal/lab/path/path_test.go
@@ -18,6 +18,7 @@
 	listed  = flag.Int("path.nodos", 1300, "listed nodos, in 9 zones")
 	long    = flag.Duration("path.long", 10*time.Second, "of each phase")
 	repeat  = flag.Int("path.repeat", 3, "proxies, one after another")
+	seed    = flag.Uint64("path.seed", 1, "of the first proxy and its calls; the next ones count up")
 	phase   = flag.String("path.phase", "", "the one phase that is played; none: all")
 	cores   = flag.Int("path.cores", DeploymentLimits.Cores, "that the proxy is told")
 )
@@ -147,19 +148,28 @@
 	}
 	all := map[Phase][][2]float64{}
 	for r := range *repeat {
-		s, err := Open(*program, t.TempDir(), *listed, zones, limits, uint64(r+1))
+		s, err := Open(*program, t.TempDir(), *listed, zones, limits, *seed+uint64(r))
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := &Caller{Proxy: s.Proxy.Addr, Direct: s.Nodos.All[1].Addr, Rate: *rate, Seed: uint64(r + 1)}
+		c := &Caller{Proxy: s.Proxy.Addr, Direct: s.Nodos.All[1].Addr, Rate: *rate, Seed: *seed + uint64(r)}
 		c.Run(t.Context(), 3*time.Second) // connections come up, weights settle
 		for _, phase := range phases {
+			before, err := s.Proxy.CPU()
+			if err != nil {
+				t.Fatal(err)
+			}
 			f, err := s.Play(t.Context(), c, phase, *long)
 			if err != nil {
 				t.Fatal(err)
 			}
+			after, err := s.Proxy.CPU()
+			if err != nil {
+				t.Fatal(err)
+			}
 			all[phase] = append(all[phase], [2]float64{f.Added(50), f.Added(99)})
-			fmt.Printf("rate %g nodos %d run %d %s: %v\n", *rate, *listed, r+1, phase, f)
+			fmt.Printf("rate %g nodos %d run %d %s: %v; processor %.3f ms a call\n", *rate, *listed, r+1, phase, f,
+				float64(after-before)/1e6/float64(max(1, f.Proxied.TotalCount())))
 		}
 		c.Close()
 		s.Close()
@@ -189,7 +199,7 @@
 		t.Skip("-path.full")
 	}
 	for r := range *repeat {
-		s, err := Open(*program, t.TempDir(), *listed, zones, DeploymentLimits, uint64(r+1))
+		s, err := Open(*program, t.TempDir(), *listed, zones, DeploymentLimits, *seed+uint64(r))
 		if err != nil {
 			t.Fatal(err)
 		}
