Read a document of settings from afar as a proxy reads its file

Cause: a change of configuration is to reach proxies without a file at each machine. What may come from afar is the part that SIGHUP takes: the settings, but for the zone and number that are each proxy's own. Change: one reader judges them, for the list service where they enter and for the proxy: it has the module's rules too, and names faults by the file's keys.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -183,10 +183,7 @@
 	if !given(section) {
 		return nil, &ConfigError{Key: "settings", Problem: "is missing", Remedy: "give the rules of the tier"}
 	}
-	s, err := settings.Decode(section)
-	if err == nil {
-		err = s.CheckSockets()
-	}
+	s, err := settings.Read(section)
 	if err != nil {
 		return nil, unreadable("settings", err)
 	}
--- /dev/null
+++ b/internal/roster/state/configs_test.go
@@ -0,0 +1,260 @@
+package state
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"fernlanding/internal/durable"
+)
+
+func put(service string, after int64, document string) Command {
+	return Command{Kind: Configure, Service: service, After: after, Document: json.RawMessage(document)}
+}
+
+func begun() *State {
+	s := New()
+	s.Apply(Command{Kind: Begin, Line: "l", Base: 100})
+	return s
+}
+
+// A put is taken after the version that its caller has seen, once, and the one before is kept.
+func TestPuts(t *testing.T) {
+	type step struct {
+		c       Command
+		end     string
+		index   int64
+		changes bool
+	}
+	first, second := step{put("a", 0, `{"n":1}`), Done, 101, true}, step{put("a", 101, `{"n":2}`), Done, 102, true}
+	for name, steps := range map[string][]step{
+		"one after another":             {first, second},
+		"repeated at once":              {first, {first.c, Done, 101, false}},
+		"repeated after another":        {first, second, {second.c, Done, 102, false}, {first.c, Conflict, 102, false}},
+		"two at once":                   {first, second, {put("a", 101, `{"n":3}`), Conflict, 102, false}},
+		"the same again as a new word":  {first, {put("a", 101, `{"n":1}`), Done, 102, true}},
+		"after what is not there":       {{put("a", 101, `{}`), Conflict, 0, false}},
+		"after none where there is one": {first, {put("a", 0, `{}`), Conflict, 101, false}},
+		"another service":               {first, {put("b", 0, `{}`), Done, 101, true}},
+		"a name that makes no sense":    {{put("a b", 0, `{}`), Ignored, 0, false}, {put("", 0, `{}`), Ignored, 0, false}},
+		"a form that is not kept":       {{put("a", 0, `{ }`), Ignored, 0, false}, {put("a", 0, `[]`), Ignored, 0, false}, {put("a", 0, ``), Ignored, 0, false}},
+		"too long":                      {{put("a", 0, `{"a":"`+strings.Repeat("a", 64<<10)+`"}`), Ignored, 0, false}},
+	} {
+		s := begun()
+		for i, step := range steps {
+			got := s.Apply(step.c)
+			if got.End != step.end || got.Index != step.index || got.Changed != step.changes || s.Index() != 100 {
+				t.Errorf("%s, step %d: got %+v, the list at %d", name, i+1, got, s.Index())
+			}
+		}
+	}
+	s := begun()
+	s.Apply(first.c)
+	s.Apply(second.c)
+	if c, ok := s.Configuration("a"); !ok || string(c.Document) != `{"n":2}` || c.Former == nil || string(c.Former.Document) != `{"n":1}` ||
+		c.Former.Version != 101 {
+		t.Errorf("got %+v", c)
+	}
+	if r := New().Apply(put("a", 0, `{}`)); r.End != Ignored {
+		t.Errorf("before the first line: %+v", r)
+	}
+}
+
+// What does not fit is refused and changes nothing, and what is full can still be changed for less.
+func TestConfigurationsAreBounded(t *testing.T) {
+	s := begun()
+	for i := range ServicesMost {
+		if r := s.Apply(put(fmt.Sprint("s", i), 0, `{}`)); r.End != Done {
+			t.Fatalf("%d: %+v", i, r)
+		}
+	}
+	if r := s.Apply(put("more", 0, `{}`)); r.End != NoRoom {
+		t.Errorf("one service more: %+v", r)
+	}
+	s = begun()
+	large := `{"a":"` + strings.Repeat("a", 60<<10) + `"}`
+	n, versions := 0, map[string]int64{}
+	replace := func(name, text string) string {
+		r := s.Apply(put(name, versions[name], text))
+		versions[name] = r.Index
+		return r.End
+	}
+	replace("twice", large)
+	replace("twice", large)
+	for replace(fmt.Sprint("s", n), large) == Done {
+		n++
+	}
+	if end := replace("twice", large); end != Done {
+		t.Errorf("in the place of as much: %s", end)
+	}
+	if held := (n + 2) * len(large); held > DocumentsMost || held < DocumentsMost-len(large) {
+		t.Errorf("%d bytes are held", held)
+	}
+	if end := replace("s0", large); end != NoRoom {
+		t.Errorf("a document more: %s", end)
+	}
+	for range 2 { // the former one goes with the second
+		if end := replace("twice", `{}`); end != Done {
+			t.Fatalf("less: %s", end)
+		}
+	}
+	if end := replace("s0", large); end != Done {
+		t.Errorf("after room was made: %s", end)
+	}
+	i := s.Image()
+	if err := i.Check(); err != nil {
+		t.Error(err)
+	}
+	for _, name := range []string{"x", "y", "z"} {
+		i.Configs = append(i.Configs, Configuration{Service: name, Version: 5, Document: json.RawMessage(large)})
+	}
+	if err := i.Check(); err == nil {
+		t.Error("an image over the bound passes")
+	}
+}
+
+// Without configurations a snapshot is what builds before them write, byte for byte; with some it is of a kind that they
+// refuse, and as whole or nothing as the other.
+func TestSnapshotsWithConfigurations(t *testing.T) {
+	s := begun()
+	s.Apply(Command{Kind: Register, Record: record("n", "i1", 10)})
+	written := func() []byte {
+		var text bytes.Buffer
+		if err := s.Image().Write(&text); err != nil {
+			t.Fatal(err)
+		}
+		return text.Bytes()
+	}
+	const before = "roster-snapshot 1 191 18658e20\n" + `{"line":"l","index":101,"nodos":[{"name":"n","address":"127.0.0.1:1","zone":"a",` +
+		`"type":"","group":0,"status":"SERVING","weight":1,"since_ms":10,"instance":"i1","lease_ms":5000}],"ended":null}`
+	if got := string(written()); got != before {
+		t.Errorf("without configurations: %s", got)
+	}
+	s.Apply(put("a", 0, `{"n":1}`))
+	s.Apply(put("a", 102, `{"n":2,"s":"\u003c"}`))
+	whole := written()
+	if _, err := durable.Unseal("roster-snapshot", bytes.NewReader(whole), FileMost); !errors.Is(err, durable.ErrDamaged) {
+		t.Errorf("a build before them reads it: %v", err)
+	}
+	i, err := Read(bytes.NewReader(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := New()
+	if err := again.Load(i); err != nil || !bytes.Equal(whole, func() []byte { s = again; return written() }()) {
+		t.Errorf("it is another once read: %v", err)
+	}
+	if r := again.Apply(put("a", 102, `{"n":2,"s":"\u003c"}`)); r.End != Done || r.Changed {
+		t.Errorf("a repeated put after a restart: %+v", r)
+	}
+	for at := range whole {
+		spoilt := bytes.Clone(whole)
+		spoilt[at] ^= 0x20
+		for what, b := range map[string][]byte{"cut": whole[:at], "spoilt": spoilt} {
+			if _, err := Read(bytes.NewReader(b)); !errors.Is(err, ErrDamaged) {
+				t.Fatalf("%s at byte %d: %v", what, at, err)
+			}
+		}
+	}
+	// The kind and what is in it go together.
+	bare := Image{Line: "l", Index: 1}
+	body, _ := json.Marshal(bare)
+	if _, err := Read(bytes.NewReader(durable.Seal("roster-snapshot-configs", body))); !errors.Is(err, ErrDamaged) {
+		t.Errorf("none in a snapshot of some: %v", err)
+	}
+}
+
+// A restored image's configurations lie above all that was told, and what it lacks stays.
+func TestLift(t *testing.T) {
+	s := begun()
+	s.Apply(put("a", 0, `{"n":1}`))
+	saved := s.Image()
+	s.Apply(put("a", 101, `{"n":2}`))
+	s.Apply(put("b", 0, `{"n":3}`))
+	now := s.Image()
+	lifted := saved.Lift("m", now.Newest()+50, now.Configs)
+	again := New()
+	if err := again.Load(lifted); err != nil {
+		t.Fatal(err)
+	}
+	a, _ := again.Configuration("a")
+	b, _ := again.Configuration("b")
+	if string(a.Document) != `{"n":1}` || string(b.Document) != `{"n":3}` || a.Version <= now.Newest() || b.Version <= now.Newest() {
+		t.Errorf("a %+v, b %+v", a, b)
+	}
+	if r := again.Apply(put("a", 101, `{"n":2}`)); r.End != Conflict {
+		t.Errorf("a put of the line before, repeated: %+v", r)
+	}
+	if r := again.Apply(put("a", 0, `{"n":1}`)); r.End != Conflict {
+		t.Errorf("another, of what was restored: %+v", r)
+	}
+	if saved.Configs[0].Version != 101 {
+		t.Error("the image that was lifted has changed")
+	}
+}
+
+// Whatever comes in whatever order, also over snapshots: the state is that of a map in which a put after the newest wins.
+func TestConfigurationsAreAsASimpleModelHasThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type version struct {
+			n    int64
+			text string
+		}
+		model := map[string][]version{}
+		s := begun()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "service")
+			all := model[name]
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				s.Apply(Command{Kind: Register, Record: record(fmt.Sprint("n", s.Index()), "i", 1)})
+			case 1:
+				again := New()
+				if err := again.Load(s.Image()); err != nil {
+					t.Fatal(err)
+				}
+				s = again
+			default:
+				seen := []int64{0}
+				for _, v := range all {
+					seen = append(seen, v.n)
+				}
+				after := rapid.SampledFrom(seen).Draw(t, "after")
+				text := fmt.Sprintf(`{"n":%d}`, rapid.IntRange(1, 3).Draw(t, "document"))
+				r := s.Apply(put(name, after, text))
+				last, before := version{}, version{}
+				if n := len(all); n > 0 {
+					last = all[n-1]
+					if n > 1 {
+						before = all[n-2]
+					}
+				}
+				switch {
+				case len(all) > 0 && after == before.n && text == last.text:
+					if r.End != Done || r.Changed || r.Index != last.n {
+						t.Fatalf("repeated: %+v", r)
+					}
+				case after == last.n:
+					if r.End != Done || !r.Changed || r.Index <= last.n {
+						t.Fatalf("taken: %+v", r)
+					}
+					model[name] = append(all, version{r.Index, text})
+				case r.End != Conflict || r.Changed || r.Index != last.n:
+					t.Fatalf("turned down: %+v", r)
+				}
+			}
+			for name, all := range model {
+				c, ok := s.Configuration(name)
+				last := all[len(all)-1]
+				if !ok || c.Version != last.n || string(c.Document) != last.text || (c.Former != nil) != (len(all) > 1) {
+					t.Fatalf("%s is %+v, and has to be %+v", name, c, last)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/document.go
@@ -0,0 +1,163 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"fernlanding/logic"
+)
+
+// A document is the part of a configuration file that a service's proxies are told from afar: {"settings": {...}}, the
+// settings whole, but for what is each proxy's own.
+
+// DocumentMost bounds a document in its kept form, in bytes.
+const DocumentMost = 64 << 10
+
+const section = "settings"
+
+// own are the keys of the settings that each proxy's file alone says.
+var own = []string{"my_zone", "ordinal"}
+
+// Canonical is a document's text in the one form in which it is kept, compared and sent on: without spaces, and as
+// encoding/json would write it again. It is an error if it is no JSON object or too long.
+func Canonical(text []byte) (json.RawMessage, error) {
+	var c, b bytes.Buffer
+	if err := json.Compact(&c, text); err != nil {
+		return nil, &Error{"", err.Error()}
+	}
+	json.HTMLEscape(&b, c.Bytes())
+	if b.Len() > DocumentMost {
+		return nil, &Error{"", fmt.Sprintf("it has %d bytes, and there may be %d", b.Len(), DocumentMost)}
+	}
+	if b.Len() == 0 || b.Bytes()[0] != '{' {
+		return nil, &Error{"", "is no JSON object"}
+	}
+	return b.Bytes(), nil
+}
+
+// CheckDocument reads a document as a proxy will, as far as that can be told without the proxy's own file. Its errors are
+// each an *Error.
+func CheckDocument(text []byte) error {
+	rules, err := rulesOf(text)
+	if err != nil {
+		return err
+	}
+	if _, err = Read(rules); err != nil {
+		return faultOf(section, err)
+	}
+	return nil
+}
+
+// rulesOf is a document's settings, and no more is in it.
+func rulesOf(text []byte) (json.RawMessage, error) {
+	var doc map[string]json.RawMessage
+	if err := json.Unmarshal(text, &doc); err != nil {
+		return nil, faultOf("", err)
+	}
+	for _, key := range slices.Sorted(maps.Keys(doc)) {
+		if key != section {
+			return nil, &Error{key, "cannot be changed under way; a document holds settings alone"}
+		}
+	}
+	rules := doc[section]
+	if len(rules) == 0 || string(rules) == "null" {
+		return nil, &Error{section, "is missing"}
+	}
+	var keys map[string]json.RawMessage
+	if err := json.Unmarshal(rules, &keys); err != nil {
+		return nil, faultOf(section, err)
+	}
+	for _, key := range own {
+		if _, has := keys[key]; has {
+			return nil, &Error{section + "." + key, "is each proxy's own: its file says it"}
+		}
+	}
+	return rules, nil
+}
+
+// Above puts a document above the settings of a proxy's file, which keep what is the proxy's own. The zone is the one of
+// the same name, wherever the document has it in its list.
+func Above(base json.RawMessage, document []byte) (json.RawMessage, error) {
+	rules, err := rulesOf(document)
+	if err != nil {
+		return nil, err
+	}
+	var out, file map[string]json.RawMessage
+	var before, after struct {
+		Zones []string `json:"failure_domains"`
+		Zone  int      `json:"my_zone"`
+	}
+	if err := errors.Join(json.Unmarshal(rules, &out), json.Unmarshal(base, &file), json.Unmarshal(base, &before),
+		json.Unmarshal(rules, &after)); err != nil {
+		return nil, faultOf(section, err)
+	}
+	for _, key := range own {
+		if v, has := file[key]; has {
+			out[key] = v
+		}
+	}
+	if _, has := file["my_zone"]; has && before.Zone >= 0 && before.Zone < len(before.Zones) {
+		name := before.Zones[before.Zone]
+		at := slices.Index(after.Zones, name)
+		if at < 0 {
+			return nil, &Error{section + ".failure_domains", fmt.Sprintf("lacks %q, this proxy's own zone", name)}
+		}
+		out["my_zone"] = fmt.Append(nil, at)
+	}
+	return json.Marshal(out)
+}
+
+// Read reads the settings of a proxy on real sockets, and has the module judge its part.
+func Read(text []byte) (*Site, error) {
+	s, err := Decode(text)
+	if err == nil {
+		err = s.CheckSockets()
+	}
+	if err == nil {
+		_, unfit := logic.New(s.Logic, 0)
+		err = moduleFault(unfit)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// moduleKeys are the settings' keys by the module's words for them, where the two differ.
+var moduleKeys = strings.NewReplacer("logic: Settings.", "", "Classes", "profiles", "Aim", "objective_us", "Deadline", "give_up_us",
+	"LateWorth", "late_share", "Worth", "worth", "Window", "dedup_window_us", "Zones", "failure_domains", "Zone", "my_zone",
+	"Siblings", "siblings", "Ordinal", "ordinal", "Stage", "stage", "MaxAttempts", "limits.try_limit",
+	"MaxRetryAfter", "limits.max_retry_after_us", "OrderSettle", "contract.order_settle_us", "BudgetSpan", "contract.ratio_span_us",
+	"BudgetFree", "contract.spare_attempts", "BudgetShare", "contract.resend_ratio", "DrainGrace", "contract.drain_grace_us",
+	"AskEvery", "contract.ask_every_us", "StartCapacity", "contract.start_capacity", "Cold", "contract.cold_us",
+	"TipMultiple", "contract.tip_multiple", "FallSpan", "contract.fall_us")
+
+func moduleFault(err error) error {
+	if err == nil {
+		return nil
+	}
+	key, problem, _ := strings.Cut(err.Error(), ": ")
+	if word, rest, ok := strings.Cut(problem, ": "); ok { // "logic: Settings.KEY: PROBLEM"
+		key, problem = key+": "+word, rest
+	}
+	return &Error{moduleKeys.Replace(key), problem}
+}
+
+// faultOf names the key at fault, below a section.
+func faultOf(section string, err error) error {
+	var kind *json.UnmarshalTypeError
+	var rule *Error
+	under := func(key string) string { return strings.Trim(section+"."+key, ".") }
+	switch {
+	case errors.As(err, &kind):
+		return &Error{under(kind.Field), "is a JSON " + kind.Value + ", not " + kind.Type.String()}
+	case errors.As(err, &rule):
+		return &Error{under(rule.Key), rule.Problem}
+	}
+	return &Error{section, err.Error()}
+}
--- /dev/null
+++ b/internal/settings/document_test.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// document1 is object1 as a document: without what is each proxy's own.
+var document1 = `{"settings":` + strings.Replace(object1, `"my_zone":1,"ordinal":0,`, "", 1) + `}`
+
+// What is wrong with a document is found where it enters, by the key in the file's words.
+func TestADocumentsFaultsNameTheirKeys(t *testing.T) {
+	if err := CheckDocument([]byte(document1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, key, problem string }{
+		{document1, ``, "", "unexpected end"},
+		{document1, `[]`, "", "JSON array"},
+		{document1, `{}`, "settings", "missing"},
+		{`{"settings"`, `{"listen":"127.0.0.1:1","settings"`, "listen", "under way"},
+		{`"siblings":3`, `"siblings":3,"my_zone":0`, "settings.my_zone", "own"},
+		{`"siblings":3`, `"siblings":3,"ordinal":0`, "settings.ordinal", "own"},
+		{`"siblings":3`, `"siblings":"three"`, "settings.siblings", "JSON string"},
+		{`"siblings":3`, `"siblings":0`, "settings.siblings", "fewer than one"},
+		{`"try_limit":5`, `"try_limit":0`, "settings.limits.try_limit", "fewer than one"},
+		{`"give_up_us":1200000`, `"give_up_us":0`, "settings.profiles[0].give_up_us", "not positive"},
+		{`"dial_timeout_us":200000`, `"dial_timeout_us":-1`, "settings.limits.dial_timeout_us", "not positive"},
+		{`"name":"put",`, ``, "settings.profiles[0].name", "missing"},
+		{`"deduplicated"`, `"often"`, "settings.profiles[0].repeat", "often"},
+		{`"portion":1`, `"portion":-1`, "settings.Tenants[0]", "negative"},
+	} {
+		err := CheckDocument([]byte(strings.Replace(document1, c.old, c.new, 1)))
+		var fault *Error
+		if !errors.As(err, &fault) || fault.Key != c.key || !strings.Contains(fault.Problem, c.problem) {
+			t.Errorf("%.60q for %.60q: got %v", c.new, c.old, err)
+		}
+	}
+}
+
+// A document goes above the file's settings; the proxy's own zone and number stay, the zone by its name.
+func TestADocumentAboveAFile(t *testing.T) {
+	for _, c := range []struct {
+		old, new string
+		zone     int
+		key      string
+	}{
+		{"", "", 1, ""},
+		{`["a","b"]`, `["b","a"]`, 0, ""},
+		{`["a","b"]`, `["c","a","b"]`, 2, ""},
+		{`["a","b"]`, `["a"]`, 0, "settings.failure_domains"},
+		{`"try_limit":5`, `"try_limit":7`, 1, ""},
+	} {
+		text, err := Above([]byte(strings.Replace(object1, `"ordinal":0`, `"ordinal":2`, 1)), []byte(strings.Replace(document1, c.old, c.new, 1)))
+		var fault *Error
+		if c.key != "" {
+			if !errors.As(err, &fault) || fault.Key != c.key {
+				t.Errorf("%q: got %v", c.new, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatalf("%q: %v", c.new, err)
+		}
+		s, err := Read(text)
+		if err != nil || s.Logic.Zone != c.zone || s.Logic.Ordinal != 2 || strings.Contains(c.new, "7") != (s.Logic.MaxAttempts == 7) {
+			t.Errorf("%q: got %+v, %v", c.new, s, err)
+		}
+	}
+}
+
+// The kept form is its own kept form, also through encoding/json, so that a repeated call is known by its bytes.
+func FuzzCanonical(f *testing.F) {
+	f.Add([]byte(document1))
+	f.Add([]byte("{ \"a\" : \"<&>\u2028\\u0041\xff\" }"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := Canonical(text)
+		if err != nil {
+			return
+		}
+		again, err := Canonical(c)
+		out, marshal := json.Marshal(map[string]json.RawMessage{"d": c})
+		if err != nil || marshal != nil || !bytes.Equal(again, c) || !bytes.Equal(out, slices.Concat([]byte(`{"d":`), c, []byte("}"))) {
+			t.Errorf("%q is %q, then %q, %q (%v, %v)", text, c, again, out, err, marshal)
+		}
+	})
+}
