--- a/internal/roster/state/file.go
+++ b/internal/roster/state/file.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,10 +12,15 @@
 // A snapshot is an image as a sealed text (package durable). It is the same in the consensus's own snapshots, in what
 // `roster snapshot save` writes and on the network, and Read alone reads it, so that no damage passes anywhere.
 
-const fileKind = "roster-snapshot"
+// One without configurations is byte for byte what builds before them write. One with some is of another kind, so that
+// such a build refuses it by name instead of losing them.
+const (
+	fileKind    = "roster-snapshot"
+	configsKind = "roster-snapshot-configs"
+)
 
 // FileMost bounds what is read of a snapshot, in bytes.
-const FileMost = 16 << 20
+const FileMost = 24 << 20
 
 // ErrDamaged is a snapshot that is not what was written.
 var ErrDamaged = durable.ErrDamaged
@@ -23,7 +29,7 @@
 func (i Image) Write(w io.Writer) error {
 	body, err := json.Marshal(i)
 	if err == nil {
-		_, err = w.Write(durable.Seal(fileKind, body))
+		_, err = w.Write(durable.Seal(i.kind(), body))
 	}
 	if err != nil {
 		return fmt.Errorf("write a snapshot: %w", err)
@@ -31,15 +37,29 @@
 	return nil
 }
 
+func (i *Image) kind() string {
+	if len(i.Configs) > 0 {
+		return configsKind
+	}
+	return fileKind
+}
+
 // Read reads a snapshot whole, or says what is wrong with it.
 func Read(r io.Reader) (i Image, err error) {
-	body, err := durable.Unseal(fileKind, r, FileMost)
+	kind, in := fileKind, bufio.NewReader(r)
+	if head, _ := in.Peek(len(configsKind)); string(head) == configsKind {
+		kind = configsKind
+	}
+	body, err := durable.Unseal(kind, in, FileMost)
 	if err != nil {
 		return i, fmt.Errorf("a snapshot: %w", err)
 	}
 	if err := json.Unmarshal(body, &i); err != nil {
 		return i, fmt.Errorf("a snapshot: %w: %w", ErrDamaged, err)
 	}
+	if i.kind() != kind {
+		return i, fmt.Errorf("a snapshot: %w: a %s with %d configurations", ErrDamaged, kind, len(i.Configs))
+	}
 	if err := i.Check(); err != nil {
 		return i, fmt.Errorf("a snapshot: %w: %w", ErrDamaged, err)
 	}
--- a/internal/roster/state/state.go
+++ b/internal/roster/state/state.go
@@ -122,6 +122,11 @@
 	Base   int64   `json:"base,omitempty"`
 	Record *Record `json:"record,omitempty"`
 	Refs   []Ref   `json:"refs,omitempty"`
+
+	// Of Configure.
+	Service  string          `json:"service,omitempty"`
+	After    int64           `json:"after,omitempty"` // the version that its caller has seen
+	Document json.RawMessage `json:"document,omitempty"`
 }
 
 // The ends of a command.
@@ -155,10 +160,15 @@
 	ended   []Ref // the oldest first
 	isEnded map[Ref]bool
 	changes []Change // the last ones, not part of what is agreed on: a restored member has none
+
+	configs   map[string]Configuration // by service
+	documents int                      // their bytes
 }
 
 // New is a machine before its first line.
-func New() *State { return &State{records: map[string]Record{}, isEnded: map[Ref]bool{}} }
+func New() *State {
+	return &State{records: map[string]Record{}, isEnded: map[Ref]bool{}, configs: map[string]Configuration{}}
+}
 
 // Base is the first version of a line that begins at some time above a former version. Over the time that lines last a
 // service makes far fewer than 2^21 versions a second, so that the clock alone keeps lines apart even where what came
@@ -209,6 +219,9 @@
 
 // Apply carries a command out.
 func (s *State) Apply(c Command) Result {
+	if c.Kind == Configure {
+		return s.configure(c)
+	}
 	end, changed := s.apply(c)
 	if len(changed) > 0 {
 		s.index++
@@ -311,11 +324,13 @@
 	Index   int64    `json:"index"`
 	Records []Record `json:"nodos"`
 	Ended   []Ref    `json:"ended"`
+
+	Configs []Configuration `json:"configurations,omitempty"`
 }
 
 // Image copies the state.
 func (s *State) Image() Image {
-	return Image{s.line, s.index, s.Records(), slices.Clone(s.ended)}
+	return Image{s.line, s.index, s.Records(), slices.Clone(s.ended), s.Configurations()}
 }
 
 // Check tells what is wrong with an image.
@@ -339,7 +354,7 @@
 			return fmt.Errorf("nodos[%d]: %w", n, err)
 		}
 	}
-	return nil
+	return i.checkConfigs()
 }
 
 // Load has the machine hold an image in place of what it held.
@@ -356,6 +371,10 @@
 	for _, r := range i.Ended {
 		s.isEnded[r] = true
 	}
+	for _, c := range i.Configs {
+		s.configs[c.Service] = c
+		s.documents += c.size()
+	}
 	return nil
 }
 
