Take, tell and watch configurations at the list service's members

Cause: a change of configuration has to reach all proxies of a service, and where it is in force has to be known. Change: PUT /config/SERVICE?from=V puts a document after version V, once, and 409 tells the newest; what makes no sense is 400 with key and remedy. A watch tells what is newer, and says what its caller has in force or has refused: GET /config/SERVICE/status at any member has the youngest word on each proxy. A put is refused while a member runs a build that does not know configurations.

--- a/internal/roster/api/api.go
+++ b/internal/roster/api/api.go
@@ -7,6 +7,9 @@
 //	POST   /catalog/members/NAME/renew         {"instance": ...}
 //	POST   /catalog/members/NAME/drain         {"instance": ...}
 //	DELETE /catalog/members/NAME?instance=I    deregister
+//	GET    /config/SERVICE                     a service's configuration; as a watch and with what is in force: configs.go
+//	PUT    /config/SERVICE?from=V              put one after version V
+//	GET    /config/SERVICE/status              where it is in force
 //	GET    /v1/member /v1/proof /v1/nodos /v1/snapshot
 //	POST   /v1/restore
 //
@@ -32,6 +35,7 @@
 	"sync/atomic"
 	"time"
 
+	"fernlanding/internal/roster/inforce"
 	"fernlanding/internal/roster/member"
 	"fernlanding/internal/roster/state"
 )
@@ -64,9 +68,10 @@
 	pass     *http.Client
 	ending   chan struct{} // closed when watches have to end
 	once     sync.Once
+	words    inforce.Table // what proxies have told this member
 
 	// Counts, for Figures.
-	watching, calls, turned, lists, deltas, passedOn atomic.Int64
+	watching, calls, turned, lists, deltas, passedOn, wordsDropped atomic.Int64
 }
 
 // Figures are the counts so far.
@@ -77,6 +82,9 @@
 	Whole    int64 // answers with the whole list
 	Changes  int64 // and with changes, perhaps none
 	Passed   int64 // calls passed on to the leader
+
+	Words        int64 // proxies that have told what they have in force
+	WordsDropped int64 // words for which there was no room
 }
 
 // Listen opens the address; Serve answers there, and until Open all but a word on itself is 503.
@@ -118,7 +126,8 @@
 
 // Figures are the counts so far.
 func (s *Server) Figures() Figures {
-	return Figures{s.watching.Load(), s.calls.Load(), s.turned.Load(), s.lists.Load(), s.deltas.Load(), s.passedOn.Load()}
+	return Figures{s.watching.Load(), s.calls.Load(), s.turned.Load(), s.lists.Load(), s.deltas.Load(), s.passedOn.Load(),
+		int64(s.words.Len()), s.wordsDropped.Load()}
 }
 
 func (s *Server) handler() http.Handler {
@@ -139,6 +148,10 @@
 	mux.HandleFunc("POST /catalog/members/{name}/renew", with(s.renew))
 	mux.HandleFunc("POST /catalog/members/{name}/drain", with(s.take(state.Drain)))
 	mux.HandleFunc("DELETE /catalog/members/{name}", with(s.take(state.Deregister)))
+	mux.HandleFunc("GET /config/{service}", with(s.config))
+	mux.HandleFunc("PUT /config/{service}", with(s.putConfig))
+	mux.HandleFunc("GET /config/{service}/status", with(s.configStatus))
+	mux.HandleFunc("GET /v1/inforce/{service}", with(s.ownWords))
 	mux.HandleFunc("GET /v1/member", func(w http.ResponseWriter, r *http.Request) {
 		if m := s.member.Load(); m != nil {
 			answer(w, http.StatusOK, m.Status())
@@ -230,27 +243,44 @@
 		send(w, http.StatusOK, m.Hub().Whole())
 		return
 	}
-	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
-	if err != nil || from < 0 {
-		fail(w, http.StatusBadRequest, "from=%q: a version is needed, 0 or more", q.Get("from"))
+	from, until, release, ok := s.hold(w, r)
+	if !ok {
 		return
 	}
-	hold := time.Duration(0)
-	if q.Has("hold_ms") {
-		ms, err := strconv.ParseInt(q.Get("hold_ms"), 10, 64)
-		if err != nil || ms < 0 {
-			fail(w, http.StatusBadRequest, "hold_ms=%q: milliseconds are needed, 0 or more", q.Get("hold_ms"))
-			return
-		}
-		hold = time.Duration(min(ms, holdMost.Milliseconds())) * time.Millisecond
+	defer release()
+	s.watch(w, r, m, from, q.Get("line"), until)
+}
+
+// number reads a number of a call, 0 or more; 0 if it is not there.
+func number(w http.ResponseWriter, r *http.Request, key, what string) (n int64, ok bool) {
+	word := r.URL.Query().Get(key)
+	if word == "" && !r.URL.Query().Has(key) {
+		return 0, true
+	}
+	n, err := strconv.ParseInt(word, 10, 64)
+	if err != nil || n < 0 {
+		fail(w, http.StatusBadRequest, "%s=%q: %s needed, 0 or more", key, word, what)
+		return 0, false
+	}
+	return n, true
+}
+
+// hold reads what a watch waits for and until when, and counts it among those that are held until its release.
+func (s *Server) hold(w http.ResponseWriter, r *http.Request) (from int64, until time.Time, release func(), ok bool) {
+	if from, ok = number(w, r, "from", "a version is"); !ok {
+		return 0, until, nil, false
+	}
+	ms, ok := number(w, r, "hold_ms", "milliseconds are")
+	if !ok {
+		return 0, until, nil, false
 	}
 	if n := s.watching.Add(1); n > int64(s.cfg.Watchers) {
 		s.watching.Add(-1)
 		s.turn(w, fmt.Errorf("%d watches are held, as many as there may be", n-1))
-		return
+		return 0, until, nil, false
 	}
-	defer s.watching.Add(-1)
-	s.watch(w, r, m, from, q.Get("line"), time.Now().Add(hold))
+	until = time.Now().Add(time.Duration(min(ms, holdMost.Milliseconds())) * time.Millisecond)
+	return from, until, func() { s.watching.Add(-1) }, true
 }
 
 // watch answers when there is something newer than from, or its time is over.
--- a/internal/roster/api/nodos.go
+++ b/internal/roster/api/nodos.go
@@ -201,7 +201,10 @@
 		return
 	}
 	line, index, err := m.Restore(image)
+	var old *member.BuildError
 	switch {
+	case errors.As(err, &old):
+		s.turnOldBuild(w, err)
 	case errors.Is(err, member.ErrNotLeading), errors.Is(err, member.ErrUnsure):
 		s.turn(w, err)
 	case err != nil:
--- a/internal/roster/figures/figures.go
+++ b/internal/roster/figures/figures.go
@@ -89,6 +89,9 @@
 	whole    = desc("answers_whole_total", "Answers with the whole list.")
 	changes  = desc("answers_changes_total", "Answers with changes, perhaps none.")
 	passed   = desc("calls_passed_total", "Calls passed on to the leader.")
+	configs  = desc("configurations", "Configurations of services that are kept.")
+	words    = desc("config_words", "Proxies that have told this member what they have in force.")
+	mute     = desc("config_words_dropped_total", "Words for which there was no room.")
 	encoded  = desc("encoded_total", "Answers encoded: callers at one version share one.")
 )
 
@@ -136,4 +139,7 @@
 	count(whole, f.Whole)
 	count(changes, f.Changes)
 	count(passed, f.Passed)
+	gauge(configs, float64(st.Configurations))
+	gauge(words, float64(f.Words))
+	count(mute, f.WordsDropped)
 }
--- /dev/null
+++ b/internal/roster/inforce/inforce.go
@@ -0,0 +1,125 @@
+// Package inforce is what a member has heard of proxies' configurations: which version each has in force, or has refused.
+// Each proxy says so with every watch, so that this costs no message. It is no part of what members agree on; a proxy
+// that moves to another member says it there, and what it said here ages.
+package inforce
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// ProxiesMost bounds the words that are kept, over all services: at most some 500 bytes each.
+	ProxiesMost = 10_000
+	// NameMost and WhyMost bound a word's parts, in bytes.
+	NameMost = 100
+	WhyMost  = 200
+	// Kept is how long a word stands that is not said again.
+	Kept = 10 * time.Minute
+
+	sweepEvery = time.Minute
+)
+
+// Word is what a proxy said of itself.
+type Word struct {
+	Name    string `json:"name"`
+	InForce int64  `json:"in_force"`          // version; 0: none but its file's
+	Refused int64  `json:"refused,omitempty"` // version that it could not put in force, newer than that
+	Why     string `json:"why,omitempty"`     // key and problem
+	AgeMs   int64  `json:"age_ms"`            // since it was said
+}
+
+type said struct {
+	Word
+	at time.Time
+}
+
+// Table is the words. Its zero value has none.
+type Table struct {
+	mu    sync.Mutex
+	of    map[string]map[string]said // by service and name
+	n     int
+	swept time.Time
+}
+
+// Say notes a word; false: there is no room.
+func (t *Table) Say(service string, w Word, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.swept) >= sweepEvery {
+		t.sweep(now)
+	}
+	words := t.of[service]
+	_, had := words[w.Name]
+	if !had && t.n >= ProxiesMost {
+		if t.sweep(now); t.n >= ProxiesMost {
+			return false
+		}
+		words = t.of[service]
+	}
+	if words == nil {
+		if t.of == nil {
+			t.of = map[string]map[string]said{}
+		}
+		words = map[string]said{}
+		t.of[service] = words
+	}
+	if !had {
+		t.n++
+	}
+	words[w.Name] = said{w, now}
+	return true
+}
+
+// sweep forgets what is old.
+func (t *Table) sweep(now time.Time) {
+	t.swept = now
+	for service, words := range t.of {
+		for name, w := range words {
+			if now.Sub(w.at) >= Kept {
+				delete(words, name)
+				t.n--
+			}
+		}
+		if len(words) == 0 {
+			delete(t.of, service)
+		}
+	}
+}
+
+// Len is how many words are kept.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.n
+}
+
+// Of is what was said of a service, by name.
+func (t *Table) Of(service string, now time.Time) []Word {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	out := make([]Word, 0, len(t.of[service]))
+	for _, w := range t.of[service] {
+		w.AgeMs = now.Sub(w.at).Milliseconds()
+		out = append(out, w.Word)
+	}
+	slices.SortFunc(out, func(a, b Word) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Merge is the youngest word on each proxy of what several members have heard, by name.
+func Merge(heard ...[]Word) []Word {
+	youngest := map[string]Word{}
+	for _, words := range heard {
+		for _, w := range words {
+			if was, had := youngest[w.Name]; !had || w.AgeMs < was.AgeMs {
+				youngest[w.Name] = w
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(youngest), func(a, b Word) int { return cmp.Compare(a.Name, b.Name) })
+}
--- a/internal/roster/member/member.go
+++ b/internal/roster/member/member.go
@@ -100,6 +100,7 @@
 	voice  *voice // nil for an only member
 	hub    *fanout.Hub
 	peers  *peers
+	puts   sync.RWMutex // a restore waits for the puts that are under way, and they for it
 	ctx    context.Context
 	stop   context.CancelFunc
 	all    sync.WaitGroup
@@ -362,28 +363,6 @@
 	return m.state.Image()
 }
 
-// Restore has all members hold an image in place of their list, as a new line of versions above all before it.
-func (m *Member) Restore(i state.Image) (line string, index int64, err error) {
-	if !m.isLeading() {
-		return "", 0, ErrNotLeading
-	}
-	_, now := m.Version()
-	i.Line, i.Index = newLine(), state.Base(time.Now(), max(i.Index, now))
-	text := &strings.Builder{}
-	if err := i.Write(text); err != nil {
-		return "", 0, err
-	}
-	meta := raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Size: int64(text.Len())}
-	if err := m.raft.Restore(&meta, strings.NewReader(text.String()), 10*applyWait); err != nil {
-		return "", 0, fmt.Errorf("%w (%w)", ErrUnsure, err)
-	}
-	m.mu.Lock()
-	m.leases.Reset(time.Now(), m.state.Records())
-	m.mu.Unlock()
-	m.log.Warn("the list was restored from a snapshot", "line", i.Line, "index", i.Index, "nodos", len(i.Records))
-	return i.Line, i.Index, nil
-}
-
 func newLine() string {
 	b := make([]byte, 8)
 	_, _ = rand.Read(b)
@@ -417,14 +396,17 @@
 	Serving  bool   `json:"serving"`
 	Abstains bool   `json:"abstains"` // it has lost its directory and is catching up: it does not vote
 	Empty    bool   `json:"empty"`    // it holds nothing yet
+	Configs  bool   `json:"configs"`  // its build knows configurations; one that does not say so has none
 	Overdue  int    `json:"overdue"`  // leases that are over and held, on the leader
 	Held     int    `json:"held_zones"`
 	Expired  int64  `json:"expired"` // leases that this leader has let end
+
+	Configurations int `json:"configurations"` // that are kept
 }
 
 // Status tells how the member is.
 func (m *Member) Status() Status {
-	s := Status{Name: m.cfg.Name, Role: strings.ToLower(m.raft.State().String()), Term: m.raft.CurrentTerm(), AgeMs: -1,
+	s := Status{Name: m.cfg.Name, Configs: true, Role: strings.ToLower(m.raft.State().String()), Term: m.raft.CurrentTerm(), AgeMs: -1,
 		Empty: m.raft.LastIndex() <= bootEntries, Abstains: m.voice != nil && m.voice.abstains.Load()}
 	if p, ok := m.Leader(); ok {
 		s.Leader = p.Name
@@ -436,6 +418,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s.Line, s.Index, s.Nodos = m.state.Line(), m.state.Index(), m.state.Len()
+	s.Configurations = m.state.ConfigurationsLen()
 	if m.leading {
 		s.Overdue, s.Held, s.Expired = m.look.Overdue, m.look.Held, m.expired
 	}
--- a/internal/roster/member/peers.go
+++ b/internal/roster/member/peers.go
@@ -29,7 +29,7 @@
 		IdleConnTimeout: time.Minute, DisableCompression: true}}}
 }
 
-func (p *peers) get(ctx context.Context, from Peer, path string, out any) error {
+func (p *peers) get(ctx context.Context, from Peer, path string, most int64, out any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.API+path, nil)
 	if err != nil {
 		return err
@@ -39,7 +39,7 @@
 		return fmt.Errorf("ask %s: %w", from.Name, err)
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, most))
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", from.Name, err)
 	}
@@ -53,12 +53,12 @@
 }
 
 func (p *peers) proof(ctx context.Context, leader Peer) (out Proof, err error) {
-	err = p.get(ctx, leader, "/v1/proof", &out)
+	err = p.get(ctx, leader, "/v1/proof", answerMost, &out)
 	return out, err
 }
 
 func (p *peers) status(ctx context.Context, of Peer) (out Status, err error) {
-	err = p.get(ctx, of, "/v1/member", &out)
+	err = p.get(ctx, of, "/v1/member", answerMost, &out)
 	if err == nil && out.Name != of.Name {
 		err = fmt.Errorf("%s answers as %q: the addresses of the configuration are mixed up", of.Name, out.Name)
 	}
--- /dev/null
+++ b/internal/roster/member/restore.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"fernlanding/internal/roster/state"
+)
+
+// Restore has all members hold an image in place of their list, as a new line of versions above all before it. A
+// configuration that the image lacks stays.
+func (m *Member) Restore(i state.Image) (line string, index int64, err error) {
+	if !m.isLeading() {
+		return "", 0, ErrNotLeading
+	}
+	m.puts.Lock() // a put that was confirmed is in what stays
+	defer m.puts.Unlock()
+	configs, newest, _ := m.configurations()
+	i = i.Lift(newLine(), state.Base(time.Now(), max(i.Newest(), newest)), configs)
+	if len(i.Configs) > 0 {
+		if err := m.allKnow(m.ctx); err != nil {
+			return "", 0, err
+		}
+	}
+	if err := i.Check(); err != nil {
+		return "", 0, fmt.Errorf("with the configurations that it lacks: %w", err)
+	}
+	text := &strings.Builder{}
+	if err := i.Write(text); err != nil {
+		return "", 0, err
+	}
+	meta := raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Size: int64(text.Len())}
+	if err := m.raft.Restore(&meta, strings.NewReader(text.String()), 10*applyWait); err != nil {
+		return "", 0, fmt.Errorf("%w (%w)", ErrUnsure, err)
+	}
+	m.mu.Lock()
+	m.leases.Reset(time.Now(), m.state.Records())
+	m.mu.Unlock()
+	m.log.Warn("the list was restored from a snapshot", "line", i.Line, "index", i.Index, "nodos", len(i.Records),
+		"configurations", len(i.Configs))
+	return i.Line, i.Index, nil
+}
--- a/internal/roster/member/voice.go
+++ b/internal/roster/member/voice.go
@@ -128,4 +128,6 @@
 }
 
 // Waiting is the status of a member that has not opened yet.
-func Waiting(name string) Status { return Status{Name: name, Role: "joining", AgeMs: -1, Empty: true} }
+func Waiting(name string) Status {
+	return Status{Name: name, Role: "joining", AgeMs: -1, Empty: true, Configs: true}
+}
--- a/internal/roster/state/configs.go
+++ b/internal/roster/state/configs.go
@@ -112,6 +112,9 @@
 	return c, ok
 }
 
+// ConfigurationsLen is how many there are.
+func (s *State) ConfigurationsLen() int { return len(s.configs) }
+
 // Configurations are all, by service.
 func (s *State) Configurations() []Configuration {
 	out := slices.Collect(maps.Values(s.configs))
