Move how members are gone through, and how files are kept, out of discovery

Cause: what follows configurations is to go through the list service's members as discovery does, not by a copy. Change: package failover has the order, the pauses and the rule of lines; durable.Keeper writes the newest down. Discovery is as before: go test ./internal/discovery.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -22,6 +22,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"fernlanding/internal/durable"
+	"fernlanding/internal/failover"
 )
 
 const maxList = 4 << 20
@@ -69,7 +72,7 @@
 	moved   chan Source     // the newest only
 	at      Source
 	rng     *rand.Rand
-	keep    *keeper // nil without a folder
+	keep    *durable.Keeper // nil without a folder
 
 	followed // with Members
 	watched  // without
@@ -91,15 +94,14 @@
 	return c
 }
 
-// newHTTP makes calls. A connection that does not come up is a failure of a member long before its call is one. Of the
-// platform's discovery its call ends the wait; a dial that nobody waits for must not go on to hold one of the two places.
+// newHTTP makes calls. Of the platform's discovery its call ends the wait; a dial that nobody waits for must not go on to
+// hold one of the two places.
 func newHTTP(at Source) *http.Client {
-	wait := 2 * firstBeat
 	if len(at.Members) > 0 {
-		wait = dialWait
+		return failover.Client()
 	}
 	return &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: wait}).DialContext}}
+		DialContext: (&net.Dialer{Timeout: 2 * firstBeat}).DialContext}}
 }
 
 // News is what is new. Its reader must not wait long: the next watch begins after it has read.
@@ -140,7 +142,7 @@
 	defer func() { c.http.CloseIdleConnections() }()
 	c.ended = ctx.Done()
 	if c.keep != nil {
-		defer c.keep.run(ctx)()
+		defer c.keep.Run(ctx)()
 	}
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
--- a/internal/discovery/members_test.go
+++ b/internal/discovery/members_test.go
@@ -183,9 +183,9 @@
 	}
 	k := newKeeper(dir, slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(t.Context())
-	ended := k.run(ctx)
-	k.put(&List{Index: 7, Line: "l", Endpoints: []Endpoint{{Name: "a", Address: "127.0.0.1:1", Status: Serving}}})
-	k.put(&List{Index: 8, Line: "l", Endpoints: []Endpoint{{Name: "b", Address: "127.0.0.1:1", Status: Draining, SinceMs: 5}}})
+	ended := k.Run(ctx)
+	k.Put((&List{Index: 7, Line: "l", Endpoints: []Endpoint{{Name: "a", Address: "127.0.0.1:1", Status: Serving}}}).encode)
+	k.Put((&List{Index: 8, Line: "l", Endpoints: []Endpoint{{Name: "b", Address: "127.0.0.1:1", Status: Draining, SinceMs: 5}}}).encode)
 	stop()
 	ended() // what was put last is written first
 	l, err := Kept(dir)
--- /dev/null
+++ b/internal/durable/keeper.go
@@ -0,0 +1,85 @@
+package durable
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// keepWait is between two writes, at least.
+const keepWait = time.Second
+
+// Keeper writes the newest of something down, in a goroutine of its own. A disk that takes none, or is slow, is said once
+// and harms nothing else: the file is of use to the next start only.
+type Keeper struct {
+	dir, file, kind, what string
+	log                   *slog.Logger
+	next                  chan func() []byte // the newest only
+	bad                   bool
+}
+
+// NewKeeper keeps a sealed text of a kind in a folder's file; what names it in the log.
+func NewKeeper(dir, file, kind, what string, log *slog.Logger) *Keeper {
+	return &Keeper{dir: dir, file: file, kind: kind, what: what, log: log, next: make(chan func() []byte, 1)}
+}
+
+// Put has a text written soon; it is made then. Only one goroutine calls it.
+func (k *Keeper) Put(text func() []byte) {
+	select {
+	case <-k.next:
+	default:
+	}
+	k.next <- text
+}
+
+// Run writes until the context ends; what it gives waits for its end.
+func (k *Keeper) Run(ctx context.Context) (ended func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case text := <-k.next:
+				k.write(text())
+			case <-ctx.Done():
+				select {
+				case text := <-k.next:
+					k.write(text())
+				default:
+				}
+				return
+			}
+			select {
+			case <-time.After(keepWait):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return func() { <-done }
+}
+
+func (k *Keeper) write(text []byte) {
+	err := os.MkdirAll(k.dir, 0o700)
+	if err == nil {
+		err = WriteFile(filepath.Join(k.dir, k.file), Seal(k.kind, text))
+	}
+	switch {
+	case err != nil && !k.bad:
+		k.log.Error(k.what+" cannot be kept: a start would have an older one", "dir", k.dir, "error", err)
+	case err == nil && k.bad:
+		k.log.Info(k.what+" is kept again", "dir", k.dir)
+	}
+	k.bad = err != nil
+}
+
+// ReadFile reads a sealed file of a kind, of at most so many bytes.
+func ReadFile(path, kind string, most int64) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return Unseal(kind, f, most)
+}
--- /dev/null
+++ b/internal/failover/failover_test.go
@@ -0,0 +1,70 @@
+package failover
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var members = []string{"a", "b", "c"}
+
+// Each failure moves on; pauses are short until all have failed, double with each round then, and have an end.
+func TestRing(t *testing.T) {
+	const most = 2 * time.Second
+	first := map[string]int{}
+	for seed := range uint64(300) {
+		r := New(members, rand.New(rand.NewPCG(seed, 1)), most)
+		first[r.Member()]++
+		for i := 1; i <= 40; i++ {
+			before := r.Member()
+			f := r.Failed()
+			least, high := time.Duration(0), Spread
+			if round := i / len(members); round > 0 {
+				high = min(Spread<<min(round, 8), most)
+				least = high / 2
+			}
+			if f.Pause < least || f.Pause >= high {
+				t.Fatalf("seed %d, failure %d: %v, not from %v to %v", seed, i, f.Pause, least, high)
+			}
+			if !f.Moved || f.Next == before || f.Next != r.Member() || f.InRow != i || f.Told != (i == 1 || i%3 == 0) {
+				t.Fatalf("seed %d, failure %d: %+v after %s", seed, i, f, before)
+			}
+		}
+		r.Answered()
+		if f := r.Failed(); f.InRow != 1 || f.Pause >= Spread {
+			t.Fatalf("seed %d, after an answer: %+v", seed, f)
+		}
+	}
+	for _, m := range members {
+		if n := first[m]; n < 70 || n > 130 {
+			t.Errorf("%s is the first of %d of 300", m, n)
+		}
+	}
+	one := New(members[:1], rand.New(rand.NewPCG(1, 1)), most)
+	if f := one.Failed(); f.Moved || f.Next != "a" {
+		t.Errorf("an only member: %+v", f)
+	}
+}
+
+// What is below is not taken, but for another line when the former one has been silent.
+func TestLineage(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		line    string
+		version int64
+		silent  time.Duration
+		taken   bool
+	}{
+		{"one", 10, 0, true}, {"one", 11, 0, true}, {"one", 9, 0, false}, {"one", 9, time.Hour, false},
+		{"two", 11, 0, true}, {"two", 9, 0, false}, {"two", 9, LineWait - 1, false}, {"two", 9, LineWait, true},
+	} {
+		l := Lineage{Line: "one", Version: 10, Told: now.Add(-c.silent)}
+		if err := l.Check(c.line, c.version, now); (err == nil) != c.taken || err != nil && !errors.Is(err, ErrBehind) {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+	if err := (Lineage{}).Check("one", 0, now); err != nil {
+		t.Errorf("the first: %v", err)
+	}
+}
