Follow a service's configuration, and say what is in force

Cause: proxies have no way to hear of a change of configuration but a signal at each machine. Change: package rollout watches at one member of the list service and moves to the next when that fails; a new document goes to an Applier, and what came of it is said with the next watch. What is in force is kept on disk. How long a change takes for each way to fail is written down and held to on a virtual clock: at most 8 s (go test -run HowLong ./internal/rollout).

--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,332 @@
+// Package rollout follows the configuration of a service at the list service's members, and has each new document put in
+// force. What that means is its Applier's: a proxy does what SIGHUP does.
+//
+// One goroutine, Run's, makes the calls, has documents applied and knows what came of it; a second one, if there is a
+// folder, writes down what is in force. There are no messages but watches: each says what is in force here, or which
+// version was refused and why, so that any member can tell on-call staff.
+//
+// How long a change may take, from its confirmation until the Applier has returned (its own time is not in it). A member
+// that answers has proved within its own bound (2.25 s after the confirmation, which runs meanwhile) that it has the
+// change, or says 503. H = 3 s is the longest hold, S = 1 s the slack after it, P = 0.6 s the longest pause, C = 1 s the
+// patience with a first call:
+//
+//	the member of the watch          sum                        s
+//	tells                            settle                     0.05
+//	dies                             P + C                      1.6
+//	falls silent                     H + S + P + C              5.6
+//	falls silent, and the next too   H + S + 2 (P + C)          7.2
+//	is cut off                       2.25 + P + C               3.85
+//	is cut off, the next is silent   2.25 + 2 (P + C)           5.45
+//	all are away, then back          pauseMost + 2 C            4
+//	  and the first asked is silent  2 (pauseMost + 2 C)        8
+//
+// rollout_test.go holds the client to these.
+//
+// Versions are believed by failover.Lineage: within a line nothing older, another line if its versions lie above (as they
+// do after a restore, or in a service that begins anew), and one that lies below only once nobody has answered for the
+// former one for failover.LineWait. A service that has no configuration takes none away: what is in force stays.
+//
+// A document that is refused is not tried again: the next version is, or this one after Again.
+//
+// Rejected: changes as entries of the list (each proxy would hear all 88 services'); the fleet's gossip (full at 30
+// proxies, and best effort); a message of its own for what is in force (one more each change and proxy, and lost ones
+// to be repeated; a watch comes again anyway); documents as differences (a proxy that missed one is wrong for good).
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fernlanding/internal/durable"
+	"fernlanding/internal/failover"
+)
+
+const (
+	// Hold is how long a watch waits for news at most; holdSpread less, at least, so that the watches of a fleet do not
+	// begin and end together for ever.
+	Hold       = 3 * time.Second
+	holdSpread = time.Second
+	slack      = time.Second // after it, until the member is silent
+	// callWait is for a call that need not wait; twice that once all members have failed, when they are likely to be busy.
+	callWait  = time.Second
+	pauseMost = 2 * time.Second
+	answer    = 256 << 10 // bytes of an answer, at most
+	whyMost   = 200       // bytes of a reason
+)
+
+// Applier puts a document in force, or says why not and has changed nothing. It is in force once Apply has returned.
+type Applier interface {
+	Apply(document []byte) error
+}
+
+// Config is what a client is told.
+type Config struct {
+	Service string
+	Name    string // by which on-call staff finds it
+	Members []string
+	Seed    uint64 // of the order of members, and of pauses
+	State   string // folder in which what is in force is kept; empty: none
+	Log     *slog.Logger
+}
+
+// Figures are a client's counts.
+type Figures struct {
+	Version  int64         // in force; 0: what the proxy's file says
+	Refused  int64         // version that could not be put in force; 0: none
+	Applied  int64         // documents that were put in force
+	Age      time.Duration // since a member last answered; negative: none has
+	Failures int64         // calls that failed
+}
+
+// Client follows a configuration.
+type Client struct {
+	cfg   Config
+	apply Applier
+	http  *http.Client
+	rng   *rand.Rand
+	keep  *durable.Keeper // nil without a folder
+	start time.Time
+
+	// Run's alone.
+	seen    failover.Lineage
+	text    []byte // in force
+	pending []byte // refused
+
+	mu      sync.Mutex // of what follows
+	figures Figures
+	why     string   // of Refused
+	members []string // new ones; nil: those there are
+	again   bool
+
+	answered atomic.Int64 // ns after start; 0: never
+}
+
+// New is a client; Run has it follow.
+func New(cfg Config, apply Applier) *Client {
+	c := &Client{cfg: cfg, apply: apply, http: failover.Client(), rng: rand.New(rand.NewPCG(cfg.Seed, 29)), start: time.Now()}
+	if cfg.State != "" {
+		c.keep = newKeeper(cfg.State, cfg.Log)
+	}
+	return c
+}
+
+// Known has the client begin with what was kept. An error is why it is not in force. To be called before Run.
+func (c *Client) Known(k *Kept, err error) {
+	c.seen = failover.Lineage{Line: k.Line, Version: k.Version, Told: time.Now()}
+	c.settle(k.Version, k.Document, err)
+}
+
+// settle notes what came of a document.
+func (c *Client) settle(version int64, text []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.figures.Refused, c.why, c.pending = version, err.Error(), text
+		c.why = c.why[:min(len(c.why), whyMost)]
+		return
+	}
+	c.figures.Version, c.figures.Refused, c.why, c.pending, c.text = version, 0, "", nil, text
+}
+
+// Figures are the counts so far.
+func (c *Client) Figures() Figures {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := c.figures
+	f.Age = -1
+	if at := c.answered.Load(); at != 0 {
+		f.Age = time.Since(c.start) - time.Duration(at)
+	}
+	return f
+}
+
+// Move has other members asked, from the next call on.
+func (c *Client) Move(members []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = members
+}
+
+// Again has a refused document tried once more, with the next call: what it is put above has changed.
+func (c *Client) Again() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.again = true
+}
+
+// told takes what Move and Again have left.
+func (c *Client) told() (members []string, again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members, again = c.members, c.again
+	c.members, c.again = nil, false
+	return members, again
+}
+
+// Run follows the configuration until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	defer c.http.CloseIdleConnections()
+	if c.keep != nil {
+		defer c.keep.Run(ctx)()
+	}
+	members := failover.New(c.cfg.Members, c.rng, pauseMost)
+	watch, failed := false, 0
+	for ctx.Err() == nil {
+		other, again := c.told()
+		if len(other) > 0 {
+			members = failover.New(other, c.rng, pauseMost)
+			watch = false
+		}
+		if again && c.pending != nil {
+			c.put(ctx, c.figures.Refused, c.pending)
+		}
+		asked, before := time.Now(), c.seen
+		patience := callWait << min(failed/len(c.cfg.Members), 1)
+		hold := time.Duration(0)
+		if watch {
+			hold = Hold - members.Draw(holdSpread)
+			patience = hold + slack
+		}
+		a, err := c.ask(ctx, members.Member(), hold, patience)
+		if ctx.Err() != nil {
+			return
+		}
+		now := time.Now()
+		if err == nil {
+			err = c.take(ctx, a, now)
+		}
+		if err == nil {
+			c.answered.Store(int64(max(1, time.Since(c.start))))
+			// A member that holds no watch must not have this client ask without a pause.
+			if watch && c.seen.Version == before.Version && now.Sub(asked) < hold/2 {
+				failover.Wait(ctx, members.Draw(failover.Spread))
+			}
+			members.Answered()
+			watch, failed = true, 0
+			continue
+		}
+		watch = false
+		failed++
+		c.mu.Lock()
+		c.figures.Failures++
+		c.mu.Unlock()
+		member := members.Member()
+		f := members.Failed()
+		if f.Told {
+			c.cfg.Log.Warn("rollout: a member failed", "member", member, "next", f.Next, "in_a_row", f.InRow, "error", err)
+		}
+		failover.Wait(ctx, f.Pause)
+	}
+}
+
+// reply is an answer.
+type reply struct {
+	Service  string          `json:"service"`
+	Line     string          `json:"line"`
+	Version  *int64          `json:"version"`
+	Document json.RawMessage `json:"document"`
+}
+
+// ask watches for what is newer, or asks for it at once, and says what is in force.
+func (c *Client) ask(ctx context.Context, member string, hold, patience time.Duration) (*reply, error) {
+	q := url.Values{"from": {strconv.FormatInt(c.seen.Version, 10)}, "hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}
+	if c.seen.Line != "" {
+		q.Set("line", c.seen.Line)
+	}
+	c.mu.Lock()
+	if c.cfg.Name != "" {
+		q.Set("name", c.cfg.Name)
+		q.Set("in_force", strconv.FormatInt(c.figures.Version, 10))
+		if c.figures.Refused != 0 {
+			q.Set("refused", strconv.FormatInt(c.figures.Refused, 10))
+			q.Set("why", c.why)
+		}
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+member+"/config/"+url.PathEscape(c.cfg.Service)+"?"+q.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, answer+1))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %.200s", resp.Status, text)
+	}
+	var a reply
+	if err := json.Unmarshal(text, &a); err != nil {
+		return nil, fmt.Errorf("garbled answer: %w", err)
+	}
+	if a.Version == nil || *a.Version < 0 || a.Line == "" || a.Service != c.cfg.Service {
+		return nil, errors.New("garbled answer: no version, or none of this service")
+	}
+	return &a, nil
+}
+
+// take believes an answer, or says why not, and has what is new in it put in force.
+func (c *Client) take(ctx context.Context, a *reply, now time.Time) error {
+	if err := c.seen.Check(a.Line, *a.Version, now); err != nil {
+		return err
+	}
+	if a.Line == c.seen.Line && *a.Version == c.seen.Version {
+		c.seen.Told = now
+		return nil
+	}
+	if *a.Version > 0 && len(a.Document) == 0 {
+		return errors.New("garbled answer: a new version without a document")
+	}
+	if c.seen.Line != "" && a.Line != c.seen.Line {
+		c.cfg.Log.Warn("rollout: another line of versions", "line", a.Line, "version", *a.Version, "former", c.seen.Line,
+			"former_version", c.seen.Version)
+	}
+	c.seen = failover.Lineage{Line: a.Line, Version: *a.Version, Told: now}
+	if *a.Version > 0 {
+		c.put(ctx, *a.Version, a.Document)
+	}
+	return nil
+}
+
+// put has a document put in force, and kept.
+func (c *Client) put(ctx context.Context, version int64, text []byte) {
+	var err error
+	if c.text == nil || !bytes.Equal(text, c.text) { // a restored one may be what is in force
+		err = c.apply.Apply(text)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	c.settle(version, text, err)
+	if err != nil {
+		c.cfg.Log.Error("rollout: a configuration is refused: what was in force stays", "service", c.cfg.Service, "version", version,
+			"in_force", c.Figures().Version, "error", err)
+		return
+	}
+	c.mu.Lock()
+	c.figures.Applied++
+	c.mu.Unlock()
+	c.cfg.Log.Info("rollout: a configuration is in force", "service", c.cfg.Service, "version", version)
+	if c.keep != nil {
+		k := &Kept{c.cfg.Service, c.seen.Line, version, text}
+		c.keep.Put(k.encode)
+	}
+}
