Have a proxy follow its service's configuration by its key config_service

Cause: a change of configuration is a file and a signal at each machine. Change: with config_service a document from the list service goes SIGHUP's way: above the file's settings, whole, short of no key in force, taken by the proxy's Reload; a faulty one changes nothing and is reported with its key. What was in force is in force again at a start, also with the service down. Figures app.config_*. Without the key nothing of it exists. Seen failing on seeded faults: no look at missing keys (in the file, from afar, at a start), SIGHUP without the document, the kept document not in force (go test ./internal/program ./internal/config).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,12 +23,17 @@
 // that asked for no more.
 const defaultSockets = 1024
 
+// nameMost bounds a proxy's name at the list service, in bytes.
+const nameMost = 100
+
 // Config is what the file says.
 type Config struct {
 	Proxy    proxy.Config // without Log, Memory and Hold
 	Mgmt     string       // the management address; empty: none
 	Cores    float64      // 0: not told
 	MemoryMB float64      // likewise
+	Service  string       // whose configuration is followed at the list service; empty: none
+	Name     string       // of this proxy there
 
 	text  []byte // of the whole file
 	fleet FleetReader
@@ -41,6 +46,7 @@
 	Discovery string   `json:"discovery"`
 	Members   []string `json:"discovery_members"` // of the project's list service, in place of discovery
 	Kept      string   `json:"discovery_state"`   // folder of the last list; with members
+	Service   string   `json:"config_service"`    // whose configuration the members tell; see docs/rollout.md
 	Mgmt      string   `json:"mgmt"`
 	Seed      string   `json:"seed"`
 	Limits    struct {
@@ -90,13 +96,38 @@
 	if err != nil {
 		return nil, err
 	}
-	if fault := lacks(former.text, c.text); fault != nil {
+	if fault := c.Lacks(former); fault != nil {
 		fault.File = env("LB_CONFIG")
 		return nil, fault
 	}
 	return c, nil
 }
 
+// Lacks tells of a key that a former configuration has and this one lacks; nil: of none.
+func (c *Config) Lacks(former *Config) *ConfigError { return lacks(former.text, c.text) }
+
+// Above is this configuration with a document of its service above its settings; no document: as it is. Its errors are
+// each a *ConfigError.
+func (c *Config) Above(document []byte, env func(string) string) (*Config, error) {
+	if document == nil {
+		return c, nil
+	}
+	var f map[string]json.RawMessage
+	if err := json.Unmarshal(c.text, &f); err != nil {
+		return nil, unreadable("", err)
+	}
+	rules, err := settings.Above(f["settings"], document)
+	if err != nil {
+		return nil, unreadable("", err)
+	}
+	f["settings"] = rules
+	text, err := json.Marshal(f)
+	if err != nil {
+		return nil, unreadable("", err)
+	}
+	return parse(text, env, c.fleet)
+}
+
 // parse reads a configuration's text; its errors name no file yet.
 func parse(text []byte, env func(string) string, fleet FleetReader) (*Config, error) {
 	var f file
@@ -114,6 +145,11 @@
 	if err := f.addresses(p); err != nil {
 		return nil, err
 	}
+	if c.Service, c.Name = f.Service, cmp.Or(env("LB_NAME"), f.Name); f.Service != "" {
+		if err := f.service(c.Name); err != nil {
+			return nil, err
+		}
+	}
 	var err error
 	if p.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, &ConfigError{Key: "seed", Problem: err.Error(), Remedy: "give 1 to 16 hexadecimal digits"}
@@ -178,6 +214,26 @@
 	return nil
 }
 
+// service checks what is needed to follow a configuration.
+func (f *file) service(name string) error {
+	if err := settings.CheckService(f.Service); err != nil {
+		return &ConfigError{Key: "config_service", Problem: err.Error(), Remedy: "give the service's name, or leave it out"}
+	}
+	if len(f.Members) == 0 {
+		return &ConfigError{Key: "config_service", Problem: "needs discovery_members; the platform's list has no configurations",
+			Remedy: "give the members, or leave it out"}
+	}
+	if name == "" {
+		return &ConfigError{Key: "name", Problem: "is missing, and config_service needs it to tell proxies apart",
+			Remedy: "give one there or in LB_NAME"}
+	}
+	if len(name) > nameMost {
+		return &ConfigError{Key: "name", Problem: fmt.Sprintf("has %d bytes, and config_service allows %d", len(name), nameMost),
+			Remedy: "give a shorter one there or in LB_NAME"}
+	}
+	return nil
+}
+
 // site reads the section settings.
 func site(section json.RawMessage) (*settings.Site, error) {
 	if !given(section) {
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -94,7 +94,9 @@
 }
 
 // Draw is a time below another.
-func (r *Ring) Draw(below time.Duration) time.Duration { return time.Duration(r.rng.Int64N(int64(below))) }
+func (r *Ring) Draw(below time.Duration) time.Duration {
+	return time.Duration(r.rng.Int64N(int64(below)))
+}
 
 // ErrBehind is an answer that lies below what was taken.
 var ErrBehind = errors.New("a member is behind what another has told")
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -40,15 +40,16 @@
 // Figures is what metrics shows.
 type Figures struct {
 	Classes     map[string]Ends
-	Outstanding int64  // requests taken and not ended
-	Forwards    int64  // attempts written whole to nodos
-	Discovered  int    // nodos in the list
-	Ejected     int    // listed nodos that get nothing, or only trials
-	Applied     int64  // configurations taken at SIGHUP
-	Rejected    int64  // and turned down
-	List        *List  // of a list that several members keep; else nil
-	Fleet       *Fleet // of a proxy that is one of a fleet; else nil
-	Zones       []Zone // of one in a fleet, or with a zone drained; else none
+	Outstanding int64    // requests taken and not ended
+	Forwards    int64    // attempts written whole to nodos
+	Discovered  int      // nodos in the list
+	Ejected     int      // listed nodos that get nothing, or only trials
+	Applied     int64    // configurations taken at SIGHUP
+	Rejected    int64    // and turned down
+	Rollout     *Rollout // of one that follows its service's configuration; else nil
+	List        *List    // of a list that several members keep; else nil
+	Fleet       *Fleet   // of a proxy that is one of a fleet; else nil
+	Zones       []Zone   // of one in a fleet, or with a zone drained; else none
 }
 
 // List is how a proxy stands with the members of the list service.
@@ -59,6 +60,15 @@
 	Kept     int64         // nodos that a new line of versions lacks and that stand for a while
 }
 
+// Rollout is how a proxy stands with its service's configuration.
+type Rollout struct {
+	Version  int64         // in force; 0: what the file says
+	Refused  int64         // newer version that could not be put in force; 0: none
+	Age      time.Duration // since a member last answered; negative: none has
+	Applied  int64         // documents put in force
+	Failures int64         // calls that failed
+}
+
 // Proxy is what the calls are about. Its methods are called from many goroutines and return soon.
 type Proxy interface {
 	Missing() string // what it lacks to serve requests that come now; empty: it is ready
@@ -207,6 +217,14 @@
 		fmt.Fprintf(&b, "app.list_age_ms=%d\napp.list_moves=%d\napp.list_failures=%d\napp.list_kept=%d\n", age, l.Moves, l.Failures,
 			l.Kept)
 	}
+	if r := f.Rollout; r != nil {
+		age := int64(-1)
+		if r.Age >= 0 {
+			age = r.Age.Milliseconds()
+		}
+		fmt.Fprintf(&b, "app.config_version=%d\napp.config_refused=%d\napp.config_age_ms=%d\napp.config_applied=%d\n"+
+			"app.config_failures=%d\n", r.Version, r.Refused, age, r.Applied, r.Failures)
+	}
 	f.Fleet.encode(&b)
 	for _, z := range f.Zones {
 		z.encode(&b)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -17,6 +17,7 @@
 	"fernlanding/internal/config"
 	"fernlanding/internal/mgmt"
 	"fernlanding/internal/proxy"
+	"fernlanding/internal/rollout"
 )
 
 // Parts of limits.memory_mb, whatever that is; a limit under 20 MB is below what the runtime and the program need.
@@ -46,6 +47,15 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	base := conf
+	var follow *rollout.Client // nil unless a configuration is followed
+	told := make(chan delivery)
+	var document []byte
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	if conf.Service != "" {
+		follow, conf, document = begin(ctx, conf, os.Getenv, told, log)
+	}
 	cfg := conf.Proxy
 	cfg.Log = log
 	if conf.MemoryMB > 0 {
@@ -62,11 +72,18 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, hup, p, conf, os.Getenv, log)
+	r := &reloader{p: p, base: base, inForce: conf, document: document, follow: follow, env: os.Getenv, log: log}
+	go r.run(ctx, hup, told)
+	if follow != nil {
+		var following sync.WaitGroup
+		following.Go(func() { follow.Run(ctx) })
+		defer following.Wait()
+		defer end()
+	}
 	if conf.Mgmt == "" {
 		return p.Run(ctx)
 	}
-	m, err := mgmt.Listen(conf.Mgmt, p, log)
+	m, err := mgmt.Listen(conf.Mgmt, shown{p, follow}, log)
 	if err != nil {
 		return err
 	}
@@ -81,32 +98,3 @@
 	calls.Wait()
 	return err
 }
-
-// reloads is what a configuration that came with SIGHUP goes to.
-type reloads interface {
-	Reload(cfg proxy.Config) error
-	Reloaded(taken bool)
-}
-
-// reload reads the configuration again at each SIGHUP until the context ends. One with any fault changes nothing.
-func reload(ctx context.Context, hup <-chan os.Signal, p reloads, inForce *config.Config, env func(string) string,
-	log *slog.Logger) {
-	for {
-		select {
-		case <-hup:
-		case <-ctx.Done():
-			return
-		}
-		next, err := config.Reload(env, inForce)
-		if err == nil {
-			err = p.Reload(next.Proxy)
-		}
-		p.Reloaded(err == nil)
-		if err != nil {
-			log.Error("reload: the configuration stands as it was", "error", err)
-			continue
-		}
-		inForce = next
-		log.Info("reload", "discovery", next.Proxy.Discovery, "classes", next.Proxy.Site.Classes)
-	}
-}
--- /dev/null
+++ b/internal/program/reload_test.go
@@ -0,0 +1,154 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/durable"
+	"fernlanding/internal/proxy"
+)
+
+// followed is good, with a configuration that is followed and a zone of its own.
+func followed(dir string) string {
+	return strings.NewReplacer(`"seed"`, fmt.Sprintf(`"config_service":"tarifas","discovery_members":["127.0.0.1:1"],"discovery_state":%q,"seed"`, dir),
+		`"failure_domains":["a"]`, `"failure_domains":["a","b"],"my_zone":1`).Replace(good)
+}
+
+// document is one above followed, of some attempts.
+func document(attempts int) string {
+	rules := strings.TrimSuffix(good[strings.Index(good, `"settings"`):], "}")
+	return "{" + strings.NewReplacer(`"try_limit":3`, fmt.Sprint(`"try_limit":`, attempts), `"failure_domains":["a"]`,
+		`"failure_domains":["b","a"]`).Replace(rules) + "}"
+}
+
+// What comes from afar goes SIGHUP's way: whole or not at all, above the file, for as long as there is one.
+func TestDocumentsGoAboveTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(name string) string { return map[string]string{"LB_CONFIG": path}[name] }
+	text := followed("")
+	text = strings.Replace(text, `"discovery_state":"",`, "", 1)
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(text)
+	file, err := config.Load(env, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := fakeProxy{loaded: make(chan proxy.Config, 1), reloaded: make(chan bool, 1)}
+	hup, told := make(chan os.Signal), make(chan delivery)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r := &reloader{p: p, base: file, inForce: file, env: env, log: slog.New(slog.DiscardHandler)}
+		r.run(ctx, hup, told)
+	}()
+	a := applier{ctx, told}
+	for i, c := range []struct {
+		document string // from afar, else the file
+		file     string
+		attempts int    // in force then; 0: turned down
+		key      string // of the fault
+	}{
+		{document: document(5), attempts: 5},
+		{document: document(0), key: "settings.limits.try_limit"},
+		{document: `{"settings":`, key: ""},
+		{document: strings.Replace(document(6), `,"worth":1`, ``, 1), key: "settings.profiles[0].worth"},
+		{document: strings.Replace(document(6), `["b","a"]`, `["a"]`, 1), key: "settings.failure_domains"},
+		{document: strings.Replace(document(6), `"automatic"`, `"never"`, 1), key: "settings.membership_mode"},
+		{file: strings.Replace(text, `"try_limit":3`, `"try_limit":9`, 1), attempts: 5}, // the document is above it
+		{file: strings.Replace(text, `,"worth":1`, ``, 1)},
+		{file: strings.Replace(text, `"config_service":"tarifas",`, ``, 1)}, // to do without it, restart
+		{document: document(7), attempts: 7},
+	} {
+		var err error
+		taken := false
+		if c.file != "" {
+			write(c.file)
+			hup <- syscall.SIGHUP
+			taken = <-p.reloaded
+		} else {
+			err = a.Apply([]byte(c.document))
+			taken = err == nil
+		}
+		if taken != (c.attempts > 0) {
+			t.Errorf("%d: taken %v, %v", i, taken, err)
+		}
+		var fault *config.ConfigError
+		if c.file == "" && !taken && (!errors.As(err, &fault) || fault.Key != c.key || !strings.HasPrefix(err.Error(), c.key)) {
+			t.Errorf("%d: got %v", i, err)
+		}
+		select {
+		case cfg := <-p.loaded:
+			l := cfg.Site.Logic
+			if l.MaxAttempts != c.attempts || cfg.Site.Zones[l.Zone] != "b" {
+				t.Errorf("%d: %d attempts in zone %s", i, l.MaxAttempts, cfg.Site.Zones[l.Zone])
+			}
+		default:
+			if c.attempts > 0 {
+				t.Errorf("%d: nothing was put in force", i)
+			}
+		}
+	}
+	stop()
+	<-ended
+	if err := a.Apply([]byte(document(5))); !errors.Is(err, errEnds) {
+		t.Errorf("at the end: %v", err)
+	}
+}
+
+// A start has what was in force, before anybody is asked; what is damaged or does not fit leaves the file's.
+func TestAStartHasWhatWasInForce(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept     string // empty: none
+		attempts int
+		version  int64
+		refused  int64
+	}{
+		"none":            {"", 3, 0, 0},
+		"kept":            {`{"service":"tarifas","line":"l","version":7,"document":` + document(5) + `}`, 5, 7, 0},
+		"another service": {`{"service":"other","line":"l","version":7,"document":` + document(5) + `}`, 3, 0, 0},
+		"faulty":          {`{"service":"tarifas","line":"l","version":7,"document":` + document(-1) + `}`, 3, 0, 7},
+		"short of a key": {`{"service":"tarifas","line":"l","version":7,"document":` + strings.Replace(document(5), `,"worth":1`, ``, 1) + `}`,
+			3, 0, 7},
+		"damaged": {"x", 3, 0, 0},
+	} {
+		dir := t.TempDir()
+		if c.kept != "" {
+			text := durable.Seal("proxy-config", []byte(c.kept))
+			if c.kept == "x" {
+				text = text[:len(text)-1]
+			}
+			if err := os.WriteFile(filepath.Join(dir, "config"), text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		path := filepath.Join(dir, "config.json")
+		if err := os.WriteFile(path, []byte(followed(dir)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		env := func(name string) string { return map[string]string{"LB_CONFIG": path}[name] }
+		file, err := config.Load(env, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		follow, inForce, doc := begin(t.Context(), file, env, nil, slog.New(slog.DiscardHandler))
+		f := follow.Figures()
+		if got := inForce.Proxy.Site.Logic.MaxAttempts; got != c.attempts || f.Version != c.version || f.Refused != c.refused ||
+			(doc != nil) != (c.version != 0) {
+			t.Errorf("%s: %d attempts, %+v", name, got, f)
+		}
+	}
+}
--- a/internal/roster/api/configs.go
+++ b/internal/roster/api/configs.go
@@ -56,7 +56,7 @@
 
 func service(w http.ResponseWriter, r *http.Request) (string, bool) {
 	name := r.PathValue("service")
-	if err := state.CheckService(name); err != nil {
+	if err := settings.CheckService(name); err != nil {
 		fail(w, http.StatusBadRequest, "%v", err)
 		return "", false
 	}
--- a/internal/roster/state/configs.go
+++ b/internal/roster/state/configs.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"fernlanding/internal/settings"
 )
@@ -30,8 +29,6 @@
 	// DocumentsMost bounds all documents together, those before the newest too, in bytes. With a full list it stays
 	// well under FileMost.
 	DocumentsMost = 8 << 20
-	// ServiceMost bounds a service's name, in bytes.
-	ServiceMost = 100
 )
 
 // Configure is the kind of a command that puts a configuration.
@@ -67,16 +64,6 @@
 	return n
 }
 
-// CheckService tells what is wrong with a service's name.
-func CheckService(name string) error {
-	if name == "" || len(name) > ServiceMost || strings.ContainsFunc(name, func(r rune) bool {
-		return r <= ' ' || r == 0x7f || r == 0xfffd || strings.ContainsRune("/?#%", r)
-	}) {
-		return fmt.Errorf("service %q: 1 to %d bytes without spaces, slashes, ?, # and %% are needed", name, ServiceMost)
-	}
-	return nil
-}
-
 func checkDocument(text json.RawMessage) error {
 	c, err := settings.Canonical(text)
 	if err == nil && !bytes.Equal(c, text) {
@@ -86,7 +73,7 @@
 }
 
 func (c *Configuration) check() error {
-	if err := CheckService(c.Service); err != nil {
+	if err := settings.CheckService(c.Service); err != nil {
 		return err
 	}
 	if c.Version <= 0 || c.Version >= versionMost || c.After < -1 || c.After >= c.Version {
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -18,8 +18,21 @@
 // DocumentMost bounds a document in its kept form, in bytes.
 const DocumentMost = 64 << 10
 
+// ServiceMost bounds a service's name, in bytes.
+const ServiceMost = 100
+
 const section = "settings"
 
+// CheckService tells what is wrong with a service's name.
+func CheckService(name string) error {
+	if name == "" || len(name) > ServiceMost || strings.ContainsFunc(name, func(r rune) bool {
+		return r <= ' ' || r == 0x7f || r == 0xfffd || strings.ContainsRune("/?#%", r)
+	}) {
+		return fmt.Errorf("service %q: 1 to %d bytes without spaces, slashes, ?, # and %% are needed", name, ServiceMost)
+	}
+	return nil
+}
+
 // own are the keys of the settings that each proxy's file alone says.
 var own = []string{"my_zone", "ordinal"}
 
