Prove that a change of configuration is in force, with members and proxies as processes

Cause: what is promised of configurations has to hold while members and proxies fail. It did not: a member that came back from being cut off answered a current read with the configuration before (TestAMemberCutOffTakesNoConfiguration), since its proof was of the list's version alone, and a put makes none. Change: a proof is of the configurations too.

--- a/cmd/roster/main_test.go
+++ b/cmd/roster/main_test.go
@@ -32,7 +32,7 @@
 
 const patience = 30 * time.Second
 
-var program string
+var program, proxyProgram string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
@@ -43,8 +43,11 @@
 	}
 	defer os.RemoveAll(dir)
 	program = filepath.Join(dir, "roster")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		panic(string(out))
+	proxyProgram = filepath.Join(dir, "fernlanding")
+	for path, of := range map[string]string{program: ".", proxyProgram: "../fernlanding"} {
+		if out, err := exec.Command("go", "build", "-o", path, of).CombinedOutput(); err != nil {
+			panic(string(out))
+		}
 	}
 	return m.Run()
 }
@@ -58,7 +61,8 @@
 	procs   []*process.Process
 }
 
-func startService(t testing.TB, members int) *cluster {
+// startService starts them; view changes how a member finds the others, if that is not where they are.
+func startService(t testing.TB, members int, view ...func(i int, f *config.File)) *cluster {
 	t.Helper()
 	s := &cluster{t: t, starter: process.NewStarter(), dir: t.TempDir(), procs: make([]*process.Process, members)}
 	t.Cleanup(func() {
@@ -92,6 +96,9 @@
 				f.Members = append(f.Members, config.Member{Name: fmt.Sprintf("r%d", j+1), Raft: at(j, 8600), List: s.addrs[j]})
 			}
 		}
+		for _, change := range view {
+			change(i, &f)
+		}
 		var text strings.Builder
 		if err := toml.NewEncoder(&text).Encode(f); err != nil {
 			t.Fatal(err)
--- a/internal/roster/member/fresh.go
+++ b/internal/roster/member/fresh.go
@@ -14,7 +14,9 @@
 		return Proof{}, ErrNotLeading
 	}
 	p := Proof{Commit: m.raft.CommitIndex()}
-	p.Line, p.Index = m.Version()
+	m.mu.Lock()
+	p.Line, p.Index, p.Configs = m.state.Line(), m.state.Index(), m.state.ConfigsMark()
+	m.mu.Unlock()
 	if err := m.raft.VerifyLeader().Error(); err != nil {
 		return Proof{}, fmt.Errorf("%w (%w)", ErrNotLeading, err)
 	}
@@ -98,9 +100,9 @@
 	}
 	for {
 		m.mu.Lock()
-		line, index, next := m.state.Line(), m.state.Index(), m.moved
+		has, next := p.holds(m.state), m.moved
 		m.mu.Unlock()
-		if line == p.Line && index >= p.Index {
+		if has {
 			break
 		}
 		select {
--- a/internal/roster/member/peers.go
+++ b/internal/roster/member/peers.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"fernlanding/internal/roster/state"
 )
 
 const (
@@ -19,6 +21,15 @@
 	Line   string `json:"line"`
 	Index  int64  `json:"index"`
 	Commit uint64 `json:"commit"` // the consensus's index
+
+	// Configs is the state's ConfigsMark: a put of a configuration makes no version of the list. A leader of a build
+	// without configurations has 0, and none.
+	Configs uint64 `json:"configs"`
+}
+
+// holds tells whether a state has all that a proof is of.
+func (p Proof) holds(s *state.State) bool {
+	return s.Line() == p.Line && s.Index() >= p.Index && s.ConfigsMark() >= p.Configs
 }
 
 // peers asks the other members, over the address of the list.
--- a/internal/roster/state/configs.go
+++ b/internal/roster/state/configs.go
@@ -102,6 +102,15 @@
 // ConfigurationsLen is how many there are.
 func (s *State) ConfigurationsLen() int { return len(s.configs) }
 
+// ConfigsMark rises with each put of a line: a state of that line with the same mark has all puts that this one has. It is
+// the sum of all versions, which a thousand below 2^53 leave room for.
+func (s *State) ConfigsMark() (mark uint64) {
+	for _, c := range s.configs {
+		mark += uint64(c.Version)
+	}
+	return mark
+}
+
 // Configurations are all, by service.
 func (s *State) Configurations() []Configuration {
 	out := slices.Collect(maps.Values(s.configs))
