--- a/internal/lab/capacity/unit.go
+++ b/internal/lab/capacity/unit.go
@@ -33,7 +33,7 @@
 
 var units = map[string]unit{
 	"B/s": {classBytes, 1e-3}, "KB/s": {classBytes, 1}, "KiB/s": {classBytes, 1.024}, "MB/s": {classBytes, 1e3},
-	"% of a core": {classCPU, 1}, "core": {classCPU, 100}, "cores": {classCPU, 100}, "ms/s": {classCPU, 0.1},
+	"% of a core": {classCPU, 1}, "part of a core": {classCPU, 100}, "core": {classCPU, 100}, "cores": {classCPU, 100}, "ms/s": {classCPU, 0.1},
 	"B": {classMemory, 1e-6}, "KB": {classMemory, 1e-3}, "KiB": {classMemory, 1024e-6}, "MB": {classMemory, 1}, "MiB": {classMemory, 1.048576},
 	"ns": {classTime, 1e-6}, "us": {classTime, 1e-3}, "µs": {classTime, 1e-3}, "ms": {classTime, 1}, "s": {classTime, 1e3},
 	"1/s": {classMessages, 1}, "msg/s": {classMessages, 1}, "messages/s": {classMessages, 1}, "calls/s": {classMessages, 1}, "1/min": {classMessages, 1. / 60},
