--- a/internal/fleet/view/hand.go
+++ b/internal/fleet/view/hand.go
@@ -73,9 +73,11 @@
 		switch wins := compare(e, held) > 0; {
 		case same && wins:
 			held.Made = e.Made
+			v.hands.due = min(v.hands.due, held.kept())
 			return &v.counts.Doubled
 		case wins:
 			*held = *e
+			v.hands.due = min(v.hands.due, held.kept())
 			return &v.counts.New
 		case same:
 			return &v.counts.Doubled
--- a/internal/fleet/view/merge.go
+++ b/internal/fleet/view/merge.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"math"
 	"slices"
 	"strings"
 )
@@ -59,6 +60,8 @@
 		wins := compare(e, held) > 0
 		if wins {
 			o.fill(held, e)
+			o.due = min(o.due, held.kept()) // an older copy
+			v.due = min(v.due, o.due)
 		}
 		switch {
 		case newer, wins && other:
@@ -74,6 +77,7 @@
 	kept := new(Entry)
 	o.fill(kept, e)
 	o.insert(i, kept)
+	v.due = min(v.due, o.due)
 	v.entries++
 	if v.bound(now, o, kept, swept) {
 		return &v.counts.New
@@ -168,8 +172,9 @@
 		}
 		i, _ = find()
 	}
-	o := &observer{name: name, heard: now, answered: now - second}
+	o := &observer{name: name, heard: now, answered: now - second, due: math.MaxInt64}
 	v.others = slices.Insert(v.others, i, o)
+	v.due = min(v.due, now+remembered+1)
 	return o
 }
 
@@ -179,13 +184,23 @@
 	v.counts.Ended += uint64(ended)
 }
 
-// sweep forgets what has been kept for long enough: entries, observers and resumptions by hand.
+// sweep forgets what has been kept for long enough: entries, observers and resumptions by hand. It looks at nothing
+// before one of them may be due: it is called several times a turn.
 func (v *View) sweep(now int64) {
+	v.hands.sweep(now)
+	if now < v.due {
+		return
+	}
+	v.due = math.MaxInt64
 	v.others = slices.DeleteFunc(v.others, func(o *observer) bool {
 		v.sweepOne(now, o)
-		return len(o.held) == 0 && now-o.heard > remembered
+		if len(o.held) > 0 {
+			v.due = min(v.due, o.due)
+			return false
+		}
+		v.due = min(v.due, o.heard+remembered+1)
+		return now-o.heard > remembered
 	})
-	v.hands.sweep(now)
 }
 
 // echo takes an entry under this proxy's own name. One that it told is no news. Any other is of a former life of this
--- a/internal/fleet/view/observer.go
+++ b/internal/fleet/view/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 )
@@ -13,6 +14,7 @@
 	held        []*Entry // by kind and subject; kept for the kind's life, whether withdrawn or not
 	count       [kinds]int
 	floor       [kinds]uint64 // the highest Seq forgotten: none at or under it is taken in as new
+	due         int64         // nothing that is held is to be forgotten sooner
 	heard       int64
 	answered    int64 // when last by answer
 }
@@ -36,6 +38,7 @@
 func (o *observer) insert(i int, e *Entry) {
 	o.held = slices.Insert(o.held, i, e)
 	o.count[e.Kind]++
+	o.due = min(o.due, e.kept())
 }
 
 // kept is until when an entry is kept: all that its observer told of the kind before it has ended by then.
@@ -51,11 +54,17 @@
 	o.floor[e.Kind] = max(o.floor[e.Kind], e.Seq)
 }
 
-// sweep forgets what has been kept for long enough, and gives how many went and how many of these were not withdrawn.
+// sweep forgets what has been kept for long enough, and gives how many went and how many of these were not withdrawn. It
+// looks at the entries only if one may be due.
 func (o *observer) sweep(now int64) (went, ended int) {
+	if now < o.due {
+		return 0, 0
+	}
 	n := len(o.held)
+	o.due = math.MaxInt64
 	o.held = slices.DeleteFunc(o.held, func(e *Entry) bool {
-		if e.kept() > now {
+		if kept := e.kept(); kept > now {
+			o.due = min(o.due, kept)
 			return false
 		}
 		if !e.Gone {
@@ -93,5 +102,6 @@
 
 // reset forgets all that a former incarnation told.
 func (o *observer) reset(incarnation int64) {
-	*o = observer{name: o.name, zone: o.zone, incarnation: incarnation, heard: o.heard, answered: o.answered}
+	*o = observer{name: o.name, zone: o.zone, incarnation: incarnation, heard: o.heard, answered: o.answered,
+		due: math.MaxInt64}
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -84,6 +84,7 @@
 
 	others  []*observer // by name
 	entries int         // that others hold
+	due     int64       // nothing of others is to be forgotten sooner
 
 	hands   observer // kind Hand alone
 	version uint64   // the highest of any Hand
