Queue: keep what waits in order, and encode one datagram at a time

For each datagram, 30 a second, a member sorted all that waits (1,024 at the bound), encoded 64 entries of which about 20 fit, and decoded the packet again to see which. The queue has a package of its own, so that the model can play it.

--- a/internal/fleet/link/delegate.go
+++ b/internal/fleet/link/delegate.go
@@ -21,7 +21,7 @@
 
 // GetBroadcasts gives what is to go out with the next datagram.
 func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	if p := d.l.out.take(d.l.cfg.Now(), limit-overhead); p != nil {
+	if p := d.l.out.Take(d.l.cfg.Now(), limit-overhead); p != nil {
 		return [][]byte{p}
 	}
 	return nil
--- a/internal/fleet/link/figures.go
+++ b/internal/fleet/link/figures.go
@@ -32,7 +32,7 @@
 	f := l.figs
 	l.mu.Unlock()
 	var dropped int64
-	f.Waiting, f.Sent, dropped = l.out.counts()
+	f.Waiting, f.Sent, dropped = l.out.Counts()
 	f.Living, f.Near = l.who.count(l.cfg.Zone)
 	f.In, f.Out, f.Dropped = l.net.in.Load(), l.net.out.Load(), l.drops.Load()+dropped
 	f.Joined, f.Gone = l.who.moved()
--- a/internal/fleet/link/hands.go
+++ b/internal/fleet/link/hands.go
@@ -136,13 +136,13 @@
 			l.cfg.Log.Error("fleet: a call by hand is not carried out", "nodo", nodo, "error", err)
 			if len(news) > 0 { // it was as the call would have it before
 				if back, undone := undo(l.cfg.Now(), nodo); undone == nil {
-					l.out.add(back)
+					l.out.Add(back)
 				}
 			}
 			said <- err
 			return
 		}
-		l.out.add(news)
+		l.out.Add(news)
 		said <- nil
 		l.poke()
 	}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -21,6 +21,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"fernlanding/internal/fleet/queue"
 	"fernlanding/internal/fleet/view"
 )
 
@@ -43,8 +44,7 @@
 	patienceMost = 3
 	// A full exchange is 100 KB for 300 members with a few entries each; memberlist makes it rarer over 32 members.
 	exchangeEvery = 5 * time.Second
-	streamWait    = 2 * time.Second // for each read and write of a connection
-	retransmits   = 4
+	streamWait    = 2 * time.Second  // for each read and write of a connection
 	toTheDead     = 30 * time.Second // gossip goes on to the dead: it mends short splits without seeds
 	reclaimAfter  = 5 * time.Second  // a dead member's name may be had from another address
 	handoff       = 256              // messages that wait within memberlist
@@ -88,7 +88,7 @@
 	net     *transport
 	ml      *memberlist.Memberlist
 	who     *members
-	out     *queue
+	out     *queue.Queue
 	refused tally
 	keep    *keeper // nil without a folder
 	seeds   []string
@@ -139,7 +139,7 @@
 		}
 	}
 	l.who = newMembers(cfg.Name, cfg.Tier, &l.refused, cfg.Log, l.poke)
-	l.out = newQueue(func() int { n, _ := l.who.count(""); return transmits(n) })
+	l.out = queue.New(func() int { return queue.Transmits(l.who.living()) })
 	l.ticked.Store(cfg.Now())
 	if l.net, err = listen(bind, cfg.Label, &l.refused, func() { l.heard.Store(cfg.Now()) }); err != nil {
 		return nil, err
@@ -159,7 +159,7 @@
 	ml.Delegate, ml.Events, ml.Alive, ml.Conflict = delegate{l}, l.who, l.who, l.who
 	ml.GossipInterval, ml.GossipNodes, ml.GossipToTheDeadTime = gossipEvery, gossipTo, toTheDead
 	ml.ProbeInterval, ml.ProbeTimeout, ml.AwarenessMaxMultiplier = probeEvery, probeWait, patienceMost
-	ml.SuspicionMult, ml.SuspicionMaxTimeoutMult, ml.RetransmitMult = suspectMult, suspectMost, retransmits
+	ml.SuspicionMult, ml.SuspicionMaxTimeoutMult, ml.RetransmitMult = suspectMult, suspectMost, queue.Retransmits
 	ml.PushPullInterval, ml.TCPTimeout, ml.DeadNodeReclaimTime = exchangeEvery, streamWait, reclaimAfter
 	ml.UDPBufferSize, ml.HandoffQueueDepth = packetMost, handoff
 	ml.EnableCompression = false // it takes more of a core than a loopback's or a rack's bytes are worth
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -254,82 +253,6 @@
 	}
 }
 
-// What is passed on is sent so many times, is as old as it is when it goes, and is not sent once it has ended.
-func TestQueue(t *testing.T) {
-	made := func(n int) (out []view.Entry) {
-		for i := range n {
-			out = append(out, view.Entry{Kind: view.ServerFlap, Subject: fmt.Sprint("s", i), Observer: "a", Incarnation: 1,
-				Seq: uint64(i + 1), Made: 1000, Life: view.ServerFlap.Life()})
-		}
-		return out
-	}
-	q := newQueue(func() int { return 3 })
-	entries := made(100)
-	q.add(entries)
-	q.add(entries) // the same again takes no more room
-	sent := map[string]int{}
-	now := int64(1000)
-	for p := q.take(now, packetMost); p != nil; p = q.take(now, packetMost) {
-		if now += 5000; len(p) > packetMost {
-			t.Fatalf("a packet of %d bytes", len(p))
-		}
-		in, _, err := view.Decode(now, p)
-		for _, e := range in {
-			if sent[e.Subject]++; e.Made > 1000+5000 || err != nil {
-				t.Fatalf("at %d: made at %d: %v", now, e.Made, err)
-			}
-		}
-	}
-	if len(sent) != 100 {
-		t.Errorf("%d were sent", len(sent))
-	}
-	for s, n := range sent {
-		if n != 3 {
-			t.Errorf("%s was sent %d times", s, n)
-		}
-	}
-	q.add(entries)
-	p := q.take(entries[0].End(), packetMost)
-	if n, _, _ := q.counts(); p != nil || n != 0 {
-		t.Errorf("%d entries that have ended wait, %d bytes were sent", n, len(p))
-	}
-	q.add(made(queueMost + 100))
-	if n, _, dropped := q.counts(); n != queueMost || dropped != 100 {
-		t.Errorf("%d wait, %d were dropped", n, dropped)
-	}
-}
-
-// What is bad goes before what is well, also where that fills the datagrams; what is well still goes in the end.
-func TestUrgentEntriesGoFirst(t *testing.T) {
-	q := newQueue(func() int { return 4 })
-	made := func(kind view.Kind, n int) {
-		for i := range n {
-			q.add([]view.Entry{{Kind: kind, Subject: fmt.Sprint(kind, i), Observer: "a", Incarnation: 1, Seq: uint64(i + 1),
-				Made: 1000, Life: kind.Life()}})
-		}
-	}
-	made(view.ServerBad, 3)
-	made(view.ZoneWell, 500)
-	bad := 0
-	for n := 1; n <= 8; n++ {
-		in, _, _ := view.Decode(1000, q.take(1000, packetMost))
-		well := 0
-		for _, e := range in {
-			if e.Kind == view.ZoneWell {
-				well++
-			} else if n == 1 {
-				bad++
-			}
-		}
-		if well == 0 {
-			t.Errorf("nothing of what is well in packet %d", n)
-		}
-	}
-	if bad != 3 {
-		t.Errorf("%d of three verdicts went at once", bad)
-	}
-}
-
 // Only what a living member tells, of the zone that it says it is in, is acted on.
 func TestWhoIsHeard(t *testing.T) {
 	m := newMembers("self", "0", nil, slog.New(slog.DiscardHandler), func() {})
--- a/internal/fleet/link/members.go
+++ b/internal/fleet/link/members.go
@@ -203,6 +203,13 @@
 	return 1 + len(m.alive), near
 }
 
+// living tells how many are alive, this one included.
+func (m *members) living() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return 1 + len(m.alive)
+}
+
 // missing are addresses where a member may be that this one does not know to be alive: seeds, and those that died.
 func (m *members) missing(seeds []string, now time.Time) []string {
 	m.mu.Lock()
--- a/internal/fleet/link/owner.go
+++ b/internal/fleet/link/owner.go
@@ -105,7 +105,7 @@
 	l.fresh = false
 	l.mu.Unlock()
 	if fresh {
-		l.out.add(l.own.view.Say(l.cfg.Now(), items))
+		l.out.Add(l.own.view.Say(l.cfg.Now(), items))
 	}
 }
 
@@ -130,7 +130,7 @@
 			o.moved, o.unkept = true, true
 		}
 	}
-	l.out.add(news)
+	l.out.Add(news)
 }
 
 // publish gives a snapshot, in the place of one that was not taken.
--- a/internal/fleet/view/codec.go
+++ b/internal/fleet/view/codec.go
@@ -91,57 +91,112 @@
 		e.Size, e.Cause)
 }
 
+// packer fills one packet after the other.
+type packer struct {
+	most int // bytes of a packet
+	size int // of the present one, at most
+	body []byte
+	one  bytes.Buffer
+	w    wire
+	p    packet[group[cbor.RawMessage]]
+}
+
+func newPacker(most int) *packer {
+	most = min(most, MostPacket)
+	// The body never grows: what lies in it is kept by reference.
+	return &packer{most: most, size: bare, body: make([]byte, 0, max(most, 0)),
+		p: packet[group[cbor.RawMessage]]{Version: version}}
+}
+
+// fit is what became of an entry.
+type fit int
+
+const (
+	added fit = iota
+	left      // out: it ends within a millisecond, or is not valid
+	full      // no room in this packet
+)
+
+func (k *packer) put(now int64, e *Entry) fit {
+	k.w.from(now, e)
+	k.one.Reset()
+	if !e.valid(now, k.most) || k.w.ended(e) || encoding.MarshalToBuffer(&k.w, &k.one) != nil {
+		return left
+	}
+	g := group[cbor.RawMessage]{Observer: e.Observer, Zone: e.Zone, Incarnation: e.Incarnation}
+	head := 0
+	if len(k.p.Groups) == 0 || !g.same(&k.p.Groups[len(k.p.Groups)-1]) {
+		head = g.head()
+	}
+	if k.size+head+k.one.Len() > k.most {
+		return full
+	}
+	if head > 0 {
+		k.p.Groups = append(k.p.Groups, g)
+	}
+	k.size += head + k.one.Len()
+	from := len(k.body)
+	k.body = append(k.body, k.one.Bytes()...)
+	last := &k.p.Groups[len(k.p.Groups)-1]
+	last.Entries = append(last.Entries, k.body[from:len(k.body):len(k.body)])
+	return added
+}
+
+// flush gives the packet, nil if nothing is in it, and begins the next.
+func (k *packer) flush() (data []byte) {
+	if len(k.p.Groups) > 0 {
+		var err error
+		if data, err = encoding.Marshal(&k.p); err != nil {
+			data = nil
+		}
+	}
+	k.p.Groups, k.body, k.size = nil, k.body[:0], bare
+	return data
+}
+
 // Encode puts entries into packets of at most so many bytes, and never of more than MostPacket. Left out is what ends
 // within a millisecond, what is not valid, and an entry that fits no packet: that needs names over the default bound, or
 // most under LeastPacket.
 func Encode(now int64, entries []Entry, most int) [][]byte {
-	most = min(most, MostPacket)
-	var (
-		packets [][]byte
-		one     bytes.Buffer
-		w       wire
-		size    int
-		body    = make([]byte, 0, max(most, 0)) // never grows: what lies in it is kept by reference
-		p       = packet[group[cbor.RawMessage]]{Version: version}
-	)
+	k := newPacker(most)
+	var packets [][]byte
 	flush := func() {
-		if data, err := encoding.Marshal(&p); err == nil && len(p.Groups) > 0 {
+		if data := k.flush(); data != nil {
 			packets = append(packets, data)
 		}
-		p.Groups, body, size = nil, body[:0], bare
 	}
-	flush()
 	for i := range entries {
-		e := &entries[i]
-		w.from(now, e)
-		one.Reset()
-		if !e.valid(now, most) || w.ended(e) || encoding.MarshalToBuffer(&w, &one) != nil {
-			continue
-		}
-		g := group[cbor.RawMessage]{Observer: e.Observer, Zone: e.Zone, Incarnation: e.Incarnation}
-		head := 0
-		if len(p.Groups) == 0 || !g.same(&p.Groups[len(p.Groups)-1]) {
-			head = g.head()
-		}
-		if size+head+one.Len() > most {
+		if k.put(now, &entries[i]) == full {
 			flush()
-			if head = g.head(); size+head+one.Len() > most {
-				continue
-			}
-		}
-		if head > 0 {
-			p.Groups = append(p.Groups, g)
+			k.put(now, &entries[i])
 		}
-		size += head + one.Len()
-		from := len(body)
-		body = append(body, one.Bytes()...)
-		last := &p.Groups[len(p.Groups)-1]
-		last.Entries = append(last.Entries, body[from:len(body):len(body)])
 	}
 	flush()
 	return packets
 }
 
+// Pack gives the first packet that Encode would give, nil for none, and which of the entries it holds. It stops at the
+// first that has no room.
+func Pack(now int64, entries []Entry, most int) (data []byte, held []int) {
+	k := newPacker(most)
+	for i := range entries {
+		switch k.put(now, &entries[i]) {
+		case added:
+			held = append(held, i)
+			continue
+		case left:
+			continue
+		}
+		if len(held) > 0 { // else it fits no packet
+			break
+		}
+	}
+	if data = k.flush(); data == nil {
+		held = nil
+	}
+	return data, held
+}
+
 func (g *group[E]) same(o *group[E]) bool {
 	return g.Observer == o.Observer && g.Zone == o.Zone && g.Incarnation == o.Incarnation
 }
