Model: count the living once, and let go of tellings that were overtaken

Each turn of each proxy looked at all the others to count them, and a line of tellings kept those that were overtaken below the point that is reached, for ever.

--- a/internal/lab/model/fleet.go
+++ b/internal/lab/model/fleet.go
@@ -41,7 +41,7 @@
 	w, now := p.w, p.clock()
 	p.fleet = &fleet{heard: w.now, ticked: now, lies: lies,
 		view:   view.New(view.Self{Name: p.name, Zone: zoneName(p.zone), Start: now / ms}, view.Limits{}),
-		spread: spread{byTimes: make([][]*telling, w.gossip.times), latest: map[key]*telling{}}}
+		spread: newSpread(w.gossip.times)}
 	life := p.life
 	w.after(w.gossip.rnd.Int64N(gossipEvery), evGossip, p.id, func() { p.deliver(life, func() { p.gossip(life) }) })
 	first := w.gossip.rnd.Int64N(fullEvery)
@@ -88,12 +88,7 @@
 	w := p.w
 	known := p.fleet.view.Known(now)
 	h := logic.Peers{Alone: w.now-p.fleet.heard >= aloneAfter, Notices: make([]logic.Notice, 0, len(known))}
-	for _, o := range w.proxies {
-		if o == p || w.gossip.knows(w, p, o) {
-			h.Living++
-			h.Near += int(partOf(o.zone == p.zone))
-		}
-	}
+	h.Living, h.Near = w.gossip.count(w, p)
 	if p.id == 0 && w.cfg.seeded == seedDeaf {
 		return h
 	}
--- a/internal/lab/model/gossip.go
+++ b/internal/lab/model/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"fernlanding/internal/fleet/view"
 )
@@ -23,10 +24,12 @@
 
 // gossip is what the proxies' talk has in common.
 type gossip struct {
-	rnd   *rand.Rand
-	near  []bool // by from and to: zones that reach each other, over others too, as SWIM has found out
-	times int    // that each entry is sent
-	book  book
+	rnd    *rand.Rand
+	near   []bool // by from and to: zones that reach each other, over others too, as SWIM has found out
+	times  int    // that each entry is sent
+	book   book
+	moved  int64 // when a proxy last began, ended, was stopped or continued
+	living []int // by zone: proxies that run, while none has moved for noticeDown; else nil
 }
 
 func (g *gossip) begin(w *world) {
@@ -75,6 +78,40 @@
 	return o.since == 0 || w.now-o.since >= noticeUp
 }
 
+// stir tells that a proxy has begun, ended, been stopped or continued.
+func (g *gossip) stir(w *world) { g.moved, g.living = w.now, nil }
+
+// count tells how many proxies one takes for living, itself included, and of them in its zone.
+func (g *gossip) count(w *world, p *proxy) (living, near int) {
+	zones := w.cfg.Zones
+	if g.living == nil && w.now-g.moved >= noticeDown {
+		g.living = make([]int, zones)
+		for _, o := range w.proxies {
+			g.living[o.zone] += int(partOf(o.up && !o.stopped))
+		}
+	}
+	if g.living == nil { // how long ago each moved counts
+		for _, o := range w.proxies {
+			if o == p || g.knows(w, p, o) {
+				living++
+				near += int(partOf(o.zone == p.zone))
+			}
+		}
+		return living, near
+	}
+	living, near = 1, 1
+	for z, n := range g.living {
+		switch {
+		case !g.near[p.zone*zones+z]:
+		case z == p.zone:
+			living, near = living+n-1, near+n-1
+		default:
+			living += n
+		}
+	}
+	return living, near
+}
+
 // key is what an entry takes the place of another by.
 type key struct {
 	kind     view.Kind
@@ -92,14 +129,19 @@
 // spread holds what a proxy has to tell, by how often it was told: what was told least goes first, of that the latest.
 type spread struct {
 	byTimes [][]*telling
+	stale   []int // of each of these: how many are
 	latest  map[key]*telling
 }
 
+func newSpread(times int) spread {
+	return spread{make([][]*telling, times), make([]int, times), map[key]*telling{}}
+}
+
 func (s *spread) add(entries []view.Entry) {
 	for _, e := range entries {
 		k := key{e.Kind, e.Subject, e.Observer}
 		if old := s.latest[k]; old != nil {
-			old.stale = true
+			s.overtake(old)
 		}
 		t := &telling{entry: e}
 		s.latest[k] = t
@@ -107,6 +149,17 @@
 	}
 }
 
+// overtake leaves a telling where it is, so that its line is not searched, but clears a line of which most are stale: in
+// a large fleet a line's beginning is never reached.
+func (s *spread) overtake(t *telling) {
+	t.stale = true
+	i := t.times
+	if s.stale[i]++; s.stale[i] > 64 && 2*s.stale[i] > len(s.byTimes[i]) {
+		s.byTimes[i] = slices.DeleteFunc(s.byTimes[i], func(t *telling) bool { return t.stale })
+		s.stale[i] = 0
+	}
+}
+
 // take gives up to most entries, each counted as told once more.
 func (s *spread) take(most int) (out []view.Entry) {
 	taken := make([]*telling, 0, most)
@@ -117,6 +170,8 @@
 			n--
 			if t := line[n]; !t.stale {
 				out, taken = append(out, t.entry), append(taken, t)
+			} else {
+				s.stale[i]--
 			}
 		}
 		clear(line[n:])
--- a/internal/lab/model/proxy.go
+++ b/internal/lab/model/proxy.go
@@ -97,6 +97,7 @@
 	}
 	p.life++
 	p.b, p.up, p.stopped, p.since = b, true, false, p.w.now
+	p.w.gossip.stir(p.w)
 	p.reqs, p.inbox, p.waits = map[string]*request{}, nil, 0
 	p.told = make([]logic.Server, len(p.w.nodos))
 	var list []logic.Server
@@ -121,6 +122,7 @@
 		return
 	}
 	p.up, p.stopped, p.inbox, p.downAt = false, false, nil, p.w.now
+	p.w.gossip.stir(p.w)
 	p.life++
 	for _, q := range sortedRequests(p.reqs) {
 		for _, a := range q.tries {
@@ -138,6 +140,7 @@
 func (p *proxy) stop() {
 	if p.up && !p.stopped {
 		p.stopped, p.downAt = true, p.w.now
+		p.w.gossip.stir(p.w)
 		for _, q := range p.reqs {
 			q.excused = true
 		}
@@ -150,6 +153,7 @@
 		return
 	}
 	p.stopped, p.contAt = false, p.w.now
+	p.w.gossip.stir(p.w)
 	for len(p.inbox) > 0 && p.up && !p.stopped {
 		do := p.inbox[0]
 		p.inbox = p.inbox[1:]
--- a/internal/lab/model/table_test.go
+++ b/internal/lab/model/table_test.go
@@ -74,6 +74,15 @@
 
 var tableSizes = []int{10, 30, 100, 300}
 
+// staleness is a fleet of which a nodo fails for a while.
+func staleness(proxies int, loss float64, chatter int, span int64) Config {
+	c := Default()
+	c.Proxies, c.Nodos, c.Rate, c.Span = proxies, 2*proxies, 20*float64(proxies), span
+	c.Loss, c.Chatter, c.Encoded = loss, chatter, true
+	c.Faults = []Fault{{Kind: NodoFails, At: 3 * sec, For: 5 * sec, Who: []int{proxies}, Value: 0.9}}
+	return c
+}
+
 // TestStaleness prints how old what proxies know of each other is, and how long a telling takes to each of them, with
 // verdicts alone and with summaries of two nodos of each proxy beside.
 func TestStaleness(t *testing.T) {
@@ -85,9 +94,7 @@
 	for _, n := range tableSizes {
 		for _, loss := range []float64{0, 0.1, 0.3} {
 			for _, chatter := range []int{0, 2} {
-				c := Default()
-				c.Proxies, c.Nodos, c.Rate, c.Span, c.Loss, c.Chatter, c.Encoded = n, 2*n, 20*float64(n), 12*sec, loss, chatter, true
-				c.Faults = []Fault{{Kind: NodoFails, At: 3 * sec, For: 5 * sec, Who: []int{n}, Value: 0.9}}
+				c := staleness(n, loss, chatter, 12*sec)
 				configs = append(configs, c)
 			}
 		}
