Model: play the gossip of a whole fleet without its Balancers

Members play what the product's own view, queue and packets do with what a plan tells: zones that are well, the loads of the nodos of the home zone that 20 calls a second reach, and a nodo that fails; full exchanges as rarely as memberlist has them, and their bytes counted. They run side by side on all cores in steps of 5 ms, and the same seed gives the same result however many cores there are (TestMembersRepeat, which fails when members share a source of chance).

--- /dev/null
+++ b/internal/lab/model/members_test.go
@@ -0,0 +1,114 @@
+package model
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/fleet/view"
+)
+
+var (
+	memberSizes = flag.String("model.members", "", "print the gossip of fleets of these sizes, as 10,30,100")
+	memberLoss  = flag.String("model.loss", "0,0.1,0.3", "with these parts of the datagrams lost")
+	memberSpan  = flag.Int("model.span", 60, "seconds of each fleet")
+	memberSeed  = flag.Uint64("model.seed", 1, "of each fleet")
+	memberTells = flag.String("model.tells", "all,1,0", "summaries that each member tells: of all nodos that it calls, or so many")
+)
+
+// called is how many nodos of its own zone, a third of twice as many as members, one calls within the 5 s that a summary
+// lives, at 20 calls a second: what a run with Balancers tells, which send home first.
+func called(members int) int {
+	nodos := 2 * float64(members) / 3
+	return int(math.Round(nodos * (1 - math.Exp(-100/nodos))))
+}
+
+func parts(t *testing.T, list string) (out []float64) {
+	for _, s := range strings.Split(list, ",") {
+		x, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// TestMembersTable prints the table of docs/fleet.md.
+func TestMembersTable(t *testing.T) {
+	if *memberSizes == "" {
+		t.Skip("-model.members")
+	}
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(8 << 30))
+	defer debug.SetGCPercent(debug.SetGCPercent(200))
+	for _, size := range parts(t, *memberSizes) {
+		for _, tells := range strings.Split(*memberTells, ",") {
+			for _, loss := range parts(t, *memberLoss) {
+				n := int(size)
+				c := Members{Seed: *memberSeed, Span: int64(*memberSpan) * sec, Count: n, Zones: 3, Loss: loss, Summaries: called(n)}
+				if tells != "all" {
+					c.Summaries = int(parts(t, tells)[0])
+				}
+				begun := time.Now()
+				r := PlayMembers(c)
+				fmt.Fprintln(os.Stdout, c.line(r), fmt.Sprintf("| %.0f s", time.Since(begun).Seconds()))
+			}
+		}
+	}
+}
+
+func (c *Members) line(r *MembersResult) string {
+	of := func(a ages) string {
+		if a.N() == 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%.2f %.2f %.2f", seconds(a.At(0.5)), seconds(a.At(0.99)), seconds(a.At(1)))
+	}
+	each := func(bytes int64) float64 { return float64(bytes) / 1000 / float64(c.Count) / seconds(c.Span) }
+	var kinds []string
+	all := int64(0)
+	for _, n := range r.Sizes {
+		all += n
+	}
+	for k, n := range r.Entries {
+		if n > 0 {
+			kinds = append(kinds, fmt.Sprintf("%s %.0f %% (%d B)", view.Kind(k), 100*float64(r.Sizes[k])/float64(all), r.Sizes[k]/n))
+		}
+	}
+	return fmt.Sprintf("%d members, %d summaries, %.0f %% lost | verdicts %s | summaries %s | %.1f KB/s datagrams, %.1f exchanges | "+
+		"knows %d entries of %d members | over %d, dropped %d | %s", c.Count, c.Summaries, 100*c.Loss, of(r.Verdicts), of(r.Loads),
+		each(r.Bytes), each(r.Exchanged), r.Known.At(0.5), r.Heard.At(0.5), r.Over, r.Dropped, strings.Join(kinds, ", "))
+}
+
+// The same members give the same, however many cores play them, and another seed another.
+func TestMembersRepeat(t *testing.T) {
+	line := func(seed uint64, cores int) string {
+		c := Members{Seed: seed, Span: 8 * sec, Count: 20, Zones: 3, Loss: 0.3, Summaries: 5}
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(cores))
+		return c.line(PlayMembers(c))
+	}
+	one := line(1, 1)
+	for _, cores := range []int{2, 8} {
+		if got := line(1, cores); got != one {
+			t.Errorf("on %d cores\n%s\nand on one\n%s", cores, got, one)
+		}
+	}
+	if line(2, 2) == one {
+		t.Error("two seeds give one run")
+	}
+}
+
+func TestExchangesAreRarerInLargeFleets(t *testing.T) {
+	for n, each := range map[int]int64{2: 5, 32: 5, 33: 10, 64: 10, 100: 15, 300: 25, 1300: 35} {
+		if got := exchangeEach(n) / sec; got != each {
+			t.Errorf("%d members: %d s, want %d", n, got, each)
+		}
+	}
+}
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -50,6 +50,8 @@
 // ages is a distribution of times.
 type ages struct{ h *hdrhistogram.Histogram }
 
+func newAges() ages { return ages{hdrhistogram.New(1, agesMost, 2)} }
+
 func (a *ages) add(d int64) { _ = a.h.RecordValue(min(max(d, 1), agesMost)) }
 
 // At is the time that a part of them is within, in microseconds.
@@ -69,7 +71,7 @@
 
 func (r *Result) begin(c *Config) {
 	for _, a := range []*ages{&r.Ages, &r.Spread, &r.Loads, &r.LoadsBy, &r.Leaves, &r.Mixed} {
-		a.h = hdrhistogram.New(1, agesMost, 2)
+		*a = newAges()
 	}
 	r.bins = make([]counts, c.Span/bin+1)
 	for i := range r.bins {
