Count a 503 that came at its turn as no sign of a long queue

In the logged play some calls are turned away neither at once nor after the wait but at their turn: n60 from 11.109 to 11.647 s, as its neighbours that were answered (11.105 to 11.757 s, of which 0.1 s is the hold). Each such 503 counted as one more knock, so that the periods doubled to 28 s while the queue was short.

Change: after one, the count starts anew and the next knock is drawn from 2.5 s.

--- a/internal/discovery/collapse_test.go
+++ b/internal/discovery/collapse_test.go
@@ -24,20 +24,23 @@
 		fault   fate // for 8 s; answered: they begin together in its place
 		within  time.Duration
 		vain    int // turns of calls that were not answered, for each client at most
+		fails   int // each so many-th turn ends in a 503
 	}{
-		{"none waits in vain", 300, turn, vainly, 300*turn + 550*time.Millisecond, 0},
-		{"after refusals", 300, turn, refused, calm + w, 2},
-		{"after resets", 300, turn, broken, calm + w, 2},
-		{"as they begin", 300, turn, answered, w + calm + w, 2},
-		{"slow turns", 300, 25 * time.Millisecond, vainly, calm + turnPeriod*3/2*(2+4) + w, 2},
-		{"1,300", 1300, turn, vainly, third + w, 3},
-		{"1,300 as they begin", 1300, turn, answered, w + third + w, 3},
+		{"none waits in vain", 300, turn, vainly, 300*turn + 550*time.Millisecond, 0, 0},
+		{"after refusals", 300, turn, refused, calm + w, 2, 0},
+		{"after resets", 300, turn, broken, calm + w, 2, 0},
+		{"as they begin", 300, turn, answered, w + calm + w, 2, 0},
+		{"slow turns", 300, 25 * time.Millisecond, vainly, calm + turnPeriod*3/2*(2+4) + w, 2, 0},
+		{"one in four turns fails", 300, turn, vainly, calm + w, 1, 4},
+		{"one in four turns of few fails", 12, turn, vainly, 6 * time.Second, 0, 4},
+		{"1,300", 1300, turn, vainly, third + w, 3, 0},
+		{"1,300 as they begin", 1300, turn, answered, w + third + w, 3, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				l := &turns{wait: w, room: 5 * time.Second, slow: tt.turn, ctx: ctx, moved: make(chan struct{})}
+				l := &turns{wait: w, room: 5 * time.Second, slow: tt.turn, fails: tt.fails, ctx: ctx, moved: make(chan struct{})}
 				if tt.fault != answered {
 					l.slow = 0 // all are answered before the trouble
 				}
--- a/internal/discovery/model_test.go
+++ b/internal/discovery/model_test.go
@@ -33,6 +33,7 @@
 	lines   int
 	calls   int // that took a turn or were turned away
 	taken   int // turns
+	fails   int // each so many-th turn ends in a 503, if not 0
 	vain    int // turns of calls that were given up or had waited too long
 	callers []*caller
 	spared  int // strikes miss the callers of these numbers and above, if not 0
@@ -113,6 +114,10 @@
 				l.pause(r, l.wait, nil)
 				return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
 			}
+			if l.fails > 0 && l.taken%l.fails == 0 {
+				l.pause(r, l.free.Sub(now)+l.others+300*time.Millisecond, nil)
+				return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+			}
 			if !l.pause(r, l.free.Sub(now)+l.others, nil) {
 				l.vain++
 				return nil, r.Context().Err()
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -211,6 +211,10 @@
 		}
 		return max(periodLeast-c.turnedAway, 0)
 	}
+	if c.knocks > 1 && c.turnedAway >= someWait && c.turnedAway < longWait {
+		c.knocks = 1 // its turn came, and failed: the queue is short, and a longer period would be for nothing
+		return c.draw(periodLeast)
+	}
 	period := min(max(periodBoth-c.longest, periodLeast), turnPeriod)
 	switch more := min(c.knocks-knocksPlain, doublings); {
 	case c.knocks == 1:
