--- a/cmd/roster/rollout_test.go
+++ b/cmd/roster/rollout_test.go
@@ -210,6 +210,27 @@
 	return n
 }
 
+// stop stops a process, and returns once all of it stands still.
+func stop(t *testing.T, p *process.Process) {
+	t.Helper()
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a process to stand still", func() bool {
+		tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+		if err != nil || len(tasks) == 0 {
+			t.Fatalf("%s: %v", p.Name, err)
+		}
+		for _, task := range tasks {
+			text, err := os.ReadFile(task)
+			if _, after, _ := strings.Cut(string(text), ") "); err != nil || !strings.HasPrefix(after, "T") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (s *cluster) signal(t *testing.T, i int, sig syscall.Signal) {
 	t.Helper()
 	if err := s.procs[i].Signal(sig); err != nil {
@@ -265,7 +286,7 @@
 			}
 			return i >= 0
 		})
-		s.signal(t, i, syscall.SIGSTOP)
+		stop(t, s.procs[i])
 		change(t, nil, func() { s.signal(t, i, syscall.SIGCONT) })
 	})
 	t.Run("the leader is killed under it", func(t *testing.T) {
@@ -274,14 +295,12 @@
 	})
 	t.Run("the leader is stopped just before", func(t *testing.T) {
 		l := s.awaitLeader(t)
-		s.signal(t, l, syscall.SIGSTOP)
+		stop(t, s.procs[l])
 		change(t, nil, func() { s.signal(t, l, syscall.SIGCONT) })
 	})
 	t.Run("a proxy is stopped, and goes on", func(t *testing.T) {
 		p := all[0]
-		if err := p.Signal(syscall.SIGSTOP); err != nil {
-			t.Fatal(err)
-		}
+		stop(t, p.Process)
 		rest := all
 		all = all[1:]
 		change(t, nil, nil)
@@ -394,7 +413,7 @@
 			st := s.configStatus(t, l)
 			return st.Counts[api.InForce] == len(all) && !st.Partial && len(st.Silent) == 0 && st.Version == version
 		})
-		s.signal(t, i, syscall.SIGSTOP)
+		stop(t, s.procs[i])
 		begun := time.Now()
 		st := s.configStatus(t, l)
 		if took := time.Since(begun); !st.Partial || len(st.Silent) != 1 || st.Silent[0] != fmt.Sprintf("r%d", i+1) || took > 2500*time.Millisecond {
