--- a/cmd/roster/rollout_test.go
+++ b/cmd/roster/rollout_test.go
@@ -133,9 +133,13 @@
 
 // putAt puts a document at one member.
 func (s *cluster) putAt(i int, after int64, body string) (status int, version int64, text string, err error) {
+	return s.putFor("tarifas", i, after, body)
+}
+
+func (s *cluster) putFor(service string, i int, after int64, body string) (status int, version int64, text string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/config/tarifas?from=%d", s.addrs[i], after),
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/config/%s?from=%d", s.addrs[i], service, after),
 		strings.NewReader(body))
 	if err != nil {
 		return 0, 0, "", err
--- /dev/null
+++ b/cmd/roster/rolloutbench_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"fernlanding/internal/rollout"
+)
+
+// noted notes when a document came.
+type noted struct {
+	mu sync.Mutex
+	at time.Time
+	n  int
+}
+
+func (n *noted) Apply([]byte) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.at, n.n = time.Now(), n.n+1
+	return nil
+}
+
+func (n *noted) last() (int, time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.n, n.at
+}
+
+// BenchmarkRollout is a change from its confirmation until it is in force at so many clients of five members, all of one
+// service: at the median, at 99 in 100, and the last.
+func BenchmarkRollout(b *testing.B) {
+	s := startService(b, 5)
+	for _, n := range []int{30, 100, 300, 1300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			ctx, stop := context.WithCancel(b.Context())
+			var clients sync.WaitGroup
+			defer clients.Wait()
+			defer stop()
+			all := make([]*noted, n)
+			service := fmt.Sprint("of", n, "-", b.N)
+			put := func(after int64, class string) (int64, time.Time) {
+				for {
+					status, version, text, err := s.putFor(service, 0, after, document(class))
+					if err == nil && status == 200 {
+						return version, time.Now()
+					}
+					if status != 503 {
+						b.Fatal(status, text, err)
+					}
+				}
+			}
+			version, _ := put(0, "first")
+			for i := range all {
+				all[i] = &noted{}
+				c := rollout.New(rollout.Config{Service: service, Name: fmt.Sprint("p", i), Members: s.addrs, Seed: uint64(i),
+					Log: slog.New(slog.DiscardHandler)}, all[i])
+				clients.Go(func() { c.Run(ctx) })
+			}
+			await := func(times int) (at []time.Time) {
+				for _, a := range all {
+					for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+						got, when := a.last()
+						if got == times {
+							at = append(at, when)
+							break
+						}
+						if time.Now().After(end) {
+							b.Fatalf("%d documents, not %d", got, times)
+						}
+					}
+				}
+				return at
+			}
+			await(1)
+			var took []float64
+			for i := 0; b.Loop(); i++ {
+				var at time.Time
+				version, at = put(version, fmt.Sprint("c", i))
+				when := await(i + 2)
+				for _, w := range when {
+					took = append(took, float64(w.Sub(at).Microseconds())/1000)
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(took[len(took)/2], "p50_ms")
+			b.ReportMetric(took[len(took)*99/100], "p99_ms")
+			b.ReportMetric(took[len(took)-1], "last_ms")
+		})
+	}
+}
