Have hollow proxies follow a configuration

Change: a hollow proxy that names a service follows its configuration by the program's own client, has its module reconfigured while calls go on, and tells versions and when each was in force. Appliers are told the version. go test ./internal/lab/hollow ./internal/rollout ./internal/program

--- a/cmd/roster/rolloutbench_test.go
+++ b/cmd/roster/rolloutbench_test.go
@@ -19,7 +19,7 @@
 	n  int
 }
 
-func (n *noted) Apply([]byte) error {
+func (n *noted) Apply(int64, []byte) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.at, n.n = time.Now(), n.n+1
--- a/internal/lab/hollow/decide.go
+++ b/internal/lab/hollow/decide.go
@@ -24,7 +24,7 @@
 type decider struct {
 	bal     *logic.Balancer
 	zones   map[string]int
-	classes int
+	classes []int // the module's numbers of the classes that calls have now
 	rate    float64
 	bad     float64
 	later   chan func()
@@ -32,16 +32,20 @@
 	rnd     *rand.Rand
 	n       int64
 	sends   map[string]int
+	open    map[string]int // the class of each call that has not ended
 
 	taken, sent, refused, failed atomic.Int64
 }
 
 func newDecider(c *Config, p Proxy, site *settings.Site) (*decider, error) {
-	d := &decider{zones: map[string]int{}, classes: len(site.Logic.Classes), rate: c.Calls, bad: c.Bad,
+	d := &decider{zones: map[string]int{}, open: map[string]int{}, rate: c.Calls, bad: c.Bad,
 		later: make(chan func(), laterMost), sends: map[string]int{}, ctx: context.Background()}
 	for i, z := range site.Zones {
 		d.zones[z] = i
 	}
+	for i := range site.Logic.Classes {
+		d.classes = append(d.classes, i)
+	}
 	s := site.Logic
 	s.Ordinal, s.Zone = p.Ordinal, d.number(p.Zone)
 	var err error
@@ -85,7 +89,7 @@
 
 // pause is until the next call: drawn, and an hour if there are none.
 func (d *decider) pause(r *rand.Rand) time.Duration {
-	if d.rate <= 0 || d.classes == 0 {
+	if d.rate <= 0 || len(d.classes) == 0 {
 		return time.Hour
 	}
 	return max(callLeast, time.Duration(r.ExpFloat64()/d.rate*float64(time.Second)))
@@ -97,8 +101,9 @@
 	d.n++
 	id := strconv.FormatInt(d.n, 16)
 	d.taken.Add(1)
-	d.sends[id] = 0
-	d.bal.Request(now(), d, logic.Request{ID: id, Class: r.IntN(d.classes), GiveUp: now() + time.Second.Microseconds()})
+	class := d.classes[r.IntN(len(d.classes))]
+	d.sends[id], d.open[id] = 0, class
+	d.bal.Request(now(), d, logic.Request{ID: id, Class: class, GiveUp: now() + time.Second.Microseconds()})
 }
 
 // after has the proxy's loop do something later; not once the proxy has ended.
@@ -126,21 +131,44 @@
 		closed := status == logic.OK || !open
 		d.bal.Outcome(now(), d, logic.Outcome{ID: id, Attempt: n, Status: status, Closed: closed, Took: took.Microseconds()})
 		if closed {
-			delete(d.sends, id)
+			d.end(id)
 		}
 	})
 }
 
+func (d *decider) end(id string) {
+	delete(d.sends, id)
+	delete(d.open, id)
+}
+
+// reconfigure has other settings in force, as a real proxy does; its own zone and number stay.
+func (d *decider) reconfigure(site *settings.Site, p Proxy) error {
+	s := site.Logic
+	for _, z := range site.Zones {
+		d.number(z)
+	}
+	s.Ordinal, s.Zone, s.Zones = p.Ordinal, d.number(p.Zone), len(d.zones)
+	held := map[int]bool{}
+	for _, class := range d.open {
+		held[class] = true
+	}
+	numbers, err := d.bal.Reconfigure(now(), s, held)
+	if err == nil {
+		d.classes = numbers
+	}
+	return err
+}
+
 // Refuse ends a call.
 func (d *decider) Refuse(id string, _ int64) {
 	d.refused.Add(1)
-	delete(d.sends, id)
+	d.end(id)
 }
 
 // Fail ends a call.
 func (d *decider) Fail(id string) {
 	d.failed.Add(1)
-	delete(d.sends, id)
+	d.end(id)
 }
 
 // SetTimer asks for a timer's event.
--- a/internal/lab/hollow/figures.go
+++ b/internal/lab/hollow/figures.go
@@ -41,6 +41,16 @@
 	List  ListFigures    `json:"list"`
 	Fleet *FleetFigures  `json:"fleet,omitempty"`
 	Calls DecidedFigures `json:"calls"`
+
+	Config *ConfigFigures `json:"config,omitempty"` // nil: it follows none
+}
+
+// ConfigFigures are of the configuration that a proxy follows.
+type ConfigFigures struct {
+	Steps    []Step  `json:"steps"`   // versions, and when each was in force, since the figures began, and the one before
+	Refused  int64   `json:"refused"` // version that could not be put in force; 0: none
+	Failures int64   `json:"failures"`
+	AgeMs    float64 `json:"age_ms"` // since a member last answered; -1: never
 }
 
 // ListFigures are of the list that a proxy follows.
--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -44,6 +44,7 @@
 	Lists   []string `json:"lists"`          // members of the list service
 	Bind    string   `json:"bind,omitempty"` // its address in the fleet
 	Seeds   []string `json:"seeds,omitempty"`
+	Service string   `json:"service,omitempty"` // whose configuration it follows there; empty: none
 
 	Advertise string `json:"advertise,omitempty"` // its relay's address in the fleet
 }
--- a/internal/lab/hollow/process.go
+++ b/internal/lab/hollow/process.go
@@ -204,6 +204,9 @@
 	p.mu.Unlock()
 	for _, h := range p.proxies {
 		h.list.begin()
+		if h.rules != nil {
+			h.rules.begin()
+		}
 	}
 }
 
--- a/internal/lab/hollow/proxy.go
+++ b/internal/lab/hollow/proxy.go
@@ -21,6 +21,7 @@
 	list   *followed
 	fleet  *fleetPart // nil without a fleet
 	decide *decider
+	rules  *ruled // nil if it follows no configuration
 }
 
 // seeded is a fault of a hollow proxy that the checks must find; tests only.
@@ -59,6 +60,9 @@
 			return nil, err
 		}
 	}
+	if p.Service != "" {
+		h.rules = newRuled(h)
+	}
 	return h, nil
 }
 
@@ -69,6 +73,9 @@
 	following, leave := context.WithCancel(ctx)
 	defer leave()
 	parts.Go(func() { p.list.client.Run(following) })
+	if p.rules != nil {
+		parts.Go(func() { p.rules.run(ctx) })
+	}
 	var peers <-chan peersWord
 	var meet <-chan time.Time
 	if p.fleet != nil {
@@ -179,5 +186,8 @@
 	if p.fleet != nil {
 		out.Fleet = p.fleet.figures()
 	}
+	if p.rules != nil {
+		out.Config = p.rules.figures(steps)
+	}
 	return out
 }
--- /dev/null
+++ b/internal/lab/hollow/rules_test.go
@@ -0,0 +1,72 @@
+package hollow
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// A change of configuration is in force at all hollow proxies that follow it, under its version, while calls go on; one that
+// does not fit is refused at each, and what was in force stays.
+func TestConfigurationsAreInForce(t *testing.T) {
+	list, _, _ := service(t)
+	c := config(list, 3, 2)
+	for i := range c.Proxies {
+		c.Proxies[i].Service = "s"
+	}
+	p, _ := start(t, c, sound)
+	eventually(t, "all", func() bool { return p.missing() == "" })
+	p.Begin()
+	put := func(after int64, class string, zone string) int64 {
+		t.Helper()
+		body := strings.NewReplacer(`"my_zone":0,"ordinal":0,`, "", `"name":"c"`, fmt.Sprintf(`"name":%q`, class), `"a-a"`, fmt.Sprintf("%q", zone),
+			`"try_limit":3`, `"try_limit":3,"dial_timeout_us":1,"idle_close_us":1`).Replace(told)
+		req, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/config/s?from=%d", list, after), strings.NewReader(`{"settings":`+body+`}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		var out struct{ Version int64 }
+		if err := errors.Join(err, json.Unmarshal(text, &out)); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s %s (%v)", resp.Status, text, err)
+		}
+		return out.Version
+	}
+	holds := func(what string, is func(*ConfigFigures) bool) {
+		t.Helper()
+		eventually(t, what, func() bool {
+			for _, x := range p.Figures(true).Proxies {
+				if !is(x.Config) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	last := func(f *ConfigFigures) int64 {
+		if len(f.Steps) == 0 {
+			return 0
+		}
+		return f.Steps[len(f.Steps)-1].Index
+	}
+	first := put(0, "d", "a-a")
+	holds("the first", func(f *ConfigFigures) bool { return last(f) == first })
+	second := put(first, "e", "b-b") // their zone is not in it
+	holds("a refusal", func(f *ConfigFigures) bool { return f.Refused == second && last(f) == first })
+	third := put(second, "f", "a-a")
+	holds("the third", func(f *ConfigFigures) bool { return f.Refused == 0 && last(f) == third && len(f.Steps) == 2 })
+	before := p.Figures(false).Proxies[0].Calls.Sent
+	eventually(t, "calls to go on", func() bool { return p.Figures(false).Proxies[0].Calls.Sent > before })
+	if p.Begin(); len(p.Figures(true).Proxies[0].Config.Steps) != 1 {
+		t.Error("steps from before the figures began")
+	}
+}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -100,7 +100,7 @@
 var errEnds = errors.New("the proxy is at its end")
 
 // Apply implements rollout.Applier.
-func (a applier) Apply(document []byte) error {
+func (a applier) Apply(_ int64, document []byte) error {
 	taken := make(chan error, 1)
 	select {
 	case a.told <- delivery{document, taken}:
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -80,7 +80,7 @@
 			hup <- syscall.SIGHUP
 			taken = <-p.reloaded
 		} else {
-			err = a.Apply([]byte(c.document))
+			err = a.Apply(int64(i), []byte(c.document))
 			taken = err == nil
 		}
 		if taken != (c.attempts > 0) {
@@ -104,7 +104,7 @@
 	}
 	stop()
 	<-ended
-	if err := a.Apply([]byte(document(5))); !errors.Is(err, errEnds) {
+	if err := a.Apply(99, []byte(document(5))); !errors.Is(err, errEnds) {
 		t.Errorf("at the end: %v", err)
 	}
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -66,9 +66,9 @@
 	whyMost   = 200       // bytes of a reason
 )
 
-// Applier puts a document in force, or says why not and has changed nothing. It is in force once Apply has returned.
+// Applier puts a version in force, or says why not and has changed nothing. It is in force once Apply has returned.
 type Applier interface {
-	Apply(document []byte) error
+	Apply(version int64, document []byte) error
 }
 
 // Config is what a client is told.
@@ -310,7 +310,7 @@
 func (c *Client) put(ctx context.Context, version int64, text []byte) {
 	var err error
 	if c.text == nil || !bytes.Equal(text, c.text) { // a restored one may be what is in force
-		err = c.apply.Apply(text)
+		err = c.apply.Apply(version, text)
 	}
 	if ctx.Err() != nil {
 		return
--- a/internal/rollout/service_test.go
+++ b/internal/rollout/service_test.go
@@ -168,7 +168,7 @@
 	refuses string // a text that holds this is refused
 }
 
-func (a *applied) Apply(document []byte) error {
+func (a *applied) Apply(_ int64, document []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.tried++
