Say on the page that configurations are delivered, and what was missing first

Cause: the list of what is over or absent had the delivery of configurations as wholly absent; internal/rollout carries it since.

Seeded faults: the duty absent once more, and the list's order changed; TestDecision fails on each.

go test ./internal/lab/capacity

--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// The mechanism that the page decides for is the one that its own list has first.
+// What the page says is missing first now is what its own list has first; what it says was missing first, when the mechanism was
+// chosen, is a duty that something carries now.
 func TestDecision(t *testing.T) {
 	p, err := Read(os.DirFS(folder))
 	if err != nil {
@@ -102,13 +103,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := "Missing first: **nothing**"
+	const then, now = "\nMissing first, at 7605898: **", "\nMissing first now: **"
+	said := func(line string) string {
+		_, rest, ok := strings.Cut(string(text), line)
+		what, _, ok2 := strings.Cut(rest, "**")
+		if !ok || !ok2 || strings.Contains(rest, line) {
+			t.Errorf("the page has no one line %q", line)
+		}
+		return what
+	}
+	want := "nothing"
 	missing := p.Missing()
 	if len(missing) > 0 {
-		want = "Missing first: **" + missing[0].What + "**"
+		want = missing[0].What
+	}
+	if is := said(now); is != want {
+		t.Errorf("the list is %+v, and the page has %q as missing first now", missing, is)
 	}
-	if !strings.Contains(string(text), want) {
-		t.Errorf("the list is %+v, and the page has no line %q", missing, want)
+	is := said(then)
+	if !slices.ContainsFunc(p.Duties, func(d Duty) bool { return d.Duty == is && d.Absent == "" }) {
+		t.Errorf("%q, which the page says was missing first and was built, is no duty that something carries", is)
 	}
 }
 
