Give a failing server nothing of what cold ones may not have

Cause: ration (draw.go) shared what cold servers may not have among all warm ones by their weight. One that fails holds no calls; beside warm ones that each hold some its weight, though cut to a part of the best, is far above theirs, the best being a cold one's. So nearly all of the rest went to it. Now only warm servers that are well get of the rest, or, where none is, the least ill; the others keep their trials.

--- a/logic/draw.go
+++ b/logic/draw.go
@@ -82,27 +82,30 @@
 
 // ration keeps rule 4 for the sum of all copies, as weights alone do not: a cold server that holds no calls
 // beside warm ones that do, or fail, draws the most by far. Its chance is held to what it stands (see rush).
-// The rest goes to the warm ones, as far as they are well, or is refused: the weight of that is returned.
+// The rest goes to the least ill of the warm ones, as far as they are well, or is refused: that is returned.
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
 	all, warm, able, more := 0.0, 0.0, 0.0, 0.0
 	for i, s := range b.drawn {
 		s.grown = b.grown(now, s)
 		if all += b.reach(s); s.grown == 1 && b.weights[i] > 0 {
-			warm, able = warm+b.weights[i], max(able, s.healthFor(class))
+			able = max(able, s.healthFor(class))
 		}
 	}
 	usual, present := b.rush(now)
 	most := total * tipPart * b.s.TipMultiple * min(1, (usual+1)/present) / max(all, spread)
+	takes := func(s *server) bool { return s.grown == 1 && s.healthFor(class) >= min(able, wellPart) }
 	for i, s := range b.drawn {
 		if over := b.weights[i] - most*b.reach(s)*s.grown; s.grown < 1 && over > 0 {
 			b.weights[i], refused = b.weights[i]-over, refused+over
+		} else if takes(s) {
+			warm += b.weights[i]
 		}
 	}
 	if warm > 0 {
 		more = refused * min(1, able/wellPart) / warm
 	}
 	for i, s := range b.drawn {
-		if s.grown == 1 {
+		if takes(s) {
 			b.weights[i] *= 1 + more
 		}
 	}
