--- a/logic/draw.go
+++ b/logic/draw.go
@@ -80,25 +80,26 @@
 
 // ration keeps rule 4 for the sum of all copies: by weight alone a cold server without calls, beside warm
 // ones that have some or fail, draws the most by far. Its chance is held to what it stands (see rush). The
-// rest goes to warm ones, as far as they are healthy, or is refused: the weight of that is returned.
+// rest goes to the least ill of the warm ones, as far as they are healthy, or is refused: that is returned.
 func (b *Balancer) ration(now int64, class int, total, spread float64) (refused float64) {
 	all, warm, able := 0.0, 0.0, 0.0
 	for i, s := range b.drawn {
-		s.grown = b.grown(now, s)
-		if all += b.reach(s); s.grown == 1 && b.weights[i] > 0 {
-			warm, able = warm+b.weights[i], max(able, s.healthFor(class))
-		}
+		s.grown, all = b.grown(now, s), all+b.reach(s)
+		able = max(able, s.healthFor(class)*partOf(s.grown == 1 && b.weights[i] > 0))
 	}
 	usual, present := b.rush(now)
 	most := total * tipPart * b.s.TipMultiple * min(1, (usual+1)/present) / max(all, spread)
+	takes := func(s *server) bool { return s.grown == 1 && s.healthFor(class) >= min(able, healthyPart) }
 	for i, s := range b.drawn {
 		if over := b.weights[i] - most*b.reach(s)*s.grown; s.grown < 1 && over > 0 {
 			b.weights[i], refused = b.weights[i]-over, refused+over
+		} else if takes(s) {
+			warm += b.weights[i]
 		}
 	}
 	more := refused * min(1, able/healthyPart) / max(warm, math.SmallestNonzeroFloat64)
 	for i, s := range b.drawn {
-		if s.grown == 1 {
+		if takes(s) {
 			b.weights[i] *= 1 + more
 		}
 	}
@@ -136,8 +137,7 @@
 // weigh is a server's weight by its size, age and zone, what was learned of it and the calls that it holds.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
-	w *= b.reach(s) * s.tuned
-	w /= math.Pow(float64(1+s.inflight), heldPower)
+	w *= b.reach(s) * s.tuned / math.Pow(float64(1+s.inflight), heldPower)
 	if z := b.zone(s.Zone); z != nil && z.Standing != Away { // one that is away comes last anyway
 		w *= z.Share
 	}
