--- a/internal/lab/run/meter.go
+++ b/internal/lab/run/meter.go
@@ -146,7 +146,8 @@
 	}
 }
 
-// read is all so far, with what processes use now. Memory is as of now, or the most since the last reading for members.
+// read is all so far, with what processes use now. Memory is as of now, of members the most
+// so far, as are watches: two phases that meet read at one moment.
 func (m *meter) read(ctx context.Context) result.Reading {
 	m.look()
 	var fleet []hollow.ProxyFigures
@@ -169,11 +170,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := m.sum.Clone()
-	for role, s := range m.sum.Roles {
-		s.Memory = 0 // the next reading's most begins anew
-		m.sum.Roles[role] = s
-	}
-	m.sum.Watches = 0
 	use := func(role string, cpu time.Duration, memory int64) {
 		s := out.Roles[role]
 		s.CPU, s.Memory = s.CPU+cpu, s.Memory+memory
