Knock spread over a period after any failures in a row, and once more soon after one in vain

Change: six failures in a row, resets too, make a client knock once in 2.5 s at a point of its own; after the first wait in vain it knocks again within what is left of the period, since those that knock spread are few too many. Longer periods come from the second wait in vain on.

--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -32,8 +32,7 @@
 //	silent, then accepted and never answered   H + S + B + W               5.5      6.5 *
 //	silent, then answered byte by byte         H + S + B + W               5.5      6.5 *
 //	silent, then garbled                       H + S + W + W               5.2      7.2 *
-//	after a time of resets                     P4 + W                      2.8      3.8
-//	after a time of 503, each at once          L + W                       4.5      5.5
+//	after a time of 503 or resets, each at once L + W                      4.5      5.5
 //	  each after a wait of W, 2 to 4 of them   T + W                       5.5      10 *
 //	  one such                                 settle + T + W              7.5 *    7.5 *
 //	after a time without whole answers         B + W                       4.3      5.3
@@ -139,7 +138,8 @@
 
 	turnedAway time.Duration // that the last 503 took to come
 	longest    time.Duration // that a call waited in vain
-	knocks     int           // turned away in a row, from the first on that shows that the queue is long
+	knocks     int           // failed in a row, from the first on that shows that the queue is long
+	vain       int           // of these, that waited in vain
 }
 
 // watch watches at one address until the context ends. The next watch follows an answer at once, lest changes in between
@@ -162,7 +162,7 @@
 			err = &versionError{c.version, list.Index}
 		}
 		if c.going = err == nil; c.going {
-			c.version, c.busy, c.knocks, failed = list.Index, false, 0, 0
+			c.version, c.busy, c.knocks, c.vain, failed = list.Index, false, 0, 0, 0
 			c.tell(News{list})
 			continue
 		}
@@ -184,7 +184,7 @@
 			}
 		}
 		failed++
-		if errors.Is(err, errBusy) && c.queueIsLong(failed) {
+		if c.queueIsLong(err, failed) {
 			c.wait(ctx, c.untilNextKnock())
 			continue
 		}
@@ -192,33 +192,43 @@
 	}
 }
 
-// queueIsLong tells whether the last call was turned away by a queue that is longer than a call may wait.
-func (c *Client) queueIsLong(failed int) bool {
+// queueIsLong tells whether the last call was turned away by a queue that is longer than a call may wait, or calls fail so
+// long that the queue will be as soon as they do not.
+func (c *Client) queueIsLong(err error, failed int) bool {
+	var garbled *garbledError
+	if c.cfg.Pushed || errors.As(err, &garbled) || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
 	if c.turnedAway >= longWait || c.turnedAway >= someWait && failed >= busyFirst-1 {
 		c.longest = max(c.longest, c.turnedAway)
-	} else if c.knocks == 0 && failed < busyFirst {
-		return false
+		return true
 	}
-	return !c.cfg.Pushed
+	return c.knocks > 0 || failed >= busyFirst
 }
 
-// untilNextKnock is the pause after a call that was turned away by a long queue.
+// untilNextKnock is the pause after a call that was turned away by a long queue, or failed at once as others before it.
 func (c *Client) untilNextKnock() time.Duration {
 	c.knocks++
-	if c.longest == 0 { // at once each time: it may be down, and no turn was taken
+	if c.turnedAway < someWait && c.vain == 0 { // at once each time: discovery may be down, and no turn was taken
 		if c.knocks == 1 {
 			return c.draw(periodLeast)
 		}
-		return max(periodLeast-c.turnedAway, 0)
+		return periodLeast - c.turnedAway
 	}
 	if c.knocks > 1 && c.turnedAway >= someWait && c.turnedAway < longWait {
-		c.knocks = 1 // its turn came, and failed: the queue is short, and a longer period would be for nothing
+		c.knocks, c.vain = 1, 0 // its turn came, and failed: the queue is short, and a longer period would be for nothing
 		return c.draw(periodLeast)
 	}
+	first := c.vain == 0
+	if c.vain++; first {
+		c.vain = c.knocks // those that failed at once too
+	}
 	period := min(max(periodBoth-c.longest, periodLeast), turnPeriod)
-	switch more := min(c.knocks-knocksPlain, doublings); {
-	case c.knocks == 1:
+	switch more := min(c.vain-knocksPlain, doublings); {
+	case c.knocks == 1: // all knocked at once
 		return settle + c.draw(period)
+	case first: // they knocked spread over a period, and few too many: the queue is soon short
+		return c.draw(max(period-c.turnedAway, 0))
 	case more > 0:
 		period <<= more
 		return period/2 + c.draw(period) // drawn anew, lest the knocks of a longer period bunch in a part of it
@@ -269,6 +279,7 @@
 		err  error
 		took time.Duration
 	}
+	c.turnedAway = 0
 	ctx, stop := context.WithCancel(ctx)
 	replies := make(chan reply)
 	var calls sync.WaitGroup
