Have hollow proxies follow configurations, and put them in scale runs

hollow.config_services has the proxies follow so many services, each one of them in turn. The fault config_put puts documents at the members, each after the one before of its service, and repeats what was not answered for good; faulty ones have a repeat rule that there is not. Figures of a phase: config_changes, config_refused (faulty, 400), config_failed (all else), config_in_force_* (from the 200 until Apply has returned at each proxy that follows), config_confirmed_*, config_never. What a following proxy's connection needs is counted before a run.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -203,10 +203,11 @@
 	Part      float64 `toml:"part"`
 	Factor    float64 `toml:"factor"`
 	Versions  int     `toml:"versions"`
-	Service   int     `toml:"service"` // of hollow nodos: all of one of the services, from 1
-	Count     int     `toml:"count"`   // of hollow nodos: so many of those that are left
+	Service   int     `toml:"service"` // of hollow nodos: all of one of the services, from 1; of configurations likewise
+	Count     int     `toml:"count"`   // of hollow nodos: so many of those that are left; of configurations: so many puts
 	Liars     int     `toml:"liars"`
-	Keep      bool    `toml:"keep"` // a restarted proxy finds its directory as it was
+	Faulty    bool    `toml:"faulty"` // a put of a document that no proxy could use
+	Keep      bool    `toml:"keep"`   // a restarted proxy finds its directory as it was
 }
 
 // Expect is a bound on a figure.
@@ -316,6 +317,8 @@
 	"hollow_replace": {Hollow: true, Text: "hollow nodos drain, go 2 s later, and are back at once as another process"},
 	"hollow_die":     {Hollow: true, Text: "hollow nodos die without a word; back after `for`"},
 
+	"config_put": {Configs: true, Text: "`count` configurations are put over `spread`, at services in turn; `faulty`: such as no proxy could use"},
+
 	"gossip_lie": {Nodos: true, Lasts: true, Needs: []string{"liars"}, Text: "so many more members join the fleet and say that the nodos and all other zones fail"},
 
 	"member_kill":   {Members: true, Text: "members of the list service die in one instant; back after `for` with their directories"},
@@ -334,6 +337,7 @@
 // Kind says what a kind of fault needs.
 type Kind struct {
 	Proxies, Nodos, Zone, Links, Members, Hollow bool // what it is aimed at
+	Configs                                      bool // it puts configurations of services
 	Lasts                                        bool // it holds for `for`
 	Needs                                        []string
 	Text                                         string
--- a/internal/lab/experiment/hollow.go
+++ b/internal/lab/experiment/hollow.go
@@ -11,12 +11,13 @@
 type Hollow struct {
 	Proxies   int     `toml:"proxies"`
 	Nodos     int     `toml:"nodos"`
-	Processes int     `toml:"processes"` // of proxies; nodos have half as many
-	Zones     int     `toml:"zones"`     // in each of the file's zones
-	Services  int     `toml:"services"`  // that the nodos make up, for faults of one service
-	Calls     float64 `toml:"calls"`     // drawn, a second and proxy
-	Bad       float64 `toml:"bad"`       // part of the drawn calls that come to nothing
-	Relays    bool    `toml:"relays"`    // between members of the fleet, for delays and faults of links that strike all gossip
+	Processes int     `toml:"processes"`       // of proxies; nodos have half as many
+	Zones     int     `toml:"zones"`           // in each of the file's zones
+	Services  int     `toml:"services"`        // that the nodos make up, for faults of one service
+	Calls     float64 `toml:"calls"`           // drawn, a second and proxy
+	Bad       float64 `toml:"bad"`             // part of the drawn calls that come to nothing
+	Following int     `toml:"config_services"` // services whose configurations the proxies follow, each one of them in turn; 0: none
+	Relays    bool    `toml:"relays"`          // between members of the fleet, for delays and faults of links that strike all gossip
 }
 
 // Phase is a span of the run whose figures of control are told apart.
@@ -29,6 +30,8 @@
 const (
 	maxHollow          = 5000
 	maxHollowProcesses = 64
+	maxConfigServices  = 1000 // as the list service holds
+	maxConfigPuts      = 10000
 	hollowPrefix       = "h"
 )
 
@@ -68,6 +71,20 @@
 // RegionOf is the file's zone that a hollow one's zone is a part of.
 func RegionOf(zone string) string { return zone[:strings.LastIndexByte(zone, '-')] }
 
+// ConfigService is the service, from 1, whose configuration the hollow proxy with a number from 0 follows; 0: none.
+func (h Hollow) ConfigService(i int) int {
+	if h.Following == 0 {
+		return 0
+	}
+	return i%h.Following + 1
+}
+
+// ConfigServices is how many services' configurations some hollow proxy follows.
+func (h Hollow) ConfigServices() int { return min(h.Following, h.Proxies) }
+
+// ServiceName names the service with a number from 1 at the list service.
+func ServiceName(service int) string { return fmt.Sprintf("s%d", service) }
+
 // InService tells whether the hollow nodo with a number from 0 belongs to a service from 1.
 func (h Hollow) InService(i, service int) bool { return i%h.Services == service-1 }
 
@@ -91,6 +108,9 @@
 		if h.Services < 1 {
 			c.problem("hollow.services", "has to be 1 or more, not %d", h.Services)
 		}
+		if h.Following < 0 || h.Following > maxConfigServices {
+			c.problem("hollow.config_services", "from 0 to %d, not %d", maxConfigServices, h.Following)
+		}
 		if h.Relays && !e.Fleet.On {
 			c.problem("hollow.relays", "they stand between members of the fleet: fleet.on is needed")
 		}
@@ -113,8 +133,15 @@
 	}
 }
 
-// checkHollowFault checks what only faults of hollow nodos have.
+// checkHollowFault checks what only faults of hollow nodos and of configurations have.
 func (c *checker) checkHollowFault(key string, f Fault, kind Kind) {
+	if kind.Configs {
+		c.checkConfigPut(key, f)
+		return
+	}
+	if f.Faulty {
+		c.problem(key+".faulty", "is for config_put")
+	}
 	if !kind.Hollow {
 		if f.Service != 0 || f.Count != 0 {
 			c.problem(key, "service and count are for faults of hollow nodos; %s is none", f.Kind)
@@ -135,13 +162,31 @@
 	}
 }
 
+func (c *checker) checkConfigPut(key string, f Fault) {
+	most := c.e.Hollow.ConfigServices()
+	if most == 0 {
+		c.problem(key+".kind", "%s needs hollow proxies that follow: hollow.config_services", f.Kind)
+	}
+	if f.Service < 0 || f.Service > most {
+		c.problem(key+".service", "from 1 to %d, or 0 for all in turn, not %d", most, f.Service)
+	}
+	if f.Count < 1 || f.Count > maxConfigPuts {
+		c.problem(key+".count", "from 1 to %d, not %d", maxConfigPuts, f.Count)
+	}
+	if f.Share != 0 || f.Zone != "" || f.For != 0 {
+		c.problem(key, "share, zone and for have no meaning for %s", f.Kind)
+	}
+}
+
 // Roles of which figures of control are told, and the figures of each; and those that have no role.
 var (
 	controlRoles   = []string{"proxy", "real", "nodo", "leader", "follower", "five", "regions"}
 	controlFigures = []string{"in_b_s", "out_b_s", "calls_s", "cpu_pct", "memory_mb"}
 	controlPhase   = []string{"known_p50_ms", "known_p99_ms", "known_last_ms", "real_known_p50_ms", "real_known_p99_ms",
 		"real_known_last_ms", "confirmed_p50_ms", "confirmed_p99_ms", "confirmed_last_ms", "changes", "unknown", "turned",
-		"watches_most", "deaths", "buried_p50_ms", "buried_p99_ms", "buried_last_ms", "unburied"}
+		"watches_most", "deaths", "buried_p50_ms", "buried_p99_ms", "buried_last_ms", "unburied",
+		"config_changes", "config_refused", "config_failed", "config_in_force_p50_ms", "config_in_force_p99_ms", "config_in_force_last_ms",
+		"config_confirmed_p50_ms", "config_confirmed_p99_ms", "config_confirmed_last_ms", "config_never"}
 	controlGossip = []string{"gossip_in_b_s", "gossip_out_b_s", "gossip_sent_s", "gossip_waiting", "gossip_entries",
 		"gossip_oldest_ms", "gossip_dropped", "living_least", "gossip_age_p50_ms", "gossip_age_p99_ms", "gossip_age_last_ms"}
 	controlFactors = []string{"calls", "in", "out", "cpu", "memory", "known", "gossip_in", "gossip_out", "gossip_sent",
--- a/internal/lab/experiment/read_test.go
+++ b/internal/lab/experiment/read_test.go
@@ -68,6 +68,11 @@
 			[]string{"f:28: phase[1].from: 3 to 10 is no span", "f:31: expect[1].figure: \"control.p.proxy.in_b\"",
 				"f:34: expect[2].figure: \"control.q.turned\"", "f:38: fault[1].zone: no zone \"a\" of hollow nodos; there are a-a",
 				"f:39: fault[1].service: from 1 to 88", "fault[2]: service and count are for faults of hollow nodos"}},
+		{whole + "[list]\nmembers = 3\n[hollow]\nproxies = 3\nconfig_services = 2\n[[fault]]\nkind = \"config_put\"\nservice = 3\n" +
+			"[[fault]]\nkind = \"config_put\"\ncount = 1\nshare = 0.5\n[[fault]]\nkind = \"hollow_die\"\nfaulty = true\n",
+			[]string{"f:29: fault[1].service: from 1 to 2", "f:27: fault[1].count: from 1 to 10000, not 0", "f:30: fault[2]: share, zone and for have no meaning",
+				"f:36: fault[3].faulty: is for config_put", "f:35: fault[3].kind: hollow_die needs hollow.nodos"}},
+		{whole + "[[fault]]\nkind = \"config_put\"\ncount = 1\n", []string{"f:23: fault[1].kind: config_put needs hollow proxies that follow"}},
 		{whole + "[[fault]]\nkind = \"hollow_replace\"\n", []string{"f:23: fault[1].kind: hollow_replace needs hollow.nodos"}},
 		{"base = \"other.toml\"\n" + whole, []string{"f:1: base: file does not exist"}},
 	} {
--- /dev/null
+++ b/internal/lab/hollow/configs_test.go
@@ -0,0 +1,74 @@
+package hollow_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/lab/experiment"
+	"fernlanding/internal/lab/hollow"
+	"fernlanding/internal/lab/result"
+)
+
+// The figures of configurations hold hollow proxies that have them in force, and fail those that hear of them alone.
+func TestConfigurationsThatAreNotAppliedAreFound(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		sound    bool
+		never    float64
+		inForces bool
+	}{{"sound", true, 0, true}, {"not applied", false, 3, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fault := hollow.Sound
+			if !test.sound {
+				fault = hollow.SkipsApply
+			}
+			list, _, _ := hollow.TestService(t)
+			c := hollow.TestConfig(list, 3, 0)
+			for i := range c.Proxies {
+				c.Proxies[i].Service = "s1"
+			}
+			p := hollow.StartSeeded(t, c, fault)
+			hollow.Eventually(t, "all", func() bool { return p.Waits() == "" })
+			p.Begin()
+			start := time.Now()
+			settings := strings.NewReplacer(`"my_zone":0,"ordinal":0,`, "", `"try_limit":3`, `"try_limit":3,"dial_timeout_us":1,"idle_close_us":1`).
+				Replace(hollow.TestTold)
+			req, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/config/s1?from=0", list), strings.NewReader(`{"settings":`+settings+`}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			put := result.Put{Service: "s1", Asked: time.Now().UnixNano()}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			var told struct{ Version int64 }
+			if err := json.NewDecoder(resp.Body).Decode(&told); err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatal(resp.Status, err)
+			}
+			put.Status, put.Version, put.Sure = resp.StatusCode, told.Version, time.Now().UnixNano()
+			hollow.Eventually(t, "the configuration", func() bool {
+				for _, x := range p.Figures(true).Proxies {
+					if x.Config.Version != told.Version {
+						return false
+					}
+				}
+				return true
+			})
+			e := &experiment.Experiment{Seconds: 30, Phases: []experiment.Phase{{Name: "all", From: 0, To: 20}}}
+			control := &result.Control{Hollow: []hollow.Figures{p.Figures(true)}, Puts: []result.Put{put}}
+			f := control.Figures(e, start)
+			_, late := f["control.all.config_in_force_last_ms"]
+			if f["control.all.config_changes"] != 1 || f["control.all.config_never"] != test.never || late != test.inForces {
+				t.Errorf("%v changes, %v never in force, some in force %v; want 1, %v, %v", f["control.all.config_changes"],
+					f["control.all.config_never"], late, test.never, test.inForces)
+			}
+		})
+	}
+}
--- a/internal/lab/hollow/export_test.go
+++ b/internal/lab/hollow/export_test.go
@@ -4,10 +4,11 @@
 
 // For the calibration's test, which judges a process with a seeded fault from outside.
 var (
-	Sound, SkipsWatch, SkipsFleet = sound, skipsWatch, skipsFleet
+	Sound, SkipsWatch, SkipsFleet, SkipsApply = sound, skipsWatch, skipsFleet, skipsApply
 
 	TestService = service
 	TestConfig  = config
+	TestTold    = told
 	Eventually  = eventually
 )
 
--- a/internal/lab/hollow/figures.go
+++ b/internal/lab/hollow/figures.go
@@ -47,7 +47,9 @@
 
 // ConfigFigures are of the configuration that a proxy follows.
 type ConfigFigures struct {
+	Service  string  `json:"service"`
 	Steps    []Step  `json:"steps"`   // versions, and when each was in force, since the figures began, and the one before
+	Version  int64   `json:"version"` // that the client holds to be in force; 0: the file's
 	Refused  int64   `json:"refused"` // version that could not be put in force; 0: none
 	Failures int64   `json:"failures"`
 	AgeMs    float64 `json:"age_ms"` // since a member last answered; -1: never
--- a/internal/lab/hollow/proxy.go
+++ b/internal/lab/hollow/proxy.go
@@ -31,6 +31,7 @@
 	sound      seeded = iota
 	skipsWatch        // it hears the list once and follows it no more
 	skipsFleet        // it takes no part in the gossip
+	skipsApply        // it hears of configurations and has none in force
 )
 
 // followed is the list that a proxy follows.
@@ -62,6 +63,7 @@
 	}
 	if p.Service != "" {
 		h.rules = newRuled(h)
+		h.rules.idle = fault == skipsApply
 	}
 	return h, nil
 }
--- a/internal/lab/hollow/rules.go
+++ b/internal/lab/hollow/rules.go
@@ -13,6 +13,7 @@
 	proxy  *proxy
 	client *rollout.Client
 	ctx    context.Context // of run
+	idle   bool            // a seeded fault: nothing is applied
 
 	mu       sync.Mutex
 	steps    []Step
@@ -32,6 +33,9 @@
 
 // Apply implements rollout.Applier.
 func (r *ruled) Apply(version int64, document []byte) error {
+	if r.idle {
+		return nil
+	}
 	rules, err := settings.Above(r.proxy.cfg.Settings, document)
 	if err != nil {
 		return err
@@ -73,7 +77,7 @@
 	x := r.client.Figures()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &ConfigFigures{Refused: x.Refused, Failures: x.Failures - r.failures, AgeMs: -1}
+	out := &ConfigFigures{Service: r.proxy.Service, Version: x.Version, Refused: x.Refused, Failures: x.Failures - r.failures, AgeMs: -1}
 	if steps {
 		out.Steps = append(out.Steps, r.steps...)
 	}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -168,6 +168,8 @@
 		all, given = e.NodoNodes(), f.Nodos
 	case kind.Hollow:
 		all, given = hollow(e, f), nil
+	case kind.Configs:
+		given = services(e, f)
 	default:
 		return s
 	}
@@ -196,6 +198,18 @@
 	return s
 }
 
+// services is whose configuration each put of a fault changes: the fault's, or all in turn.
+func services(e *experiment.Experiment, f experiment.Fault) (out []string) {
+	for i := range f.Count {
+		service := f.Service
+		if service == 0 {
+			service = i%e.Hollow.ConfigServices() + 1
+		}
+		out = append(out, experiment.ServiceName(service))
+	}
+	return out
+}
+
 // hollow is the hollow nodos that a fault may be aimed at: those of its service, if it names one.
 func hollow(e *experiment.Experiment, f experiment.Fault) (out []experiment.Node) {
 	for i, n := range e.HollowNodos() {
--- a/internal/lab/result/control.go
+++ b/internal/lab/result/control.go
@@ -52,6 +52,7 @@
 	Phases []PhaseReading
 	Hollow []hollow.Figures
 	Real   [][]Told // versions that each real proxy was told
+	Puts   []Put
 }
 
 const sureBefore = 5 * time.Second // a change that was sure so long before the end should be known to all
@@ -104,6 +105,7 @@
 		put(p.Name+".deaths", float64(len(died)))
 		spread(p.Name+".buried", late, put)
 		put(p.Name+".unburied", float64(never))
+		c.configs(p.Name, from, to, put)
 		factors(p.Name, f, put)
 	}
 	return f
@@ -201,9 +203,14 @@
 
 // unknown counts the proxies and changes that never met, of changes that were sure long enough before the end.
 func unknown(changes []hollow.Change, tracks [][]Told, end int64) (n int) {
+	return unmet(changes, tracks, end-sureBefore.Nanoseconds())
+}
+
+// unmet counts the proxies and changes that never met, of changes that were sure before a moment.
+func unmet(changes []hollow.Change, tracks [][]Told, before int64) (n int) {
 	for _, t := range tracks {
 		for _, c := range changes {
-			if c.Sure < end-sureBefore.Nanoseconds() && (len(t) == 0 || t[len(t)-1].Index < c.Index) {
+			if c.Sure < before && (len(t) == 0 || t[len(t)-1].Index < c.Index) {
 				n++
 			}
 		}
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -57,6 +57,7 @@
 	self     []string         // a hollow process's program
 	hollow   []*hollowProcess // of proxies, then of nodos
 	hollowOf map[string]*hollowProcess
+	configs  configs
 
 	members map[string]*member
 	order   []*member
--- a/internal/lab/run/hollow.go
+++ b/internal/lab/run/hollow.go
@@ -82,6 +82,9 @@
 		p := proxies[i%len(proxies)]
 		region := experiment.RegionOf(n.Zone)
 		x := hollow.Proxy{Name: n.Name, Zone: n.Zone, Ordinal: i, Seed: r.Uint64(), Lists: lists[region]}
+		if s := h.ConfigService(i); s > 0 {
+			x.Service = experiment.ServiceName(s)
+		}
 		if f.exp.Fleet.On {
 			p.cfg.Fleet = &hollow.Fleet{Label: f.exp.Fleet.Label}
 			x.Bind, x.Seeds = f.block.hollowGossip(i), f.hollowSeeds(i)
--- a/internal/lab/run/meter.go
+++ b/internal/lab/run/meter.go
@@ -259,7 +259,7 @@
 	if len(f.hollow) == 0 {
 		return nil
 	}
-	out := &result.Control{Phases: phases}
+	out := &result.Control{Phases: phases, Puts: f.configs.done()}
 	var err error
 	if out.Hollow, err = f.hollowReport(); err != nil {
 		f.note(err)
--- a/internal/lab/run/need.go
+++ b/internal/lab/run/need.go
@@ -89,7 +89,12 @@
 	}
 	memory := labBytes + (labEach+labListed*listed)*int64(h.Proxies) + labEach*int64(h.Nodos) + real*proxyBytes + members*(memberBytes+memberEach*int64(h.Proxies+h.Nodos)/max(1, members)) +
 		int64(h.Processes+h.NodoProcesses())*hollowBytes + int64(h.Proxies)*each + int64(h.Nodos)*nodoEach
-	files := filesLeast + fileEach*int64(h.Proxies+h.Nodos)
+	following := int64(0) // one more connection each
+	if h.Following > 0 {
+		following = int64(h.Proxies)
+		memory += following * (labEach + memberEach)
+	}
+	files := filesLeast + fileEach*(int64(h.Proxies+h.Nodos)+following)
 	cores := int64(0)
 	if e.Fleet.On {
 		cores = (fleetMillis*(int64(h.Proxies)+real) + 999) / 1000
--- a/internal/lab/run/strike.go
+++ b/internal/lab/run/strike.go
@@ -46,6 +46,9 @@
 	if experiment.Kinds[s.Fault.Kind].Hollow {
 		return []string{fmt.Sprintf("%d hollow nodos", len(s.Turns))}
 	}
+	if experiment.Kinds[s.Fault.Kind].Configs {
+		return []string{fmt.Sprintf("%d configurations", len(s.Turns))}
+	}
 	for _, turn := range s.Turns {
 		names = append(names, turn.Target)
 	}
@@ -79,6 +82,8 @@
 		return t.lie(ctx, s)
 	case kind.Hollow:
 		return t.hollowNodos(ctx, s)
+	case kind.Configs:
+		return t.putConfigs(ctx, s)
 	case kind.Nodos:
 		return t.each(ctx, s, func(turn plan.Turn) error { return t.nodo(ctx, s, turn) })
 	case kind.Links:
