--- a/.ci/red/red_test.go
+++ b/.ci/red/red_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
@@ -76,9 +77,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			c.files["go.mod"] = "module m\n\ngo 1.26\n"
-			c.files["KNOWN-RED.txt"] = c.known
-			for name, text := range c.files {
+			files := maps.Clone(c.files) // cases share them
+			files["go.mod"] = "module m\n\ngo 1.26\n"
+			files["KNOWN-RED.txt"] = c.known
+			for name, text := range files {
 				name = filepath.Join(dir, name)
 				if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
 					t.Fatal(err)
