--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -87,14 +87,15 @@
 	retryMost   = 800 * time.Millisecond
 	retryPushed = 200 * time.Millisecond
 
-	// A call waits for its turn for W, fails then, and takes its turn all the same, as measured in the bench (issue 24): a queue
-	// that is longer than W answers nobody, and a fleet that knocks faster than discovery takes turns keeps it so for ever.
-	// So a client that waited in vain, or failed busyFirst times in a row, knocks once in a period only, at a point of it that
-	// it drew, and after its first wait in vain once more within what is left of the period. With turns of 18 ms 300 knocks in 3.5 s are 86 a second; 194 of them are answered in that time, and 1.9 s
-	// of turns wait, less than W: all are answered, the last after 300 x 18 ms = 5.4 s. Where that is not enough the period
-	// doubles from the fifth knock on, up to eight times: 1,300 in 28 s are 46 a second, and there are 55 turns. The last of
-	// 1,300 is answered within settle + 4 x 3.5 + 1.5 x (7 + 14 + 28) + W = 91.5 s; their turns alone are 23.4 s, so here
-	// discovery's time is not used well, but nobody is turned away for ever. collapse_test.go asserts these.
+	// A call waits for its turn for W, fails then, and takes its turn all the same, as measured in the bench (issue 24): a
+	// queue that is longer than W answers nobody, and a fleet that knocks faster than discovery takes turns keeps it so for
+	// ever. So a client that waited in vain, or failed busyFirst times in a row, knocks once in a period only, at a point of
+	// it that it drew, and after its first wait in vain once more within what is left of the period. With turns of 18 ms 300
+	// knocks in 3.5 s are 86 a second; 194 of them are answered in that time, and 1.9 s of turns wait, less than W: all are
+	// answered, the last after 300 x 18 ms = 5.4 s. Where that is not enough the period doubles from the fifth knock on, up
+	// to eight times: 1,300 in 28 s are 46 a second, and there are 55 turns. The last of 1,300 is answered within settle + 4
+	// x 3.5 + 1.5 x (7 + 14 + 28) + W = 91.5 s; their turns alone are 23.4 s, so here discovery's time is not used well, but
+	// nobody is turned away for ever. collapse_test.go asserts these.
 	busyFirst   = 6
 	longWait    = time.Second            // from here on a 503 is of a call that waited
 	someWait    = 100 * time.Millisecond // the same, of the fourth and later in a row
