Show a failed accept that ends the proxy, and long bodies whose time begins late

An accept that fails once (ENOBUFS, ENOMEM, EPROTO and others) ends the server. A body over what is held has its time counted from when the backend took it: over 20 s without an answer where the client waits 0.5 s, and 3970 ms told where 3000 are left.

--- /dev/null
+++ b/internal/proxy/arrival_test.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+// stuckBackend takes connections and reads nothing; the proxy's writes to it fill small buffers and then wait.
+func stuckBackend(t *testing.T) string {
+	t.Helper()
+	var lc net.ListenConfig
+	lc.Control = func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// narrow gives the connections to backends small buffers.
+func narrow(p *running) {
+	pool := p.loop.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	dial := pool.dialer
+	pool.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			_ = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+		}
+		return c, err
+	}
+}
+
+// A client's time begins with the last byte that it sent, also where the proxy has not read that byte since the backend
+// takes nothing: the answer must not wait for the backend.
+func TestABodyThatItsBackendHoldsBackIsAnsweredInTime(t *testing.T) {
+	const size, left = holdMost + 32<<10, 500 * time.Millisecond
+	body := bytes.Repeat([]byte("x"), size)
+	timeout := fmt.Sprintf("Request-Timeout-Ms: %d\r\n", left.Milliseconds())
+	for _, c := range []struct{ name, head, tail string }{
+		{"of a length", timeout + fmt.Sprintf("Content-Length: %d", size), ""},
+		{"in chunks", timeout + "Transfer-Encoding: chunked", "\r\n0\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", stuckBackend(t), discovery.Serving)))
+			narrow(p)
+			cl := connect(t, p)
+			cl.send(t, post("1", c.head))
+			if c.tail != "" {
+				cl.send(t, fmt.Sprintf("%x\r\n", size))
+			}
+			cl.send(t, string(body)+c.tail)
+			sent := time.Now() // all is in the system's hands
+			resp, _ := cl.answer(t)
+			if took := time.Since(sent); took > left+lateMost {
+				t.Errorf("%s after %v, of %v that the client waits", resp.Status, took, left)
+			}
+			waitUntil(t, func() bool { return p.Figures().Outstanding == 0 })
+		})
+	}
+}
+
+// What a backend is told of the client's time has begun to run with the last byte that the client sent, though the
+// connection to the backend came up later than that.
+func TestALateConnectionForABodyIsToldWhatIsLeft(t *testing.T) {
+	const size, wait, late = holdMost + 32<<10, 4 * time.Second, time.Second
+	told := make(chan string, 1)
+	b := startBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
+		told <- r.Header.Get("Request-Timeout-Ms")
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving)))
+	pool := p.loop.pool
+	pool.mu.Lock()
+	dial := pool.dialer
+	pool.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		select {
+		case <-time.After(late):
+		case <-ctx.Done():
+		}
+		return dial(ctx, network, addr)
+	}
+	pool.mu.Unlock()
+	cl := connect(t, p)
+	cl.send(t, post("1", fmt.Sprintf("Request-Timeout-Ms: %d\r\nContent-Length: %d", wait.Milliseconds(), size)))
+	cl.send(t, string(bytes.Repeat([]byte("x"), size)))
+	if resp, _ := cl.answer(t); resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %s", resp.Status)
+	}
+	const slack = 150
+	var ms int64
+	if _, err := fmt.Sscan(<-told, &ms); err != nil || ms > (wait-late).Milliseconds()+slack {
+		t.Errorf("told %d ms where at most %v are left", ms, wait-late)
+	}
+}
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -20,18 +20,21 @@
 // pipeListener hands out the far ends of pipes, so that the client side runs on a test's own clock.
 type pipeListener struct {
 	conns  chan net.Conn
+	fails  chan error // what the next calls of Accept give
 	closed chan struct{}
 	once   sync.Once
 }
 
 func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	return &pipeListener{conns: make(chan net.Conn), fails: make(chan error), closed: make(chan struct{})}
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
 		return c, nil
+	case err := <-l.fails:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
