Retry an accept that fails for a moment in place of ending the process

Cause: net/http's Server.Serve ends at every error of accept but EINTR, EMFILE, ENFILE, ECONNABORTED and time-outs; cappedListener.Accept gave ENOBUFS, ENOMEM, EPROTO and network errors on, frontend.serve returned them and Proxy.Run ended, with all open requests. Its pauses after EMFILE grew to 1 s.

A small package retries within 20 ms, logs at most once a second, and gives out only what no later call mends. The clients' listener sheds an idle connection where descriptors are short. The same at the management address, the hand-over socket, and the list service's two addresses; gossip's TCP and the lab's links had their own retry already.

--- a/cmd/roster/serve.go
+++ b/cmd/roster/serve.go
@@ -38,7 +38,7 @@
 	parts.Go(func() { stop(a.Serve()) })
 	var figs *figures.Server
 	if f.Figures != "" {
-		if figs, err = figures.Listen(f.Figures, a); err != nil {
+		if figs, err = figures.Listen(f.Figures, a, log); err != nil {
 			return err
 		}
 		defer figs.End()
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"fernlanding/internal/bans"
+	"fernlanding/internal/proxy/accept"
 )
 
 // These bound calls of staff and of what watches the proxy, which carry no traffic: no settings say anything of them.
@@ -109,7 +110,7 @@
 }
 
 func newServer(l net.Listener, p Proxy, log *slog.Logger) *Server {
-	s := &Server{proxy: p, log: log, listener: l}
+	s := &Server{proxy: p, log: log, listener: accept.Retry(l, log)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/readyz", s.readyz)
 	mux.HandleFunc("GET /v1/metrics", s.metrics)
--- /dev/null
+++ b/internal/proxy/accept/accept.go
@@ -0,0 +1,110 @@
+// Package accept keeps a listener going through errors of accept that are of the moment or of one connection.
+//
+// accept(2) hands on network errors that are already pending on the new connection, and asks for them to be treated as
+// EAGAIN. A shortage of descriptors or memory passes, too. net/http's server retries only some of these, with pauses that
+// grow to a second, and ends at the others.
+package accept
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	firstPause = time.Millisecond
+	mostPause  = 20 * time.Millisecond // a client in the system's queue waits no longer for the next call
+	logEvery   = time.Second
+)
+
+// lasting are the errors that say that the listener itself is of no use; no later call succeeds.
+var lasting = []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT}
+
+// Lasts tells whether an error of accept is one that no later call mends.
+func Lasts(err error) bool {
+	for _, l := range lasting {
+		if errors.Is(err, l) {
+			return true
+		}
+	}
+	return false
+}
+
+// Retrier paces the calls after failed ones. One goroutine uses it.
+type Retrier struct {
+	log    *slog.Logger
+	pause  time.Duration
+	failed int // since the log last said so
+	logged time.Time
+}
+
+// NewRetrier logs failed calls to log, now and then.
+func NewRetrier(log *slog.Logger) *Retrier { return &Retrier{log: log} }
+
+// Succeeded notes a call that gave a connection.
+func (r *Retrier) Succeeded() { r.pause = 0 }
+
+// Failed notes a call that failed and waits before the next one, no longer than until stop is closed. It returns false if
+// there is to be no next one.
+func (r *Retrier) Failed(err error, stop <-chan struct{}) bool {
+	if Lasts(err) {
+		return false
+	}
+	r.failed++
+	if time.Since(r.logged) >= logEvery {
+		r.log.Warn("accept failed, and is tried again", "error", err, "failed", r.failed)
+		r.logged, r.failed = time.Now(), 0
+	}
+	r.pause = min(max(2*r.pause, firstPause), mostPause)
+	wait := time.NewTimer(r.pause)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return true
+	case <-stop:
+		return false
+	}
+}
+
+// Listener is a listener whose Accept fails only when no later call could succeed.
+type Listener struct {
+	net.Listener
+	stop chan struct{}
+	once sync.Once
+
+	mu      sync.Mutex // of one call at a time
+	retrier *Retrier
+}
+
+// Retry wraps a listener.
+func Retry(l net.Listener, log *slog.Logger) *Listener {
+	return &Listener{Listener: l, stop: make(chan struct{}), retrier: NewRetrier(log)}
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			l.retrier.Succeeded()
+			return c, nil
+		}
+		if !l.retrier.Failed(err, l.stop) {
+			if !Lasts(err) {
+				err = net.ErrClosed
+			}
+			return nil, err
+		}
+	}
+}
+
+// Close ends the listener, and a call of Accept that waits.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.stop) })
+	return l.Listener.Close()
+}
--- /dev/null
+++ b/internal/proxy/accept/accept_test.go
@@ -0,0 +1,72 @@
+package accept
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// scripted gives its errors, and then a connection.
+type scripted struct {
+	net.Listener
+	errs []error
+}
+
+func (s *scripted) Accept() (net.Conn, error) {
+	if len(s.errs) == 0 {
+		near, _ := net.Pipe()
+		return near, nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return nil, &net.OpError{Op: "accept", Err: err}
+}
+
+func (s *scripted) Close() error { return nil }
+
+func TestErrorsOfTheMomentAreRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var errs []error
+		for range 20 {
+			errs = append(errs, syscall.ENOBUFS)
+		}
+		l := Retry(&scripted{errs: errs}, slog.New(slog.DiscardHandler))
+		start := time.Now()
+		if _, err := l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(start); took > 20*mostPause {
+			t.Errorf("20 failures took %v", took)
+		}
+	})
+}
+
+func TestALastingErrorIsGivenOut(t *testing.T) {
+	for _, want := range lasting {
+		l := Retry(&scripted{errs: []error{want}}, slog.New(slog.DiscardHandler))
+		if _, err := l.Accept(); !errors.Is(err, want) {
+			t.Errorf("got %v, want %v", err, want)
+		}
+	}
+}
+
+func TestCloseEndsTheWaitForARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errs := make([]error, 1000)
+		for i := range errs {
+			errs[i] = syscall.ENOMEM
+		}
+		l := Retry(&scripted{errs: errs}, slog.New(slog.DiscardHandler))
+		ended := make(chan error, 1)
+		go func() { _, err := l.Accept(); ended <- err }()
+		time.Sleep(mostPause)
+		l.Close()
+		if err := <-ended; !errors.Is(err, net.ErrClosed) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -61,7 +61,7 @@
 		first[i] = i
 	}
 	f.turn(newView(site, l.rules(site), first))
-	f.listener = newCappedListener(listener, f.shed)
+	f.listener = newCappedListener(listener, f.shed, log)
 	f.listener.firsts = f.firsts
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
@@ -78,7 +78,7 @@
 func (f *frontend) serve() error {
 	f.serving.Store(true)
 	defer f.serving.Store(false)
-	if err := f.server.Serve(f.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(f.listener); !f.listener.isClosed() && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/proxy/accept"
 	"fernlanding/logic"
 )
 
@@ -131,6 +132,7 @@
 	conn    *net.UnixConn // to the successor
 	serving bool
 	closed  bool
+	ending  chan struct{} // closed by close
 	done    sync.WaitGroup
 }
 
@@ -149,16 +151,21 @@
 		_ = os.Remove(own)
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	return &successors{listener: l, shared: shared, log: log}, nil
+	return &successors{listener: l, shared: shared, log: log, ending: make(chan struct{})}, nil
 }
 
 // serve takes successors until close.
 func (s *successors) serve() {
+	retrier := accept.NewRetrier(s.log)
 	for {
 		conn, err := s.listener.AcceptUnix()
+		if err != nil && retrier.Failed(err, s.ending) {
+			continue
+		}
 		if err != nil {
 			return
 		}
+		retrier.Succeeded()
 		s.mu.Lock()
 		taken := s.conn != nil
 		if !taken {
@@ -236,6 +243,7 @@
 
 // close ends the listener and the connection to a successor, which then knows that this process has ended.
 func (s *successors) close() {
+	close(s.ending)
 	s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -1,9 +1,14 @@
 package proxy
 
 import (
+	"errors"
+	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"fernlanding/internal/proxy/accept"
 )
 
 // cappedListener accepts no more connections than there are slots; those beyond wait in the kernel, and
@@ -11,6 +16,7 @@
 type cappedListener struct {
 	net.Listener
 	shed    func()
+	retrier *accept.Retrier
 	lingers lingers
 	firsts  *holds        // for heads
 	freed   chan struct{} // holds a value after a slot came free
@@ -21,21 +27,31 @@
 	used, most int
 }
 
-func newCappedListener(l net.Listener, shed func()) *cappedListener {
-	return &cappedListener{Listener: l, shed: shed, freed: make(chan struct{}, 1), closed: make(chan struct{})}
+func newCappedListener(l net.Listener, shed func(), log *slog.Logger) *cappedListener {
+	return &cappedListener{Listener: l, shed: shed, retrier: accept.NewRetrier(log), freed: make(chan struct{}, 1),
+		closed: make(chan struct{})}
 }
 
-// Accept takes a slot, which the connection gives back when its descriptor is closed.
+// Accept takes a slot, which the connection gives back when its descriptor is closed. It fails only when the listener is
+// of no more use: an error of the moment would end the server, and with it all requests that are open.
 func (l *cappedListener) Accept() (net.Conn, error) {
 	if !l.slot() {
 		return nil, net.ErrClosed
 	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		l.free()
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			l.retrier.Succeeded()
+			return newFramedConn(c, l), nil
+		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			l.shed() // an idle connection gives its descriptor up
+		}
+		if !l.retrier.Failed(err, l.closed) {
+			l.free()
+			return nil, err
+		}
 	}
-	return newFramedConn(c, l), nil
 }
 
 // slot waits for a slot; false if the listener was closed first.
@@ -93,6 +109,17 @@
 	l.most = most
 }
 
+// isClosed tells whether Close has been called: an error of Accept is then its doing.
+func (l *cappedListener) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends the listener, and a call of Accept that waits.
 func (l *cappedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
--- a/internal/roster/api/api.go
+++ b/internal/roster/api/api.go
@@ -35,6 +35,7 @@
 	"sync/atomic"
 	"time"
 
+	"fernlanding/internal/proxy/accept"
 	"fernlanding/internal/roster/inforce"
 	"fernlanding/internal/roster/member"
 	"fernlanding/internal/roster/state"
@@ -93,7 +94,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{cfg: cfg, listener: l, ending: make(chan struct{}), pass: &http.Client{Timeout: passWait,
+	s := &Server{cfg: cfg, listener: accept.Retry(l, cfg.Log), ending: make(chan struct{}), pass: &http.Client{Timeout: passWait,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64, IdleConnTimeout: idleWait, DisableCompression: true}}}
 	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: headWait, IdleTimeout: idleWait,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)}
--- a/internal/roster/figures/figures.go
+++ b/internal/roster/figures/figures.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"fernlanding/internal/proxy/accept"
 	"fernlanding/internal/roster/api"
 	"fernlanding/internal/roster/member"
 )
@@ -29,12 +31,12 @@
 }
 
 // Listen opens the address; Serve answers there, until Open for a member that waits.
-func Listen(addr string, a *api.Server) (*Server, error) {
+func Listen(addr string, a *api.Server, log *slog.Logger) (*Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for figures: %w", err)
 	}
-	s := &Server{listener: l, api: a}
+	s := &Server{listener: accept.Retry(l, log), api: a}
 	all := prometheus.NewRegistry()
 	all.MustRegister(s, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
