Count a long body's time from its last byte, not from when a backend took it

Cause: a body over what is held is read no faster than a backend takes it; frontend.giveUp was reckoned after upload.passOn had written its last byte, and request.limit set no end while Uploading. With a backend that takes connections and reads nothing a client that waits 0.5 s had no answer after 20 s (the patience of 10 s, once an attempt), which loses the request; a connection that came up 1 s late was told 3970 of 3000 ms.

While a body is passed on the system is asked each 25 ms whether the rest is there: by its length against what waits to be read, a chunked one by its last chunk. From then on the client's time runs: the request ends with it, and the backend is told what is left. Ruled out: a shorter patience for writes, which would end slow uploads and still be no bound of the client's time.

A chunked body with trailers, or with over 64 KiB unread, is found when it is read, as before.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"fernlanding/logic"
@@ -36,10 +37,11 @@
 	peer   net.Conn        // the client's connection
 
 	// Of a body that is too large to be held. While Uploading the rest is still coming.
-	rest     io.Reader // what comes after body
-	length   int64     // of all; -1: not told
-	stopBody func()    // nobody wants the rest any more
-	spent    bool      // some of the rest is gone: no other attempt can have it
+	rest     io.Reader                 // what comes after body
+	length   int64                     // of all; -1: not told
+	stopBody func()                    // nobody wants the rest any more
+	spent    bool                      // some of the rest is gone: no other attempt can have it
+	due      atomic.Pointer[time.Time] // when the client gives up, once its last byte is known to have come
 
 	over    bool
 	sends   int
@@ -89,11 +91,26 @@
 	heap.Push(&l.timers, timer{at: r.GiveUp + expireAfter.Microseconds(), req: r})
 }
 
+// arrived notes when the last byte of a body came that is still being passed on: the client's time runs from then on,
+// however long the backend takes for what is left.
+func (l *loop) arrived(r *request, at time.Time) {
+	if r.over || !r.Uploading {
+		return
+	}
+	due := at.Add(r.wait)
+	r.due.Store(&due)
+	r.GiveUp = l.clock.at(due)
+	l.limit(r)
+}
+
 // uploaded begins the time of a request whose body was still coming when it was taken.
 func (l *loop) uploaded(r *request, giveUp int64) {
 	if r.over {
 		return
 	}
+	if due := r.due.Load(); due != nil {
+		giveUp = min(giveUp, l.clock.at(*due))
+	}
 	r.Uploading, r.GiveUp = false, giveUp
 	l.limit(r)
 	now := l.clock.now()
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fernlanding/logic"
@@ -78,7 +79,7 @@
 	deadline func(time.Time) error
 	began    time.Time // of the request
 	last     time.Time // when something came
-	got      int64
+	got      atomic.Int64
 	holds    *holds
 	taken    int // of holds
 	firsts   *holds
@@ -127,7 +128,7 @@
 	if until.Before(patience) {
 		until = patience
 	}
-	if slow := patience.Add(time.Duration(u.got) * time.Second / leastRate); slow.Before(until) {
+	if slow := patience.Add(time.Duration(u.got.Load()) * time.Second / leastRate); slow.Before(until) {
 		until = slow
 	}
 	if err := u.wait(until); err != nil {
@@ -138,10 +139,10 @@
 		err = cmp.Or(u.wait(until), err)
 	}
 	if n > 0 {
-		u.got += int64(n)
+		u.got.Add(int64(n))
 		u.last = time.Now()
 	}
-	if u.got > maxBody {
+	if u.got.Load() > maxBody {
 		return n, errTooLarge
 	}
 	return n, err
@@ -211,7 +212,7 @@
 		n, err := u.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case err == io.EOF, err == nil && u.got == u.length:
+		case err == io.EOF, err == nil && u.got.Load() == u.length:
 			return body, true, nil
 		case err != nil:
 			return nil, false, err
@@ -219,6 +220,9 @@
 	}
 }
 
+// missing is how many bytes of the body have not been read; unknown where its length was not told.
+func (u *upload) missing() (n int64, known bool) { return u.length - u.got.Load(), u.length >= 0 }
+
 // passOn writes the rest of the body into the pipe that the attempt reads.
 func (u *upload) passOn(to *io.PipeWriter) error {
 	buf := copyBuffers.Get().(*[]byte)
@@ -230,7 +234,7 @@
 				return errRequestOver
 			}
 		}
-		if err == io.EOF || err == nil && u.got == u.length {
+		if err == io.EOF || err == nil && u.got.Load() == u.length {
 			return nil
 		}
 		if err != nil {
@@ -278,7 +282,11 @@
 // answer has been told.
 func (a *attempt) passOnBody(c *conn) (status logic.Status, ok bool) {
 	more := &rest{Reader: a.req.rest, req: a.req}
-	out := a.outgoing(a.req.wait)
+	left := a.req.wait
+	if due := a.req.due.Load(); due != nil {
+		left = time.Until(*due)
+	}
+	out := a.outgoing(left)
 	out.ContentLength = a.req.length
 	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), more))
 	w := bufio.NewWriterSize(patientWriter{c, a.ctx, a.until}, holdLeast)
@@ -373,7 +381,11 @@
 	} else {
 		f.loop.post(func() { f.loop.take(req) })
 	}
+	came := watchArrival(u.conn, u.missing, func(at time.Time) {
+		f.loop.post(func() { f.loop.arrived(req, at) })
+	})
 	err = u.passOn(to)
+	came.end()
 	if err == nil && u.finish() {
 		own, giveUp := f.cameWhole(w, r, req), f.giveUp(req)
 		f.loop.post(func() { f.loop.uploaded(req, giveUp) })
--- /dev/null
+++ b/internal/proxy/upload_arrival.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// The time of a request counts from the last byte that its client sent. A body that is passed on is read no faster than a
+// backend takes it, so that byte may stand in the system's buffers for as long as a backend hangs or a connection to it is
+// late. The system is asked whether it is there.
+
+const (
+	arrivalEvery = 25 * time.Millisecond
+	readerBuffer = 4 << 10  // of net/http's reader, which may hold as much of a body as the system no longer shows
+	peekMost     = 64 << 10 // of a chunked body whose end is looked for: a larger rest counts as still coming
+)
+
+// lastChunk ends a chunked body without trailers.
+var lastChunk = []byte("\r\n0\r\n\r\n")
+
+// arrival watches for the end of a body in the buffers of its client's connection.
+type arrival struct {
+	conn    net.Conn
+	missing func() (n int64, known bool) // bytes of the body that have not been read; unknown for a chunked one
+	found   func(at time.Time)           // called once, when the end is there
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// watchArrival looks for the end of a body until it is found or end is called.
+func watchArrival(conn net.Conn, missing func() (int64, bool), found func(time.Time)) *arrival {
+	a := &arrival{conn: conn, missing: missing, found: found, stop: make(chan struct{})}
+	a.done.Go(a.run)
+	return a
+}
+
+func (a *arrival) run() {
+	tick := time.NewTicker(arrivalEvery)
+	defer tick.Stop()
+	var peeked []byte
+	for {
+		select {
+		case <-tick.C:
+		case <-a.stop:
+			return
+		}
+		missing, known := a.missing()
+		if known && unread(a.conn)+readerBuffer >= missing || !known && endsChunked(a.conn, &peeked) {
+			a.found(time.Now())
+			return
+		}
+	}
+}
+
+// end stops the watch and waits for it.
+func (a *arrival) end() {
+	close(a.stop)
+	a.done.Wait()
+}
+
+// unread is how many bytes of a connection wait in the system to be read.
+func unread(c net.Conn) int64 {
+	var n int32
+	control(c, func(fd uintptr) {
+		const fionread = 0x541b // FIONREAD, which package syscall does not name on Linux
+		if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, fionread, uintptr(unsafe.Pointer(&n))); errno != 0 {
+			n = 0
+		}
+	})
+	return int64(n)
+}
+
+// endsChunked tells whether what waits to be read is the rest of a chunked body up to its end.
+func endsChunked(c net.Conn, buf *[]byte) bool {
+	waiting := unread(c)
+	if waiting < int64(len(lastChunk)) || waiting > peekMost {
+		return false
+	}
+	if *buf == nil {
+		*buf = make([]byte, peekMost)
+	}
+	n := 0
+	control(c, func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), *buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0 && bytes.HasSuffix((*buf)[:n], lastChunk)
+}
+
+// control calls f with a connection's descriptor, if it has one.
+func control(c net.Conn, f func(fd uintptr)) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(f)
+	}
+}
