Show an answer that is cut off since its client was slow

Where nothing came because the buffer was full, and the client has just emptied it, the source was not asked.

--- a/internal/proxy/download_test.go
+++ b/internal/proxy/download_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fernlanding/logic"
@@ -220,3 +221,39 @@
 	}
 	p.done <- nil
 }
+
+// pieces is a source that gives what it is sent.
+type pieces chan []byte
+
+func (s pieces) Read(p []byte) (int, error) {
+	piece, ok := <-s
+	if !ok {
+		return 0, io.EOF
+	}
+	return copy(p, piece), nil
+}
+
+// A source stands still when it was asked for more and gives nothing. One that was not asked, since nobody had taken what
+// came before, does not, though nothing came and all is read now.
+func TestASourceThatWasNotAskedDoesNotStandStill(t *testing.T) {
+	const size = 1 << 10
+	synctest.Test(t, func(t *testing.T) {
+		source := make(pieces)
+		p := newPrefetch(source, size)
+		source <- make([]byte, size)
+		synctest.Wait() // it is full: the source is not asked
+		p.still(wholeMost)
+		time.Sleep(wholeWait)
+		if n, err := p.Read(make([]byte, size)); n != size || err != nil {
+			t.Fatalf("%d bytes, %v", n, err)
+		}
+		if p.still(wholeMost) {
+			t.Error("it stands still though it was not asked")
+		}
+		time.Sleep(2 * wholeWait)
+		if !p.still(wholeMost) {
+			t.Error("it does not stand still though it was asked and gave nothing")
+		}
+		close(source)
+	})
+}
