Break an answer off only where its source was asked and gave nothing

Cause: prefetch.still compared the bytes at two looks. A look that falls between the client's taking all that was held and the source's next read took a full buffer, which had kept the source from being asked, for a source that stands still, and broke the answer off: lost worth, and a lost request where the client cannot tell.

--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -62,14 +62,14 @@
 // prefetch reads on ahead of its reader, up to size bytes, so that an answer of untold length can be waited for
 // without a read that has to be broken off: a chunked body does not survive that.
 type prefetch struct {
-	mu   sync.Mutex
-	cond sync.Cond
-	buf  []byte
-	got  int64 // bytes so far
-	seen int64 // got, at the last look
-	size int
-	err  error // of the source; its end is io.EOF
-	over bool  // nobody reads any more
+	mu    sync.Mutex
+	cond  sync.Cond
+	buf   []byte
+	got   int64     // bytes so far
+	asked time.Time // when the source was asked for what has not come yet; zero: it is not asked
+	size  int
+	err   error // of the source; its end is io.EOF
+	over  bool  // nobody reads any more
 
 	some, full         chan struct{} // closed when a byte, or as much as may be, has come; both at the source's end
 	someOnce, fullOnce sync.Once
@@ -86,8 +86,10 @@
 func (p *prefetch) fill(src io.Reader) {
 	piece := make([]byte, min(p.size, copyBuffer/4))
 	for {
+		p.ask()
 		n, err := src.Read(piece)
 		p.mu.Lock()
+		p.asked = time.Time{}
 		p.buf = append(p.buf, piece[:n]...)
 		p.got += int64(n)
 		p.err = err
@@ -108,6 +110,13 @@
 	}
 }
 
+// ask notes that the source is asked for more.
+func (p *prefetch) ask() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = time.Now()
+}
+
 func (p *prefetch) Read(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -123,15 +132,13 @@
 	return n, nil
 }
 
-// still tells whether the source has stood still since the last look, after no more than most bytes: nothing came, and all
-// that came before has been read on. Where it has not, the client is the one that is waited for, and the answer may be a
-// large one.
+// still tells whether the source stands still after no more than most bytes: it has been asked for wholeWait and has given
+// nothing, and all that came before has been read on. Where it was not asked, the client is the one that is waited for, and
+// the answer may be a large one.
 func (p *prefetch) still(most int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	was := p.seen
-	p.seen = p.got
-	return p.got == was && p.got <= most && len(p.buf) == 0 && p.err == nil
+	return !p.asked.IsZero() && time.Since(p.asked) >= wholeWait && p.got <= most && len(p.buf) == 0 && p.err == nil
 }
 
 // whole returns the body if all of it is here.
