--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -52,10 +52,12 @@
 // Config is what a client is told.
 type Config struct {
 	Source Source
-	Pushed bool   // the platform's list comes from an agent that has no other callers
-	Seed   uint64 // of the order of members, and of pauses
-	State  string // folder in which the last list is kept, with Members; empty: none
-	Log    *slog.Logger
+	// Callers is about how many clients the platform's discovery has; 0: not known.
+	Callers int
+	Pushed  bool   // the platform's list comes from an agent that has no other callers
+	Seed    uint64 // of the order of members, and of pauses
+	State   string // folder in which the last list is kept, with Members; empty: none
+	Log     *slog.Logger
 }
 
 // News is what discovery answered.
--- a/internal/discovery/collapse_test.go
+++ b/internal/discovery/collapse_test.go
@@ -42,7 +42,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				l := &turns{wait: w, room: 5 * time.Second, slow: tt.turn, fails: tt.fails, ctx: ctx, moved: make(chan struct{})}
+				l := &turns{wait: w, room: 5 * time.Second, slow: tt.turn, fails: tt.fails, clients: tt.clients, ctx: ctx, moved: make(chan struct{})}
 				if tt.fault != answered {
 					l.slow = time.Millisecond // all are answered before the trouble
 				}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -92,6 +92,7 @@
 				case fleet:
 					clients, margin, l.slow, l.others = 300, 50*time.Millisecond, 18*time.Millisecond, 0
 				}
+				l.clients = clients
 				synctest.Test(t, func(t *testing.T) {
 					ctx, stop := context.WithCancel(t.Context())
 					l.moved, l.ctx = make(chan struct{}), ctx
--- a/internal/discovery/model_test.go
+++ b/internal/discovery/model_test.go
@@ -31,6 +31,8 @@
 	wait    time.Duration // what waits longer for its turn fails then, and yet takes the turn
 	room    time.Duration // of turns that may wait; what comes beyond is turned away at once; 0: as wait
 	lines   int
+	clients int // that each is told of
+	entries int // changed by each version, which cost as much as those of a whole list; 0: none
 	calls   int // that took a turn or were turned away
 	taken   int // turns
 	fails   int // each so many-th turn ends in a 503, if not 0
@@ -107,6 +109,8 @@
 			cost := l.slow
 			if from < 0 {
 				cost += l.slow * modelServers / perTurn
+			} else {
+				cost += l.slow * time.Duration(min(int(l.version-from)*l.entries, modelServers)) / perTurn
 			}
 			l.free = start.Add(cost)
 			if l.taken++; l.room > 0 && l.free.Sub(now)+l.others > l.wait { // seen in the bench: issue 24
@@ -272,7 +276,7 @@
 
 // join starts a client that knows the list as it was at a version.
 func (l *turns) join(ctx context.Context, pushed bool, seed uint64, version int64) {
-	client := New(Config{Source: Source{Address: "127.0.0.1:1"}, Pushed: pushed, Seed: seed, Log: slog.New(slog.DiscardHandler)})
+	client := New(Config{Source: Source{Address: "127.0.0.1:1"}, Pushed: pushed, Callers: l.clients, Seed: seed, Log: slog.New(slog.DiscardHandler)})
 	l.mu.Lock()
 	who := &caller{list: l, n: len(l.callers), client: client, joined: time.Now()}
 	l.callers = append(l.callers, who)
