Forget a full queue of the list after an outage, a move, and where few call

Cause: knocks, vain, longest and busy in discovery/platform.go count waits in vain and lengthen the period between knocks up to 28 s, 42 with chance. Nothing but an answer took them back: not calls that nobody answers, which show that discovery and its queue are gone, nor a move by SIGHUP to another address; and a fleet of 12, whose calls fill no queue, lengthened its period in any outage whose calls wait and fail, as in the platform's.

A refused or reset call now takes the waits back, a move all of it, and the period is no longer than it takes to answer all callers one after another, who are as many as the settings' siblings times tiers. Lengthening in a large fleet is as before.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -176,7 +176,8 @@
 			c.fromMembers.Store(len(to.Members) > 0)
 			c.elsewhere = true
 			c.going = false
-			c.checkLater() // another service's versions may say something else
+			c.forgetQueue() // it was another's
+			c.checkLater()  // another service's versions may say something else
 			c.http.CloseIdleConnections()
 			c.http = c.connect(to)
 		}
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -104,7 +104,11 @@
 	periodBoth  = 5500 * time.Millisecond
 	settle      = 2 * time.Second // more, before the first knock: turns of calls that waited in vain too
 	knocksPlain = 4
+	knocksDown  = 2 // those that nobody answered count for no more
 	doublings   = 3
+	turnMost    = 40 * time.Millisecond // that one call costs discovery, with the changes of a release in its answer
+
+	callersUnknown = 700 // a period of 28 s at most
 
 	listPatience = 3 * time.Second  // for an answer of a member that need not wait
 	checkLeast   = 30 * time.Second // after a move
@@ -141,6 +145,8 @@
 	longest    time.Duration // that a call waited in vain
 	knocks     int           // failed in a row, from the first on that shows that the queue is long
 	vain       int           // of these, that waited in vain
+
+	answeredBusy bool // the last call was answered, with a 503
 }
 
 // watch watches at one address until the context ends. The next watch follows an answer at once, lest changes in between
@@ -185,6 +191,7 @@
 			}
 		}
 		failed++
+		c.answeredBusy = errors.Is(err, errBusy)
 		if c.queueIsLong(err, failed) {
 			c.wait(ctx, c.untilNextKnock())
 			continue
@@ -193,6 +200,12 @@
 	}
 }
 
+// forgetQueue is for another discovery, or an answer: what was seen of a queue holds no more.
+func (c *Client) forgetQueue() {
+	c.busy, c.answeredBusy, c.fell = false, false, false
+	c.knocks, c.vain, c.longest, c.turnedAway = 0, 0, 0, 0
+}
+
 // queueIsLong tells whether the last call was turned away by a queue that is longer than a call may wait, or calls fail so
 // long that the queue will be as soon as they do not.
 func (c *Client) queueIsLong(err error, failed int) bool {
@@ -210,7 +223,11 @@
 // untilNextKnock is the pause after a call that was turned away by a long queue, or failed at once as others before it.
 func (c *Client) untilNextKnock() time.Duration {
 	c.knocks++
-	if c.turnedAway < someWait && c.vain == 0 { // at once each time: discovery may be down, and no turn was taken
+	atOnce := c.turnedAway < someWait
+	if atOnce && !c.answeredBusy { // nobody is there to keep a queue
+		c.knocks, c.vain = min(c.knocks, knocksDown), 0
+	}
+	if atOnce && c.vain == 0 { // discovery may be down, and no turn was taken
 		if c.knocks == 1 {
 			return c.draw(periodLeast)
 		}
@@ -222,21 +239,33 @@
 	}
 	first := c.vain == 0
 	if c.vain++; first {
-		c.vain = c.knocks // those that failed at once too
+		c.vain = c.knocks // those that were turned away at once too
 	}
 	period := min(max(periodBoth-c.longest, periodLeast), turnPeriod)
-	switch more := min(c.vain-knocksPlain, doublings); {
+	longer := c.longerPeriod(period)
+	switch {
 	case c.knocks == 1: // all knocked at once
 		return settle + c.draw(period)
 	case first: // they knocked spread over a period, and few too many: the queue is soon short
 		return c.draw(max(period-c.turnedAway, 0))
-	case more > 0:
-		period <<= more
-		return period/2 + c.draw(period) // drawn anew, lest the knocks of a longer period bunch in a part of it
+	case longer > period:
+		return longer/2 + c.draw(longer) // drawn anew, lest the knocks of a longer period bunch in a part of it
 	}
 	return max(period-c.turnedAway, 0)
 }
 
+// longerPeriod is the period after some waits in vain: it doubles with each, up to what it takes discovery to answer all its
+// callers one after another. So few callers, which can fill no queue, never wait for longer than the period: what keeps
+// these from an answer is an outage, however long.
+func (c *Client) longerPeriod(period time.Duration) time.Duration {
+	callers := c.cfg.Callers
+	if callers == 0 {
+		callers = callersUnknown
+	}
+	longer := period << max(0, min(c.vain-knocksPlain, doublings))
+	return max(period, min(longer, time.Duration(callers)*turnMost))
+}
+
 // retry is the pause after so many calls in a row that failed.
 func (c *Client) retry(failed int) time.Duration {
 	most := retryMost
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -216,8 +216,9 @@
 
 // follow has the loop hear of the list.
 func (p *Proxy) follow() {
-	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Pushed: !p.cfg.Site.Logic.Subscribe, Seed: p.cfg.Seed,
-		State: p.cfg.Kept, Log: p.cfg.Log})
+	site := p.cfg.Site
+	p.lists = discovery.New(discovery.Config{Source: p.cfg.Discovery, Pushed: !site.Logic.Subscribe, Seed: p.cfg.Seed,
+		Callers: site.Logic.Siblings * max(1, site.Tiers), State: p.cfg.Kept, Log: p.cfg.Log})
 	p.loop.lists = p.lists.News()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	Classes []string // names, in the order of Logic.Classes
 	Tenants []string // names, in the order of Logic.Tenants
 	Zones   []string
+	Tiers   int // of services, each with proxies of its own; 0: not told
 
 	DialTimeout time.Duration // a connection that is not up by then has failed
 	IdleClose   time.Duration // a backend closes a connection that has been idle this long
@@ -76,7 +77,8 @@
 		Portion float64 `json:"portion"`
 		Quota   float64 `json:"quota_per_s"`
 	} `json:"tenants"`
-	Weights string `json:"weights"`
+	Tiers   []string `json:"tiers"`
+	Weights string   `json:"weights"`
 }
 
 // Decode reads a settings object. What the module needs is checked here; CheckSockets checks the rest.
@@ -85,7 +87,7 @@
 	if err := json.Unmarshal(data, &o); err != nil {
 		return nil, err
 	}
-	site := &Site{Zones: o.Zones,
+	site := &Site{Zones: o.Zones, Tiers: len(o.Tiers),
 		DialTimeout: time.Duration(o.Limits.DialTimeout) * time.Microsecond,
 		IdleClose:   time.Duration(o.Limits.IdleClose) * time.Microsecond,
 	}
