Space the calls of clients that the list has never answered sooner and wider

Cause: the period between knocks grew from the fifth wait in vain on, for all alike, since it cannot be told from inside whether a full queue or an outage keeps an answer back. Clients that were never answered since their start, which are those that fill a queue by starting, went on at 3.5 s and kept it full for all.

A client whose watch ended keeps its period as before, and hears within 6 s of an outage's end. One that was never answered multiplies it by four from its third wait in vain on, at most to the time that all callers' turns take (40 ms each, since answers during a release bring more). Ruled out: an earlier growth for all, with which 300 clients hear 16.9 s after an outage where 5.95 s is asserted.

--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -104,6 +104,7 @@
 	periodBoth  = 5500 * time.Millisecond
 	settle      = 2 * time.Second // more, before the first knock: turns of calls that waited in vain too
 	knocksPlain = 4
+	knocksNew   = 2 // of a client that was never answered
 	knocksDown  = 2 // those that nobody answered count for no more
 	doublings   = 3
 	turnMost    = 40 * time.Millisecond // that one call costs discovery, with the changes of a release in its answer
@@ -147,6 +148,7 @@
 	vain       int           // of these, that waited in vain
 
 	answeredBusy bool // the last call was answered, with a 503
+	heard        bool // discovery has answered a call with a list
 }
 
 // watch watches at one address until the context ends. The next watch follows an answer at once, lest changes in between
@@ -169,6 +171,7 @@
 			err = &versionError{c.version, list.Index}
 		}
 		if c.going = err == nil; c.going {
+			c.heard = true
 			c.version, c.busy, c.knocks, c.vain, failed = list.Index, false, 0, 0, 0
 			c.tell(News{list})
 			continue
@@ -202,7 +205,7 @@
 
 // forgetQueue is for another discovery, or an answer: what was seen of a queue holds no more.
 func (c *Client) forgetQueue() {
-	c.busy, c.answeredBusy, c.fell = false, false, false
+	c.busy, c.answeredBusy, c.fell, c.heard = false, false, false, false
 	c.knocks, c.vain, c.longest, c.turnedAway = 0, 0, 0, 0
 }
 
@@ -254,7 +257,9 @@
 	return max(period-c.turnedAway, 0)
 }
 
-// longerPeriod is the period after some waits in vain: it doubles with each, up to what it takes discovery to answer all its
+// longerPeriod is the period after some waits in vain. A client that discovery has never answered has the queue of a start
+// before it, which it makes longer each time: its period grows soon and fast. One whose watch ended may have an outage
+// before it, and is to hear soon after that. The period grows up to what it takes discovery to answer all its
 // callers one after another. So few callers, which can fill no queue, never wait for longer than the period: what keeps
 // these from an answer is an outage, however long.
 func (c *Client) longerPeriod(period time.Duration) time.Duration {
@@ -263,6 +268,9 @@
 		callers = callersUnknown
 	}
 	longer := period << max(0, min(c.vain-knocksPlain, doublings))
+	if !c.heard {
+		longer = period << max(0, min(2*(c.vain-knocksNew), doublings))
+	}
 	return max(period, min(longer, time.Duration(callers)*turnMost))
 }
 
