Show slow starts and allowances that a step of the wall clock shifts

The list gives starts as Unix times, and the clock of events begins at the wall clock of the process's start: after a step of an hour a server that restarted 2 s ago counts as an hour old and is sent its whole capacity, or as cold for an hour. A predecessor hands the times of its allowance over on its own clock. The functions that will tell the two clocks apart are in place and do what was done before.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -36,6 +36,23 @@
 type legacy struct {
 	Spent logic.Spent `json:"spent"` // of the allowance for further attempts
 	Seen  []string    `json:"seen"`  // servers that lists have named
+	Now   int64       `json:"now"`   // by the predecessor's clock, when it told this; 0 from versions that do not
+}
+
+// spentBy is what was spent, on the clock of a successor that shows now: each process's clock begins at the wall clock of
+// its own start, which may have been set in between.
+func (l legacy) spentBy(now int64) logic.Spent {
+	if l.Now == 0 || now != 0 {
+		return l.Spent
+	}
+	shift := func(times []int64) []int64 {
+		out := make([]int64, len(times))
+		for i, t := range times {
+			out[i] = t - l.Now + now
+		}
+		return out
+	}
+	return logic.Spent{Taken: shift(l.Spent.Taken), Further: shift(l.Spent.Further)}
 }
 
 // predecessor is the process of this proxy that served before and still lives.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -27,6 +27,7 @@
 	clock  clock
 	pool   *backends
 	zones  zones
+	starts starts
 	figs   *figures
 	log    *slog.Logger
 	events chan func()
@@ -53,7 +54,7 @@
 
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
-	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, figs: figs, log: log,
+	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, starts: starts{}, figs: figs, log: log,
 		events: make(chan func(), 256), seen: bans.NewNames(), hands: newZoneHands(z), listed: make(chan struct{}), fresh: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
@@ -176,7 +177,18 @@
 	l.seen.Add(names...)
 	l.pool.apply(kind != logic.Delta, list.Endpoints)
 	l.drain() // before the module hears of what is there now
-	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.Endpoints))
+	now, wall := l.clock.now(), time.Now()
+	started := func(e discovery.Endpoint) int64 {
+		at := l.starts.of(e, now, wall)
+		if e.Status == discovery.Deleted {
+			delete(l.starts, e.Name)
+		}
+		return at
+	}
+	l.bal.List(now, l, kind, l.zones.servers(list.Endpoints, started))
+	if kind != logic.Delta {
+		l.starts.keep(list.Endpoints)
+	}
 	l.nameZones()
 	l.figs.servers(l.bal.Servers())
 	select {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -96,7 +96,7 @@
 	p.front = newFrontend(cfg.Site, l, listener, cfg.Log)
 	p.share(false)
 	if before != nil {
-		bal.Inherit(before.legacy.Spent)
+		bal.Inherit(before.legacy.spentBy(l.clock.now()))
 		l.seen.Add(before.legacy.Seen...)
 		p.join(1)
 	}
@@ -155,7 +155,8 @@
 func (p *Proxy) handOver() (legacy, error) {
 	out := make(chan legacy, 1)
 	p.loop.post(func() {
-		out <- legacy{Spent: p.loop.bal.HandOver(p.loop.clock.now()), Seen: p.loop.seen.All()}
+		now := p.loop.clock.now()
+		out <- legacy{Spent: p.loop.bal.HandOver(now), Seen: p.loop.seen.All(), Now: now}
 	})
 	select {
 	case l := <-out:
--- /dev/null
+++ b/internal/proxy/starts.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+// starts are the servers' last starts on the clock of events, by name. The list gives them as Unix times, which are
+// compared with the wall clock once, when a start is first told: how old it is then does not change with a later step of
+// that clock.
+type starts map[string]start
+
+type start struct {
+	sinceMs int64 // as the list tells it
+	at      int64 // on the clock of events
+}
+
+// of gives the start of an entry, at a moment of the clock of events and the wall clock; 0 is long ago.
+func (s starts) of(e discovery.Endpoint, now int64, wall time.Time) int64 {
+	if e.SinceMs == 0 {
+		delete(s, e.Name)
+		return 0
+	}
+	known, ok := s[e.Name]
+	if !ok || known.sinceMs != e.SinceMs {
+		known = start{e.SinceMs, e.SinceMs * 1000}
+		s[e.Name] = known
+	}
+	return known.at
+}
+
+// keep forgets the servers that a whole list does not name.
+func (s starts) keep(entries []discovery.Endpoint) {
+	named := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		named[e.Name] = true
+	}
+	for name := range s {
+		if !named[name] {
+			delete(s, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/starts_test.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+// The age of a server's process is taken by the wall clock of the moment in which the list tells of its start: a step of
+// that clock since this process began makes no server warm or cold.
+func TestAStepOfTheWallClockMovesNoStart(t *testing.T) {
+	for _, step := range []time.Duration{0, -time.Hour, time.Hour, -5 * time.Second} {
+		c := clock{start: time.Now()}
+		starts, now := starts{}, c.now()
+		wall := time.Now().Add(step)
+		e := discovery.Endpoint{Name: "a", SinceMs: wall.Add(-2 * time.Second).UnixMilli()}
+		age := func(at int64, wall time.Time) time.Duration {
+			return time.Duration(at-starts.of(e, at, wall)) * time.Microsecond
+		}
+		if got := age(now, wall); got < 1900*time.Millisecond || got > 2100*time.Millisecond {
+			t.Errorf("step %v: it is %v old, want 2 s", step, got)
+		}
+		later := now + 3*time.Second.Microseconds()
+		if got := age(later, wall.Add(3*time.Second-time.Minute)); got < 4900*time.Millisecond || got > 5100*time.Millisecond {
+			t.Errorf("step %v: listed again after a step of a minute it is %v old, want 5 s", step, got)
+		}
+		e.SinceMs = wall.Add(time.Hour).UnixMilli()
+		if got := age(now, wall); got != 0 {
+			t.Errorf("step %v: a start to come is %v old", step, got)
+		}
+		e.SinceMs = 0
+		if got := starts.of(e, now, wall); got != 0 {
+			t.Errorf("a start of long ago is at %v", got)
+		}
+	}
+}
+
+// What a predecessor spent of the allowance lies as long ago for its successor as for itself, also where the wall clock was
+// set between their starts.
+func TestALegacyIsReadOnTheSuccessorsClock(t *testing.T) {
+	const now = int64(50e6)
+	before := legacy{Now: now + 3600e6}
+	before.Spent.Taken = []int64{before.Now - 2e6, before.Now - 1e6}
+	before.Spent.Further = []int64{before.Now - 1e6}
+	got := before.spentBy(now)
+	if got.Taken[0] != now-2e6 || got.Taken[1] != now-1e6 || got.Further[0] != now-1e6 {
+		t.Errorf("got %+v", got)
+	}
+	former := legacy{} // of a version that says no time
+	former.Spent.Taken = []int64{7}
+	if got := former.spentBy(now); got.Taken[0] != 7 {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -25,11 +25,12 @@
 	return n
 }
 
-// servers turns entries into the module's. Its clock shows Unix time (see clock), so since_ms needs no shift.
-func (z zones) servers(entries []discovery.Endpoint) []logic.Server {
+// servers turns entries into the module's. The starts that they tell are Unix times; see starts for the module's clock.
+func (z zones) servers(entries []discovery.Endpoint, started func(discovery.Endpoint) int64) []logic.Server {
 	out := make([]logic.Server, 0, len(entries))
 	for _, e := range entries {
-		s := logic.Server{ID: e.Name, Zone: z.number(e.Zone), Cell: e.Group, Size: 1, Launched: e.SinceMs * 1000}
+		s := logic.Server{ID: e.Name, Zone: z.number(e.Zone), Cell: e.Group, Size: 1, Launched: e.SinceMs * 1000,
+			Started: started(e)}
 		switch e.Status {
 		case discovery.Serving:
 			s.State = logic.Ready
--- a/logic/api.go
+++ b/logic/api.go
@@ -105,7 +105,8 @@
 	Cell     int
 	State    State
 	Size     float64
-	Launched int64 // when it last started; 0: long ago
+	Launched int64 // when it last started, by the list's clock: another one is another start; 0: long ago
+	Started  int64 // the same on the clock of events, where the two may differ; 0: as Launched
 }
 
 // ListKind tells what a List event holds.
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -158,8 +158,9 @@
 
 // grown is the least part of its capacity that a server of its age has.
 func (b *Balancer) grown(now int64, s *server) float64 {
-	age := now - s.Launched
-	if s.Launched == 0 || age >= b.s.Cold {
+	started := s.Launched
+	age := now - started
+	if started == 0 || age >= b.s.Cold {
 		return 1
 	}
 	return b.s.StartCapacity + (1-b.s.StartCapacity)*float64(max(age, 0))/float64(b.s.Cold)
