Tell the age of a server, and what was spent, whatever the wall clock does

Cause: the list's since_ms, a Unix time, was compared with a clock that begins at the wall clock of the process's start and then follows the monotonic one (zones.servers, Balancer.grown), and Spent went to a successor in the predecessor's times.

A start's age is now taken once, by the wall clock of the moment in which the list tells it, and kept on the clock of events (starts.go, Server.Started); Launched stays as the list has it and tells starts apart. A predecessor says what its clock shows, and the successor shifts what it was handed; one that does not say is taken as before.

A wall clock that is wrong all the time, against the list's, is still believed.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -42,7 +42,7 @@
 // spentBy is what was spent, on the clock of a successor that shows now: each process's clock begins at the wall clock of
 // its own start, which may have been set in between.
 func (l legacy) spentBy(now int64) logic.Spent {
-	if l.Now == 0 || now != 0 {
+	if l.Now == 0 {
 		return l.Spent
 	}
 	shift := func(times []int64) []int64 {
--- a/internal/proxy/starts.go
+++ b/internal/proxy/starts.go
@@ -24,7 +24,8 @@
 	}
 	known, ok := s[e.Name]
 	if !ok || known.sinceMs != e.SinceMs {
-		known = start{e.SinceMs, e.SinceMs * 1000}
+		age := max(0, wall.UnixMicro()-e.SinceMs*1000)
+		known = start{e.SinceMs, now - age}
 		s[e.Name] = known
 	}
 	return known.at
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -2,7 +2,10 @@
 
 // Which server a call goes to.
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
@@ -158,7 +161,7 @@
 
 // grown is the least part of its capacity that a server of its age has.
 func (b *Balancer) grown(now int64, s *server) float64 {
-	started := s.Launched
+	started := cmp.Or(s.Started, s.Launched)
 	age := now - started
 	if started == 0 || age >= b.s.Cold {
 		return 1
