--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -51,6 +51,9 @@
 	List        *List    // of a list that several members keep; else nil
 	Fleet       *Fleet   // of a proxy that is one of a fleet; else nil
 	Zones       []Zone   // of one in a fleet, or with a zone drained; else none
+
+	Broken map[string]int64 // violations of the rules that the proxy saw itself commit, by rule
+	Events map[string]int64 // closes, refusals and ends of attempts, by reason
 }
 
 // List is how a proxy stands with the members of the list service.
@@ -210,6 +213,12 @@
 	fmt.Fprintf(&b, "app.outstanding=%d\napp.forwards=%d\napp.discovered=%d\napp.ejected=%d\n"+
 		"app.sighup_applied=%d\napp.sighup_rejected=%d\n",
 		f.Outstanding, f.Forwards, f.Discovered, f.Ejected, f.Applied, f.Rejected)
+	for _, rule := range slices.Sorted(maps.Keys(f.Broken)) {
+		fmt.Fprintf(&b, "app.broken.%s=%d\n", rule, f.Broken[rule])
+	}
+	for _, event := range slices.Sorted(maps.Keys(f.Events)) {
+		fmt.Fprintf(&b, "app.%s=%d\n", event, f.Events[event])
+	}
 	if l := f.List; l != nil {
 		age := int64(-1)
 		if l.Age >= 0 {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -27,6 +27,13 @@
 	holdPart    = 0.125    // and of the limit: for requests' and answers' bodies that are held
 )
 
+// logLevel reads a level's name; DEBUG logs each step of each request. What is no name is INFO.
+func logLevel(name string) slog.Level {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(name))
+	return level
+}
+
 // Main is a command's main; fleet reads the section fleet, and is nil in a program without.
 func Main(fleet config.FleetReader) {
 	if err := run(fleet); err != nil {
@@ -36,7 +43,7 @@
 }
 
 func run(fleet config.FleetReader) error {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(os.Getenv("LB_LOG_LEVEL"))}))
 	hup := make(chan os.Signal, 1) // from the first moment: unheeded, it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
 	// And to the last: SIGHUP is not let go of when this returns. SIGTERM is taken from here on as well, so that one in the
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -26,7 +26,10 @@
 	pool     *backends
 	backend  *backend
 	addr     string
+	zone     string // of the backend, and its cell, as listed when the module decided
+	cell     int
 	epoch    int
+	record   int             // its number among the attempts of its request that began
 	ctx      context.Context // its end stops the attempt
 	stop     context.CancelFunc
 
@@ -72,6 +75,7 @@
 	case keep:
 		a.pool.keep(c)
 	case res.status == logic.OK, res.status == logic.Error, res.status == logic.FullUp:
+		a.pool.audit.count("closes.server.answered")
 		a.pool.drop(c)
 	default:
 		a.pool.abandon(c)
@@ -125,6 +129,7 @@
 		if err != nil {
 			return result{status: logic.Moot}, true
 		}
+		a.firstByte(time.Now())
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
 			if a.ctx.Err() != nil {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -35,7 +35,9 @@
 	trust  keepalive.Trust
 	rest   time.Duration // a connection is not used again sooner: see keepalive.Rest
 
-	figs *figures
+	figs  *figures
+	audit *audit
+	grace time.Duration // in which sends to a backend have to stop that drains or is gone
 
 	log    *slog.Logger // of broken answers; nil for none
 	said   time.Time    // when the last was logged
@@ -49,6 +51,8 @@
 	name    string
 	addr    string
 	zone    string
+	cell    int
+	closed  time.Time // when it was last closed to new requests; zero while it is ready
 	started int64
 	listed  int                          // by the latest list that named it, counted from 1
 	serving bool                         // by the list
@@ -59,7 +63,7 @@
 }
 
 func newBackends(dialTimeout, idleClose time.Duration, most int, figs *figures) *backends {
-	p := &backends{most: most, figs: figs, rest: keepalive.Rest, byName: map[string]*backend{}}
+	p := &backends{most: most, figs: figs, grace: defaultGrace, rest: keepalive.Rest, byName: map[string]*backend{}}
 	p.whole.Store(wholeMost)
 	p.retime(dialTimeout, idleClose)
 	return p
@@ -95,7 +99,7 @@
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
-		b.zone, b.serving = e.Zone, e.Status == discovery.Serving
+		b.zone, b.cell, b.serving = e.Zone, e.Group, e.Status == discovery.Serving
 		if e.Status == discovery.Deleted {
 			p.trust.Died(now, e.Name)
 			delete(p.byName, e.Name)
@@ -126,6 +130,15 @@
 // and the requests that wait for them can go elsewhere.
 func (p *backends) turn(b *backend) {
 	b.epoch++
+	switch {
+	case b.ready:
+		b.closed = time.Time{}
+	case b.closed.IsZero():
+		b.closed = time.Now()
+	}
+	for range b.idle {
+		p.audit.count("closes.server.list")
+	}
 	for stop := range b.dials {
 		(*stop)()
 	}
@@ -135,14 +148,16 @@
 	b.idle = nil
 }
 
-// find returns a listed backend that takes new requests, with its address and epoch.
-func (p *backends) find(name string) (b *backend, addr string, epoch int, ok bool) {
+// find gives an attempt a listed backend that takes new requests, as it is listed now; false if there is none.
+func (p *backends) find(a *attempt, name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b = p.byName[name]; b == nil || !b.ready {
-		return nil, "", 0, false
+	b := p.byName[name]
+	if b == nil || !b.ready {
+		return false
 	}
-	return b, b.addr, b.epoch, true
+	a.backend, a.addr, a.epoch, a.zone, a.cell = b, b.addr, b.epoch, b.zone, b.cell
+	return true
 }
 
 // current tells whether the list says of b what it said in that epoch.
@@ -170,6 +185,7 @@
 		if c.idle < span && quiet(c.Conn) {
 			return c
 		}
+		p.audit.count("closes.server.idle")
 		p.closeLocked(c)
 	}
 	return nil
@@ -266,6 +282,7 @@
 	if oldest == nil {
 		return false
 	}
+	p.audit.count("closes.server.room")
 	p.closeLocked(oldest.idle[0])
 	oldest.idle = oldest.idle[1:]
 	return true
@@ -314,6 +331,7 @@
 // abandon closes a connection whose request has no whole answer. What the system has not delivered of that request never
 // is: after a plain close it would go on trying, and a server that was cut off or stood still would run it much later.
 func (p *backends) abandon(c *conn) {
+	p.audit.count("closes.server.no_answer")
 	resetOnClose(c.Conn)
 	p.drop(c)
 }
@@ -340,6 +358,7 @@
 			if now.Sub(c.since) < p.idleFor && quiet(c.Conn) {
 				kept = append(kept, c)
 			} else {
+				p.audit.count("closes.server.idle")
 				p.closeLocked(c)
 			}
 		}
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -119,7 +119,7 @@
 	a := &attempt{pool: p, deadline: time.Now().Add(left), req: &request{Request: logic.Request{ID: "1"},
 		method: http.MethodGet, uri: "/look/k%2f1?x=%20y", host: "backend.local",
 		header: http.Header{"Request-Id": {"1"}, "User-Agent": {""}}}}
-	a.backend, a.addr, a.epoch, _ = p.find(name)
+	p.find(a, name)
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	return a
 }
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -32,6 +32,8 @@
 	began  atomic.Int64 // when the present request did, or the connection for its first; in Unix nanoseconds
 	moved  atomic.Int64 // when something last came, or the connection did
 
+	owed atomic.Pointer[string] // the request that has been taken and has no answer yet
+
 	mu      sync.Mutex
 	phase   phase
 	retired bool // whatever comes now is dropped
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -115,6 +115,7 @@
 			}
 		}
 	}
+	c.closes("no_room")
 	c.end()
 	return true
 }
--- a/internal/proxy/figures.go
+++ b/internal/proxy/figures.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"fernlanding/internal/mgmt"
+	"fernlanding/logic"
 )
 
 // maxClasses bounds the classes that are counted: classes come and go with the settings.
@@ -18,6 +19,7 @@
 	classes map[string]*mgmt.Ends
 	counts  mgmt.Figures // all but Classes and Zones
 	zones   zonesShown
+	refused map[logic.Refusal]int64
 }
 
 func newFigures(classes []string) *figures {
@@ -94,6 +96,13 @@
 	f.counts.Discovered, f.counts.Ejected = listed, avoided
 }
 
+// refusals notes how many requests the module has refused for each reason.
+func (f *figures) refusals(by map[logic.Refusal]int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = by
+}
+
 // reloaded counts a configuration that came with SIGHUP.
 func (f *figures) reloaded(taken bool) {
 	f.mu.Lock()
@@ -116,5 +125,9 @@
 	if f.zones.told {
 		out.Zones = f.zones.now()
 	}
+	out.Events = map[string]int64{}
+	for why, n := range f.refused {
+		out.Events["refusals."+why.String()] = n
+	}
 	return out
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -62,7 +62,7 @@
 	}
 	f.turn(newView(site, l.rules(site), first))
 	f.listener = newCappedListener(listener, f.shed, log)
-	f.listener.firsts = f.firsts
+	f.listener.firsts, f.listener.audit = f.firsts, l.audit
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: requestPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		ConnState: f.connState, ErrorLog: quietLog(log),
@@ -126,15 +126,27 @@
 		return
 	}
 	defer own.end(0) // however else this returns
+	fc, _ := req.peer.(*framedConn)
+	if fc != nil {
+		fc.owe(req.ID)
+	}
 	ans := f.await(req)
+	if fc != nil && ans.status == 0 && req.left() {
+		fc.paid() // nobody waits for it
+	}
 	if ans.status == 0 {
+		f.loop.audit.count("closes.client.no_answer")
 		panic(http.ErrAbortHandler) // a return would answer 200
 	}
 	if ans.stream != nil {
 		f.streams.Add(1)
 		defer f.streams.Add(-1)
 	}
-	if f.reply(w, ans); ans.stream != nil {
+	f.reply(w, ans)
+	if fc != nil {
+		fc.paid() // one that has begun and breaks off has failed, and shows
+	}
+	if ans.stream != nil {
 		ans.stream.passOn(w, r)
 	}
 	own.end(ans.status)
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -246,6 +246,8 @@
 			waitUntil(t, func() bool { return p.Figures().Outstanding == 0 }) // its own may stand in the figures for a moment
 			p.front.listener.limit(50)
 			waitUntil(t, func() bool { return p.front.open() <= 1 && len(p.front.listener.freed) == 0 })
+			// It has been accepted, read and closed: before that it may hold the backend's connection, unsent.
+			waitUntil(t, func() bool { return p.Figures().Events["closes.client.answered_or_broken"] >= 1 })
 			nothingSent(t, p, b, 1)
 		})
 	}
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -12,6 +12,7 @@
 // outcome tells the module how an attempt ended; a served request has its answer first.
 func (l *loop) outcome(a *attempt, res result) {
 	r := a.req
+	l.ends(a, res.status)
 	if r.current == a {
 		r.current = nil
 	}
@@ -71,8 +72,7 @@
 	if r.Uploading {
 		a.whole = make(chan time.Time, 1)
 	}
-	var ok bool
-	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
+	ok := l.pool.find(a, server)
 	// Never two attempts of a request at once, and none for a client that has gone.
 	if !ok || r.over || r.current != nil || r.client != nil && r.client.Err() != nil {
 		l.unsent = append(l.unsent, a)
@@ -81,6 +81,7 @@
 	a.ctx, a.stop = context.WithCancel(l.ctx)
 	a.stream = func(ans answer) bool { return l.stream(a, ans) }
 	r.current = a
+	l.sends(a)
 	l.attempts.Add(1)
 	go func() {
 		defer l.attempts.Done()
--- a/internal/proxy/linger.go
+++ b/internal/proxy/linger.go
@@ -79,6 +79,7 @@
 	case c.phase == heading:
 		c.refuseLocked()
 	}
+	c.closes("idle_or_half")
 	lingers := c.shutLocked()
 	c.mu.Unlock()
 	if !lingers {
@@ -144,6 +145,9 @@
 // Close ends the connection as soon as its client has taken what it was sent, or lingerMost later.
 func (c *framedConn) Close() error {
 	c.mu.Lock()
+	if !c.retired {
+		c.closes("answered_or_broken")
+	}
 	lingers := c.shutLocked()
 	c.mu.Unlock()
 	if !lingers {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -17,6 +17,7 @@
 	net.Listener
 	shed    func()
 	retrier *accept.Retrier
+	audit   *audit // nil in a test
 	lingers lingers
 	firsts  *holds        // for heads
 	freed   chan struct{} // holds a value after a slot came free
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -29,6 +29,7 @@
 	zones  zones
 	starts starts
 	figs   *figures
+	audit  *audit
 	log    *slog.Logger
 	events chan func()
 	lists  <-chan discovery.News
@@ -54,7 +55,7 @@
 
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, figs *figures, log *slog.Logger) *loop {
 	ended, leave := context.WithCancel(context.Background())
-	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, starts: starts{}, figs: figs, log: log,
+	return &loop{ended: ended, leave: leave, bal: bal, clock: c, pool: pool, zones: z, starts: starts{}, figs: figs, audit: newAudit(log), log: log,
 		events: make(chan func(), 256), seen: bans.NewNames(), hands: newZoneHands(z), listed: make(chan struct{}), fresh: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
@@ -111,6 +112,7 @@
 			l.meet()
 		case <-look:
 			l.figs.servers(l.bal.Servers())
+			l.figs.refusals(l.bal.Refusals())
 			l.lookZones()
 		case <-ctx.Done():
 			return
@@ -225,6 +227,7 @@
 	l.nameZones()
 	f.turn(newView(site, l.bal.Rules(), numbers))
 	l.pool.retime(site.DialTimeout, site.IdleClose)
+	l.pool.setGrace(site.Logic.DrainGrace)
 	return nil
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -91,6 +92,8 @@
 	pool.log = cfg.Log
 	l := newLoop(bal, clock{time.Now()}, pool, newZones(cfg.Site.Zones), figs, cfg.Log)
 	l.watched = cfg.Watched
+	pool.audit = l.audit
+	pool.setGrace(cfg.Site.Logic.DrainGrace)
 	p := &Proxy{cfg: cfg, loop: l, figs: figs, predecessor: before, times: drainTimes}
 	p.follow()
 	p.front = newFrontend(cfg.Site, l, listener, cfg.Log)
@@ -273,6 +276,8 @@
 // Figures are the counts so far.
 func (p *Proxy) Figures() mgmt.Figures {
 	f := p.figs.snapshot()
+	f.Broken = p.loop.audit.counts.All()
+	maps.Copy(f.Events, p.loop.audit.all())
 	if l := p.lists.Figures(); l.Members {
 		f.List = &mgmt.List{Age: l.Age, Moves: l.Moves, Failures: l.Failures, Kept: l.Kept}
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -68,6 +68,8 @@
 	*Proxy
 	stop context.CancelFunc
 	done chan error
+
+	breaks bool // the test has it break a rule
 }
 
 func startProxy(t *testing.T, list string, sockets int, known string) *running {
@@ -102,7 +104,15 @@
 	r := &running{Proxy: p, stop: stop, done: make(chan error, 1)}
 	ended := make(chan struct{})
 	go func() { defer close(ended); r.done <- p.Run(ctx) }()
-	t.Cleanup(func() { stop(); wait(t, "end of the proxy", ended) })
+	t.Cleanup(func() {
+		stop()
+		wait(t, "end of the proxy", ended)
+		for rule, n := range p.Figures().Broken { // whatever the test is about
+			if n > 0 && !r.breaks {
+				t.Errorf("the proxy broke the rule %s, %d times", rule, n)
+			}
+		}
+	})
 	return r
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"fernlanding/internal/proxy/guard"
 	"fernlanding/logic"
 )
 
@@ -43,6 +44,9 @@
 	spent    bool                      // some of the rest is gone: no other attempt can have it
 	due      atomic.Pointer[time.Time] // when the client gives up, once its last byte is known to have come
 
+	watched  *guard.Request // what the rules know of it; nil in a test that does not take it
+	recorded int            // attempts that began
+
 	over    bool
 	sends   int
 	current *attempt // the one that is out
@@ -68,6 +72,7 @@
 		return
 	}
 	l.reqs[r.ID] = r
+	l.taken(r)
 	if !r.Uploading {
 		l.limit(r)
 	}
@@ -99,6 +104,9 @@
 	}
 	due := at.Add(r.wait)
 	r.due.Store(&due)
+	if r.watched != nil {
+		r.watched.Due(due)
+	}
 	r.GiveUp = l.clock.at(due)
 	l.limit(r)
 }
@@ -112,6 +120,9 @@
 		giveUp = min(giveUp, l.clock.at(*due))
 	}
 	r.Uploading, r.GiveUp = false, giveUp
+	if r.watched != nil {
+		r.watched.Due(l.clock.time(giveUp))
+	}
 	l.limit(r)
 	now := l.clock.now()
 	timeout := l.bal.Uploaded(now, r.ID, r.GiveUp)
@@ -127,6 +138,7 @@
 		return
 	}
 	r.over = true
+	l.answers(r, ans)
 	r.answer <- ans
 	if r.stopBody != nil {
 		r.stopBody()
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -289,6 +289,7 @@
 	out := a.outgoing(left)
 	out.ContentLength = a.req.length
 	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), more))
+	a.firstByte(time.Now())
 	w := bufio.NewWriterSize(patientWriter{c, a.ctx, a.until}, holdLeast)
 	err := out.Write(w)
 	if err == nil {
--- a/logic/api.go
+++ b/logic/api.go
@@ -235,6 +235,23 @@
 	Spent   bool // what it takes to send the request again is gone
 }
 
+// Refusal tells why a request was refused.
+type Refusal int
+
+// The reasons of a refusal.
+const (
+	OverCount Refusal = iota // the calls of its tier, class or tenant are as many as they may be
+	NoTime                   // it could not be answered in its time
+	NoServer                 // no server may have it
+	NoTurn                   // its key's turn does not come in time
+	NoAttempt                // its attempts failed, none of them ran, and no further one may follow
+	refusalReasons
+)
+
+func (r Refusal) String() string {
+	return [refusalReasons]string{"over_count", "no_time", "no_server", "no_turn", "no_further_attempt"}[r]
+}
+
 // Spent is what has been used of the allowance for further attempts: the times of requests and of attempts
 // beyond the first of each.
 type Spent struct {
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -25,7 +25,7 @@
 		h.Watch()
 	} else if id, ok := strings.CutPrefix(token, heldToken); ok {
 		if q := b.reqs[id]; q != nil && !q.over && len(q.attempts) == 0 {
-			b.refuse(now, h, q)
+			b.refuse(now, h, q, NoTurn)
 		}
 	} else if key, ok := strings.CutPrefix(token, turnToken); ok && b.turns[key] != nil {
 		b.next(now, h, b.turns[key])
@@ -55,7 +55,7 @@
 	}
 	last := float64(b.deadline(q)-now) - leastMeans*b.classes[r.Class].mean
 	if float64(len(q.turn.line)-1)*b.classes[r.Class].mean > last { // this also bounds the line
-		b.refuse(now, h, q)
+		b.refuse(now, h, q, NoTurn)
 		return
 	}
 	h.SetTimer(max(int64(last), 0), heldToken+q.ID)
@@ -63,10 +63,17 @@
 
 // start checks the rules and sends a request's first attempt, or refuses it.
 func (b *Balancer) start(now int64, h Host, q *request) {
-	if !b.canPass(now, q) || !b.inTime(now, q) || !b.send(now, h, q) {
-		b.refuse(now, h, q)
-	} else if t := b.origin(q); t != nil {
-		t.pass.add(now)
+	switch {
+	case !b.canPass(now, q):
+		b.refuse(now, h, q, OverCount)
+	case !b.inTime(now, q):
+		b.refuse(now, h, q, NoTime)
+	case !b.send(now, h, q):
+		b.refuse(now, h, q, NoServer)
+	default:
+		if t := b.origin(q); t != nil {
+			t.pass.add(now)
+		}
 	}
 }
 
@@ -79,7 +86,8 @@
 }
 
 // refuse gives a hint spread so that clients don't return together, nor too late for an answer in their aim.
-func (b *Balancer) refuse(now int64, h Host, q *request) {
+func (b *Balancer) refuse(now int64, h Host, q *request, why Refusal) {
+	b.refusals[why]++
 	most := min(q.s.MaxRetryAfter, int64(hintPart*float64(q.s.Classes[q.Class].Aim)))
 	h.Refuse(q.ID, most/2+b.rnd.Int64N(most/2+1))
 	b.finish(now, h, q)
@@ -224,7 +232,7 @@
 	} else if q.out > 0 || !o.Spent && b.again(now, h, q) {
 		return
 	} else if b.mayRefuse(q) {
-		b.refuse(now, h, q)
+		b.refuse(now, h, q, NoAttempt)
 	} else {
 		h.Fail(q.ID)
 		b.finish(now, h, q)
--- a/logic/state.go
+++ b/logic/state.go
@@ -251,6 +251,7 @@
 	step      float64
 	solver    tail.Solver
 	reported  int64 // when the last log line was written
+	refusals  [refusalReasons]int64
 }
 
 // enter counts a call in.
@@ -354,6 +355,15 @@
 	return len(b.all), avoided
 }
 
+// Refusals are how many requests were refused for each reason.
+func (b *Balancer) Refusals() map[Refusal]int64 {
+	out := map[Refusal]int64{}
+	for why, n := range b.refusals {
+		out[Refusal(why)] = n
+	}
+	return out
+}
+
 // report tells on-call staff when traffic inside the shares is held back, and which way calls lean.
 func (b *Balancer) report(now int64, h Host) {
 	if b.share >= 1 || now-b.reported < reportEvery && b.reported != 0 {
