Add fleetlab soak: drawn fleets of real processes under troubles that overlap

Need: the lab played what somebody had thought of. A seed now draws fleet, classes and eight or so troubles that meet in twos and threes; new kinds are SIGHUPs in a row with whole and broken files, hold-ups of up to 0.15 s and clients that send no proper request. Its oracle is the referee's rules, the proxies' own guard, and their logs.

TestFaultsAreFound shows each sign of a fault found, TestAVisitTellsWhatItMet a proxy that keeps rude clients.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -37,6 +37,7 @@
 	Verbose   bool   `short:"v" help:"Log each fault and restart, not only what is wrong."`
 
 	Run     runCommand     `cmd:"" help:"Play an experiment; exit 0 if every expectation held, 1 if not, 2 if it could not be judged."`
+	Soak    soakCommand    `cmd:"" help:"Play experiments drawn from seeds, with troubles that overlap; exit 1 if a rule was broken or a proxy crashed."`
 	Check   checkCommand   `cmd:"" help:"Name every fault of an experiment's file, with its place."`
 	Report  reportCommand  `cmd:"" help:"Write report.html of a run again, and print its figures."`
 	Compare compareCommand `cmd:"" help:"Print the figures of two runs side by side."`
--- /dev/null
+++ b/cmd/fleetlab/soak.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"fernlanding/internal/lab/process"
+	"fernlanding/internal/lab/run"
+	"fernlanding/internal/lab/soak"
+)
+
+type soakCommand struct {
+	From  uint64 `help:"The first seed." default:"1"`
+	Seeds int    `help:"How many, one after another." default:"10"`
+	Out   string `help:"Directory for the experiments and logs of seeds at which something was found. Default: found/soak-TIME." type:"path"`
+	Proxy string `help:"Program to run as the proxy, with arguments. Default: beside this one, fernlanding." default:""`
+	Keep  bool   `help:"Keep the logs of the other seeds too."`
+}
+
+// Run plays the seeds. The exit status is 1 if a rule was broken or a proxy crashed at any of them.
+func (c *soakCommand) Run(ctx context.Context, log *slog.Logger) error {
+	command, err := program(c.Proxy, "--proxy", "fernlanding")
+	if err != nil {
+		return err
+	}
+	if c.Out == "" {
+		c.Out = filepath.Join("found", "soak-"+time.Now().Format("20060102T150405"))
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	if err := process.Hold(c.Out); err != nil {
+		return err
+	}
+	defer process.Release(c.Out)
+	bad, void := 0, 0
+	for i := range c.Seeds {
+		if ctx.Err() != nil {
+			fmt.Printf("interrupted after %d of %d seeds\n", i, c.Seeds)
+			break
+		}
+		found, why, err := c.seed(ctx, c.From+uint64(i), command, log)
+		switch {
+		case err != nil:
+			return err
+		case len(found) > 0:
+			bad++
+		case why != "":
+			void++
+		}
+	}
+	fmt.Printf("%d seeds with a fault, %d void, of %d from %d on\n", bad, void, c.Seeds, c.From)
+	if bad > 0 {
+		return status(exitFailed)
+	}
+	return nil
+}
+
+// seed plays one seed; a play whose lab was late is void, but what was found in it is told all the same.
+func (c *soakCommand) seed(ctx context.Context, seed uint64, command []string, log *slog.Logger) (found []string, void string, err error) {
+	e, text, err := soak.Draw(seed)
+	if err != nil {
+		return nil, "", err
+	}
+	dir := filepath.Join(c.Out, fmt.Sprint(seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, "", err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "experiment.toml"), []byte(text), 0o644); err != nil {
+		return nil, "", err
+	}
+	p, err := run.Play(ctx, e, seed, run.Options{Command: command, Out: dir, Log: log})
+	if err != nil {
+		return nil, "", err
+	}
+	if found, err = soak.Faults(p, dir); err != nil {
+		return nil, "", err
+	}
+	var kinds []string
+	for _, f := range e.Faults {
+		kinds = append(kinds, f.Kind)
+	}
+	fmt.Printf("seed %d: %d proxies, %s: worth in time %.3f, %d found%s\n", seed, len(e.ProxyNodes()), strings.Join(kinds, " "),
+		p.Figures["worth_in_time"], len(found), voidly(p.Void))
+	for i, f := range found {
+		if i == 12 {
+			fmt.Printf("  and %d more\n", len(found)-i)
+			break
+		}
+		fmt.Println("  " + f)
+	}
+	if len(found) == 0 && !c.Keep {
+		err = os.RemoveAll(dir)
+	}
+	return found, p.Void, err
+}
+
+func voidly(why string) string {
+	if why == "" {
+		return ""
+	}
+	return " (void: " + why + ")"
+}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -295,6 +295,9 @@
 	"restart":    {Proxies: true, Text: "planned: SIGTERM, SIGKILL after the longest deadline, start again `for` later"},
 	"upgrade":    {Proxies: true, Text: "a successor beside it, SIGTERM to the old one, by the on-call page"},
 	"power_loss": {Proxies: true, Text: "SIGKILL, and what its files got last is lost in part; directory kept"},
+	"reload":     {Proxies: true, Text: "SIGHUP, `versions` times in a row, with the configuration in force or a broken one"},
+	"hold_up":    {Proxies: true, Lasts: true, Text: "SIGSTOP for up to 0.15 s, again and again"},
+	"rude":       {Proxies: true, Lasts: true, Text: "clients come that send no proper request"},
 	"disk_full":  {Proxies: true, Lasts: true, Text: "every write of a byte to a file fails"},
 
 	"nodo_kill":    {Nodos: true, Text: "the process dies; back cold after `for`"},
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -344,3 +344,16 @@
 	r.judgeLost()
 	return Record{r.order, r.attempts, r.counts, r.first, r.connects, r.knocks, r.tally}
 }
+
+// Rude is the rule that a client which sends no proper request is owed an error or a close.
+const Rude = "rude"
+
+// Rude notes a client that got neither in its time.
+func (r *Referee) Rude(proxy string, from, to time.Time, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.excused(&Try{Proxy: proxy, Sent: from, Deadline: to}) {
+		return
+	}
+	r.broken(Violation{Rule: Rude, At: to, Proxy: proxy, Text: text})
+}
--- a/internal/lab/run/proxies.go
+++ b/internal/lab/run/proxies.go
@@ -34,6 +34,7 @@
 	mu    sync.Mutex // of one fault at a time, and of what follows
 	proc  *process.Process
 	mgmt  string
+	began time.Time         // of the latest process
 	count int               // processes so far
 	owed  []func(time.Time) // excuses that end when it serves again
 	dead  int               // faults that keep it down
@@ -99,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	m.proc = p
+	m.proc, m.began = p, time.Now()
 	go f.mourn(p)
 	m.all.Lock()
 	defer m.all.Unlock()
--- a/internal/lab/run/strike_proxies.go
+++ b/internal/lab/run/strike_proxies.go
@@ -40,6 +40,18 @@
 			t.hold(ctx, s, turn.At)
 			return t.stopped(m, -1)
 		})
+	case "reload":
+		return t.each(ctx, s, func(turn plan.Turn) error {
+			return t.reload(ctx, t.members[turn.Target], s.Fault.Versions, t.plan.Source("reload "+turn.Target))
+		})
+	case "hold_up":
+		return t.each(ctx, s, func(turn plan.Turn) error {
+			return t.holdUp(ctx, s, t.members[turn.Target], turn.At, t.plan.Source("hold up "+turn.Target))
+		})
+	case "rude":
+		return t.each(ctx, s, func(turn plan.Turn) error {
+			return t.visits(ctx, s, t.members[turn.Target], turn.At, t.plan.Source("rude "+turn.Target))
+		})
 	case "disk_full":
 		return t.each(ctx, s, func(turn plan.Turn) error {
 			m := t.members[turn.Target]
--- /dev/null
+++ b/internal/lab/run/strike_reload.go
@@ -0,0 +1,105 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"fernlanding/internal/lab/plan"
+	"fernlanding/internal/lab/rude"
+	"fernlanding/internal/lab/wait"
+)
+
+const (
+	heldUp    = 150 * time.Millisecond // the longest that a proxy may be held up
+	heldPause = 100 * time.Millisecond // between two
+	rudePause = 40 * time.Millisecond  // between two rude clients of one proxy, on average
+	reloadGap = 150 * time.Millisecond
+	// The platform sends no SIGHUP in a program's first second.
+	reloadAfter = time.Second
+	brokenPart  = 0.4 // of the configurations that come with SIGHUP
+)
+
+// reload replaces a proxy's configuration and sends SIGHUP, several times in a row: with a file that is whole, and says what
+// the one in force does, or with a broken one, after which the former stands.
+func (t *timeline) reload(ctx context.Context, m *member, times int, r *rand.Rand) error {
+	for range max(1, times) {
+		m.mu.Lock()
+		err := t.reloadOnce(m, r)
+		m.mu.Unlock()
+		if err != nil || !wait.For(ctx, time.Duration(r.Int64N(int64(2*reloadGap)))) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *timeline) reloadOnce(m *member, r *rand.Rand) error {
+	if m.proc == nil || over(m.proc) || time.Since(m.began) < reloadAfter {
+		return nil
+	}
+	path := filepath.Join(m.dir, "config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("configuration of %s: %w", m.node.Name, err)
+	}
+	told := text
+	if r.Float64() < brokenPart {
+		told = text[:r.IntN(len(text)-1)]
+	}
+	if err := os.WriteFile(path+".new", told, 0o644); err != nil {
+		return fmt.Errorf("configuration of %s: %w", m.node.Name, err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return fmt.Errorf("configuration of %s: %w", m.node.Name, err)
+	}
+	if err := m.proc.Signal(syscall.SIGHUP); err != nil && !over(m.proc) {
+		return err
+	}
+	time.Sleep(reloadGap)                  // it is read by then, or the next one finds a whole file
+	return os.WriteFile(path, text, 0o644) // for a restart, which must find a whole one
+}
+
+// holdUp stops a proxy for a moment, again and again: between any two of its steps.
+func (t *timeline) holdUp(ctx context.Context, s plan.Strike, m *member, at time.Duration, r *rand.Rand) error {
+	end := t.start.Add(at + s.For)
+	for time.Now().Before(end) {
+		if err := t.stopped(m, 1); err != nil {
+			return err
+		}
+		wait.For(ctx, time.Duration(r.Int64N(int64(heldUp))))
+		if err := t.stopped(m, -1); err != nil || !wait.For(ctx, time.Duration(r.Int64N(int64(2*heldPause)))) {
+			return err
+		}
+	}
+	return nil
+}
+
+// visits has rude clients come to a proxy. One that gets neither an error nor a close in time is a broken rule, unless the
+// lab kept the proxy from it meanwhile.
+func (t *timeline) visits(ctx context.Context, s plan.Strike, m *member, at time.Duration, r *rand.Rand) error {
+	class := ""
+	for _, k := range t.exp.Classes {
+		if k.Repeat == "at_most_once" {
+			class = k.Name
+		}
+	}
+	visiting, stop := context.WithDeadline(ctx, t.start.Add(at+s.For))
+	defer stop()
+	for wait.For(visiting, time.Duration(r.Int64N(int64(2*rudePause)))) {
+		v := rude.Draw(r, class)
+		t.all.Go(func() {
+			begun := time.Now()
+			err := v.Make(ctx, m.listen)
+			if errors.Is(err, rude.ErrUnanswered) {
+				t.ref.Rude(m.node.Name, begun, time.Now(), err.Error())
+			}
+		})
+	}
+	return nil
+}
