Show a shortage that blames a backend, a write not repeated, a call held by a disk

A connect that fails for want of local ports, memory or descriptors is told to the module as the backend's failure. What the keeper could not write is not written once the disk takes it, until something newer comes. A call by hand waits for the sync of its file without bound, where an answer is owed in 1 s; the ban itself holds, since its file is seen before its sync ends.

--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -62,7 +62,7 @@
 
 // Open reads what is kept. Present is to hold before anything is sent; Run follows it.
 func Open(cfg Config) (*Bans, error) {
-	b := &Bans{cfg: cfg, store: store{cfg.Dir}, sets: make(chan Set), wake: make(chan struct{}, 1)}
+	b := &Bans{cfg: cfg, store: store{dir: cfg.Dir}, sets: make(chan Set), wake: make(chan struct{}, 1)}
 	var err error
 	if b.kept, err = b.store.load(); err != nil {
 		return nil, err
--- a/internal/bans/bans_test.go
+++ b/internal/bans/bans_test.go
@@ -192,7 +192,7 @@
 
 // Names of all kinds are kept, in the form that former versions read.
 func TestBansKeepNamesOfAllKinds(t *testing.T) {
-	s := store{t.TempDir()}
+	s := store{dir: t.TempDir()}
 	files := map[string]string{"..": "ban-..", "a": "ban-a", "a b": "ban-a%20b", "a/b": "ban-a%2Fb", "ü%2F": "ban-%C3%BC%252F"}
 	for id, file := range files {
 		must(t, s.add(id))
--- /dev/null
+++ b/internal/bans/slow_test.go
@@ -0,0 +1,71 @@
+package bans
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+)
+
+// A ban holds, and its call is answered, within a second though the disk takes longer to keep it: the answer is then a no,
+// and the call may be repeated. What the disk has taken by then stands.
+func TestABanHoldsThoughTheDiskIsSlow(t *testing.T) {
+	names := NewNames()
+	names.Add("a", "b")
+	b, err := Open(Config{Dir: t.TempDir(), Names: names, Ended: make(chan struct{}), Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk := make(chan struct{})
+	b.store.slow = func() { <-disk }
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	held := make(chan map[string]bool, 100)
+	go func() {
+		for {
+			select {
+			case s := <-b.Sets():
+				held <- s.IDs
+				s.Holds()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	go b.Run(ctx)
+	began := time.Now()
+	answered := make(chan error, 1)
+	go func() { answered <- b.Suspend("a") }()
+	for !(<-held)["a"] {
+		if time.Since(began) > time.Second {
+			t.Fatal("the ban does not hold after 1 s")
+		}
+	}
+	select {
+	case err := <-answered:
+		if err == nil {
+			t.Error("a yes though nothing is kept")
+		}
+	case <-time.After(time.Second - time.Since(began)):
+		t.Error("no answer within 1 s")
+	}
+	for range 3 { // it goes on holding while the disk stands still
+		select {
+		case ids := <-held:
+			if !ids["a"] {
+				t.Fatal("the ban was lifted")
+			}
+		case <-time.After(2 * pollEvery):
+		}
+	}
+	close(disk)
+	for !b.store.has("a") {
+		time.Sleep(time.Millisecond)
+	}
+	if err := b.Suspend("a"); err != nil {
+		t.Errorf("the call repeated: %v", err)
+	}
+	if err := b.Resume("a"); err != nil || b.Present()["a"] {
+		t.Errorf("resumed: %v, %v", err, b.Present())
+	}
+}
--- a/internal/bans/store.go
+++ b/internal/bans/store.go
@@ -18,7 +18,10 @@
 // store keeps bans in a folder, one empty file a server or zone. The folder is the only truth: whatever process changes it,
 // each reads it again. A file is made or removed whole, so two processes cannot lose each other's changes. All
 // errors are *StoreError.
-type store struct{ dir string }
+type store struct {
+	dir  string
+	slow func() // a disk that takes its time, in tests; else nil
+}
 
 func (s store) path(id string) string {
 	if zone, ok := zoneOf(id); ok {
@@ -45,6 +48,9 @@
 
 // sync makes a change of the folder durable.
 func (s store) sync() error {
+	if s.slow != nil {
+		s.slow()
+	}
 	d, err := os.Open(s.dir)
 	if err != nil {
 		return err
--- a/internal/bans/zones_test.go
+++ b/internal/bans/zones_test.go
@@ -85,7 +85,7 @@
 
 // A zone is kept where former versions do not look, and none goes for a server, whatever their names.
 func TestZonesAndServersAreKeptApart(t *testing.T) {
-	s := store{t.TempDir()}
+	s := store{dir: t.TempDir()}
 	must(t, errors.Join(s.add("a"), s.add(OfZone("a/b"))))
 	if _, err := os.Stat(filepath.Join(s.dir, "zone-a%2Fb")); err != nil {
 		t.Error(err)
--- /dev/null
+++ b/internal/durable/keeper_test.go
@@ -0,0 +1,60 @@
+package durable
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// What could not be written is written once the disk takes it, though nothing new has come since.
+func TestWhatCouldNotBeWrittenIsWrittenLater(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	synctest.Test(t, func(t *testing.T) {
+		if err := os.WriteFile(dir, nil, 0o600); err != nil { // a file where the folder is to be
+			t.Fatal(err)
+		}
+		k := NewKeeper(dir, "list", "kind", "the list", slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(t.Context())
+		ended := k.Run(ctx)
+		k.Put(func() []byte { return []byte("newest") })
+		time.Sleep(5 * time.Second)
+		if err := os.Remove(dir); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		if body, err := ReadFile(filepath.Join(dir, "list"), "kind", 100); err != nil || string(body) != "newest" {
+			t.Errorf("got %q, %v", body, err)
+		}
+		stop()
+		ended()
+	})
+}
+
+// A newer text takes the place of one that could not be written.
+func TestTheNewestIsWritten(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	synctest.Test(t, func(t *testing.T) {
+		if err := os.WriteFile(dir, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		k := NewKeeper(dir, "list", "kind", "the list", slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(t.Context())
+		ended := k.Run(ctx)
+		k.Put(func() []byte { return []byte("older") })
+		time.Sleep(1500 * time.Millisecond)
+		k.Put(func() []byte { return []byte("newer") })
+		if err := os.Remove(dir); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		stop()
+		ended()
+		if body, err := ReadFile(filepath.Join(dir, "list"), "kind", 100); err != nil || string(body) != "newer" {
+			t.Errorf("got %q, %v", body, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/shortage_test.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"fernlanding/logic"
+)
+
+// A connect that fails for what this machine is short of says nothing of the backend: nothing went out, and nobody is to
+// blame. One that the backend refuses, or that does not reach it, is its own.
+func TestAShortageOfTheProxysOwnBlamesNoBackend(t *testing.T) {
+	for _, c := range []struct {
+		errno error
+		want  logic.Status
+	}{
+		{syscall.EADDRNOTAVAIL, logic.Moot}, {syscall.ENOBUFS, logic.Moot}, {syscall.ENOMEM, logic.Moot},
+		{syscall.EMFILE, logic.Moot}, {syscall.ENFILE, logic.Moot}, {syscall.EAGAIN, logic.Moot},
+		{syscall.ECONNREFUSED, logic.ConnectFailed}, {syscall.EHOSTUNREACH, logic.ConnectFailed},
+		{syscall.ETIMEDOUT, logic.ConnectFailed}, {os.ErrDeadlineExceeded, logic.ConnectFailed},
+	} {
+		p := poolWith(4, "127.0.0.1:1")
+		p.dialer = func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", c.errno)}
+		}
+		if res := newAttempt(p, "a", patience).run(); res.status != c.want {
+			t.Errorf("%v: got %v, want %v", c.errno, res.status, c.want)
+		}
+		if p.open != 0 {
+			t.Errorf("%v: %d connections are counted as open", c.errno, p.open)
+		}
+	}
+}
