Blame no backend for a shortage, repeat failed writes, answer calls by hand in time

Keeper.Run dropped a text whose write failed; it is written again each second until the disk takes it or a newer one comes. Bans.call waited for a sync without bound; it answers after 0.8 s with a SlowError, a 503, while the change goes on, 16 of them at most.

--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -16,6 +16,9 @@
 const (
 	pollEvery = 200 * time.Millisecond // a call at the other process of an upgrade binds this one within 1 s
 	actWithin = 800 * time.Millisecond // for a call to hold; its answer is owed in 1 s
+
+	keepWithin  = 800 * time.Millisecond // for the disk to keep it
+	changesMost = 16                     // that the disk may be busy with, as many as there are callers
 )
 
 // Config is what Bans are told at the start.
@@ -46,10 +49,11 @@
 
 // Bans are the servers that are out.
 type Bans struct {
-	cfg   Config
-	store store
-	sets  chan Set
-	wake  chan struct{} // holds a value when Run is to look before its time
+	cfg     Config
+	store   store
+	sets    chan Set
+	changes chan struct{} // one for each change that the disk is busy with
+	wake    chan struct{} // holds a value when Run is to look before its time
 
 	mu   sync.Mutex      // one reading of the store at a time, handed on in order
 	kept map[string]bool // the store's when it was last read
@@ -62,7 +66,8 @@
 
 // Open reads what is kept. Present is to hold before anything is sent; Run follows it.
 func Open(cfg Config) (*Bans, error) {
-	b := &Bans{cfg: cfg, store: store{dir: cfg.Dir}, sets: make(chan Set), wake: make(chan struct{}, 1)}
+	b := &Bans{cfg: cfg, store: store{dir: cfg.Dir}, sets: make(chan Set), wake: make(chan struct{}, 1),
+		changes: make(chan struct{}, changesMost)}
 	var err error
 	if b.kept, err = b.store.load(); err != nil {
 		return nil, err
@@ -161,7 +166,7 @@
 }
 
 // Suspend takes a server out until Resume, here or at another process with this folder. It returns once that is
-// kept and holds. Its errors are *UnknownError, *StoreError, *LateError and those of Config.Told; after each of the
+// kept and holds. Its errors are *UnknownError, *StoreError, *SlowError, *LateError and those of Config.Told; after each of the
 // others than the first the call may be repeated.
 func (b *Bans) Suspend(nodo string) error { return b.callNodo(nodo, true) }
 
@@ -192,7 +197,7 @@
 	if suspended {
 		keep = b.store.add
 	}
-	if err := keep(id); err != nil {
+	if err := b.inTime(id, keep); err != nil {
 		return err
 	}
 	var untold error
@@ -202,6 +207,29 @@
 	return errors.Join(untold, b.apply()) // it is kept: it holds here even if others were not told
 }
 
+// inTime changes the store, and waits for that no longer than the call's answer may take. A change that the disk is still
+// busy with goes on: what it makes of the folder is seen by Run.
+func (b *Bans) inTime(id string, change func(string) error) error {
+	select {
+	case b.changes <- struct{}{}:
+	default:
+		return &SlowError{keepWithin}
+	}
+	done := make(chan error, 1)
+	go func() {
+		defer func() { <-b.changes }()
+		done <- change(id)
+	}()
+	late := time.NewTimer(keepWithin)
+	defer late.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-late.C:
+		return &SlowError{keepWithin}
+	}
+}
+
 // out tells whether a server, or a zone, is out here or by others.
 func (b *Bans) out(id string) bool {
 	if b.store.has(id) {
--- a/internal/bans/errors.go
+++ b/internal/bans/errors.go
@@ -43,6 +43,13 @@
 	return &StoreError{op, path, err}
 }
 
+// SlowError tells that the disk was still busy with the change when the answer was due. It may hold, or not yet.
+type SlowError struct{ After time.Duration }
+
+func (e *SlowError) Error() string {
+	return fmt.Sprintf("the disk had not kept the change after %v; repeat the call to learn when it has", e.After)
+}
+
 // LateError tells that what a call says is kept and will hold, but does not yet.
 type LateError struct{ After time.Duration }
 
--- a/internal/durable/keeper.go
+++ b/internal/durable/keeper.go
@@ -11,8 +11,8 @@
 // keepWait is between two writes, at least.
 const keepWait = time.Second
 
-// Keeper writes the newest of something down, in a goroutine of its own. A disk that takes none, or is slow, is said once
-// and harms nothing else: the file is of use to the next start only.
+// Keeper writes the newest of something down, in a goroutine of its own, and again while the disk does not take it. A disk
+// that takes none, or is slow, is said once and harms nothing else: the file is of use to the next start only.
 type Keeper struct {
 	dir, file, kind, what string
 	log                   *slog.Logger
@@ -39,18 +39,28 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		var unwritten func() []byte // what the disk has not taken
 		for {
+			var again <-chan time.Time
+			if unwritten != nil {
+				again = time.After(keepWait)
+			}
 			select {
-			case text := <-k.next:
-				k.write(text())
+			case unwritten = <-k.next:
+			case <-again:
 			case <-ctx.Done():
 				select {
-				case text := <-k.next:
-					k.write(text())
+				case unwritten = <-k.next:
 				default:
 				}
+				if unwritten != nil {
+					k.write(unwritten())
+				}
 				return
 			}
+			if k.write(unwritten()) {
+				unwritten = nil
+			}
 			select {
 			case <-time.After(keepWait):
 			case <-ctx.Done():
@@ -60,7 +70,8 @@
 	return func() { <-done }
 }
 
-func (k *Keeper) write(text []byte) {
+// write tells whether the disk has taken a text.
+func (k *Keeper) write(text []byte) bool {
 	err := os.MkdirAll(k.dir, 0o700)
 	if err == nil {
 		err = WriteFile(filepath.Join(k.dir, k.file), Seal(k.kind, text))
@@ -72,6 +83,7 @@
 		k.log.Info(k.what+" is kept again", "dir", k.dir)
 	}
 	k.bad = err != nil
+	return err == nil
 }
 
 // ReadFile reads a sealed file of a kind, of at most so many bytes.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
+	"syscall"
 	"time"
 
 	"fernlanding/logic"
@@ -58,8 +60,8 @@
 		}
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil || a.barred() || errors.Is(err, errNoSockets) || errors.Is(err, errTurned) {
-				return result{status: logic.Moot} // stopped before anything was sent, by no fault of the backend's
+			if a.ctx.Err() != nil || a.barred() || ownFault(err) || errors.Is(err, errTurned) {
+				return result{status: logic.Moot} // nothing was sent, by no fault of the backend's
 			}
 			return result{status: logic.ConnectFailed}
 		}
@@ -98,6 +100,15 @@
 	return a.pool.dial(ctx, a.backend, a.addr, a.epoch)
 }
 
+// shortages are errors of a connect that say what this machine is short of: ports, memory or descriptors.
+var shortages = []error{errNoSockets, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM, syscall.EMFILE, syscall.ENFILE,
+	syscall.EAGAIN}
+
+// ownFault tells whether a connect failed for a shortage of the proxy's own, which says nothing of the backend.
+func ownFault(err error) bool {
+	return slices.ContainsFunc(shortages, func(s error) bool { return errors.Is(err, s) })
+}
+
 // exchange writes the request and reads the answer; keep tells whether the connection can serve again.
 func (a *attempt) exchange(c *conn) (res result, keep bool) {
 	// Stopping the attempt ends its reads and writes; the connection is then closed, never used again.
