--- a/internal/durable/keeper_test.go
+++ b/internal/durable/keeper_test.go
@@ -58,3 +58,22 @@
 		}
 	})
 }
+
+// A process that dies between a file's writing and its renaming leaves the new one behind; the next start removes it, and
+// nothing of other names.
+func TestLeftoversOfAWriteAreRemoved(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"list.123.new", "list.9.new", "list", "other.1.new"} {
+		if err := os.WriteFile(filepath.Join(dir, name), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := NewKeeper(dir, "list", "kind", "the list", slog.New(slog.DiscardHandler)).Run(ctx)
+	stop()
+	ended()
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil || len(left) != 2 || filepath.Base(left[0]) != "list" || filepath.Base(left[1]) != "other.1.new" {
+		t.Errorf("left %v, %v", left, err)
+	}
+}
