--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -59,9 +59,25 @@
 	return body, nil
 }
 
+// temporary is the pattern of the names under which WriteFile writes a file before it renames it.
+func temporary(name string) string { return name + ".*.new" }
+
+// sweep removes what processes that died in WriteFile left of a file.
+func sweep(path string) error {
+	left, err := filepath.Glob(temporary(path))
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, l := range left {
+		errs = append(errs, os.Remove(l))
+	}
+	return errors.Join(errs...)
+}
+
 // WriteFile puts a file in the place of another as one step that a power loss cannot split, and confirms it.
 func WriteFile(path string, data []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*.new")
+	f, err := os.CreateTemp(filepath.Dir(path), temporary(filepath.Base(path)))
 	if err != nil {
 		return err
 	}
--- a/internal/durable/keeper.go
+++ b/internal/durable/keeper.go
@@ -39,6 +39,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		if err := sweep(filepath.Join(k.dir, k.file)); err != nil {
+			k.log.Warn(k.what+": leftovers of a former process stay", "dir", k.dir, "error", err)
+		}
 		var unwritten func() []byte // what the disk has not taken
 		for {
 			var again <-chan time.Time
