--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -35,8 +35,7 @@
 		return bad(http.StatusBadRequest, "unknown Request-Class")
 	}
 	part, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	uri, ok := originForm(r)
-	if part != name || !ok {
+	if part != name || !strings.HasPrefix(r.RequestURI, "/") {
 		return bad(http.StatusBadRequest, "the path does not begin with the class")
 	}
 	id := r.Header.Get("Request-Id")
@@ -68,28 +67,12 @@
 		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
 			Under: v.rules},
 		class:  name,
-		method: method, uri: uri, host: r.Host, header: passOn(r.Header), wait: wait,
+		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), wait: wait,
 		unsafe: k.Repeat == logic.Unsafe,
 		answer: make(chan answer, 1),
 	}, answer{}
 }
 
-// originForm is a request's path and query as they came, also from a target in absolute form; false if it has neither form.
-func originForm(r *http.Request) (string, bool) {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI, true
-	}
-	if r.URL.Scheme != "http" {
-		return "", false
-	}
-	_, rest, _ := strings.Cut(r.RequestURI, "://")
-	at := strings.IndexByte(rest, '/')
-	if at < 0 {
-		return "", false
-	}
-	return rest[at:], true
-}
-
 // passOn takes the headers that concern one connection out, and leaves net/http to frame the body.
 func passOn(h http.Header) http.Header {
 	for _, line := range h["Connection"] {
