Count no answer as told that a cut held back for a process since killed

The lab's fault, not the proxy's.

The catalog tells the referee of an answer only while the process is the one that asked. go test ./internal/lab/catalog -run TestAnAnswerToADeadProcess passes and fails without the change.

--- a/internal/lab/catalog/catalog_test.go
+++ b/internal/lab/catalog/catalog_test.go
@@ -19,7 +19,7 @@
 		entries = append(entries, Entry{Name: fmt.Sprintf("s%d", i), Status: Serving})
 	}
 	return New(Config{Lag: time.Second, Call: time.Millisecond, Wait: 100 * time.Millisecond, Sync: time.Minute,
-		Retain: 4, Most: 3, Seed: seed, Address: func(_, nodo string) string { return nodo + ":1" }}, referee.New(referee.Terms{}), entries)
+		Retain: 4, Most: 3, Seed: seed, Address: func(_, nodo string) string { return nodo + ":1" }}, referee.New(referee.Terms{Classes: []referee.Class{{}}, TryLimit: 3}), entries)
 }
 
 // After a power loss the list is what it was at some version not older than the last sync: whole records, in order.
@@ -125,3 +125,24 @@
 		})
 	}
 }
+
+// An answer that a cut held back for a process which was killed meanwhile tells the process after it nothing: what that one
+// sends later breaks no rule. An answer to itself does.
+func TestAnAnswerToADeadProcessTellsTheNextNothing(t *testing.T) {
+	for _, dead := range []bool{true, false} {
+		c, began := newCatalog(1, 1), time.Unix(1000, 0)
+		known := []referee.Entry{{Nodo: "s0", Serving: true}}
+		c.ref.Started("p", known, began)
+		process := c.ref.Process("p")
+		if dead {
+			c.ref.Started("p", known, began.Add(time.Second))
+		}
+		c.told("p", process, &call{lines: []referee.Entry{{Nodo: "s0", Serving: false}}}, began.Add(2*time.Second))
+		try := &referee.Try{ID: "1", Method: "GET", Path: "/", Deadline: began.Add(time.Hour)}
+		c.ref.Send(try, "p")
+		c.ref.Begin(referee.Arrival{Nodo: "s0", ID: "1", Method: "GET", Path: "/", First: began.Add(time.Minute), Last: began.Add(time.Minute)})
+		if broken := c.ref.Close().Broken["drain"]; (broken > 0) == dead {
+			t.Errorf("a dead process %v: drain broken %d times", dead, broken)
+		}
+	}
+}
--- a/internal/lab/catalog/serve.go
+++ b/internal/lab/catalog/serve.go
@@ -27,6 +27,7 @@
 func (c *Catalog) Serve(proxy string, conn *link.Conn) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
+	process := c.ref.Process(proxy)
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -34,13 +35,7 @@
 		}
 		c.ref.Asks(proxy)
 		status, body, q := c.handle(proxy, req, conn)
-		told := func(at time.Time) {
-			if q == nil {
-				c.ref.Told(proxy, nil, false, true, at)
-				return
-			}
-			c.ref.Told(proxy, q.lines, q.whole, false, at)
-		}
+		told := func(at time.Time) { c.told(proxy, process, q, at) }
 		if err := conn.NoteThenWrite(wire.JSON(status, body), told); err != nil {
 			c.ref.Told(proxy, nil, false, true, time.Now())
 			return
@@ -51,6 +46,18 @@
 	}
 }
 
+// told notes an answer that goes to a process of a proxy, nil for the call if it failed. What a cut held back for a process
+// that has been killed since tells the next one nothing.
+func (c *Catalog) told(proxy string, process int, q *call, at time.Time) {
+	switch {
+	case c.ref.Process(proxy) != process:
+	case q == nil:
+		c.ref.Told(proxy, nil, false, true, at)
+	default:
+		c.ref.Told(proxy, q.lines, q.whole, false, at)
+	}
+}
+
 // handle answers one call: nil for the call if it failed.
 func (c *Catalog) handle(proxy string, req *http.Request, conn *link.Conn) (int, []byte, *call) {
 	if req.Method != http.MethodGet || req.URL.Path != "/catalog/members" {
--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -29,6 +29,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.proxy(name)
+	p.starts++
 	p.asked, p.asking, p.failed = at, 0, false
 	p.told = map[string]told{}
 	for _, e := range known {
@@ -36,6 +37,13 @@
 	}
 }
 
+// Process tells a proxy's processes apart that began from nothing.
+func (r *Referee) Process(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proxy(name).starts
+}
+
 // Asks notes a proxy's call to the list; Told notes how it ended.
 func (r *Referee) Asks(name string) {
 	r.mu.Lock()
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -72,6 +72,7 @@
 	asked   time.Time // when its last call to the list ended
 	asking  int       // calls that are out
 	failed  bool      // the last call
+	starts  int       // from nothing
 	excuses []span
 }
 
