--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -21,7 +21,11 @@
 	lastFault   = 13.0 // seconds; what begins later has no time to show
 	crossings   = 3    // moments at which troubles meet
 	meetWithin  = 0.8  // seconds between troubles that meet
-	proxiesMost = 5    // of a zone
+	fewLeast    = 3    // proxies of a zone, from
+	fewMost     = 5    // to; but for
+	manyOf      = 4    // one seed in so many, which has
+	manyLeast   = 8    // from
+	manyMost    = 13   // to
 )
 
 // trouble is a kind of fault with how its figures are drawn.
@@ -79,11 +83,13 @@
 	r := rand.New(rand.NewPCG(seed, 41))
 	var b strings.Builder
 	fmt.Fprintf(&b, "base = \"calm.toml\"\ntitle = \"soak, seed %d\"\nseconds = %g\nexpect = []\n", seed, seconds)
-	proxies := 0
+	least, most := fewLeast, fewMost
+	if r.IntN(manyOf) == 0 {
+		least, most = manyLeast, manyMost
+	}
 	var zones strings.Builder
 	for _, z := range []string{"monterrey", "queretaro", "guadalajara"} {
-		n := 3 + r.IntN(proxiesMost-2)
-		proxies += n
+		n := least + r.IntN(most-least+1)
 		fmt.Fprintf(&zones, "\n[[zone]]\nname = %q\nproxies = %d\ntraffic = %.1f\n[[zone.nodos]]\ncount = %d\nspeed = 1.2\nslots = 3\nqueue = 12\n",
 			z, n, 0.5+r.Float64(), 3+r.IntN(4))
 	}
