Give the lab's cells numbers that are unique within the tier

The lab numbered cells from 0 in each zone and its referee held proxies to zone and cell, while the wire page has numbers unique within a tier, and the module goes by the number.

--- a/internal/lab/run/servers.go
+++ b/internal/lab/run/servers.go
@@ -60,18 +60,25 @@
 	return out
 }
 
+// zoneCells is how many cells the nodos of a zone make up.
+const zoneCells = 4
+
+// cellOf is the cell of a nodo by its zone and its own number. Numbers of cells are unique within a tier, as on the platform.
+func cellOf(zone, number int) int { return zone*zoneCells + number%zoneCells }
+
 // addServer makes a nodo with a link from each group of proxies, and starts it.
 func (f *fleet) addServer(n experiment.Node, cell int, at time.Time, cold bool) (*server, error) {
 	if len(n.Name) > longestNodoName {
 		return nil, fmt.Errorf("nodo %s: replaced too often", n.Name)
 	}
-	c := f.exp.Nodos
-	s := &server{node: n, cell: cell % 4, Nodo: nodo.New(nodo.Spec{Name: n.Name, Zone: n.Zone, Cell: cell % 4,
+	c, number := f.exp.Nodos, cell
+	cell = cellOf(slices.Index(f.exp.ZoneNames(), n.Zone), number)
+	s := &server{node: n, cell: cell, Nodo: nodo.New(nodo.Spec{Name: n.Name, Zone: n.Zone, Cell: cell,
 		Speed: n.Group.Speed, Slots: n.Group.Slots, Queue: n.Group.Queue, MaxConns: c.MaxConns,
 		ConnectDelay: experiment.Millis(c.ConnectMs), ConnectWork: experiment.Millis(c.ConnectWork),
 		IdleClose: experiment.Millis(f.exp.Proxy.IdleMs), StartCapacity: c.StartCapacity, Cold: experiment.Millis(c.ColdMs),
 		TipMultiple: c.TipMultiple, Fall: experiment.Millis(c.FallMs), Cancelling: c.Cancelling,
-		Seed: f.plan.Seed + uint64(cell)}, f, f.ref)}
+		Seed: f.plan.Seed + uint64(number)}, f, f.ref)}
 	f.begin(s, at, cold)
 	f.mu.Lock()
 	f.servers[n.Name] = s
