--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -191,6 +191,7 @@
 	if c.e.Clients.Retries < 0 {
 		c.problem("clients.retries", "has to be 0 or more")
 	}
+	c.part("clients.leave_part", c.e.Clients.LeavePart)
 	c.notNegative("clients.wait_ms", c.e.Clients.WaitMs)
 	c.notNegative("clients.notice_ms", c.e.Clients.NoticeMs)
 }
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -134,6 +134,7 @@
 	WaitMs     float64   `toml:"wait_ms"`
 	TryPart    []float64 `toml:"try_part"` // of the class's give-up time that one try is given: from, to
 	MarkRetry  bool      `toml:"mark_retry"`
+	LeavePart  float64   `toml:"leave_part"`  // of the tries whose clients close their connection before the answer
 	NoticeMs   float64   `toml:"notice_ms"`   // until the front notices a dead proxy
 	OtherZones bool      `toml:"other_zones"` // the front sends on to other zones when its own has no proxy
 }
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -8,12 +8,14 @@
 )
 
 // Rules are the rules of service that the referee judges, by the names that figures and reports give them.
-var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged", "list"}
+var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged", "list", "rude", "gone"}
 
 // RuleText says what a broken rule means.
 var RuleText = map[string]string{
 	"lost":    "a request taken got no whole final answer in its time",
 	"twice":   "a request got more than one answer",
+	"rude":    "a client that sent no proper request got neither an error nor a close in 3 s",
+	"gone":    "an attempt began over 0.1 s after its client had left",
 	"repeat":  "a request was sent again, or refused, where its class does not allow it",
 	"drain":   "a nodo got something new after the proxy had been told for the grace that it drains or is gone",
 	"tip":     "a cold nodo was sent more than it could stand",
--- a/internal/lab/load/clients.go
+++ b/internal/lab/load/clients.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fernlanding/internal/lab/experiment"
@@ -28,9 +29,11 @@
 )
 
 const (
-	listenOn  = 600 * time.Millisecond // to a connection whose request's time is over: what comes then is late, not lost
-	leastLeft = 20 * time.Millisecond  // a try with less time is not made
-	maxAnswer = 64 << 20
+	listenOn = 600 * time.Millisecond // to a connection whose request's time is over: what comes then is late, not lost
+	// Clients that leave do so within this; half of it is before most answers.
+	leaveWithin = 300 * time.Millisecond
+	leastLeft   = 20 * time.Millisecond // a try with less time is not made
+	maxAnswer   = 64 << 20
 )
 
 // Client plays the arrivals of a plan.
@@ -72,6 +75,13 @@
 	return c.rng.IntN(n)
 }
 
+// leaves draws whether the client of a try closes its connection before the answer.
+func (c *Client) leaves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exp.Clients.LeavePart > 0 && c.rng.Float64() < c.exp.Clients.LeavePart
+}
+
 // Run plays all arrivals from start on, and returns once every try has ended, or soon after the context has.
 func (c *Client) Run(ctx context.Context, start time.Time) {
 	swept, stop := context.WithCancel(context.Background())
@@ -242,6 +252,17 @@
 	}); err != nil {
 		return outcome{}, true
 	}
+	var left atomic.Bool
+	if c.leaves() {
+		after := time.Duration(c.intn(int(leaveWithin)))
+		leave := time.AfterFunc(after, func() {
+			if c.ref.Leaves(t, time.Now()) {
+				left.Store(true)
+				k.Reset()
+			}
+		})
+		defer leave.Stop()
+	}
 	_ = k.SetReadDeadline(t.Deadline.Add(listenOn))
 	if _, err := k.r.Peek(1); err != nil {
 		defer k.Reset()
@@ -250,6 +271,9 @@
 			c.ref.Silent(t, now)
 			return outcome{end: referee.Unanswered}, false
 		}
+		if left.Load() {
+			return outcome{end: referee.Unanswered}, false
+		}
 		mu.Lock()
 		unread := taken.IsZero() || k.ReadAt().Before(taken) || link.IsReset(err)
 		mu.Unlock()
--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -133,6 +133,10 @@
 	}
 	r.judgeRepeat(t, at)
 	r.judgeDrain(t, at)
+	if late := a.First.Sub(t.Left); !t.Left.IsZero() && late > goneWithin+socketSlack {
+		r.broken(Violation{Rule: "gone", At: a.First, Proxy: t.Proxy, Nodo: a.Nodo, Try: t.ID,
+			Text: fmt.Sprintf("sent %v after its client had left", late.Round(time.Millisecond))})
+	}
 	t.attempts = append(t.attempts, at)
 	r.attempts = append(r.attempts, at)
 	return at
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -44,6 +44,7 @@
 	lateMost     = 500 * time.Millisecond // an answer after its time is late up to here, and lost beyond
 	turnedFree   = 200                    // one request in so many may be turned back unheard
 	failedAsk    = 4                      // after a failed call the list need not be asked for so many times as long
+	goneWithin   = 100 * time.Millisecond // after a client has left attempts may begin for so long
 	tipInformed  = 2.0 / 3                // of the work, from proxies that knew of the start, breaks the rule
 	knocksMost   = 1_000_000              // 100 MB
 	violationTop = 20                     // of each rule are kept in full
@@ -243,6 +244,18 @@
 	}
 }
 
+// Leaves notes that a client closes its connection without waiting any longer: no answer is owed from now on. False if the
+// try has ended.
+func (r *Referee) Leaves(t *Try, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.End != Pending {
+		return false
+	}
+	t.Left, t.Ended, t.End = at, at, Unanswered
+	return true
+}
+
 // Twice notes that more came on a connection after a whole answer than the next request asked for.
 func (r *Referee) Twice(t *Try, at time.Time) {
 	r.mu.Lock()
@@ -304,7 +317,7 @@
 	var turned []*Try
 	taken := 0
 	for _, t := range r.order {
-		if t.Taken.IsZero() {
+		if t.Taken.IsZero() || !t.Left.IsZero() {
 			continue
 		}
 		taken++
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -131,3 +131,25 @@
 		})
 	}
 }
+
+// An attempt for a client that has left may begin for 0.1 s; its try is owed nothing.
+func TestAnAttemptForAClientThatLeft(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{goneWithin + socketSlack, 0}, {goneWithin + socketSlack + 1, 1}} {
+		r, began := New(Terms{Classes: []Class{{}}, TryLimit: 3}), time.Unix(1000, 0)
+		r.Started("p", []Entry{{Nodo: "s", Serving: true}}, began)
+		try := &Try{ID: "1", Method: "GET", Path: "/", Deadline: began.Add(time.Second)}
+		r.Send(try, "p")
+		r.Taken(try, began)
+		if !r.Leaves(try, began) || r.Leaves(try, began.Add(1)) {
+			t.Error("it leaves once")
+		}
+		at := began.Add(c.after)
+		r.Begin(Arrival{Nodo: "s", ID: "1", Method: "GET", Path: "/", First: at, Last: at})
+		if got := r.Close().Broken; got["gone"] != c.want || got["lost"] != 0 {
+			t.Errorf("%v after: broken %v", c.after, got)
+		}
+	}
+}
--- a/internal/lab/referee/try.go
+++ b/internal/lab/referee/try.go
@@ -33,6 +33,7 @@
 	Key      string
 	Body     uint64 // digest
 
+	Left   time.Time // when its client closed its connection without waiting any longer; zero: it did not
 	Taken  time.Time // last byte written to the proxy's socket; zero: it was not
 	Ended  time.Time
 	End    End
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -17,15 +17,16 @@
 )
 
 const (
-	seconds     = 18.0
-	lastFault   = 13.0 // seconds; what begins later has no time to show
-	crossings   = 3    // moments at which troubles meet
-	meetWithin  = 0.8  // seconds between troubles that meet
-	fewLeast    = 3    // proxies of a zone, from
-	fewMost     = 5    // to; but for
-	manyOf      = 4    // one seed in so many, which has
-	manyLeast   = 8    // from
-	manyMost    = 13   // to
+	seconds    = 18.0
+	lastFault  = 13.0 // seconds; what begins later has no time to show
+	crossings  = 3    // moments at which troubles meet
+	leaveMost  = 0.3  // of the tries\' clients leave before their answer, in half of the seeds
+	meetWithin = 0.8  // seconds between troubles that meet
+	fewLeast   = 3    // proxies of a zone, from
+	fewMost    = 5    // to; but for
+	manyOf     = 4    // one seed in so many, which has
+	manyLeast  = 8    // from
+	manyMost   = 13   // to
 )
 
 // trouble is a kind of fault with how its figures are drawn.
@@ -95,7 +96,7 @@
 	}
 	fmt.Fprintf(&b, "\n[load]\nrate = [[0, 20], [2, %d]]\n", 60+r.IntN(60))
 	fmt.Fprintf(&b, "\n[lab]\nlate_ms = 200\nstall_ms = 1500\n")
-	fmt.Fprintf(&b, "\n[clients]\nother_zones = %v\n", r.IntN(2) == 0)
+	fmt.Fprintf(&b, "\n[clients]\nother_zones = %v\nleave_part = %.2f\n", r.IntN(2) == 0, leaveMost*r.Float64()*float64(r.IntN(2)))
 	fmt.Fprintf(&b, "\n[proxy]\nmembership = %q\n", []string{"automatic", "subscribe"}[r.IntN(2)])
 	b.WriteString(zones.String())
 	b.WriteString(classes(r))
