Give each process of the lab its own configuration, and successors their lists

Each process has a file of its own, and what a successor's list says differently counts as told. go test ./internal/lab/referee -run TestASuccessorGoesByItsOwnList fails without that.

--- a/internal/lab/referee/nodos.go
+++ b/internal/lab/referee/nodos.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// Knows notes the list that a successor begins with: what differs from what its predecessor was told is told with it.
+func (r *Referee) Knows(name string, known []Entry, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.proxy(name)
+	for _, e := range known {
+		if now, ok := p.told[e.Nodo]; !ok || now.serving != e.Serving || now.since != e.Since {
+			p.told[e.Nodo] = told{e.Serving, e.Since, at}
+		}
+	}
+}
+
 // Process tells a proxy's processes apart that began from nothing.
 func (r *Referee) Process(name string) int {
 	r.mu.Lock()
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -153,3 +153,22 @@
 		}
 	}
 }
+
+// A successor may send to a server that its own list names, though its predecessor was told that it is gone, or never of it.
+func TestASuccessorGoesByItsOwnList(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		r, began := New(Terms{Classes: []Class{{}}, TryLimit: 3}), time.Unix(1000, 0)
+		r.Started("p", []Entry{{Nodo: "gone"}}, began)
+		if known {
+			r.Knows("p", []Entry{{Nodo: "gone", Serving: true, Since: 7}, {Nodo: "new", Serving: true}}, began.Add(time.Minute))
+		}
+		at := began.Add(time.Hour)
+		for _, nodo := range []string{"gone", "new"} {
+			r.Send(&Try{ID: nodo, Method: "GET", Path: "/", Deadline: at}, "p")
+			r.Begin(Arrival{Nodo: nodo, ID: nodo, Method: "GET", Path: "/", First: at, Last: at})
+		}
+		if got := r.Close().Broken["drain"]; (got == 2) == known || known && got != 0 {
+			t.Errorf("a successor that knows %v: drain broken %d times", known, got)
+		}
+	}
+}
--- a/internal/lab/run/proxies.go
+++ b/internal/lab/run/proxies.go
@@ -31,13 +31,14 @@
 	dir     string
 	relay   *link.Relay // of the fleet's gossip; nil if it is off
 
-	mu    sync.Mutex // of one fault at a time, and of what follows
-	proc  *process.Process
-	mgmt  string
-	began time.Time         // of the latest process
-	count int               // processes so far
-	owed  []func(time.Time) // excuses that end when it serves again
-	dead  int               // faults that keep it down
+	mu     sync.Mutex // of one fault at a time, and of what follows
+	proc   *process.Process
+	mgmt   string
+	began  time.Time         // of the latest process
+	config string            // its file
+	count  int               // processes so far
+	owed   []func(time.Time) // excuses that end when it serves again
+	dead   int               // faults that keep it down
 
 	all   sync.Mutex // of what follows
 	run   []*process.Process
@@ -86,12 +87,14 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(m.dir, "config.json")
+	path := filepath.Join(m.dir, fmt.Sprintf("config-%d.json", m.count)) // its own: another may start before it has read it
 	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return fmt.Errorf("configuration of %s: %w", m.node.Name, err)
 	}
 	successor := m.proc != nil && !over(m.proc)
-	if !successor {
+	if successor {
+		f.ref.Knows(m.node.Name, told, time.Now())
+	} else {
 		f.ref.Started(m.node.Name, told, time.Now())
 	}
 	p, err := f.starter.Start(process.Spec{Name: m.node.Name, Command: f.command, Env: append(os.Environ(), "LB_CONFIG="+path,
@@ -100,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	m.proc, m.began = p, time.Now()
+	m.proc, m.began, m.config = p, time.Now(), path
 	go f.mourn(p)
 	m.all.Lock()
 	defer m.all.Unlock()
--- a/internal/lab/run/strike_reload.go
+++ b/internal/lab/run/strike_reload.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -43,7 +42,7 @@
 	if m.proc == nil || over(m.proc) || time.Since(m.began) < reloadAfter {
 		return nil
 	}
-	path := filepath.Join(m.dir, "config.json")
+	path := m.config
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("configuration of %s: %w", m.node.Name, err)
