Take no failed write to a client that has left for a close on its request

The detail names the callers now: net/http closes the connection itself where a write of the answer fails, and the client had reset it. The request counts as answered from when its answer is written.

--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -4,6 +4,9 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"path"
+	"runtime"
+	"strings"
 	"sync"
 	"time"
 
@@ -154,6 +157,20 @@
 	}
 }
 
+// callers names the functions on whose behalf a connection is closed, the nearest first.
+func callers() string {
+	const skip, most = 3, 8
+	var at [most]uintptr
+	frames := runtime.CallersFrames(at[:runtime.Callers(skip, at[:])])
+	var names []string
+	for more := true; more; {
+		var f runtime.Frame
+		f, more = frames.Next()
+		names = append(names, path.Base(f.Function))
+	}
+	return strings.Join(names, " < ")
+}
+
 // owe notes that a request has been taken on a client's connection; paid, that it has its answer, or nobody waits for one.
 func (c *framedConn) owe(id string) { c.owed.Store(&id) }
 func (c *framedConn) paid()         { c.owed.Store(nil) }
@@ -166,7 +183,7 @@
 	}
 	audit.count("closes.client." + reason)
 	if id := c.owed.Load(); id != nil {
-		audit.found(guard.Closed(*id, reason))
+		audit.found(guard.Closed(*id, reason+" by "+callers()))
 		c.paid()
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -142,10 +142,10 @@
 		f.streams.Add(1)
 		defer f.streams.Add(-1)
 	}
-	f.reply(w, ans)
 	if fc != nil {
-		fc.paid() // one that has begun and breaks off has failed, and shows
+		fc.paid() // net/http closes where a write fails, since the client has gone; what has begun and breaks off shows
 	}
+	f.reply(w, ans)
 	if ans.stream != nil {
 		ans.stream.passOn(w, r)
 	}
--- /dev/null
+++ b/internal/proxy/leave_stress_test.go
@@ -0,0 +1,46 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Clients that leave at any moment of their requests break no rule that the proxy can see, however they leave.
+func TestClientsThatLeaveAtAnyMomentBreakNoRule(t *testing.T) {
+	long := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 20<<10, strings.Repeat("x", 20<<10)) // several writes
+	p, _ := serving(t, func(w io.Writer, r *http.Request, n int) bool {
+		time.Sleep(time.Duration(rand.IntN(4000)) * time.Microsecond)
+		if n%7 == 0 {
+			return false // a reset: another attempt is decided on
+		}
+		_, _ = io.WriteString(w, long)
+		return true
+	})
+	var all sync.WaitGroup
+	for worker := range 16 {
+		all.Go(func() {
+			for i := range 60 {
+				c, err := net.Dial("tcp", p.Addr())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(c, look(fmt.Sprintf("%d-%d", worker, i), 1000))
+				time.Sleep(time.Duration(rand.IntN(6000)) * time.Microsecond)
+				if i%2 == 0 {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+			}
+		})
+	}
+	all.Wait()
+	waitUntil(t, func() bool { return p.Figures().Outstanding == 0 })
+}
