--- a/internal/discovery/collapse_test.go
+++ b/internal/discovery/collapse_test.go
@@ -15,9 +15,9 @@
 	const (
 		turn  = 18 * time.Millisecond
 		w     = 2 * time.Second
-		calm  = settle + knocksPlain*turnPeriod                          // until the period doubles
-		soon  = periodLeast + w + turnPeriod - w + 1500*time.Millisecond // a knock, in vain; another; and the turns of those
-		third = calm + turnPeriod*3/2*(2+4+8)                            // until each has knocked in the longest period
+		calm  = settle + pollsPlain*turnPeriod                           // until the period doubles
+		soon  = periodLeast + w + turnPeriod - w + 1500*time.Millisecond // a poll, in vain; another; and the turns of those
+		third = calm + turnPeriod*3/2*(2+4+8)                            // until each has polled in the longest period
 	)
 	tests := []struct {
 		name    string
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -88,11 +88,11 @@
 	retryPushed = 200 * time.Millisecond
 
 	// A call waits for its turn for W, fails then, and takes its turn all the same, as measured in the bench (issue 24): a
-	// queue that is longer than W answers nobody, and a fleet that knocks faster than discovery takes turns keeps it so for
-	// ever. So a client that waited in vain, or failed busyFirst times in a row, knocks once in a period only, at a point of
+	// queue that is longer than W answers nobody, and a fleet that polls faster than discovery takes turns keeps it so for
+	// ever. So a client that waited in vain, or failed busyFirst times in a row, polls once in a period only, at a point of
 	// it that it drew, and after its first wait in vain once more within what is left of the period. With turns of 18 ms 300
-	// knocks in 3.5 s are 86 a second; 194 of them are answered in that time, and 1.9 s of turns wait, less than W: all are
-	// answered, the last after 300 x 18 ms = 5.4 s. Where that is not enough the period doubles from the fifth knock on, up
+	// polls in 3.5 s are 86 a second; 194 of them are answered in that time, and 1.9 s of turns wait, less than W: all are
+	// answered, the last after 300 x 18 ms = 5.4 s. Where that is not enough the period doubles from the fifth poll on, up
 	// to eight times: 1,300 in 28 s are 46 a second, and there are 55 turns. The last of 1,300 is answered within settle + 4
 	// x 3.5 + 1.5 x (7 + 14 + 28) + W = 91.5 s; their turns alone are 23.4 s, so here discovery's time is not used well, but
 	// nobody is turned away for ever. collapse_test.go asserts these.
@@ -102,10 +102,10 @@
 	turnPeriod  = 3500 * time.Millisecond
 	periodLeast = 2500 * time.Millisecond // of discoveries with long waits: with the wait it is periodBoth at most
 	periodBoth  = 5500 * time.Millisecond
-	settle      = 2 * time.Second // more, before the first knock: turns of calls that waited in vain too
-	knocksPlain = 4
-	knocksNew   = 2 // of a client that was never answered
-	knocksDown  = 2 // those that nobody answered count for no more
+	settle      = 2 * time.Second // more, before the first poll: turns of calls that waited in vain too
+	pollsPlain  = 4
+	pollsNew    = 2 // of a client that was never answered
+	pollsDown   = 2 // those that nobody answered count for no more
 	doublings   = 3
 	turnMost    = 40 * time.Millisecond // that one call costs discovery, with the changes of a release in its answer
 
@@ -144,7 +144,7 @@
 
 	turnedAway time.Duration // that the last 503 took to come
 	longest    time.Duration // that a call waited in vain
-	knocks     int           // failed in a row, from the first on that shows that the queue is long
+	polls      int           // failed in a row, from the first on that shows that the queue is long
 	vain       int           // of these, that waited in vain
 
 	answeredBusy bool // the last call was answered, with a 503
@@ -172,7 +172,7 @@
 		}
 		if c.going = err == nil; c.going {
 			c.heard = true
-			c.version, c.busy, c.knocks, c.vain, failed = list.Index, false, 0, 0, 0
+			c.version, c.busy, c.polls, c.vain, failed = list.Index, false, 0, 0, 0
 			c.tell(News{list})
 			continue
 		}
@@ -196,7 +196,7 @@
 		failed++
 		c.answeredBusy = errors.Is(err, errBusy)
 		if c.queueIsLong(err, failed) {
-			c.wait(ctx, c.untilNextKnock())
+			c.wait(ctx, c.untilNextPoll())
 			continue
 		}
 		c.wait(ctx, c.retry(failed))
@@ -206,7 +206,7 @@
 // forgetQueue is for another discovery, or an answer: what was seen of a queue holds no more.
 func (c *Client) forgetQueue() {
 	c.busy, c.answeredBusy, c.fell, c.heard = false, false, false, false
-	c.knocks, c.vain, c.longest, c.turnedAway = 0, 0, 0, 0
+	c.polls, c.vain, c.longest, c.turnedAway = 0, 0, 0, 0
 }
 
 // queueIsLong tells whether the last call was turned away by a queue that is longer than a call may wait, or calls fail so
@@ -220,39 +220,39 @@
 		c.longest = max(c.longest, c.turnedAway)
 		return true
 	}
-	return c.knocks > 0 || failed >= busyFirst
+	return c.polls > 0 || failed >= busyFirst
 }
 
-// untilNextKnock is the pause after a call that was turned away by a long queue, or failed at once as others before it.
-func (c *Client) untilNextKnock() time.Duration {
-	c.knocks++
+// untilNextPoll is the pause after a call that was turned away by a long queue, or failed at once as others before it.
+func (c *Client) untilNextPoll() time.Duration {
+	c.polls++
 	atOnce := c.turnedAway < someWait
 	if atOnce && !c.answeredBusy { // nobody is there to keep a queue
-		c.knocks, c.vain = min(c.knocks, knocksDown), 0
+		c.polls, c.vain = min(c.polls, pollsDown), 0
 	}
 	if atOnce && c.vain == 0 { // discovery may be down, and no turn was taken
-		if c.knocks == 1 {
+		if c.polls == 1 {
 			return c.draw(periodLeast)
 		}
 		return periodLeast - c.turnedAway
 	}
-	if c.knocks > 1 && c.turnedAway >= someWait && c.turnedAway < longWait {
-		c.knocks, c.vain = 1, 0 // its turn came, and failed: the queue is short, and a longer period would be for nothing
+	if c.polls > 1 && c.turnedAway >= someWait && c.turnedAway < longWait {
+		c.polls, c.vain = 1, 0 // its turn came, and failed: the queue is short, and a longer period would be for nothing
 		return c.draw(periodLeast)
 	}
 	first := c.vain == 0
 	if c.vain++; first {
-		c.vain = c.knocks // those that were turned away at once too
+		c.vain = c.polls // those that were turned away at once too
 	}
 	period := min(max(periodBoth-c.longest, periodLeast), turnPeriod)
 	longer := c.longerPeriod(period)
 	switch {
-	case c.knocks == 1: // all knocked at once
+	case c.polls == 1: // all polled at once
 		return settle + c.draw(period)
-	case first: // they knocked spread over a period, and few too many: the queue is soon short
+	case first: // they polled spread over a period, and few too many: the queue is soon short
 		return c.draw(max(period-c.turnedAway, 0))
 	case longer > period:
-		return longer/2 + c.draw(longer) // drawn anew, lest the knocks of a longer period bunch in a part of it
+		return longer/2 + c.draw(longer) // drawn anew, lest the polls of a longer period bunch in a part of it
 	}
 	return max(period-c.turnedAway, 0)
 }
@@ -267,9 +267,9 @@
 	if callers == 0 {
 		callers = callersUnknown
 	}
-	longer := period << max(0, min(c.vain-knocksPlain, doublings))
+	longer := period << max(0, min(c.vain-pollsPlain, doublings))
 	if !c.heard {
-		longer = period << max(0, min(2*(c.vain-knocksNew), doublings))
+		longer = period << max(0, min(2*(c.vain-pollsNew), doublings))
 	}
 	return max(period, min(longer, time.Duration(callers)*turnMost))
 }
