--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -108,14 +108,7 @@
 		repeat = c.Repeat
 	}
 	began := time.Now()
-	if c.Out == "" {
-		name := strings.TrimSuffix(filepath.Base(file), ".toml")
-		c.Out = filepath.Join("found", name+"-"+began.Format("20060102T150405"))
-	}
-	if err := os.MkdirAll(c.Out, 0o755); err != nil {
-		return err
-	}
-	if err := process.Hold(c.Out); err != nil {
+	if err := claimOut(&c.Out, strings.TrimSuffix(filepath.Base(file), ".toml"), began); err != nil {
 		return err
 	}
 	defer process.Release(c.Out)
@@ -159,6 +152,17 @@
 	return verdict(sides[len(sides)-1].Result)
 }
 
+// claimOut makes the directory of a run, one of its name and time where none was given, and holds it. The caller releases it.
+func claimOut(out *string, name string, at time.Time) error {
+	if *out == "" {
+		*out = filepath.Join("found", name+"-"+at.Format("20060102T150405"))
+	}
+	if err := os.MkdirAll(*out, 0o755); err != nil {
+		return err
+	}
+	return process.Hold(*out)
+}
+
 func verdict(r *result.Result) error {
 	switch {
 	case r.Partial != "":
--- a/cmd/fleetlab/soak.go
+++ b/cmd/fleetlab/soak.go
@@ -28,13 +28,7 @@
 	if err != nil {
 		return err
 	}
-	if c.Out == "" {
-		c.Out = filepath.Join("found", "soak-"+time.Now().Format("20060102T150405"))
-	}
-	if err := os.MkdirAll(c.Out, 0o755); err != nil {
-		return err
-	}
-	if err := process.Hold(c.Out); err != nil {
+	if err := claimOut(&c.Out, "soak", time.Now()); err != nil {
 		return err
 	}
 	defer process.Release(c.Out)
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// forgetQueue is for another discovery, or an answer: what was seen of a queue holds no more.
+// forgetQueue is for another discovery: what was seen of the former one's queue says nothing of it.
 func (c *Client) forgetQueue() {
 	c.busy, c.answeredBusy, c.fell, c.heard = false, false, false, false
 	c.polls, c.vain, c.longest, c.turnedAway = 0, 0, 0, 0
@@ -267,10 +267,11 @@
 	if callers == 0 {
 		callers = callersUnknown
 	}
-	longer := period << max(0, min(c.vain-pollsPlain, doublings))
+	more := c.vain - pollsPlain
 	if !c.heard {
-		longer = period << max(0, min(2*(c.vain-pollsNew), doublings))
+		more = 2 * (c.vain - pollsNew)
 	}
+	longer := period << max(0, min(more, doublings))
 	return max(period, min(longer, time.Duration(callers)*turnMost))
 }
 
--- a/internal/proxy/accept/accept.go
+++ b/internal/proxy/accept/accept.go
@@ -47,11 +47,11 @@
 // Succeeded notes a call that gave a connection.
 func (r *Retrier) Succeeded() { r.pause = 0 }
 
-// Failed notes a call that failed and waits before the next one, no longer than until stop is closed. It returns false if
-// there is to be no next one.
-func (r *Retrier) Failed(err error, stop <-chan struct{}) bool {
+// Failed notes a call that failed and waits before the next one, no longer than until stop is closed. It returns nil if there
+// is to be a next one, else the error to give out: net.ErrClosed after stop.
+func (r *Retrier) Failed(err error, stop <-chan struct{}) error {
 	if Lasts(err) {
-		return false
+		return err
 	}
 	r.failed++
 	if time.Since(r.logged) >= logEvery {
@@ -63,9 +63,9 @@
 	defer wait.Stop()
 	select {
 	case <-wait.C:
-		return true
+		return nil
 	case <-stop:
-		return false
+		return net.ErrClosed
 	}
 }
 
@@ -94,10 +94,7 @@
 			l.retrier.Succeeded()
 			return c, nil
 		}
-		if !l.retrier.Failed(err, l.stop) {
-			if !Lasts(err) {
-				err = net.ErrClosed
-			}
+		if err := l.retrier.Failed(err, l.stop); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"path"
 	"runtime"
@@ -58,13 +59,9 @@
 
 // all are the counts of events by name.
 func (a *audit) all() map[string]int64 {
-	out := map[string]int64{}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for name, n := range a.events {
-		out[name] = n
-	}
-	return out
+	return maps.Clone(a.events)
 }
 
 // step logs one step of a request, at the level for tracing.
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -52,6 +52,16 @@
 // peek looks at what there is to read on a connection, without a wait and without taking it. False if it has no socket
 // to be looked at; an error is one of getting at the socket, look is then not called.
 func peek(c net.Conn, look func(fd uintptr, n int, err error)) (ok bool, err error) {
+	return control(c, func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		look(fd, n, err)
+	})
+}
+
+// control calls f with a connection's descriptor. False if it has none; an error is one of getting at it, f is then not
+// called. By Control, not Read: Read waits for any other reader, and the server always has one on its client.
+func control(c net.Conn, f func(fd uintptr)) (ok bool, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false, nil
@@ -60,12 +70,7 @@
 	if err != nil {
 		return false, nil
 	}
-	// Control, not Read: Read waits for any other reader, and the server always has one on its client.
-	return true, raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		look(fd, n, err)
-	})
+	return true, raw.Control(f)
 }
 
 // resetOnClose has a connection's close drop what the system still holds back, and tell the peer that it broke.
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -76,7 +76,7 @@
 }
 
 func newPrefetch(src io.Reader, size int) *prefetch {
-	p := &prefetch{size: size, some: make(chan struct{}), full: make(chan struct{})}
+	p := &prefetch{size: size, asked: time.Now(), some: make(chan struct{}), full: make(chan struct{})}
 	p.cond.L = &p.mu
 	go p.fill(src)
 	return p
@@ -86,7 +86,6 @@
 func (p *prefetch) fill(src io.Reader) {
 	piece := make([]byte, min(p.size, copyBuffer/4))
 	for {
-		p.ask()
 		n, err := src.Read(piece)
 		p.mu.Lock()
 		p.asked = time.Time{}
@@ -101,6 +100,7 @@
 			p.fullOnce.Do(func() { close(p.full) })
 			p.cond.Wait()
 		}
+		p.asked = time.Now()
 		done := p.err != nil || p.over
 		p.mu.Unlock()
 		if done {
@@ -110,13 +110,6 @@
 	}
 }
 
-// ask notes that the source is asked for more.
-func (p *prefetch) ask() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.asked = time.Now()
-}
-
 func (p *prefetch) Read(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -78,7 +78,7 @@
 func (f *frontend) serve() error {
 	f.serving.Store(true)
 	defer f.serving.Store(false)
-	if err := f.server.Serve(f.listener); !f.listener.isClosed() && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(f.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -176,11 +176,11 @@
 	retrier := accept.NewRetrier(s.log)
 	for {
 		conn, err := s.listener.AcceptUnix()
-		if err != nil && retrier.Failed(err, s.ending) {
-			continue
-		}
 		if err != nil {
-			return
+			if retrier.Failed(err, s.ending) != nil {
+				return
+			}
+			continue
 		}
 		retrier.Succeeded()
 		s.mu.Lock()
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -48,7 +48,7 @@
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			l.shed() // an idle connection gives its descriptor up
 		}
-		if !l.retrier.Failed(err, l.closed) {
+		if err := l.retrier.Failed(err, l.closed); err != nil {
 			l.free()
 			return nil, err
 		}
@@ -110,16 +110,6 @@
 	l.most = most
 }
 
-// isClosed tells whether Close has been called: an error of Accept is then its doing.
-func (l *cappedListener) isClosed() bool {
-	select {
-	case <-l.closed:
-		return true
-	default:
-		return false
-	}
-}
-
 // Close ends the listener, and a call of Accept that waits.
 func (l *cappedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
--- a/internal/proxy/upload_arrival.go
+++ b/internal/proxy/upload_arrival.go
@@ -66,7 +66,7 @@
 // unread is how many bytes of a connection wait in the system to be read.
 func unread(c net.Conn) int64 {
 	var n int32
-	control(c, func(fd uintptr) {
+	_, _ = control(c, func(fd uintptr) {
 		const fionread = 0x541b // FIONREAD, which package syscall does not name on Linux
 		if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, fionread, uintptr(unsafe.Pointer(&n))); errno != 0 {
 			n = 0
@@ -85,19 +85,8 @@
 		*buf = make([]byte, peekMost)
 	}
 	n := 0
-	control(c, func(fd uintptr) {
+	_, _ = control(c, func(fd uintptr) {
 		n, _, _ = syscall.Recvfrom(int(fd), *buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	return n > 0 && bytes.HasSuffix((*buf)[:n], lastChunk)
 }
-
-// control calls f with a connection's descriptor, if it has one.
-func control(c net.Conn, f func(fd uintptr)) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if raw, err := sc.SyscallConn(); err == nil {
-		_ = raw.Control(f)
-	}
-}
