Reject a request whose client states that no time is left, unsent

Cause: clientTimeout used the class's deadline for each value that it could not use: 0, negative, not whole, out of range, no number. The same for a streamed upload: its time begins at its last byte, so the decisions never asked whether the client would wait then, and sent it.

Change: the header is read as it is stated. Under 1 ms is no time left, beyond the class's deadline is that deadline, a text that is no number is a 400, as it is for the other headers. The balancer is told what a client of a pending body will wait, and canMeetDeadline compares that.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -55,8 +55,9 @@
 	Settings *Settings
 
 	// BodyPending: its body is still being received. It may be sent already; its time begins with
-	// HandleBodyReceived.
+	// HandleBodyReceived, and is Timeout then.
 	BodyPending bool
+	Timeout     int64 // µs, how long the client waits from the last byte on; 0: not known
 }
 
 // ReportKind is what a Report is about.
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -63,7 +63,11 @@
 
 // canMeetDeadline reports whether a request that is sent now can still be answered by its deadline.
 func (p *retryPolicy) canMeetDeadline(now moment, request *request) bool {
-	return float64(p.deadline(request).since(now)) > minRemainingMeans*p.classes[request.Class].latency.mean
+	left := p.deadline(request).since(now)
+	if request.BodyPending && request.Timeout > 0 {
+		left = span(request.Timeout) // from a moment on that is yet to come
+	}
+	return float64(left) > minRemainingMeans*p.classes[request.Class].latency.mean
 }
 
 // attemptTimeout is the time after which an attempt that is sent now is given up: at the deadline,
--- a/internal/proxy/downstream/parserequest.go
+++ b/internal/proxy/downstream/parserequest.go
@@ -1,6 +1,9 @@
 package downstream
 
 import (
+	"errors"
+	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,14 +19,14 @@
 	responseMargin        = 30 * time.Millisecond
 	responseMarginDivisor = 8
 
-	maxTimeoutMillis = 1e9 // of what a client may ask for, so that it fits a time.Duration
+	timeoutHeader = "Request-Timeout-Ms" // how long the client waits from the last byte of the request on
 )
 
 // parseRequest reads a request's head by the settings of a snapshot. With a response returned the head makes no sense, and
 // nothing of it is forwarded.
 func (v *settingsSnapshot) parseRequest(w http.ResponseWriter, r *http.Request) (*Request, Response) {
 	bad := func(status int, reason string) (*Request, Response) { return nil, errorResponse(status, reason) }
-	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "Tenant"} {
+	for _, name := range []string{"Request-Id", "Request-Class", timeoutHeader, "Idempotency-Key", "Tenant"} {
 		if len(r.Header[name]) > 1 {
 			return bad(http.StatusBadRequest, name+" is given twice")
 		}
@@ -52,30 +55,41 @@
 	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (settings.Idempotency == balancer.IdempotentWithKey) {
 		return bad(http.StatusBadRequest, "Idempotency-Key does not fit the class")
 	}
+	timeout, err := clientTimeout(r, settings)
+	if err != nil {
+		return bad(http.StatusBadRequest, err.Error())
+	}
 	tenant, ok := v.tenants[r.Header.Get("Tenant")]
 	if !ok {
 		tenant = -1 // unknown
 	}
 	req := &Request{
 		Request: balancer.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
-			Settings: v.balancer},
+			Timeout: max(1, timeout.Microseconds()), Settings: v.balancer},
 		ClassName: name,
 		Outbound: upstream.Request{ID: id, Method: method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header),
-			Timeout: clientTimeout(r, settings), NonIdempotent: settings.Idempotency == balancer.NonIdempotent},
+			Timeout: timeout, NonIdempotent: settings.Idempotency == balancer.NonIdempotent},
 		responses: make(chan Response, 1),
 	}
 	req.Outbound.ClientGone = req.IsClientGone
 	return req, Response{}
 }
 
-// clientTimeout is how long the proxy has for a response, from the request's last byte on. A client whose
-// Request-Timeout-Ms makes no sense is taken to wait as long as its class allows.
-func clientTimeout(r *http.Request, class balancer.Class) time.Duration {
+// clientTimeout is how long the proxy has for a response, from the request's last byte on; 0 if the client no longer waits by
+// then. A client that states no Request-Timeout-Ms waits as long as its class allows. A value that is no number is an error.
+func clientTimeout(r *http.Request, class balancer.Class) (time.Duration, error) {
 	timeout := time.Duration(class.Deadline) * time.Microsecond
-	if ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
-		timeout = min(timeout, time.Duration(min(ms, maxTimeoutMillis))*time.Millisecond)
+	if stated := r.Header[timeoutHeader]; len(stated) > 0 {
+		millis, err := strconv.ParseFloat(stated[0], 64) // ±Inf beyond its range
+		if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(millis) {
+			return 0, fmt.Errorf("%s is no number of milliseconds", timeoutHeader)
+		}
+		millis = max(0, math.Floor(millis))
+		if millis < float64(timeout.Milliseconds()) {
+			timeout = time.Duration(millis) * time.Millisecond
+		}
 	}
-	return timeout - min(responseMargin, timeout/responseMarginDivisor)
+	return timeout - min(responseMargin, timeout/responseMarginDivisor), nil
 }
 
 // forwardedHeader removes the headers that concern one connection, and leaves net/http to frame the body.
