Hold the hedge after a silent watch back until its call has left the queue

Cause: after a watch that timed out the first hedge came after 1.75 to 2.25 s, and a call may wait in discovery's queue for 2 s. A hedge of a call that was about to be answered was queued as well and took a turn for nothing. How many calls are caught depends on the order in which they reach the queue at one instant, which the scheduler draws: GOMAXPROCS moves it.

Change: this hedge comes after 2.02 s at the earliest, as after other calls.

The bound is as it was.

--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -29,8 +29,9 @@
 	calls   sync.WaitGroup
 
 	inFlight        int
-	patientInFlight bool // one of these has a patient timeout
-	lastPatient     bool // the latest call has
+	patientInFlight bool          // one of these has a patient timeout
+	lastPatient     bool          // the latest call has
+	postponed       time.Duration // of the first hedge, see firstDelay
 }
 
 // hedgeReply is the result of one of the calls.
@@ -70,7 +71,7 @@
 // start makes a call and returns the timer of the next one. Of a local agent one call waits patiently for an answer, and
 // the calls beside it last for one hedge delay.
 func (h *hedge) start(ctx context.Context) (next <-chan time.Time) {
-	delay, timeout := h.client.hedgeTiming(h.inFlight == 0)
+	delay, timeout := h.timing()
 	patient := !h.client.cfg.Pushed || !h.patientInFlight
 	if !patient {
 		timeout = delay
@@ -105,8 +106,9 @@
 	return h.inFlight == 0 && (h.lastPatient || !errors.Is(reply.err, context.DeadlineExceeded))
 }
 
-// hedgeTiming returns the delay until the next call is made beside a call, and the timeout of the latter: two delays.
-func (c *Client) hedgeTiming(first bool) (delay, timeout time.Duration) {
+// timing returns the delay until the next call is made beside a call, and the timeout of the latter: two delays.
+func (h *hedge) timing() (delay, timeout time.Duration) {
+	c, first := h.client, h.inFlight == 0
 	switch {
 	case c.cfg.Pushed:
 		return agentHedgeDelayMin + c.randomDelay(agentJitter), 2 * hedgeDelayMax
@@ -114,8 +116,20 @@
 		delay = busyHedgeDelayMin + c.randomDelay(hedgeDelayJitter)
 	case first && !c.platform.watchTimedOut:
 		delay = firstHedgeDelayMin + c.randomDelay(hedgeDelayMax-firstHedgeDelayMin)
+	case first:
+		delay = h.firstDelay()
 	default:
-		delay = hedgeDelayMin + c.randomDelay(hedgeDelayJitter)
+		delay = hedgeDelayMin + c.randomDelay(hedgeDelayJitter) - h.postponed
+		h.postponed = 0
 	}
 	return delay, 2 * delay
 }
+
+// firstDelay returns the delay after the first call that follows a watch which timed out. A whole fleet may make that call
+// at once, so the hedge waits until the call cannot be in the queue any more: served beside it, the hedge would take
+// service time for nothing. The hedges after it keep their times, so that the fleet stays spread if nobody is answered.
+func (h *hedge) firstDelay() time.Duration {
+	delay := hedgeDelayMin + h.client.randomDelay(hedgeDelayJitter)
+	h.postponed = max(0, firstHedgeDelayMin-delay)
+	return delay + h.postponed
+}
