Show for each attempt on a stale list what its server was chosen by

While the list is stale, each attempt is counted as app.stale_list_attempts.EVIDENCE, and at the debug level has a line "request step", step "list stale", with the age of the list, what shows that the server is listed and since when, how many servers are shown to be, and the fewest attempts that one of these holds. Nothing decides by it.

--- a/balancer/listevidence.go
+++ b/balancer/listevidence.go
@@ -50,15 +50,26 @@
 
 // factor is the factor of a server's weight while the list is stale, above 0 to 1.
 func (e *listEvidence) factor(now moment, server *server) float64 {
-	switch {
-	case now < server.listing.confirmedUntil:
+	switch e.evidence(now, server) {
+	case EvidenceConfirmed:
 		return 1
-	case server.listing.contradictedAt >= e.confirmedAt:
+	case EvidenceContradicted:
 		return contradictedWeight
 	}
 	return unconfirmedWeight
 }
 
+// evidence is what attempts show of a server while the list is stale.
+func (e *listEvidence) evidence(now moment, server *server) ServerEvidence {
+	switch {
+	case now < server.listing.confirmedUntil:
+		return EvidenceConfirmed
+	case server.listing.contradictedAt >= e.confirmedAt:
+		return EvidenceContradicted
+	}
+	return EvidenceNone
+}
+
 // record takes the end of an attempt. One that was executed, when the server was still shown to be listed,
 // shows it on; after a gap nothing does but the list. One that was not executed ends what was shown, unless
 // it was sent before one that was.
--- a/balancer/status.go
+++ b/balancer/status.go
@@ -28,3 +28,52 @@
 
 // DampedServers returns the servers that get their steady, small weight now, the longest damped first.
 func (b *Balancer) DampedServers(now int64) []DampedServer { return b.damping.damped(moment(now)) }
+
+// ServerEvidence is what shows that a server is still listed.
+type ServerEvidence int
+
+// The kinds of evidence, see listEvidence.
+const (
+	EvidenceNone         ServerEvidence = iota // nothing since the list was confirmed
+	EvidenceConfirmed                          // it goes on executing attempts
+	EvidenceContradicted                       // it did not execute the last attempt
+)
+
+// String is the evidence's name in logs and metrics.
+func (e ServerEvidence) String() string {
+	return [...]string{EvidenceNone: "none", EvidenceConfirmed: "confirmed", EvidenceContradicted: "contradicted"}[e]
+}
+
+// ListEvidence is what an attempt to a server goes by while the list is stale.
+type ListEvidence struct {
+	ListAge          int64 // µs since the list was confirmed
+	Evidence         ServerEvidence
+	Since            int64 // µs since the attempt was sent that shows it; 0 with EvidenceNone
+	ConfirmedServers int   // ready servers with EvidenceConfirmed
+	LeastInFlight    int   // attempts, at the one of these that holds the fewest
+}
+
+// ListEvidence returns what shows at a moment that a server is listed; false while the list is not stale, which then
+// shows it.
+func (b *Balancer) ListEvidence(at int64, serverID string) (ListEvidence, bool) {
+	now, server := moment(at), b.members.byID[serverID]
+	if server == nil || !b.listing.isStale(now) {
+		return ListEvidence{}, false
+	}
+	report := ListEvidence{ListAge: int64(now.since(b.listing.confirmedAt)), Evidence: b.listing.evidence(now, server)}
+	switch report.Evidence {
+	case EvidenceConfirmed:
+		report.Since = int64(now.since(server.listing.confirmedUntil.add(-b.listing.ttl())))
+	case EvidenceContradicted:
+		report.Since = int64(now.since(server.listing.contradictedAt))
+	}
+	for _, other := range b.members.ready {
+		if b.listing.evidence(now, other) != EvidenceConfirmed {
+			continue
+		}
+		if report.ConfirmedServers++; report.ConfirmedServers == 1 || other.inFlight < report.LeastInFlight {
+			report.LeastInFlight = other.inFlight
+		}
+	}
+	return report, true
+}
--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -40,8 +40,24 @@
 	a.recordIndex = a.request.recordedAttempts
 	a.request.recordedAttempts++
 	l.audit.Trace(a.request.ID, "sent", "attempt", a.number, "endpoint", a.server.Name)
+	l.auditListEvidence(a)
 }
 
+// auditListEvidence notes what shows that the server of an attempt is still listed, while the list alone does not.
+func (l *eventLoop) auditListEvidence(a *attempt) {
+	evidence, stale := l.balancer.ListEvidence(a.decidedAt, a.server.Name)
+	if !stale {
+		return
+	}
+	l.audit.Count(audit.AttemptOnStaleList(evidence.Evidence.String()))
+	l.audit.Trace(a.request.ID, "list stale", "attempt", a.number, "endpoint", a.server.Name, "evidence", evidence.Evidence.String(),
+		"since", microseconds(evidence.Since), "age", microseconds(evidence.ListAge), "confirmed", evidence.ConfirmedServers,
+		"least_in_flight", evidence.LeastInFlight)
+}
+
+// microseconds is a span of the balancer's as a duration.
+func microseconds(span int64) time.Duration { return time.Duration(span) * time.Microsecond }
+
 // auditAttemptEnd notes how an attempt ended. One that was not started has no record.
 func (l *eventLoop) auditAttemptEnd(a *attempt, status balancer.Status) {
 	l.audit.Count(audit.AttemptEnded(statusNames[status]))
--- a/internal/proxy/audit/audit.go
+++ b/internal/proxy/audit/audit.go
@@ -37,6 +37,9 @@
 // AttemptEnded is the end of an attempt with a status.
 func AttemptEnded(status string) Event { return Event("attempts." + status) }
 
+// AttemptOnStaleList is an attempt that began while the endpoint list was stale, by what showed that its server was listed.
+func AttemptOnStaleList(evidence string) Event { return Event("stale_list_attempts." + evidence) }
+
 // Recorder may be used from any goroutine; a nil one records nothing.
 type Recorder struct {
 	logger       *slog.Logger // nil: nothing is logged
