Have the stand-in of TestRefereeDetects give each request up in its client's time

Seen once, beside another test run: [tip lost], want [tip]. The proxies of this test are to break one rule and keep all others, and the stand-in had no deadline: where a server or a connect took longer than the client's time and 0.5 s, it really lost the request, and the referee was right to say so.

Change: the stand-in answers 502 at the time that the client states. What the test wants of each proxy is as it was; "lost" still loses its requests.

--- a/internal/faultlab/run/standin_test.go
+++ b/internal/faultlab/run/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -143,12 +144,15 @@
 	if err != nil {
 		return
 	}
+	ms, _ := strconv.Atoi(r.Header.Get(wire.RequestTimeout))
+	inTime, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond) // a late answer is a lost request
+	defer cancel()
 	ask := func(id string) (int, http.Header, []byte) {
 		e, ok := s.pick()
 		if !ok {
 			return 503, nil, nil
 		}
-		req, _ := http.NewRequestWithContext(r.Context(), r.Method, "http://"+e.Address+r.URL.RequestURI(), bytes.NewReader(body))
+		req, _ := http.NewRequestWithContext(inTime, r.Method, "http://"+e.Address+r.URL.RequestURI(), bytes.NewReader(body))
 		req.GetBody = nil // the library must not send anything again by itself
 		req.Header = r.Header.Clone()
 		req.Header.Set(wire.RequestID, id)
