Have the lab's servers answer a request without time left, in place of running it

Change: 0 or less is over at its arrival: 504 with Not-Started, as for a request that expires in the queue. TestRequestWithoutTimeLeftIsNotExecuted failed before (no response within 5 s) and passes.

--- a/internal/faultlab/stubserver/serve.go
+++ b/internal/faultlab/stubserver/serve.go
@@ -102,10 +102,10 @@
 	return s.startedAt.UnixMilli()
 }
 
-// requestDeadline is when the client gives up, by the request's timeout; zero: not known.
+// requestDeadline is when the client gives up, by the request's timeout, which may be over at its arrival; zero: not known.
 func requestDeadline(request *http.Request) time.Time {
 	ms, err := strconv.ParseFloat(request.Header.Get(wire.RequestTimeout), 64)
-	if err != nil || ms <= 0 {
+	if err != nil {
 		return time.Time{}
 	}
 	return time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
--- a/internal/faultlab/stubserver/stubserver_test.go
+++ b/internal/faultlab/stubserver/stubserver_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// A request that states that no time is left is over at its arrival: it is answered and not executed.
+func TestRequestWithoutTimeLeftIsNotExecuted(t *testing.T) {
+	server, _, ref, addr := newServer(t, Spec{Slots: 1, Speed: 1, Queue: 1}, time.Hour)
+	server.Start(time.Time{}, false)
+	ref.RecordSend(&referee.ClientAttempt{ID: "x", Method: "GET", Path: "/c", RequestDigest: wire.Digest(nil)}, "p")
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "GET /c HTTP/1.1\r\nHost: x\r\n%s: x\r\n%s: 0\r\n\r\n", wire.RequestID, wire.RequestTimeout)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(wire.NotStarted) != "1" {
+		t.Errorf("got %v, %v", resp, err)
+	}
+}
+
 // A canceled request frees its place in the queue, and its slot if work can be canceled.
 func TestCanceledRequestsFreeTheirPlaces(t *testing.T) {
 	server, _, ref, addr := newServer(t, Spec{Slots: 1, Speed: 1, Queue: 1, CancelsWork: true}, time.Hour)
