Show how a client's connection ended, and that a request crossed its end

The protocol has a client send a request once more that crossed the close, so it matters whether the proxy had read it, and nothing told.

Now the end of each client's connection is logged at the debug level: why the proxy closed it, how far the request on it had come, and how many bytes came after the proxy had ended its sending. Connections with such bytes are counted as app.discards.client. TestRequestCrossingCloseIsNeverServed, which forces the crossing, asks for the count too. Nothing decides by it.

--- a/internal/proxy/audit/audit.go
+++ b/internal/proxy/audit/audit.go
@@ -25,6 +25,10 @@
 	ClientConnDone       Event = "closes.client.answered_or_broken" // by net/http
 )
 
+// ClientBytesDiscarded is a connection of a client on which bytes came after the proxy had ended its sending. A request
+// among them was never read: its client sends it once more.
+const ClientBytesDiscarded Event = "discards.client"
+
 // Why the proxy closed a connection to a backend.
 const (
 	BackendConnDone       Event = "closes.server.answered"  // answered, and not to be used again
@@ -100,6 +104,27 @@
 	}
 }
 
+// ConnClosed is the end of a client's connection.
+type ConnClosed struct {
+	Address   string // the client's
+	Reason    Event  // why the proxy closed it
+	Phase     string // how far the request on it had come
+	Discarded int64  // bytes that came after the proxy had ended its sending
+}
+
+// RecordConnClosed counts bytes that were discarded, and logs the end of the connection at the debug level.
+func (r *Recorder) RecordConnClosed(c ConnClosed) {
+	if r == nil {
+		return
+	}
+	if c.Discarded > 0 {
+		r.Count(ClientBytesDiscarded)
+	}
+	if r.traceEnabled {
+		r.logger.Debug("client connection closed", "address", c.Address, "reason", c.Reason, "phase", c.Phase, "discarded_bytes", c.Discarded)
+	}
+}
+
 // Callers names the functions on whose behalf the caller's caller was called, the nearest first.
 func Callers() string {
 	const skip, maxFrames = 3, 8
--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"merlinpick/internal/proxy/audit"
 	"merlinpick/internal/proxy/framing"
 	"merlinpick/internal/proxy/socket"
 )
@@ -42,7 +43,9 @@
 	requestStarted atomic.Int64 // when the present request did, or the connection for its first; Unix nanoseconds
 	lastReceived   atomic.Int64 // Unix nanoseconds; of a new connection, when it was accepted
 
-	unanswered atomic.Pointer[string] // the ID of the request that has been taken and has no response yet
+	unanswered  atomic.Pointer[string]      // the ID of the request that has been taken and has no response yet
+	closeReason atomic.Pointer[audit.Event] // why the proxy closes it; nil before
+	discarded   atomic.Int64                // bytes that came after the shutdown
 
 	mu            sync.Mutex
 	phase         Phase
@@ -61,6 +64,11 @@
 	PhaseInFlight                 // its head has been passed on, and it has no response yet
 )
 
+// String is the phase's name in the log.
+func (p Phase) String() string {
+	return [...]string{PhaseIdle: "idle", PhaseReadingHead: "reading_head", PhaseInFlight: "in_flight"}[p]
+}
+
 const (
 	// MalformedHead stands in for a head whose framing is ambiguous: net/http answers it 400 and closes. It comes as bytes,
 	// since an error would also take away the response to a request that is still in flight.
@@ -152,6 +160,9 @@
 			}
 		}
 		discarding := c.discarding
+		if discarding {
+			c.discarded.Add(int64(n))
+		}
 		c.mu.Unlock()
 		switch {
 		case !discarding:
--- a/internal/proxy/clientconn/linger.go
+++ b/internal/proxy/clientconn/linger.go
@@ -128,16 +128,18 @@
 			return
 		}
 		left -= n
+		c.discarded.Add(int64(n))
 	}
 }
 
 // CloseNow closes the descriptor and gives its slot back.
 func (c *Conn) CloseNow() {
 	c.mu.Lock()
-	first := !c.closed
+	first, phase := !c.closed, c.phase
 	c.discarding, c.closed = true, true
 	c.mu.Unlock()
 	if first {
+		c.auditClosed(phase)
 		_ = c.Conn.Close()
 		c.listener.Lingering.remove(c)
 		c.releaseMemory()
@@ -198,8 +200,21 @@
 		return
 	}
 	recorder.Count(reason)
+	c.closeReason.CompareAndSwap(nil, &reason)
 	if id := c.unanswered.Load(); id != nil {
 		recorder.RecordViolations(invariant.ConnClosed(*id, string(reason)+" by "+audit.Callers()))
 		c.MarkAnswered()
 	}
 }
+
+// auditClosed notes how the connection has ended.
+func (c *Conn) auditClosed(phase Phase) {
+	if c.listener.audit == nil {
+		return
+	}
+	end := audit.ConnClosed{Address: c.RemoteAddr().String(), Phase: phase.String(), Discarded: c.discarded.Load()}
+	if reason := c.closeReason.Load(); reason != nil {
+		end.Reason = *reason
+	}
+	c.listener.audit.RecordConnClosed(end)
+}
--- a/internal/proxy/downstream/closing_test.go
+++ b/internal/proxy/downstream/closing_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"merlinpick/internal/proxy/audit"
 	"merlinpick/internal/proxy/clientconn"
 	"merlinpick/internal/proxy/proxytest"
 	"merlinpick/internal/settings"
@@ -206,6 +207,9 @@
 	if n := requests.Load(); n != 1 {
 		t.Errorf("%d requests were taken, want the first alone", n)
 	}
+	if n := f.audit.Events()[string(audit.ClientBytesDiscarded)]; n != 1 { // the metrics show that it was never read
+		t.Errorf("%d connections counted with bytes after their close, want 1", n)
+	}
 }
 
 // A close over bytes that nobody had read reset the connection and took the rest of the previous response along.
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"merlinpick/internal/proxy/audit"
 	"merlinpick/internal/proxy/clientconn"
 	"merlinpick/internal/proxy/proxytest"
 	"merlinpick/internal/settings"
@@ -69,7 +70,7 @@
 	available := make(chan struct{})
 	close(available)
 	return NewServer(Config{Site: site, Settings: &site.Balancer, Listener: l, Handler: handler, ListAvailable: available,
-		RequestStarted: func(string) func(int) { return func(int) {} }, Logger: slog.New(slog.DiscardHandler)})
+		RequestStarted: func(string) func(int) { return func(int) {} }, Audit: audit.New(nil), Logger: slog.New(slog.DiscardHandler)})
 }
 
 // pipedFrontend is a server on pipes, whose handler gives no response.
