Ask the system whether a proxy had closed before a request was written to it

The lab's client sends a request once more if the connection's end was read before the request was written. That end is read by a goroutine, which on a busy machine runs some milliseconds after the system had it: a request that was written in between counted as lost, though the proxy had ended its sending before and cannot have answered.

Change: before such a write the state of the socket is asked (TCP_INFO: the peer has ended its sending). Strict: an end that comes after the question still counts against the proxy, as before. TestPeerClosedBeforeWrite holds it.

--- a/internal/faultlab/link/conn.go
+++ b/internal/faultlab/link/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	deadline        time.Time
 	deadlineChanged chan struct{} // holds one after SetReadDeadline
 	readAt          time.Time
+
+	closedBeforeWrite atomic.Bool // see PeerClosedBeforeWrite
 }
 
 // chunk is bytes with the time when they are due, or the end of a stream.
@@ -129,6 +132,9 @@
 		if outgoing.beforeWrite != nil {
 			outgoing.beforeWrite(time.Now())
 		}
+		if outgoing.afterWrite != nil {
+			c.closedBeforeWrite.Store(hasPeerClosed(c.raw))
+		}
 		if len(outgoing.data) > 0 {
 			c.sent.add(len(outgoing.data))
 			if _, err := c.raw.Write(outgoing.data); err != nil {
@@ -247,6 +253,10 @@
 	return c.readAt
 }
 
+// PeerClosedBeforeWrite reports whether the peer had ended its sending when the bytes of the last WriteThen went to the
+// socket: it cannot have answered them. The system knows that before LastReadAt does on a busy machine.
+func (c *Conn) PeerClosedBeforeWrite() bool { return c.closedBeforeWrite.Load() }
+
 // PeerClosed reports whether the peer's close or reset has passed the link.
 func (c *Conn) PeerClosed() bool {
 	effect := c.link.effect.Load()
--- a/internal/faultlab/link/link_test.go
+++ b/internal/faultlab/link/link_test.go
@@ -269,3 +269,36 @@
 		t.Errorf("after it: %v", err)
 	}
 }
+
+// What was written after the peer had ended its sending is known as such, whenever that end is read.
+func TestPeerClosedBeforeWrite(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	lnk := New(1)
+	defer lnk.Close()
+	for _, closed := range []bool{false, true} {
+		conn, err := lnk.Dialer(Ends{}, 0).Dial(t.Context(), l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer peer.Close()
+		if closed {
+			_ = peer.(*net.TCPConn).CloseWrite()
+		}
+		written := make(chan struct{})
+		if err := conn.WriteThen([]byte("x"), func(time.Time) { close(written) }); err != nil {
+			t.Fatal(err)
+		}
+		<-written
+		if got := conn.PeerClosedBeforeWrite(); got != closed {
+			t.Errorf("got %v, want %v", got, closed)
+		}
+	}
+}
