Learn which servers are listed after the list's evidence has ended, and search all for it

Cause: evidence could be had only until one TTL (2 s) after the list was last confirmed. A process without any by then (idle, or all its servers had gone) drew all servers evenly for as long as the list was old, and what went and came back answers. A first mend showed a second: a draw looks at no more servers than the subset needs, so one with evidence behind these was not seen.

Before: TestStaleListWithoutEvidenceIsCorrectedByFirstAttempts broke the rule in 96 of 120 plays, ...ByLostZone in 5 of 200, ...IsSearchedBeyondTheSubset chose s2 where only s16 is shown to be listed. Open: a process without a call for the first 4 s of a stale list.

--- a/balancer/listevidence_test.go
+++ b/balancer/listevidence_test.go
@@ -43,6 +43,8 @@
 
 	changedAt, until int64 // of all that change; from then on sends to those are late
 	confirmedUntil   int64 // the list is confirmed every confirmEvery up to here
+	firstRequest     int64 // 0: at the start
+	awayFor          int64 // how long a server that returns is gone; 0: changedFor
 }
 
 type answerDue struct {
@@ -59,12 +61,12 @@
 	switch c := f.changes[server]; {
 	case c == drains && since >= 0:
 		due.status, took = StatusRejected, 2_000
-	case (c == dies || c == returns && since < changedFor) && since >= 0:
+	case (c == dies || c == returns && since < f.away()) && since >= 0:
 		due.status, took = StatusConnectFailed, 250_000
 	}
 	notified := int64(1 << 60) // of its return
 	if f.changes[server] == returns {
-		notified = changedFor + notifiedAfter
+		notified = f.away() + notifiedAfter
 	}
 	if f.changes[server] != stays && f.now > f.until && since < notified {
 		f.late = append(f.late, fmt.Sprintf("%s (%d) at %.2f s", server, f.changes[server], float64(f.now-start)/float64(second)))
@@ -72,6 +74,9 @@
 	due.at = f.now + took
 	f.out = append(f.out, due)
 }
+
+func (f *staleListWorld) away() int64 { return cmp.Or(f.awayFor, changedFor) }
+
 func (f *staleListWorld) Reject(string, int64)   { f.refused++ }
 func (f *staleListWorld) Fail(string)            {}
 func (f *staleListWorld) SetTimer(int64, string) {}
@@ -95,7 +100,7 @@
 
 func (f *staleListWorld) run(rate int64) {
 	f.now = start
-	attempts, confirm, request := map[string]int{}, start+confirmEvery, start
+	attempts, confirm, request := map[string]int{}, start+confirmEvery, max(start, f.firstRequest)
 	for n := 0; f.now < simulated; {
 		slices.SortStableFunc(f.out, func(x, y answerDue) int { return cmp.Compare(x.at, y.at) })
 		next := request
@@ -164,3 +169,62 @@
 		}
 	}
 }
+
+// A replica that had no call while the list proved anything (a quiet one, or one whose servers all went) has no server that
+// is known to be listed. It keeps to those that executed its first attempts, and so not to one that went and came back.
+func TestStaleListWithoutEvidenceIsCorrectedByFirstAttempts(t *testing.T) {
+	for _, rate := range []int64{3, 8, 35} {
+		t.Run(fmt.Sprint(rate, " a second"), func(t *testing.T) {
+			for seed := range uint64(40) {
+				s := testSettings()
+				s.DrainGrace, s.MembershipEvidenceTTL = second, 2*second
+				f := &staleListWorld{balancer: mustNew(t, s), rnd: rand.New(rand.NewPCG(seed, 9)), changes: map[string]change{}}
+				for i := range 24 {
+					f.changes[fmt.Sprint("s", i)] = []change{stays, returns, stays}[(i+int(seed))%3]
+				}
+				f.firstRequest = lastConfirmation + s.MembershipEvidenceTTL + second/2
+				f.play(rate)
+				if len(f.late) > 0 {
+					t.Errorf("seed %d: %d of %d sends broke the rule on drains: %v", seed, len(f.late), f.sends, f.late[:min(3, len(f.late))])
+				}
+				if f.refused > f.sends/20 {
+					t.Errorf("seed %d: %d refused of %d", seed, f.refused, f.sends)
+				}
+			}
+		})
+	}
+}
+
+// The same where a whole zone went and came back soon, so that its servers answer nearly as early as the others: a replica
+// whose calls to the zone failed keeps to the other zone.
+func TestStaleListWithoutEvidenceIsCorrectedByLostZone(t *testing.T) {
+	for seed := range uint64(200) {
+		s := testSettings()
+		s.DrainGrace, s.MembershipEvidenceTTL = second, 2*second
+		f := &staleListWorld{balancer: mustNew(t, s), rnd: rand.New(rand.NewPCG(seed, 9)), changes: map[string]change{}}
+		for _, server := range testServers(24) {
+			f.changes[server.ID] = []change{stays, returns}[server.Zone]
+		}
+		f.firstRequest, f.awayFor = lastConfirmation+s.MembershipEvidenceTTL+second*8/10, 2200*second/1000
+		f.play(5)
+		if len(f.late) > 0 {
+			t.Errorf("seed %d: %d of %d sends broke the rule on drains: %v", seed, len(f.late), f.sends, f.late[:min(3, len(f.late))])
+		}
+	}
+}
+
+// A server that is shown to be listed gets the call though it stands behind this replica's subset, whose servers are not.
+func TestStaleListIsSearchedBeyondTheSubset(t *testing.T) {
+	s := testSettings()
+	s.MembershipEvidenceTTL = 2 * second
+	b, h := mustNew(t, s), &recorder{}
+	b.UpdateEndpoints(start, h, UpdateSnapshot, testServers(40))
+	now := moment(start + 10*second)
+	for _, listed := range b.members.ready {
+		listed.listing.confirmedUntil = now + 1
+		if got := b.selection.choose(now, &request{Request: Request{Settings: b.settings}}); got != listed {
+			t.Errorf("chose %s, and only %s is shown to be listed", got.ID, listed.ID)
+		}
+		listed.listing.confirmedUntil = 0
+	}
+}
--- a/balancer/selection.go
+++ b/balancer/selection.go
@@ -48,8 +48,12 @@
 // server would hold a connection of every replica, and each replica would see too few calls of a server to
 // judge it.
 func (s *selection) subsetSize(now moment) float64 {
-	rate := s.sent.count(now, maxWindow) / float64(maxWindow/seconds)
-	return max(minSubset, subsetPerRootRate*math.Sqrt(rate))
+	return max(minSubset, subsetPerRootRate*math.Sqrt(s.rate(now)))
+}
+
+// rate is the attempts a second of this replica.
+func (s *selection) rate(now moment) float64 {
+	return s.sent.count(now, maxWindow) / float64(maxWindow/seconds)
 }
 
 // choose draws the server of a request's next attempt, nil if there is none to send it to.
@@ -63,6 +67,7 @@
 		return server
 	}
 	d := draw{selection: s, now: now, request: request, stale: stale}
+	d.seeksEvidence = stale && s.listing.seeksEvidence(now, s.members.ready, s.rate(now))
 	d.gather()
 	d.limitUnhealthy()
 	point := s.random.Float64() * d.total
@@ -92,6 +97,8 @@
 	request *request
 	stale   bool // the list alone shows nothing
 
+	seeksEvidence bool // see listEvidence
+
 	total   float64 // of the candidates' weights
 	best    float64 // the highest weight of a healthy candidate
 	spread  float64 // servers of a zone that the replica's calls are taken to be spread over
@@ -142,15 +149,19 @@
 	if d.request.triedOn(server) {
 		c.weight *= triedWeightFactor
 	}
+	counts = c.health * warmth
 	if d.stale {
-		c.weight *= d.listing.factor(d.now, server)
+		factor := d.listing.factor(d.now, server, d.seeksEvidence)
+		if c.weight *= factor; factor <= unconfirmedWeight {
+			counts = 0 // those with evidence may come after it
+		}
 	}
 	d.total += c.weight
 	if c.health >= healthyScore {
 		d.best = max(d.best, c.weight)
 	}
 	d.candidates = append(d.candidates, c)
-	return c.health * warmth
+	return counts
 }
 
 // limitUnhealthy keeps unhealthy candidates to trials: a part of the best one's weight. One that fails fast
--- a/balancer/status.go
+++ b/balancer/status.go
@@ -37,18 +37,20 @@
 	EvidenceNone         ServerEvidence = iota // nothing since the list was confirmed
 	EvidenceConfirmed                          // it goes on executing attempts
 	EvidenceContradicted                       // it did not execute the last attempt
+	EvidenceRecent                             // it executes attempts, but may have gone and come back before the first
 )
 
 // String is the evidence's name in logs and metrics.
 func (e ServerEvidence) String() string {
-	return [...]string{EvidenceNone: "none", EvidenceConfirmed: "confirmed", EvidenceContradicted: "contradicted"}[e]
+	return [...]string{EvidenceNone: "none", EvidenceConfirmed: "confirmed", EvidenceContradicted: "contradicted",
+		EvidenceRecent: "recent"}[e]
 }
 
 // ListEvidence is what an attempt to a server goes by while the list is stale.
 type ListEvidence struct {
 	ListAge          int64 // µs since the list was confirmed
 	Evidence         ServerEvidence
-	Since            int64 // µs since the attempt was sent that shows it; 0 with EvidenceNone
+	Since            int64 // µs since the attempt was sent that shows it (EvidenceRecent: the first); 0: none
 	ConfirmedServers int   // ready servers with EvidenceConfirmed
 	LeastInFlight    int   // attempts, at the one of these that holds the fewest
 }
@@ -66,6 +68,8 @@
 		report.Since = int64(now.since(server.listing.confirmedUntil.add(-b.listing.ttl())))
 	case EvidenceContradicted:
 		report.Since = int64(now.since(server.listing.contradictedAt))
+	case EvidenceRecent:
+		report.Since = int64(now.since(server.listing.recentSince))
 	}
 	for _, other := range b.members.ready {
 		if b.listing.evidence(now, other) != EvidenceConfirmed {
