--- a/balancer/listevidence.go
+++ b/balancer/listevidence.go
@@ -10,22 +10,22 @@
 // one that is gone takes none, and one that went and came back was silent for longer than the TTL. While
 // the list is confirmed none of this counts.
 //
-// Where no server is shown to be listed, calls are not rejected: an outage of discovery would end the service.
-// The sooner after the list's evidence a server began to execute attempts, the less likely it went and came
-// back before, so those that began first are preferred. For one more TTL such a beginning shows something, and
-// servers without evidence are tried until there are enough with it.
+// Where no server is shown to be listed, calls are not rejected: an outage of discovery would end the
+// service. The sooner after the list's evidence a server began to execute attempts, the less likely it went
+// and came back before, so those that began first are preferred. For one more TTL such a beginning shows
+// something, and servers without evidence are tried until there are enough with it.
 
 const (
 	// Weight left to a server that nothing shows to be listed, beside those that something does: it is drawn
 	// where there is no other, or once each of those holds some thirty attempts.
 	unconfirmedWeight = 1e-12
 
-	// Weight left to a server that executes attempts since one TTL after the list's evidence ended; the sooner
-	// it began, the more. One that began later may as well have come back.
+	// Weight left to a server that executes attempts since one TTL after the list's evidence ended; the
+	// sooner it began, the more. One that began later may as well have come back.
 	recentWeight = 1e-4
 
-	// Factor of a server without full evidence in a zone in which a server did not answer an attempt since the
-	// list was confirmed: a zone that is lost comes back as a whole.
+	// Factor of a server without full evidence in a zone in which a server did not answer an attempt since
+	// the list was confirmed: a zone that is lost comes back as a whole.
 	silentZoneWeight = 1e-4
 
 	// Weight left to a server that took no attempt when it was last sent one, since the list was confirmed.
@@ -49,7 +49,7 @@
 	*shared
 	confirmedAt   moment // or when a new replica got its first list
 	everConfirmed bool
-	silentZones   map[int]moment // by zone: when the latest attempt was sent that a server there did not answer
+	silentZones   map[int]moment // by zone: when the latest attempt was sent that was not answered there
 }
 
 func newListEvidence(common *shared) *listEvidence {
@@ -71,9 +71,9 @@
 	return e.ttl() > 0 && now.since(e.confirmedAt) > e.ttl()
 }
 
-// seeksEvidence reports whether attempts go to servers without evidence as to others, while the list is stale:
-// too few of them have any for this replica's attempts, and it is early enough to get some. It never is for a
-// replica with a cached list: whatever came about before its start may count as known.
+// seeksEvidence reports whether attempts go to servers without evidence as to others, while the list is
+// stale: too few of them have any for this replica's attempts, and it is early enough to get some. It never
+// is for a replica with a cached list: whatever came about before its start may count as known.
 // rate is in attempts a second.
 func (e *listEvidence) seeksEvidence(now moment, servers []*server, rate float64) bool {
 	if !e.everConfirmed || now >= e.listedUntil().add(e.ttl()) {
@@ -128,8 +128,8 @@
 }
 
 // record takes the end of an attempt. One that was executed, when the server was still shown to be listed,
-// shows it on; after a gap nothing does but the list, and it begins or continues a run of recent ones. One that
-// was not executed ends what was shown, unless it was sent before one that was.
+// shows it on; after a gap nothing does but the list, and it begins or continues a run of recent ones. One
+// that was not executed ends what was shown, unless it was sent before one that was.
 func (e *listEvidence) record(server *server, sentAt moment, status Status) {
 	ttl := e.ttl()
 	if ttl == 0 || status == StatusCancelled || status == StatusNotSent {
--- a/balancer/listevidence_test.go
+++ b/balancer/listevidence_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// check reports sends that came too late, and rejections.
+func (f *staleListWorld) check(t *testing.T, seed uint64) {
+	t.Helper()
+	if len(f.late) > 0 {
+		t.Errorf("seed %d: %d of %d sends broke the rule on drains: %v", seed, len(f.late), f.sends, f.late[:min(3, len(f.late))])
+	}
+	if f.refused > f.sends/20 {
+		t.Errorf("seed %d: %d refused of %d", seed, f.refused, f.sends)
+	}
+}
+
+// newIdleReplica sets up a replica that has its first request some time after its list became stale.
+func newIdleReplica(t *testing.T, seed uint64, idle int64, changeOf func(i int, server Server) change) *staleListWorld {
+	s := testSettings()
+	s.DrainGrace, s.MembershipEvidenceTTL = second, 2*second
+	f := &staleListWorld{balancer: mustNew(t, s), rnd: rand.New(rand.NewPCG(seed, 9)), changes: map[string]change{}}
+	for i, server := range testServers(24) {
+		f.changes[server.ID] = changeOf(i, server)
+	}
+	f.firstRequest = lastConfirmation + s.MembershipEvidenceTTL + idle
+	return f
+}
+
 // A stale list has servers that drain, are gone, or went and came back. From 6 s after each change on calls go to servers
 // that kept executing attempts, and not to those.
 func TestStaleListIsCorrectedByAttempts(t *testing.T) {
@@ -141,12 +164,7 @@
 					f.changes[fmt.Sprint("s", i)] = []change{stays, drains, stays, dies, stays, returns}[(i+int(seed))%6]
 				}
 				f.play(rate)
-				if len(f.late) > 0 {
-					t.Errorf("seed %d: %d of %d sends broke the rule on drains: %v", seed, len(f.late), f.sends, f.late[:min(3, len(f.late))])
-				}
-				if f.refused > f.sends/20 {
-					t.Errorf("seed %d: %d refused of %d", seed, f.refused, f.sends)
-				}
+				f.check(t, seed)
 			}
 		})
 	}
@@ -176,20 +194,9 @@
 	for _, rate := range []int64{3, 8, 35} {
 		t.Run(fmt.Sprint(rate, " a second"), func(t *testing.T) {
 			for seed := range uint64(40) {
-				s := testSettings()
-				s.DrainGrace, s.MembershipEvidenceTTL = second, 2*second
-				f := &staleListWorld{balancer: mustNew(t, s), rnd: rand.New(rand.NewPCG(seed, 9)), changes: map[string]change{}}
-				for i := range 24 {
-					f.changes[fmt.Sprint("s", i)] = []change{stays, returns, stays}[(i+int(seed))%3]
-				}
-				f.firstRequest = lastConfirmation + s.MembershipEvidenceTTL + second/2
+				f := newIdleReplica(t, seed, second/2, func(i int, _ Server) change { return []change{stays, returns, stays}[(i+int(seed))%3] })
 				f.play(rate)
-				if len(f.late) > 0 {
-					t.Errorf("seed %d: %d of %d sends broke the rule on drains: %v", seed, len(f.late), f.sends, f.late[:min(3, len(f.late))])
-				}
-				if f.refused > f.sends/20 {
-					t.Errorf("seed %d: %d refused of %d", seed, f.refused, f.sends)
-				}
+				f.check(t, seed)
 			}
 		})
 	}
@@ -199,17 +206,10 @@
 // whose calls to the zone failed keeps to the other zone.
 func TestStaleListWithoutEvidenceIsCorrectedByLostZone(t *testing.T) {
 	for seed := range uint64(200) {
-		s := testSettings()
-		s.DrainGrace, s.MembershipEvidenceTTL = second, 2*second
-		f := &staleListWorld{balancer: mustNew(t, s), rnd: rand.New(rand.NewPCG(seed, 9)), changes: map[string]change{}}
-		for _, server := range testServers(24) {
-			f.changes[server.ID] = []change{stays, returns}[server.Zone]
-		}
-		f.firstRequest, f.awayFor = lastConfirmation+s.MembershipEvidenceTTL+second*8/10, 2200*second/1000
+		f := newIdleReplica(t, seed, second*8/10, func(_ int, server Server) change { return []change{stays, returns}[server.Zone] })
+		f.awayFor = 2200 * second / 1000
 		f.play(5)
-		if len(f.late) > 0 {
-			t.Errorf("seed %d: %d of %d sends broke the rule on drains: %v", seed, len(f.late), f.sends, f.late[:min(3, len(f.late))])
-		}
+		f.check(t, seed)
 	}
 }
 
