Look at all servers for a trace of the stale list only where traces are logged

The count of servers with evidence took a walk over the whole list for each attempt while the list was stale; only the trace at the debug level shows it. It is a method of its own now, called where traces are logged. Counts and lines are as before; go test ./balancer ./docs: ok.

--- a/balancer/status.go
+++ b/balancer/status.go
@@ -50,11 +50,9 @@
 
 // ListEvidence is what an attempt to a server goes by while the list is stale.
 type ListEvidence struct {
-	ListAge          int64 // µs since the list was confirmed
-	Evidence         ServerEvidence
-	Since            int64 // µs since the attempt was sent that shows it (EvidenceRecent: the first); 0: none
-	ConfirmedServers int   // ready servers with EvidenceConfirmed
-	LeastInFlight    int   // attempts, at the one of these that holds the fewest
+	ListAge  int64 // µs since the list was confirmed
+	Evidence ServerEvidence
+	Since    int64 // µs since the attempt was sent that shows it (EvidenceRecent: the first); 0: none
 }
 
 // ListEvidence returns what shows at a moment that a server is listed; false while the list is not stale, which then
@@ -73,13 +71,19 @@
 	case EvidenceRecent:
 		report.Since = int64(now.since(server.listing.recentSince))
 	}
-	for _, other := range b.members.ready {
-		if b.listing.evidence(now, other) != EvidenceConfirmed {
+	return report, true
+}
+
+// ConfirmedServers returns how many ready servers have EvidenceConfirmed, and how many attempts the one of them holds that
+// holds the fewest. It looks at all servers.
+func (b *Balancer) ConfirmedServers(nowMicros int64) (count, leastInFlight int) {
+	for _, server := range b.members.ready {
+		if b.listing.evidence(moment(nowMicros), server) != EvidenceConfirmed {
 			continue
 		}
-		if report.ConfirmedServers++; report.ConfirmedServers == 1 || other.inFlight < report.LeastInFlight {
-			report.LeastInFlight = other.inFlight
+		if count++; count == 1 || server.inFlight < leastInFlight {
+			leastInFlight = server.inFlight
 		}
 	}
-	return report, true
+	return count, leastInFlight
 }
--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -50,9 +50,13 @@
 		return
 	}
 	l.audit.Count(audit.AttemptOnStaleList(evidence.Evidence.String()))
+	if !l.audit.IsTracing() {
+		return
+	}
+	confirmed, leastInFlight := l.balancer.ConfirmedServers(a.decidedAt)
 	l.audit.Trace(a.request.ID, "list stale", "attempt", a.number, "endpoint", a.server.Name, "evidence", evidence.Evidence.String(),
-		"since", microseconds(evidence.Since), "age", microseconds(evidence.ListAge), "confirmed", evidence.ConfirmedServers,
-		"least_in_flight", evidence.LeastInFlight)
+		"since", microseconds(evidence.Since), "age", microseconds(evidence.ListAge), "confirmed", confirmed,
+		"least_in_flight", leastInFlight)
 }
 
 // microseconds is a span of the balancer's as a duration.
--- a/internal/proxy/audit/audit.go
+++ b/internal/proxy/audit/audit.go
@@ -97,9 +97,12 @@
 	return counts
 }
 
+// IsTracing reports whether Trace logs.
+func (r *Recorder) IsTracing() bool { return r != nil && r.traceEnabled }
+
 // Trace logs one step of a request, at the debug level.
 func (r *Recorder) Trace(request, step string, more ...any) {
-	if r != nil && r.traceEnabled {
+	if r.IsTracing() {
 		r.logger.Debug("request step", append([]any{"request", request, "step", step}, more...)...)
 	}
 }
