--- a/balancer/listevidence.go
+++ b/balancer/listevidence.go
@@ -17,8 +17,8 @@
 
 const (
 	// Weight left to a server that nothing shows to be listed, beside those that something does: it is drawn
-	// where there is no other, or once each of those holds some thirty attempts.
-	unconfirmedWeight = 1e-12
+	// where there is no other, or once each of those holds a dozen attempts.
+	unconfirmedWeight = 1e-9
 
 	// Weight left to a server that executes attempts since one TTL after the list's evidence ended; the
 	// sooner it began, the more. One that began later may as well have come back.
