Record an attempt's list evidence where the attempt is started

Change: start, which runs the attempt, records the evidence after the audit. What is counted and logged is as before; the test is unchanged. go test -race ./internal/proxy: ok, 137 s.

--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -40,7 +40,6 @@
 	a.recordIndex = a.request.recordedAttempts
 	a.request.recordedAttempts++
 	l.audit.Trace(a.request.ID, "sent", "attempt", a.number, "endpoint", a.server.Name)
-	l.auditListEvidence(a)
 }
 
 // auditListEvidence notes what shows that the server of an attempt is still listed, while the list alone does not.
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -63,6 +63,7 @@
 	a.started, a.outbound, a.server = true, outbound, outbound.Server()
 	r.currentAttempt = a
 	l.auditAttemptStart(a)
+	l.auditListEvidence(a)
 	l.attempts.goroutines.Go(func() {
 		result := outbound.Run()
 		outbound.Cancel()
