Start the send window of a test once its 16 MiB body is allocated

Its window of 200 ms began before a body of 16 MiB was allocated, which on a busy machine under the race detector takes longer than that; then nothing is sent, and not sent is what the product rightly says. The test wants a write that has begun.

Change: the window begins after the allocation. The check and the window are as they were.

--- a/internal/proxy/upstream/sendwindow_test.go
+++ b/internal/proxy/upstream/sendwindow_test.go
@@ -21,11 +21,11 @@
 	defer l.Close()
 	for _, uploading := range []bool{false, true} {
 		a := newAttempt(poolWith(4, l.Addr().String()), "a", proxytest.Timeout)
-		a.sendDeadline = time.Now().Add(200 * time.Millisecond)
 		a.request.Method, a.request.Body, a.request.ContentLength = http.MethodPost, make([]byte, 16<<20), 16<<20
 		if uploading {
 			a.bodyComplete, a.request.BodyRemainder = make(chan time.Time, 1), strings.NewReader("")
 		}
+		a.sendDeadline = time.Now().Add(200 * time.Millisecond) // the body takes longer than that to allocate on a busy machine
 		if res := a.Run(); res.Status != balancer.StatusConnectFailed || time.Since(a.sendDeadline) > StallTimeout/2 {
 			t.Errorf("uploading %v: got %v", uploading, res.Status)
 		}
