review: show that a member without its directory can undo a registration

Need: the independent review looks for faults that break a promise, and shows each by a test that fails.

A member of the registry answers that it holds nothing until its directory is open. A third member that has lost its directory takes that for a new registry, bootstraps and votes, and its vote elects a member that lacks a registration answered 200.

Nothing is fixed.

--- a/review/testdata/stand/main.go
+++ b/review/testdata/stand/main.go
@@ -53,7 +53,7 @@
 type play func(dir string, rec *record) (broken []string)
 
 func main() {
-	cases := map[string]play{"crowded-discovery": crowdedDiscovery, "silent-upload": silentUpload}
+	cases := map[string]play{"crowded-discovery": crowdedDiscovery, "silent-upload": silentUpload, "lost-directory": lostDirectory}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		void("usage: stand CASE FOLDER")
 	}
