--- a/review/testdata/stand/main.go
+++ b/review/testdata/stand/main.go
@@ -53,7 +53,8 @@
 type play func(dir string, rec *record) (broken []string)
 
 func main() {
-	cases := map[string]play{"crowded-discovery": crowdedDiscovery, "silent-upload": silentUpload, "lost-directory": lostDirectory}
+	cases := map[string]play{"crowded-discovery": crowdedDiscovery, "silent-upload": silentUpload, "lost-directory": lostDirectory,
+		"memory-limit": memoryLimit}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		void("usage: stand CASE FOLDER")
 	}
