Draw no random wait from an empty range where a call outlasts the poll period

Cause: the pause after the first wait in the queue is a random part of what is left of the poll period, 2.5 s. After a wait of 3 s nothing is left, and rand.Int64N panics for 0.

One function draws the random waits of discovery and of the registry's ring, and returns 0 where nothing is left to wait: the poll is due at once, as it already was after a second such wait, so each client still makes one call in 3 s. The pause of a period that has grown could be negative for the same reason, and is 0 now.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -207,7 +207,7 @@
 
 func (c *Client) sleep(ctx context.Context, d time.Duration) { failover.Sleep(ctx, d) }
 
-// randomDelay returns a random duration in [0, limit).
+// randomDelay returns a random duration in [0, limit), or 0 if limit is 0 or negative.
 func (c *Client) randomDelay(limit time.Duration) time.Duration {
-	return time.Duration(c.randomness.Int64N(int64(limit)))
+	return failover.RandomDelay(c.randomness, limit)
 }
--- a/internal/discovery/polling.go
+++ b/internal/discovery/polling.go
@@ -63,8 +63,9 @@
 // pollScheduler decides when a client of the platform list makes its next call after a failed one. It is not
 // safe for concurrent use.
 type pollScheduler struct {
-	callers     int  // clients that share discovery's queue
-	agent       bool // the source is a local agent, which has no other callers
+	callers int  // clients that share discovery's queue
+	agent   bool // the source is a local agent, which has no other callers
+	// randomDelay returns a random duration in [0, limit), or 0 if limit is 0.
 	randomDelay func(limit time.Duration) time.Duration
 
 	rejectedAfter    time.Duration // time from the start of the last call to its 503; 0: none
@@ -133,7 +134,8 @@
 	return s.delayAfterQueueTimeout()
 }
 
-// delayAfterQueueTimeout returns the pause after a poll that was rejected after waiting in the queue.
+// delayAfterQueueTimeout returns the pause after a poll that was rejected after waiting in the queue. It is 0
+// if the wait was as long as the poll period: the next poll is then due at once.
 func (s *pollScheduler) delayAfterQueueTimeout() time.Duration {
 	first := s.queueTimeouts == 0
 	if s.queueTimeouts++; first {
@@ -141,15 +143,16 @@
 	}
 	period := s.basePollPeriod()
 	backedOff := s.backedOffPeriod(period)
+	restOfPeriod := max(period-s.rejectedAfter, 0)
 	switch {
 	case s.failedPolls == 1: // the whole fleet polled at the same time
 		return s.queueDrainTime() + s.randomDelay(period)
 	case first: // polls were spread over a period, so the queue drains soon
-		return s.randomDelay(max(period-s.rejectedAfter, 0))
+		return s.randomDelay(restOfPeriod)
 	case backedOff > period: // at a new random point, so that polls spread over the whole longer period
-		return backedOff*3/4 + s.randomDelay(backedOff/2) - s.rejectedAfter
+		return max(backedOff*3/4+s.randomDelay(backedOff/2)-s.rejectedAfter, 0)
 	}
-	return max(period-s.rejectedAfter, 0)
+	return restOfPeriod
 }
 
 // queueDrainTime returns the time in which discovery serves the queued calls that have timed out.
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// RandomDelay returns a random duration in [0, limit), or 0 if limit is 0 or negative: nothing is left to wait.
+func RandomDelay(randomness *rand.Rand, limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(randomness.Int64N(int64(limit)))
+}
+
 // Ring holds the members in a client's own random order, and the one to call. It is not safe for concurrent
 // use.
 type Ring struct {
@@ -120,7 +128,7 @@
 	}
 }
 
-// RandomDelay returns a random duration in [0, limit).
+// RandomDelay returns a random duration in [0, limit), or 0 if limit is 0 or negative.
 func (r *Ring) RandomDelay(limit time.Duration) time.Duration {
-	return time.Duration(r.randomness.Int64N(int64(limit)))
+	return RandomDelay(r.randomness, limit)
 }
