Trace when a request's body has arrived and when it has been read

The trace of a request had no step between "sent" and "answered", so it could not tell a proxy that does not know of the body's end from one whose response is not written.

Two steps are added, at the one place each where the client's time is set.

--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -35,6 +35,21 @@
 	l.audit.Trace(r.ID, "taken", "class", r.ClassName, "uploading", r.BodyPending)
 }
 
+// auditBodyArrived records that the last byte of a request's body has arrived at arrived, though bytes of it
+// are still unread. The client's time starts then.
+func (l *eventLoop) auditBodyArrived(r *request, arrived, deadline time.Time) {
+	r.rules.SetDeadline(deadline)
+	if l.audit.IsTracing() {
+		l.audit.Trace(r.ID, "body arrived", "since", time.Since(arrived))
+	}
+}
+
+// auditBodyRead records that all of a request's body has been read.
+func (l *eventLoop) auditBodyRead(r *request, deadline time.Time) {
+	r.rules.SetDeadline(deadline)
+	l.audit.Trace(r.ID, "body read")
+}
+
 // auditAttemptStart records the start of an attempt and reports the rules that it breaks.
 func (l *eventLoop) auditAttemptStart(a *attempt) {
 	l.audit.RecordViolations(a.request.rules.AttemptStarted(invariant.Server(a.server), time.Now())...)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -111,7 +111,7 @@
 	}
 	deadline := arrived.Add(r.Outbound.Timeout)
 	r.Outbound.ClientDeadline.Store(&deadline)
-	r.rules.SetDeadline(deadline)
+	l.auditBodyArrived(r, arrived, deadline)
 	r.Deadline = l.clock.at(deadline)
 	l.armDeadline(r)
 }
@@ -126,7 +126,7 @@
 		deadline = min(deadline, l.clock.at(*arrived))
 	}
 	r.BodyPending, r.Deadline = false, deadline
-	r.rules.SetDeadline(l.clock.time(deadline))
+	l.auditBodyRead(r, l.clock.time(deadline))
 	l.armDeadline(r)
 	now := l.clock.now()
 	timeout := l.balancer.HandleBodyReceived(now, r.ID, r.Deadline)
