Let the test of stalled uploads reach its backend again, and demand its 504

So the test held whatever became of a stalled upload. Its own response shows it: 503, "Retry-After: 1.759", no attempt.

The client waits 1 s now, which the balancer accepts, and the response has to be a 504 within that time and the same slack as before, counted from when the kernel of the proxy's side has acknowledged the last byte.

--- a/internal/proxy/bodyend_test.go
+++ b/internal/proxy/bodyend_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"merlinpick/internal/discovery"
 	"merlinpick/internal/proxy/downstream"
@@ -46,37 +48,85 @@
 	})
 }
 
+// uploadTimeout is how long the clients of the tests below wait. With less, the proxy rejects their uploads at
+// once: no response could be in time.
+const uploadTimeout = time.Second
+
+// startStuckUpload returns a proxy whose only backend reads nothing, and a client of it that has sent the head of
+// an upload.
+func startStuckUpload(t *testing.T, framing string) (*runningProxy, *proxytest.Client) {
+	t.Helper()
+	p := startProxy(t, startDiscovery(t).addr, 200,
+		listJSON(1, true, endpointJSON("a", startStuckBackend(t), discovery.StatusServing)))
+	limitWriteBuffers(p)
+	cl := connect(t, p)
+	proxytest.WaitUntil(t, func() bool { return p.frontend.OpenConns() == 1 })
+	growReceiveBuffer(t, p.frontend.Conns()[0])
+	cl.Send(t, proxytest.PostRequest("1", fmt.Sprintf("Request-Timeout-Ms: %d\r\n%s", uploadTimeout.Milliseconds(), framing)))
+	return p, cl
+}
+
+// checkStuckUploadTimesOut checks that a client gets its 504 in time. It has sent all of its upload.
+func checkStuckUploadTimesOut(t *testing.T, p *runningProxy, cl *proxytest.Client) {
+	t.Helper()
+	proxytest.WaitUntil(t, func() bool { return unacknowledged(t, cl) == 0 })
+	arrived := time.Now()
+	resp, _ := cl.ReadResponse(t)
+	if took := time.Since(arrived); resp.StatusCode != http.StatusGatewayTimeout || took > uploadTimeout+upstream.MaxStreamOverrun {
+		t.Errorf("got %s after %v, want a 504 within the %v that the client waits", resp.Status, took, uploadTimeout)
+	}
+	proxytest.WaitUntil(t, func() bool { return p.Metrics().InFlight == 0 })
+}
+
 // TestUploadStalledByBackendIsAnsweredInTime checks that a client's timeout starts with the last byte that it
 // sends, even if the proxy cannot read that byte because the backend reads nothing: the response must not
 // wait for the backend.
 func TestUploadStalledByBackendIsAnsweredInTime(t *testing.T) {
-	const size, left = downstream.MaxBufferedBody + 32<<10, 500 * time.Millisecond
+	const size = downstream.MaxBufferedBody + 64<<10
 	body := bytes.Repeat([]byte("x"), size)
-	timeout := fmt.Sprintf("Request-Timeout-Ms: %d\r\n", left.Milliseconds())
-	for _, c := range []struct{ name, head, tail string }{
-		{"of a length", timeout + fmt.Sprintf("Content-Length: %d", size), ""},
-		{"in chunks", timeout + "Transfer-Encoding: chunked", "\r\n0\r\n\r\n"},
+	for _, c := range []struct{ name, framing, start, end string }{
+		{"of a length", fmt.Sprintf("Content-Length: %d", size), "", ""},
+		{"in chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n", size), "\r\n0\r\n\r\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := startProxy(t, startDiscovery(t).addr, 200,
-				listJSON(1, true, endpointJSON("a", startStuckBackend(t), discovery.StatusServing)))
-			limitWriteBuffers(p)
-			cl := connect(t, p)
-			cl.Send(t, proxytest.PostRequest("1", c.head))
-			if c.tail != "" {
-				cl.Send(t, fmt.Sprintf("%x\r\n", size))
-			}
-			cl.Send(t, string(body)+c.tail)
-			sent := time.Now() // the kernel has accepted all bytes
-			resp, _ := cl.ReadResponse(t)
-			if took := time.Since(sent); took > left+upstream.MaxStreamOverrun {
-				t.Errorf("got %s after %v, but the client waits only %v", resp.Status, took, left)
-			}
-			proxytest.WaitUntil(t, func() bool { return p.Metrics().InFlight == 0 })
+			p, cl := startStuckUpload(t, c.framing)
+			cl.Send(t, c.start+string(body)+c.end)
+			checkStuckUploadTimesOut(t, p, cl)
 		})
 	}
 }
 
+// growReceiveBuffer lets the kernel hold 200 KiB unread on a connection, which many systems allow at most.
+func growReceiveBuffer(t *testing.T, c syscall.Conn) {
+	t.Helper()
+	control(t, c, func(fd int) error { return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, 200<<10) })
+}
+
+// unacknowledged returns how many sent bytes the kernel of the client's peer has not acknowledged.
+func unacknowledged(t *testing.T, c *proxytest.Client) (n int32) {
+	t.Helper()
+	control(t, c.TCP(), func(fd int) error {
+		if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n))); errno != 0 {
+			return errno
+		}
+		return nil
+	})
+	return n
+}
+
+// control calls f with a connection's descriptor.
+func control(t *testing.T, c syscall.Conn, f func(fd int) error) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil || failed != nil {
+		t.Fatal(errors.Join(err, failed))
+	}
+}
+
 // TestSlowDialForUploadForwardsRemainingTimeout checks that the Request-Timeout-Ms forwarded with a streamed
 // upload counts from the last byte that the client sent, even if the connection to the backend is established
 // later.
