Find the end of a chunked body behind any number of unread bytes

Cause: a client's time counts from the last byte, and the end of a body that is not read yet was looked for as the text of the plain last chunk, among 64 KiB at most. With more unread, trailers, an extension of the last chunk or bytes behind it the body never ended.

The connection follows the chunk framing through what it reads, and ChunkedEndFinder goes on from there through the unread bytes, each once, in windows of 256 KiB that the kernel copies without consuming. It looks only when nothing has arrived since the last look, so a body that flows costs no looks. No byte of a body is held, and net/http still parses what is passed on. Malformed framing counts as the end, and a last chunk's text within data no longer does.

--- a/internal/proxy/bodyend_test.go
+++ b/internal/proxy/bodyend_test.go
@@ -96,6 +96,36 @@
 	}
 }
 
+// TestChunkedUploadWithManyBytesUnreadIsAnsweredInTime guards against a lost request: a chunked body has arrived
+// whole, but its end stands behind more unread bytes than one look shows, or is not the plain last chunk.
+func TestChunkedUploadWithManyBytesUnreadIsAnsweredInTime(t *testing.T) {
+	const read = downstream.MaxBufferedBody + 64<<10 // of the body, about, before the proxy stands still
+	for _, c := range []struct {
+		name               string
+		chunkBytes, unread int
+		end                string
+		pause              time.Duration // before the end
+	}{
+		{"in chunks", 32 << 10, 96 << 10, "0\r\n\r\n", 0},
+		{"in one chunk", read + 96<<10, 96 << 10, "0\r\n\r\n", 0},
+		{"in chunks, and then its end", 1000, 100 << 10, "0\r\n\r\n", 150 * time.Millisecond},
+		{"with trailers", 32 << 10, 1 << 10, "0\r\nSum: 1\r\nOther: 2\r\n\r\n", 0},
+		{"with a chunk extension", 32 << 10, 1 << 10, "00;last=yes\r\n\r\n", 0},
+		{"with bytes behind its end", 32 << 10, 96 << 10, "0\r\n\r\nGET /", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, cl := startStuckUpload(t, "Transfer-Encoding: chunked")
+			chunk := fmt.Sprintf("%x\r\n%s\r\n", c.chunkBytes, bytes.Repeat([]byte("x"), c.chunkBytes))
+			for sent := 0; sent < read+c.unread; sent += c.chunkBytes {
+				cl.Send(t, chunk)
+			}
+			time.Sleep(c.pause)
+			cl.Send(t, c.end)
+			checkStuckUploadTimesOut(t, p, cl)
+		})
+	}
+}
+
 // growReceiveBuffer lets the kernel hold 200 KiB unread on a connection, which many systems allow at most.
 func growReceiveBuffer(t *testing.T, c syscall.Conn) {
 	t.Helper()
--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -54,6 +54,10 @@
 	discarding    bool // bytes received from now on are dropped
 	closed        bool // the descriptor is closed
 	memoryCharged int  // bytes reserved from the listener's headMemory
+	// The body of a chunked request, as far as it has been read from the socket; see ChunkedEndFinder.
+	chunked      bool
+	chunks       framing.ChunkScanner
+	bodyReceived int64 // bytes, with their framing
 }
 
 // Phase is the progress of the current request on a client connection.
@@ -161,6 +165,7 @@
 			if c.phase == PhaseIdle {
 				c.phase = PhaseReadingHead
 			}
+			c.followBodyLocked(p[:n])
 		}
 		discarding := c.discarding
 		if discarding {
@@ -369,12 +374,22 @@
 		c.passMalformedLocked()
 	case chunked:
 		c.passable, c.eofAfterPass = -1, true
+		c.chunked = true
+		c.followBodyLocked(c.buffered[end:])
 	default:
 		c.passable = int64(end) + max(length, 0)
 		c.eofAfterPass = c.passable < 0 // the sum has overflowed
 	}
 }
 
+// followBodyLocked follows the framing of a chunked body through bytes that have been read from the socket.
+func (c *Conn) followBodyLocked(received []byte) {
+	if c.chunked {
+		c.chunks.Scan(received)
+		c.bodyReceived += int64(len(received))
+	}
+}
+
 // passMalformedLocked passes MalformedHead in place of the buffered bytes.
 func (c *Conn) passMalformedLocked() {
 	c.buffered, c.passable, c.eofAfterPass = []byte(MalformedHead), int64(len(MalformedHead)), true
--- a/internal/proxy/socket/socket.go
+++ b/internal/proxy/socket/socket.go
@@ -47,14 +47,41 @@
 	return int64(n)
 }
 
-// Peek copies unread bytes into buf without consuming them and returns how many; 0 if there are none or that
-// is unknown.
-func Peek(c net.Conn, buf []byte) int {
-	n := 0
+// skippedBytes takes the bytes that PeekAt skips. Nobody reads it.
+var skippedBytes [64 << 10]byte
+
+// maxVectors is how many buffers recvmsg takes at most (UIO_MAXIOV).
+const maxVectors = 1024
+
+// PeekAt copies unread bytes, but for the first offset ones, into buf without consuming any. It returns how
+// many it has copied; 0 if there are none or that is unknown. It takes time in proportion to offset, too.
+func PeekAt(c net.Conn, offset int64, buf []byte) int {
+	var vectors []syscall.Iovec
+	for skipped := int64(0); skipped < offset; {
+		n := min(offset-skipped, int64(len(skippedBytes)))
+		vectors = append(vectors, vector(skippedBytes[:n]))
+		skipped += n
+	}
+	vectors = append(vectors, vector(buf))
+	if len(vectors) > maxVectors {
+		return 0
+	}
+	message := syscall.Msghdr{Iov: &vectors[0], Iovlen: uint64(len(vectors))}
+	n := int64(0)
 	_, _ = withDescriptor(c, func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		received, _, errno := syscall.Syscall(syscall.SYS_RECVMSG, fd, uintptr(unsafe.Pointer(&message)),
+			syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errno == 0 {
+			n = int64(received)
+		}
 	})
-	return max(0, n)
+	return int(max(0, n-offset))
+}
+
+func vector(buf []byte) syscall.Iovec {
+	v := syscall.Iovec{Base: &buf[0]}
+	v.SetLen(len(buf))
+	return v
 }
 
 // ResetOnClose makes a connection's close drop the bytes that the kernel has not delivered yet and send a
