Do not evict a connection whose upload has arrived whole and is unread

Callers would see a reset in place of an answer: a long body has arrived whole, its server reads none of it, and connections run short.

Cause: for an eviction a request was complete once its last byte had been read. That its last byte had arrived was known, and told to the event loop alone. Now the connection counts as one with a complete request from then on, and gets its 504 by its deadline.

--- a/internal/proxy/bodyend_test.go
+++ b/internal/proxy/bodyend_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -48,32 +49,31 @@
 	})
 }
 
-// uploadTimeout is how long the clients of the tests below wait. With less, the proxy rejects their uploads at
+// uploadTimeout is how long the clients of most tests below wait. With less, the proxy rejects their uploads at
 // once: no response could be in time.
 const uploadTimeout = time.Second
 
 // startStuckUpload returns a proxy whose only backend reads nothing, and a client of it that has sent the head of
-// an upload.
-func startStuckUpload(t *testing.T, framing string) (*runningProxy, *proxytest.Client) {
+// an upload and waits for timeout.
+func startStuckUpload(t *testing.T, timeout time.Duration, framing string) (*runningProxy, *proxytest.Client) {
 	t.Helper()
 	p := startProxy(t, startDiscovery(t).addr, 200,
 		listJSON(1, true, endpointJSON("a", startStuckBackend(t), discovery.StatusServing)))
 	limitWriteBuffers(p)
+	growReceiveBuffers(t, p)
 	cl := connect(t, p)
-	proxytest.WaitUntil(t, func() bool { return p.frontend.OpenConns() == 1 })
-	growReceiveBuffer(t, p.frontend.Conns()[0])
-	cl.Send(t, proxytest.PostRequest("1", fmt.Sprintf("Request-Timeout-Ms: %d\r\n%s", uploadTimeout.Milliseconds(), framing)))
+	cl.Send(t, proxytest.PostRequest("1", fmt.Sprintf("Request-Timeout-Ms: %d\r\n%s", timeout.Milliseconds(), framing)))
 	return p, cl
 }
 
-// checkStuckUploadTimesOut checks that a client gets its 504 in time. It has sent all of its upload.
-func checkStuckUploadTimesOut(t *testing.T, p *runningProxy, cl *proxytest.Client) {
+// checkStuckUploadTimesOut checks that a client gets its 504 within timeout. It has sent all of its upload.
+func checkStuckUploadTimesOut(t *testing.T, p *runningProxy, cl *proxytest.Client, timeout time.Duration) {
 	t.Helper()
 	proxytest.WaitUntil(t, func() bool { return unacknowledged(t, cl) == 0 })
 	arrived := time.Now()
 	resp, _ := cl.ReadResponse(t)
-	if took := time.Since(arrived); resp.StatusCode != http.StatusGatewayTimeout || took > uploadTimeout+upstream.MaxStreamOverrun {
-		t.Errorf("got %s after %v, want a 504 within the %v that the client waits", resp.Status, took, uploadTimeout)
+	if took := time.Since(arrived); resp.StatusCode != http.StatusGatewayTimeout || took > timeout+upstream.MaxStreamOverrun {
+		t.Errorf("got %s after %v, want a 504 within the %v that the client waits", resp.Status, took, timeout)
 	}
 	proxytest.WaitUntil(t, func() bool { return p.Metrics().InFlight == 0 })
 }
@@ -89,9 +89,9 @@
 		{"in chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n", size), "\r\n0\r\n\r\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p, cl := startStuckUpload(t, c.framing)
+			p, cl := startStuckUpload(t, uploadTimeout, c.framing)
 			cl.Send(t, c.start+string(body)+c.end)
-			checkStuckUploadTimesOut(t, p, cl)
+			checkStuckUploadTimesOut(t, p, cl, uploadTimeout)
 		})
 	}
 }
@@ -114,22 +114,47 @@
 		{"with bytes behind its end", 32 << 10, 96 << 10, "0\r\n\r\nGET /", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p, cl := startStuckUpload(t, "Transfer-Encoding: chunked")
+			p, cl := startStuckUpload(t, uploadTimeout, "Transfer-Encoding: chunked")
 			chunk := fmt.Sprintf("%x\r\n%s\r\n", c.chunkBytes, bytes.Repeat([]byte("x"), c.chunkBytes))
 			for sent := 0; sent < read+c.unread; sent += c.chunkBytes {
 				cl.Send(t, chunk)
 			}
 			time.Sleep(c.pause)
 			cl.Send(t, c.end)
-			checkStuckUploadTimesOut(t, p, cl)
+			checkStuckUploadTimesOut(t, p, cl, uploadTimeout)
 		})
 	}
 }
 
-// growReceiveBuffer lets the kernel hold 200 KiB unread on a connection, which many systems allow at most.
-func growReceiveBuffer(t *testing.T, c syscall.Conn) {
+// TestWholeUploadIsNotEvicted guards against a lost request: a body has arrived whole, but its backend reads none
+// of it, and the connection is closed to make room for others.
+func TestWholeUploadIsNotEvicted(t *testing.T) {
+	const size, timeout = downstream.MaxBufferedBody + 64<<10, 3 * time.Second
+	for name, upload := range map[string]struct{ framing, body string }{
+		"of a length": {fmt.Sprintf("Content-Length: %d", size), strings.Repeat("x", size)},
+		"in chunks":   {"Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, cl := startStuckUpload(t, timeout, upload.framing)
+			cl.Send(t, upload.body)
+			time.Sleep(timeout / 2) // the connection has been silent for longer than any other
+			for range 2 * connLimit(p) {
+				connect(t, p)
+			}
+			checkStuckUploadTimesOut(t, p, cl, timeout)
+		})
+	}
+}
+
+// growReceiveBuffers lets the kernel hold some 200 KiB unread on each connection that the proxy accepts from now
+// on, which many systems allow at most.
+func growReceiveBuffers(t *testing.T, p *runningProxy) {
 	t.Helper()
-	control(t, c, func(fd int) error { return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, 200<<10) })
+	listener, ok := p.frontend.Listener.Listener.(syscall.Conn)
+	if !ok {
+		t.Fatalf("%T has no descriptor", p.frontend.Listener.Listener)
+	}
+	control(t, listener, func(fd int) error { return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, 200<<10) })
 }
 
 // unacknowledged returns how many sent bytes the kernel of the client's peer has not acknowledged.
--- a/internal/proxy/downstream/evict.go
+++ b/internal/proxy/downstream/evict.go
@@ -33,7 +33,7 @@
 type clientConnState struct {
 	state           http.ConnState
 	since           time.Time // when state was entered
-	requestComplete bool      // a request has been received completely and is in flight
+	requestComplete bool      // all of a request has arrived, and it is in flight
 	interruptedAt   time.Time // when an eviction interrupted its upload; zero if none did
 }
 
@@ -71,14 +71,20 @@
 // before the response. Further reads only detect that the client disconnects, and have no deadline.
 func (srv *Server) startInFlight(w http.ResponseWriter, r *http.Request, req *Request) (finish func(status int)) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	srv.markRequestComplete(c)
+	return srv.requestStarted(req.ClassName)
+}
+
+// markRequestComplete records that all of the request on a connection has arrived, whether it has been read or
+// not, so that the connection is not evicted before the response.
+func (srv *Server) markRequestComplete(c net.Conn) {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
 	if s, ok := srv.conns[c]; ok {
 		s.requestComplete = true
 		srv.conns[c] = s
 	}
-	return srv.requestStarted(req.ClassName)
 }
 
 // MakeRoom frees a slot by closing one connection, if any may be closed: see makeRoomLocked.
--- a/internal/proxy/downstream/receivebody.go
+++ b/internal/proxy/downstream/receivebody.go
@@ -56,6 +56,7 @@
 	defer stopWatching()
 	srv.dispatch(req)
 	watcher := watchBodyEnd(u.conn, u.remaining, func(arrived time.Time) {
+		srv.markRequestComplete(u.conn)
 		srv.handler.HandleBodyEndSeen(req, arrived)
 	})
 	err := u.forwardTo(to)
