Have the test of unread chunked bodies stop where its proxy stops reading

It is the test's own set-up: the line is the wait for the last byte to arrive at the proxy's machine, before the response is asked for. The body was sent blindly, up to 160 KiB of it had to fit unread, and the kernel's window did not open so far.

The test sends small chunks until the proxy has stopped reading, and then 68 KiB, more than the 64 KiB at which the fault began, so that half as much has to fit.

--- a/internal/proxy/bodyend_test.go
+++ b/internal/proxy/bodyend_test.go
@@ -17,6 +17,7 @@
 	"merlinpick/internal/discovery"
 	"merlinpick/internal/proxy/downstream"
 	"merlinpick/internal/proxy/proxytest"
+	"merlinpick/internal/proxy/socket"
 	"merlinpick/internal/proxy/upstream"
 )
 
@@ -99,26 +100,24 @@
 // TestChunkedUploadWithManyBytesUnreadIsAnsweredInTime guards against a lost request: a chunked body has arrived
 // whole, but its end stands behind more unread bytes than one look shows, or is not the plain last chunk.
 func TestChunkedUploadWithManyBytesUnreadIsAnsweredInTime(t *testing.T) {
-	const read = downstream.MaxBufferedBody + 64<<10 // of the body, about, before the proxy stands still
+	const many = 68 << 10
 	for _, c := range []struct {
-		name               string
-		chunkBytes, unread int
-		end                string
-		pause              time.Duration // before the end
+		name   string
+		unread string // chunks that are sent when the proxy has stopped reading
+		pause  time.Duration
+		end    string // is sent after the pause
 	}{
-		{"in chunks", 32 << 10, 96 << 10, "0\r\n\r\n", 0},
-		{"in one chunk", read + 96<<10, 96 << 10, "0\r\n\r\n", 0},
-		{"in chunks, and then its end", 1000, 100 << 10, "0\r\n\r\n", 150 * time.Millisecond},
-		{"with trailers", 32 << 10, 1 << 10, "0\r\nSum: 1\r\nOther: 2\r\n\r\n", 0},
-		{"with a chunk extension", 32 << 10, 1 << 10, "00;last=yes\r\n\r\n", 0},
-		{"with bytes behind its end", 32 << 10, 96 << 10, "0\r\n\r\nGET /", 0},
+		{"in chunks", strings.Repeat(chunkOf(4<<10), many/(4<<10)), 0, "0\r\n\r\n"},
+		{"in one chunk", chunkOf(many), 0, "0\r\n\r\n"},
+		{"in chunks, and then its end", strings.Repeat(chunkOf(1000), many/1000), 150 * time.Millisecond, "0\r\n\r\n"},
+		{"with trailers", chunkOf(1), 0, "0\r\nSum: 1\r\nOther: 2\r\n\r\n"},
+		{"with a chunk extension", chunkOf(1), 0, "00;last=yes\r\n\r\n"},
+		{"with bytes behind its end", chunkOf(many), 0, "0\r\n\r\nGET /"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p, cl := startStuckUpload(t, uploadTimeout, "Transfer-Encoding: chunked")
-			chunk := fmt.Sprintf("%x\r\n%s\r\n", c.chunkBytes, bytes.Repeat([]byte("x"), c.chunkBytes))
-			for sent := 0; sent < read+c.unread; sent += c.chunkBytes {
-				cl.Send(t, chunk)
-			}
+			sendChunksUntilUnread(t, p, cl)
+			cl.Send(t, c.unread)
 			time.Sleep(c.pause)
 			cl.Send(t, c.end)
 			checkStuckUploadTimesOut(t, p, cl, uploadTimeout)
@@ -126,6 +125,23 @@
 	}
 }
 
+// chunkOf returns a chunk of a body.
+func chunkOf(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)) }
+
+// sendChunksUntilUnread sends chunks until the proxy has stopped reading them, since its backend reads nothing.
+func sendChunksUntilUnread(t *testing.T, p *runningProxy, cl *proxytest.Client) {
+	t.Helper()
+	proxytest.WaitUntil(t, func() bool { return p.frontend.OpenConns() == 1 })
+	conn := p.frontend.Conns()[0]
+	const stalledFor = 200 * time.Millisecond
+	for since := time.Now(); time.Since(since) < stalledFor; time.Sleep(time.Millisecond) {
+		if socket.Unread(conn) == 0 {
+			cl.Send(t, chunkOf(4<<10))
+			since = time.Now()
+		}
+	}
+}
+
 // TestWholeUploadIsNotEvicted guards against a lost request: a body has arrived whole, but its backend reads none
 // of it, and the connection is closed to make room for others.
 func TestWholeUploadIsNotEvicted(t *testing.T) {
