--- a/review/testdata/stand2/lab.go
+++ b/review/testdata/stand2/lab.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -144,14 +145,42 @@
 	}
 }
 
-// freeAddress returns an unused address on loopback.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer l.Close()
-	return l.Addr().String()
+// Ports below those that a system gives to outgoing connections, which would else take an address between its choice
+// and its use.
+const firstPort, lastPort = 15_000, 32_000
+
+// freeAddress returns an address on loopback that is not in use, and that it has not returned before.
+func (p *ports) freeAddress() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if p.given[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		p.given[port] = true
+		return address
+	}
+	must(errors.New("no address is free"))
+	return ""
+}
+
+// ports are the ports that have been given out.
+type ports struct {
+	mu    sync.Mutex
+	given map[int]bool
 }
 
+var addresses = ports{given: map[int]bool{}}
+
+func freeAddress() string { return addresses.freeAddress() }
+
 // process is one of the project's programs.
 type process struct {
 	name    string
