Trace how long a backend connection was idle before its response, and count extra bytes

Nothing told whether the connection had been reused before a second response arrived, or whether the look for unsolicited bytes had missed it.

The trace of a request has a step "response read" with the connection's idle time and the latency, and app.closes.server.unsolicited counts idle connections on which a backend sent bytes; they were among app.closes.server.idle before.

--- a/internal/proxy/audit/audit.go
+++ b/internal/proxy/audit/audit.go
@@ -37,6 +37,9 @@
 	BackendConnDone       Event = "closes.server.answered"  // it has carried a response and cannot be reused
 	BackendConnNoResponse Event = "closes.server.no_answer" // its request has no complete response
 	BackendConnIdle       Event = "closes.server.idle"      // idle for too long, or closed by the backend
+	// BackendConnUnsolicited counts idle connections on which the backend sent bytes that nobody had asked
+	// for, such as a second response to a request.
+	BackendConnUnsolicited Event = "closes.server.unsolicited"
 	// BackendConnNoRoom counts idle connections that were closed to make room for others.
 	BackendConnNoRoom  Event = "closes.server.room"
 	BackendConnChanged Event = "closes.server.list" // the list or an override has changed the backend
--- a/internal/proxy/upstream/reuse.go
+++ b/internal/proxy/upstream/reuse.go
@@ -47,8 +47,7 @@
 		if c.idleFor < maxIdle && socket.IsIdle(c.Conn) {
 			return c
 		}
-		p.audit.Count(audit.BackendConnIdle)
-		p.closeLocked(c)
+		p.closeUnusableLocked(c)
 	}
 	return nil
 }
@@ -77,7 +76,9 @@
 	if c.idleFor = time.Since(c.idleSince); socket.IsIdle(c.Conn) {
 		return c
 	}
-	p.closeConn(c)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeUnusableLocked(c)
 	return nil
 }
 
@@ -182,6 +183,17 @@
 	p.closeLocked(c)
 }
 
+// closeUnusableLocked closes a connection that was idle for too long, was closed by the backend, or has
+// unsolicited bytes to read, and counts which.
+func (p *Pool) closeUnusableLocked(c *conn) {
+	reason := audit.BackendConnIdle
+	if socket.Unread(c.Conn) > 0 {
+		reason = audit.BackendConnUnsolicited
+	}
+	p.audit.Count(reason)
+	p.closeLocked(c)
+}
+
 // closeLocked closes a connection and subtracts it from the open ones.
 func (p *Pool) closeLocked(c *conn) {
 	c.Close()
@@ -199,8 +211,7 @@
 			if now.Sub(c.idleSince) < p.idleTimeout && socket.IsIdle(c.Conn) {
 				kept = append(kept, c)
 			} else {
-				p.audit.Count(audit.BackendConnIdle)
-				p.closeLocked(c)
+				p.closeUnusableLocked(c)
 			}
 		}
 		clear(b.idleConns[len(kept):])
--- a/internal/proxy/upstream/send.go
+++ b/internal/proxy/upstream/send.go
@@ -53,6 +53,7 @@
 	result, reusable, err := a.readResponse(c)
 	switch {
 	case err == nil:
+		a.traceResponse(c, sent)
 		return result, reusable
 	case a.pastDeadline():
 		return Result{Status: balancer.StatusTimedOut}, false
@@ -66,6 +67,15 @@
 	return Result{Status: balancer.StatusReset}, false
 }
 
+// traceResponse traces a response: how long its connection was idle before the request, and the time from the
+// request's last byte to the response's end. A response sooner than the network allows is not this request's.
+func (a *Attempt) traceResponse(c *conn, sent time.Time) {
+	if a.pool.audit.IsTracing() {
+		a.pool.audit.Trace(a.request.ID, "response read", "endpoint", a.server.Name,
+			"conn_idle", c.idleFor, "latency", time.Since(sent))
+	}
+}
+
 // send writes the whole request. If it returns neither StatusOK nor StatusCancelled, the backend cannot have
 // started to execute the request. Unless it returns StatusOK, reusable reports whether the connection can be
 // reused.
