Leave connections to backends of other zones unused for 30 ms after a response

Cause: a connection was used again 10 ms after a response, wherever its server is. Two messages of one server may take times on their way that differ by almost the longest delay of the network, so between zones (10 to 20 ms one way, with jitter) a second response may be up to 22 ms late. One that comes after the next request was written is taken for its response.

Evidence: by the trace, each series of wrong responses begins on a connection that was idle for 10.4 to 11.1 ms, with a response 1.2 to 3.6 ms after the request, from a server of another zone.

The learned bound on idle times leaves the same time for reuse as before.

Tests: TestExtraResponseIsNotTakenForNextRequest gets 'no' in two of three cases where the zone is not looked at; the connection of TestInterZoneConnectionIsReusedAfterItsDelay is closed there.

--- a/internal/idletimeout/idletimeout.go
+++ b/internal/idletimeout/idletimeout.go
@@ -24,10 +24,15 @@
 	// RecoveryTime is the time in which the bound doubles if no further reuse breaks.
 	RecoveryTime = 10 * time.Second
 
-	// ReuseDelay is how long a connection is left unused after a response. A faulty backend may send a second
-	// response some milliseconds after the first. During the delay it is recognized as such; after the next
-	// request it would be taken for the response to that request.
+	// ReuseDelay is how long a connection to a backend of the same zone is left unused after a response. A
+	// faulty backend may send a second response some milliseconds after the first. During the delay it is
+	// recognized as such; after the next request it would be taken for the response to that request.
 	ReuseDelay = 10 * time.Millisecond
+	// MaxInterZoneLatency is the longest one-way delay of the network between two zones. Under jitter, a
+	// second response may fall behind the first by almost as much on its way.
+	MaxInterZoneLatency = 20 * time.Millisecond
+	// InterZoneReuseDelay is the reuse delay of a connection to a backend of another zone.
+	InterZoneReuseDelay = ReuseDelay + MaxInterZoneLatency
 
 	// exitAttributionWindow is the time after a broken reuse in which an exit of the backend explains it. A
 	// refused connection shows the exit at the next attempt, a list some seconds late.
--- a/internal/proxy/clientgone_test.go
+++ b/internal/proxy/clientgone_test.go
@@ -66,7 +66,7 @@
 // the next request on the same connection.
 func checkNothingSent(t *testing.T, p *runningProxy, b *proxytest.Backend, before int32) {
 	t.Helper()
-	p.loop.pool.SetReuseDelay(0) // the next request reuses a connection that was just used
+	p.loop.pool.SetReuseDelay(0, 0) // the next request reuses a connection that was just used
 	checkNothingLeft(t, p)
 	cl := connect(t, p)
 	cl.Send(t, proxytest.LookRequest("after", 4000))
@@ -83,7 +83,7 @@
 // client has disconnected.
 func disconnectAfterEvent(t *testing.T, p *runningProxy, cause, depart func()) {
 	t.Helper()
-	p.loop.pool.SetReuseDelay(0) // an attempt may reuse a connection that was just used
+	p.loop.pool.SetReuseDelay(0, 0) // an attempt may reuse a connection that was just used
 	blocked, goOn := blockLoop(t, p)
 	proxytest.Receive(t, "block of the loop", blocked)
 	cause()
@@ -251,7 +251,7 @@
 				}
 				return proxytest.RespondWith(proxytest.OKResponse, true)(w, nil, n)
 			})
-			p.loop.pool.SetReuseDelay(0)
+			p.loop.pool.SetReuseDelay(0, 0)
 			p.frontend.Listener.SetLimit(1)
 			busy := connect(t, p)
 			busy.Send(t, proxytest.LookRequest("1", 4000))
--- a/internal/proxy/cluster.go
+++ b/internal/proxy/cluster.go
@@ -53,11 +53,8 @@
 // clusterIdentity returns what this proxy announces to its cluster.
 func (p *Proxy) clusterIdentity() ClusterIdentity {
 	site, clock := p.config.Site, p.loop.clock
-	identity := ClusterIdentity{Tier: site.Balancer.Tier, StartedAtMs: clock.start.UnixMilli(), Now: clock.now,
+	identity := ClusterIdentity{Tier: site.Balancer.Tier, Zone: site.LocalZone(), StartedAtMs: clock.start.UnixMilli(), Now: clock.now,
 		Overrides: p.overrides, Logger: p.config.Logger}
-	if site.Balancer.Zone < len(site.Zones) {
-		identity.Zone = site.Zones[site.Balancer.Zone]
-	}
 	if p.config.Managed {
 		identity.StateDir = p.config.StateDir
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -239,5 +239,6 @@
 	f.SetSettings(site, l.balancer.Settings(), classNumbers)
 	l.pool.SetTimeouts(site.DialTimeout, site.IdleTimeout)
 	l.pool.SetDrainGrace(site.Balancer.DrainGrace)
+	l.pool.SetLocalZone(site.LocalZone())
 	return nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,7 +110,7 @@
 	_, backends, _ := cfg.connLimits(false)
 	recorder := audit.New(cfg.Logger)
 	pool := upstream.NewPool(upstream.Config{DialTimeout: cfg.Site.DialTimeout, IdleClose: cfg.Site.IdleTimeout, MaxOpen: backends,
-		Audit: recorder, Logger: cfg.Logger, OnForwarded: metrics.attemptForwarded})
+		LocalZone: cfg.Site.LocalZone(), Audit: recorder, Logger: cfg.Logger, OnForwarded: metrics.attemptForwarded})
 	pool.SetDrainGrace(cfg.Site.Balancer.DrainGrace)
 	l := newEventLoop(loopConfig{
 		balancer: engine, clock: clock{time.Now()}, pool: pool, zoneNumbers: newZoneNumbers(cfg.Site.Zones),
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -166,7 +166,7 @@
 // backend.
 func TestRequestsOfAllClassesAreServed(t *testing.T) {
 	p, b := startServing(t, proxytest.RespondWith(proxytest.OKResponse, true))
-	p.loop.pool.SetReuseDelay(0)
+	p.loop.pool.SetReuseDelay(0, 0)
 	c := connect(t, p)
 	for i, text := range []string{proxytest.LookRequest("1", 4000),
 		"POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nRequest-Class: rate\r\nIdempotency-Key: x\r\nContent-Length: 3\r\n\r\nabc",
--- a/internal/proxy/upstream/attempt_test.go
+++ b/internal/proxy/upstream/attempt_test.go
@@ -14,9 +14,12 @@
 	"merlinpick/internal/proxy/proxytest"
 )
 
+// backendZone is the zone of the backends of proxytest.Endpoint.
+const backendZone = "a"
+
 // poolWith returns a pool with backends named a, b, and so on, at the given addresses.
 func poolWith(maxOpen int, addresses ...string) *Pool {
-	p := NewPool(Config{DialTimeout: 5 * time.Second, IdleClose: 40 * time.Second, MaxOpen: maxOpen})
+	p := NewPool(Config{DialTimeout: 5 * time.Second, IdleClose: 40 * time.Second, MaxOpen: maxOpen, LocalZone: backendZone})
 	var list []discovery.Endpoint
 	for i, address := range addresses {
 		list = append(list, proxytest.Endpoint(string(rune('a'+i)), address, discovery.StatusServing))
--- a/internal/proxy/upstream/generation_test.go
+++ b/internal/proxy/upstream/generation_test.go
@@ -87,7 +87,7 @@
 func TestConnectionInUseIsNotEvicted(t *testing.T) {
 	b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
 	p := poolWith(1, b.Addr)
-	p.SetReuseDelay(0)
+	p.SetReuseDelay(0, 0)
 	a := newAttempt(p, "a", proxytest.Timeout)
 	if res := a.Run(); res.Status != balancer.StatusOK {
 		t.Fatalf("got %v, want %v", res.Status, balancer.StatusOK)
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -27,6 +27,7 @@
 type Config struct {
 	DialTimeout time.Duration // longest time to establish a connection
 	IdleClose   time.Duration // after this time backends close an idle connection
+	LocalZone   string        // name of the proxy's zone
 	MaxOpen     int           // connection limit, including those being opened
 	Audit       *audit.Recorder
 	Logger      *slog.Logger // nil: nothing is logged
@@ -49,16 +50,19 @@
 	wrapDial    func(DialFunc) DialFunc // set by WrapDial; nil: none
 	// idleTimeout is when idle connections are closed, well before the backend closes them.
 	idleTimeout time.Duration
-	// reuseDelay is the least idle time before a connection is reused: see idletimeout.ReuseDelay.
-	reuseDelay   time.Duration
-	drainGrace   time.Duration // within it, sends to a backend that drains or was removed must stop
-	maxOpen      int
-	openConns    int // including those being opened
-	idleTracker  idletimeout.Tracker
-	byName       map[string]*backend
-	updateCount  int             // endpoint updates so far
-	suspended    map[string]bool // backends by name
-	drainedZones map[string]bool
+	localZone   string // name of the proxy's zone
+	// The least idle time before a connection is reused, by whether its backend is in the local zone: see
+	// idletimeout.ReuseDelay.
+	reuseDelay          time.Duration
+	interZoneReuseDelay time.Duration
+	drainGrace          time.Duration // within it, sends to a backend that drains or was removed must stop
+	maxOpen             int
+	openConns           int // including those being opened
+	idleTracker         idletimeout.Tracker
+	byName              map[string]*backend
+	updateCount         int             // endpoint updates so far
+	suspended           map[string]bool // backends by name
+	drainedZones        map[string]bool
 
 	lastLogged time.Time // when logBrokenResponse last logged
 	unlogged   int       // broken responses since then
@@ -86,7 +90,8 @@
 // NewPool returns a pool without backends.
 func NewPool(cfg Config) *Pool {
 	p := &Pool{maxOpen: cfg.MaxOpen, audit: cfg.Audit, logger: cfg.Logger, onForwarded: cfg.OnForwarded,
-		drainGrace: defaultDrainGrace, reuseDelay: idletimeout.ReuseDelay, byName: map[string]*backend{}}
+		localZone: cfg.LocalZone, drainGrace: defaultDrainGrace, byName: map[string]*backend{}}
+	p.SetReuseDelay(idletimeout.ReuseDelay, idletimeout.InterZoneReuseDelay)
 	p.maxBuffered.Store(MaxBufferedResponse)
 	p.SetTimeouts(cfg.DialTimeout, cfg.IdleClose)
 	return p
@@ -264,11 +269,27 @@
 	p.dialContext = wrap(p.dialContext)
 }
 
-// SetReuseDelay sets how long a connection must be idle before it is reused.
-func (p *Pool) SetReuseDelay(delay time.Duration) {
+// SetReuseDelay sets how long a connection must be idle before it is reused, by whether its backend is in the
+// local zone.
+func (p *Pool) SetReuseDelay(localZone, otherZones time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reuseDelay = delay
+	p.reuseDelay, p.interZoneReuseDelay = localZone, otherZones
+}
+
+// SetLocalZone sets the name of the proxy's zone.
+func (p *Pool) SetLocalZone(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.localZone = name
+}
+
+// reuseDelayLocked returns how long a connection to a backend must be idle before it is reused.
+func (p *Pool) reuseDelayLocked(b *backend) time.Duration {
+	if b.zone == p.localZone {
+		return p.reuseDelay
+	}
+	return p.interZoneReuseDelay
 }
 
 // isCurrent reports whether a backend is still in a generation.
--- a/internal/proxy/upstream/pool_test.go
+++ b/internal/proxy/upstream/pool_test.go
@@ -53,7 +53,7 @@
 		return n == 1
 	})
 	p := poolWith(4, b.Addr)
-	p.SetReuseDelay(0)
+	p.SetReuseDelay(0, 0)
 	if res := newAttempt(p, "a", proxytest.Timeout).Run(); res.Status != balancer.StatusOK {
 		t.Fatalf("first request: got %v, want success", res.Status)
 	}
@@ -71,7 +71,7 @@
 func TestPoolReusesMostRecentAndClosesOld(t *testing.T) {
 	b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
 	p := poolWith(4, b.Addr)
-	p.SetReuseDelay(0)
+	p.SetReuseDelay(0, 0)
 	e := p.byName["a"]
 	var two []*conn
 	for range 2 {
@@ -169,7 +169,7 @@
 		return true
 	})
 	p := poolWith(10, b.Addr)
-	p.SetReuseDelay(0)
+	p.SetReuseDelay(0, 0)
 	do := func(idle time.Duration, unsafe bool) balancer.Status {
 		t.Helper()
 		p.mu.Lock()
--- a/internal/proxy/upstream/reuse.go
+++ b/internal/proxy/upstream/reuse.go
@@ -27,9 +27,9 @@
 		"upstream: the backend was drained, suspended, moved, restarted or removed in the meantime")
 )
 
-// takeIdle returns the most recently used idle connection that has been idle for at least reuseDelay, has
-// nothing to read, and is unlikely to be closed by the backend during the request. It returns nil if there is
-// none.
+// takeIdle returns the most recently used idle connection that has been idle for at least its reuse delay,
+// has nothing to read, and is unlikely to be closed by the backend during the request. It returns nil if
+// there is none.
 func (p *Pool) takeIdle(b *backend, generation int, nonIdempotent bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -37,10 +37,13 @@
 		return nil
 	}
 	now := time.Now()
-	maxIdle := p.idleTracker.MaxIdle(now, p.idleTimeout, nonIdempotent)
+	delay := p.reuseDelayLocked(b)
+	// The learned bound leaves the same time for reuse in all zones, however long the delay is.
+	maxIdle := p.idleTracker.MaxIdle(now, p.idleTimeout, nonIdempotent) + delay - p.reuseDelay
+	maxIdle = min(maxIdle, p.idleTimeout)
 	for i := len(b.idleConns) - 1; i >= 0; i-- {
 		c := b.idleConns[i]
-		if c.idleFor = now.Sub(c.idleSince); c.idleFor < p.reuseDelay {
+		if c.idleFor = now.Sub(c.idleSince); c.idleFor < delay {
 			continue
 		}
 		b.idleConns = slices.Delete(b.idleConns, i, i+1)
@@ -65,7 +68,7 @@
 	}
 	c := b.idleConns[0]
 	b.idleConns = slices.Delete(b.idleConns, 0, 1)
-	delay := time.NewTimer(time.Until(c.idleSince.Add(p.reuseDelay)))
+	delay := time.NewTimer(time.Until(c.idleSince.Add(p.reuseDelayLocked(b))))
 	p.mu.Unlock()
 	defer delay.Stop()
 	select {
--- a/internal/proxy/upstream/reusedelay_test.go
+++ b/internal/proxy/upstream/reusedelay_test.go
@@ -13,40 +13,91 @@
 	"merlinpick/internal/proxy/proxytest"
 )
 
-// TestExtraResponseIsNotTakenForNextRequest checks that a second response to one request is not taken for the
-// response to the next request. During the reuse delay the connection is not used; when the extra response
-// arrives, the connection has unexpected data to read and is closed.
+// TestExtraResponseIsNotTakenForNextRequest guards against a second response to one request that is served as
+// the response to the next one. During the reuse delay, which is longer for backends of other zones, the
+// connection is not used; when the extra response arrives, the connection has unexpected data to read and is
+// closed.
 func TestExtraResponseIsNotTakenForNextRequest(t *testing.T) {
-	next, spoilt := make(chan struct{}), make(chan struct{})
-	b := proxytest.StartBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
-		if n == 2 {
-			proxytest.Receive(t, "second response to the first request", spoilt)
-		}
-		_, _ = io.WriteString(w, proxytest.OKResponse)
-		if n == 1 {
-			go func() {
-				<-next
-				_, _ = io.WriteString(w, strings.Replace(proxytest.OKResponse, "ok", "no", 1))
-				close(spoilt)
-			}()
-		}
-		return true
-	})
+	const tolerant = time.Second // tolerates pauses of a busy machine
+	for _, test := range []struct {
+		name, localZone          string
+		reuseDelay, interZoneOne time.Duration
+	}{
+		{"backend of the local zone", backendZone, tolerant, 0},
+		{"backend of another zone", "b", 0, tolerant},
+		{"local zone unknown", "", 0, tolerant},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			next, spoilt := make(chan struct{}), make(chan struct{})
+			b := proxytest.StartBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+				if n == 2 {
+					proxytest.Receive(t, "second response to the first request", spoilt)
+				}
+				_, _ = io.WriteString(w, proxytest.OKResponse)
+				if n == 1 {
+					go func() {
+						<-next
+						_, _ = io.WriteString(w, strings.Replace(proxytest.OKResponse, "ok", "no", 1))
+						close(spoilt)
+					}()
+				}
+				return true
+			})
+			p := poolWith(4, b.Addr)
+			p.SetLocalZone(test.localZone)
+			p.SetReuseDelay(test.reuseDelay, test.interZoneOne)
+			for n := range 2 {
+				if n == 1 {
+					close(next)
+				}
+				if res := newAttempt(p, "a", proxytest.Timeout).Run(); res.Status != balancer.StatusOK || string(res.Body) != "ok" {
+					t.Fatalf("request %d: got %v %q, want %v \"ok\"", n+1, res.Status, res.Body, balancer.StatusOK)
+				}
+			}
+			if b.Conns.Load() != 2 || p.openConns != 1 {
+				t.Errorf("%d connections, of which %d are open, want 2 and 1", b.Conns.Load(), p.openConns)
+			}
+		})
+	}
+}
+
+// TestReuseDelayCoversJitter checks the delays of a new pool against the figures of the operators' pages: a
+// second response leaves some milliseconds late, and the network between zones takes up to 20 ms one way, 0.3
+// of that more or less under jitter.
+func TestReuseDelayCoversJitter(t *testing.T) {
+	const someMilliseconds, latency, jitter = 10 * time.Millisecond, 20 * time.Millisecond, 0.3
+	p := poolWith(4)
+	if p.reuseDelay < someMilliseconds {
+		t.Errorf("reuse delay is %v in the local zone, want %v or more", p.reuseDelay, someMilliseconds)
+	}
+	want := someMilliseconds + time.Duration(2*jitter*float64(latency))
+	if p.interZoneReuseDelay < want {
+		t.Errorf("reuse delay is %v between zones, want %v or more", p.interZoneReuseDelay, want)
+	}
+	if least := idletimeout.MinIdleTimeout - idletimeout.ReuseDelay; least <= 0 {
+		t.Errorf("the lowest bound on idle time leaves %v for reuse, want more than 0", least)
+	}
+}
+
+// TestInterZoneConnectionIsReusedAfterItsDelay checks that a connection to another zone is still reused where
+// broken reuses have lowered the bound on idle time below its reuse delay.
+func TestInterZoneConnectionIsReusedAfterItsDelay(t *testing.T) {
+	b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
 	p := poolWith(4, b.Addr)
-	if p.reuseDelay != idletimeout.ReuseDelay {
-		t.Errorf("reuse delay is %v, want %v", p.reuseDelay, idletimeout.ReuseDelay)
+	p.SetLocalZone("b")
+	p.SetReuseDelay(0, time.Second)
+	e := p.byName["a"]
+	for range 20 {
+		p.idleTracker.RecordBrokenReuse(time.Now(), "other", idletimeout.MinIdleTimeout, p.idleTimeout)
 	}
-	p.reuseDelay = time.Second // tolerates pauses of a busy machine
-	for n := range 2 {
-		if n == 1 {
-			close(next)
-		}
-		if res := newAttempt(p, "a", proxytest.Timeout).Run(); res.Status != balancer.StatusOK || string(res.Body) != "ok" {
-			t.Fatalf("request %d: got %v %q, want %v \"ok\"", n+1, res.Status, res.Body, balancer.StatusOK)
-		}
+	c, err := p.dial(context.Background(), e, b.Addr, e.generation)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if b.Conns.Load() != 2 || p.openConns != 1 {
-		t.Errorf("%d connections, of which %d are open, want 2 and 1", b.Conns.Load(), p.openConns)
+	p.putIdle(c)
+	c.idleSince = c.idleSince.Add(-time.Second)
+	if got := p.takeIdle(e, e.generation, false); got != c {
+		t.Error("takeIdle did not return a connection that has just passed its reuse delay")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,14 @@
 	return site, nil
 }
 
+// LocalZone returns the name of the proxy's zone, or "" if Zones does not name it.
+func (s *Site) LocalZone() string {
+	if s.Balancer.Zone < len(s.Zones) {
+		return s.Zones[s.Balancer.Zone]
+	}
+	return ""
+}
+
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 // CheckSockets returns an *Error if a setting that only a proxy with real connections needs is missing or
