Let a small fleet poll a crowded discovery again as soon as its calls are served

Cause: the pauses after a call that waited in vain (2 to 3 s and a random part of 3.5 s), and the poll period while discovery is down (2.5 s), are made for a fleet that fills discovery's queue by itself, and had lower bounds that hold for a fleet of three.

Evidence: logs at the debug level: the call fails 2.00 s after the change of source, the next is made 3.6, 4.2 and 5.3 s later, answered within 0.4 ms and applied within 1 ms.

Change: both follow the time in which discovery serves a call of each caller. Fleets over 160 callers, unknown fleets and local agents pause as before.

--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -13,7 +13,9 @@
 //	D, Q   2.3 s, 3 s    longest hedge delay (hedge.go), and longest hedge delay after a 503
 //	B1-B4  0.1 to 0.8 s  backoffs (polling.go)
 //	W      2 or 3 s      longest wait in discovery's queue, after which a call fails with 503
-//	L, T   2.5, 3.5 s    poll periods while the queue is overloaded; T grows with the fleet (polling.go)
+//	L, T   2.5, 3.5 s    poll periods while the queue is overloaded; T grows with the fleet, and L is down to
+//	                     0.8 s for a small one (polling.go)
+//	F      22 ms each    time in which discovery serves one call of each caller
 //
 // "No answer" means that the connection stays open and nothing arrives before the timeout.
 //
@@ -26,16 +28,20 @@
 //	no answer, then 503 or reset               H + S + B1 + W                3.3      4.3
 //	no answer, then 503 three times            H + S + B1 + B2 + B3 + W      3.9      4.9
 //	reset, then 503 three times                B1 + B2 + B3 + B4 + W         3.5      4.5
+//	reset, then 503 after W, 70 callers        W + 1.6 s + W                 5.6      9.1 *
+//	  12 callers                               W + 2F + W                    4.5      6.5 *
 //	no answer, twice                           H + S + D + W                 5.5      6.5 *
 //	no answer, then a body that never ends     H + S + D + W                 5.5      6.5 *
 //	no answer, then a malformed one            H + S + W + W                 5.2      7.2 *
 //	after an outage with immediate failures    L + W                         4.5      5.5
 //	  with 503 after W, 2 to 4 of them         T + W                         5.5     10   *
-//	  with one such 503                        maxQueueDrain + T + W         8.5 *    8.5 *
+//	  with one such 503, 300 callers           maxQueueDrain + T + W         9.7 *   10.7 *
+//	    70 callers                             1.6 s + W                     3.6      6.1 *
 //	after an outage without complete answers   D + W                         4.3      5.3
 //	  that began with a 503                    Q + W                         5.0      6.0
 //	after an outage with malformed answers     W + B4 + W                    4.8      6.8 *
 //	source changed with a call in flight       W                             2        3
+//	  to one where a call waits W in vain      W + 2F, and the rest of the queue; 12 callers: 2.5, 3.5
 //	source changed to lower versions           W + pollHold + W              4.1      6.1 *
 //
 //	local agent (Config.LocalAgent): no queue, backoffs up to 0.2 s, H + S = 0.75 s, hedge delay 0.4 s
--- a/internal/discovery/notifydeadline_test.go
+++ b/internal/discovery/notifydeadline_test.go
@@ -52,6 +52,7 @@
 		{"silent, byte by byte", withFaults(silenceWatch, endlessBody), wait2s, 3},
 		{"silent, garbled", withFaults(silenceWatch, malformed), wait2s, 3},
 		{"never answered, and again", withFaults(keepWatch, neverAnswered, neverAnswered), wait2s, 3},
+		{"reset, 503 after a wait", withFaults(resetWatch, rejectedAfterWait), wait2s, 2},
 		{"503 for 20 s", withOutage(rejected, resetWatch, 20*time.Second), waitBoth, 40},
 		{"503 after waits for 10 s", withOutage(rejectedAfterWait, resetWatch, 10*time.Second), wait2s, 6},
 		{"resets for 20 s", withOutage(connectionReset, resetWatch, 20*time.Second), waitBoth, 40},
--- a/internal/discovery/polling.go
+++ b/internal/discovery/polling.go
@@ -45,9 +45,9 @@
 	maxSmallFleetPeriod   = 3500 * time.Millisecond // bounds the poll period of such a fleet
 	maxUnsyncedBasePeriod = NotifyDeadline          // bounds the base period of a client that has no list yet
 	queueAtPeriodEnd      = 1900 * time.Millisecond // service time queued at the end of a period; below W
+	notifyMargin          = 400 * time.Millisecond  // before NotifyDeadline, for the network and a busy machine
 
-	// Limits of the pause before the first poll: discovery also serves calls that have timed out.
-	minQueueDrain = 2 * time.Second
+	// maxQueueDrain bounds the pause before the first poll: discovery also serves calls that have timed out.
 	maxQueueDrain = 3 * time.Second
 
 	timeoutsUntilBackoff         = 4 // timeouts in the queue after which the period grows
@@ -122,18 +122,24 @@
 	}
 	if immediate && s.queueTimeouts == 0 { // the call was never queued and took no service time
 		if s.failedPolls == 1 {
-			return s.randomDelay(minPollPeriod)
+			return s.randomDelay(s.shortPollPeriod())
 		}
-		return minPollPeriod - s.rejectedAfter
+		return s.shortPollPeriod() - s.rejectedAfter
 	}
 	if s.failedPolls > 1 && s.rejectedAfter >= shortQueueWait && s.rejectedAfter < longQueueWait {
 		// The call was served in time and failed: the queue is short.
 		s.failedPolls, s.queueTimeouts = 1, 0
-		return s.randomDelay(minPollPeriod)
+		return s.randomDelay(s.shortPollPeriod())
 	}
 	return s.delayAfterQueueTimeout()
 }
 
+// shortPollPeriod returns the poll period while discovery has no queue, or a short one. A fleet whose calls
+// take less time than minPollPeriod polls in that time, so that it hears of the end of an outage sooner.
+func (s *pollScheduler) shortPollPeriod() time.Duration {
+	return max(maxBackoff, min(minPollPeriod, s.queueTime(serviceTime)))
+}
+
 // delayAfterQueueTimeout returns the pause after a poll that was rejected after waiting in the queue. It is 0
 // if the wait was as long as the poll period: the next poll is then due at once.
 func (s *pollScheduler) delayAfterQueueTimeout() time.Duration {
@@ -146,7 +152,7 @@
 	restOfPeriod := max(period-s.rejectedAfter, 0)
 	switch {
 	case s.failedPolls == 1: // the whole fleet polled at the same time
-		return s.queueDrainTime() + s.randomDelay(period)
+		return s.delayAfterFirstTimeout(period)
 	case first: // polls were spread over a period, so the queue drains soon
 		return s.randomDelay(restOfPeriod)
 	case backedOff > period: // at a new random point, so that polls spread over the whole longer period
@@ -155,9 +161,20 @@
 	return restOfPeriod
 }
 
-// queueDrainTime returns the time in which discovery serves the queued calls that have timed out.
-func (s *pollScheduler) queueDrainTime() time.Duration {
-	return min(maxQueueDrain, max(minQueueDrain, s.queueTime(serviceTime)))
+// delayAfterFirstTimeout returns the pause after all callers have waited in the queue in vain at the same time:
+// the time in which discovery serves these calls, and a random part of the time in which it serves as many
+// again, so that a fleet does not fill the queue by itself. In a fleet whose calls take less than a period the
+// first part is shorter if the next poll is then answered before NotifyDeadline, though it waits as long again.
+func (s *pollScheduler) delayAfterFirstTimeout(period time.Duration) time.Duration {
+	callsOfFleet := s.queueTime(serviceTime)
+	drain := min(callsOfFleet, maxQueueDrain)
+	if callsOfFleet > period {
+		return drain + s.randomDelay(period)
+	}
+	if left := NotifyDeadline - notifyMargin - 2*s.rejectedAfter - callsOfFleet; left >= 0 {
+		drain = min(drain, left)
+	}
+	return drain + s.randomDelay(callsOfFleet)
 }
 
 // basePollPeriod returns the period in which each caller polls once and all are served, the last one after a
--- a/internal/discovery/queuetimeout_test.go
+++ b/internal/discovery/queuetimeout_test.go
@@ -56,6 +56,68 @@
 	}
 }
 
+// TestChangeArrivesInTimeAfterReloadToCrowdedSource guards against pauses made for a large fleet in a small one:
+// a new configuration moves discovery to an address where the first call fails, and the change of a second later
+// is to be known 4 s after the new configuration.
+func TestChangeArrivesInTimeAfterReloadToCrowdedSource(t *testing.T) {
+	// The protocol's 4 s; independent of SourceChangeDeadline, so that a wrong one fails the test.
+	const deadline, margin = 4 * time.Second, 100 * time.Millisecond
+	const crowd, outage = 2500 * time.Millisecond, 2800 * time.Millisecond
+	fillQueue := func(limit time.Duration) func(*serverModel) {
+		return func(model *serverModel) {
+			model.mu.Lock()
+			defer model.mu.Unlock()
+			model.queueFreeAt, model.queueLimit = time.Now().Add(crowd), limit
+		}
+	}
+	takeDown := func(model *serverModel) {
+		model.mu.Lock()
+		defer model.mu.Unlock()
+		model.fault = connectionReset
+		time.AfterFunc(outage, func() { model.mu.Lock(); defer model.mu.Unlock(); model.fault = noFault })
+	}
+	for _, clients := range []int{1, 3, 6, 15, 24} {
+		for _, tt := range []struct {
+			name  string
+			fault func(*serverModel) // at the time of the new configuration
+		}{
+			{"calls wait in vain", fillQueue(5 * time.Second)},
+			{"calls are rejected at once", fillQueue(0)},
+			{"discovery is down", takeDown},
+		} {
+			t.Run(fmt.Sprintf("%d clients, %s", clients, tt.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, stop := context.WithCancel(t.Context())
+					model := &serverModel{maxWait: 2 * time.Second, serviceTime: 18 * time.Millisecond, assumedCallers: clients,
+						ctx: ctx, changed: make(chan struct{})}
+					for i := range clients {
+						model.join(ctx, false, uint64(i+1), 0)
+					}
+					time.Sleep(5 * time.Second)
+					model.mu.Lock()
+					for _, c := range model.clients {
+						c.lastAnswer = time.Time{} // the new source has not answered this client before
+						c.client.SetSource(Source{Address: "127.0.0.1:2"})
+					}
+					model.mu.Unlock()
+					tt.fault(model)
+					reloaded := time.Now()
+					time.Sleep(time.Second)
+					model.publishVersion()
+					time.Sleep(20 * time.Second)
+					stop()
+					synctest.Wait()
+					known := model.worstAge(t) + model.publishedAt[0].Sub(reloaded)
+					t.Logf("the change was known %v after the new configuration", known)
+					if known > deadline-margin {
+						t.Errorf("the change was known %v after the new configuration, want at most %v", known, deadline-margin)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestDelayAfterRejectionIsNeverNegative checks the pause after a 503 for fleets of any size and waits of any
 // length, after an outage: the scheduler neither panics nor returns a time in the past.
 func TestDelayAfterRejectionIsNeverNegative(t *testing.T) {
