Work out the limits of connections and streams from the memory limit too

Cause: how many connections there may be followed from the descriptors alone, and the buffers that copy streamed bodies (32 KB of the proxy's from the client, 32 KB to the backend, and 32 KB of net/http's) had no limit.

Evidence: a heap profile of 378 slow downloads: 53 KB each of heap and stacks, with copy buffers of 4 KB.

Change: memoryplan.go adds up what connections, requests in flight and buffers take. A streamed body reserves its buffers from a budget; without, the request is rejected with 503 (never forwarded). A body of known length takes no larger buffer than that. The limits are logged at the start.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -21,14 +21,7 @@
 	"merlinpick/internal/rollout"
 )
 
-// Fractions of the memory limit, limits.memory_mb, and the minimum of the heap. A limit below 20 MB is less
-// than the runtime and the program need.
-const (
-	heapFraction   = 0.6      // soft limit of the heap (debug.SetMemoryLimit)
-	minHeapBytes   = 12 << 20 // with less, the runtime would spend most of its time on garbage collection
-	bodiesFraction = 0.125    // each for request bodies, request heads and backend responses: 0.375 in total
-	bytesPerMB     = 1 << 20
-)
+const bytesPerMB = 1 << 20 // of limits.memory_mb
 
 // Main is the main function of a proxy command. clusterReader decodes the configuration's section "fleet"; it
 // is nil in a program that cannot join a cluster. Main exits with status 1 after an error.
@@ -90,11 +83,8 @@
 	cfg := active.Proxy
 	cfg.Logger = log
 	if active.MemoryMB > 0 {
-		cfg.OnMemoryShare = func(share float64) {
-			debug.SetMemoryLimit(max(minHeapBytes, int64(active.MemoryMB*share*heapFraction*bytesPerMB)))
-		}
-		cfg.OnMemoryShare(1)
-		cfg.BodyMemory = int(active.MemoryMB * bodiesFraction * bytesPerMB)
+		cfg.MemoryBytes = int(active.MemoryMB * bytesPerMB)
+		cfg.SetHeapLimit = func(bytes int64) { debug.SetMemoryLimit(bytes) }
 	}
 	if active.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(active.Cores)))
--- a/internal/proxy/clientgone_test.go
+++ b/internal/proxy/clientgone_test.go
@@ -57,7 +57,7 @@
 		p.loop.post(func() { reqs <- len(p.loop.requests) })
 		left := <-reqs
 		conns := p.loop.pool.Stats()
-		bodies, _ := p.frontend.BufferedBytes()
+		bodies, _, _ := p.frontend.BufferedBytes()
 		return left == 0 && conns.Open == conns.Idle && p.Metrics().InFlight == 0 && bodies == 0
 	})
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -48,10 +48,11 @@
 
 	Cluster *ClusterPlan // nil for a proxy without a cluster
 
-	BodyMemory int // bytes for buffered bodies; 0 for the default, 16 MiB
+	MemoryBytes int // memory limit of the proxy; 0: not known
 
-	// OnMemoryShare is called with the fraction of the memory limit that this process may use; may be nil.
-	OnMemoryShare func(fraction float64)
+	// SetHeapLimit sets the soft limit of the process's heap in bytes; may be nil. It is called at the start and
+	// whenever another process of the proxy starts or ends, if the memory limit is known.
+	SetHeapLimit func(bytes int64)
 }
 
 // balancerSettings returns the balancer's part of the settings, and sets in them for how long an endpoint
--- a/internal/proxy/downstream/forwardstream.go
+++ b/internal/proxy/downstream/forwardstream.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"merlinpick/internal/proxy/clientconn"
@@ -13,17 +12,15 @@
 	"merlinpick/internal/proxy/upstream"
 )
 
-const copyBufferBytes = 32 << 10
-
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBufferBytes); return &b }}
-
 // forwardStream writes a streamed response to its client as it arrives from the backend. If the backend's
 // response breaks off, so does the client's, in a way that the client can detect: it is shorter than its
 // Content-Length or lacks the last chunk.
-func forwardStream(w http.ResponseWriter, r *http.Request, s *upstream.Stream) {
+func (srv *Server) forwardStream(w http.ResponseWriter, r *http.Request, s *upstream.Stream) {
 	stopWatching := context.AfterFunc(r.Context(), s.CancelAttempt) // if the client disconnects
 	defer stopWatching()
-	err := copyStream(w, s)
+	buf := srv.streamBuffers.get()
+	err := copyStream(w, s, buf)
+	srv.streamBuffers.put(buf)
 	s.Finish(err)
 	if err == nil {
 		return
@@ -37,15 +34,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-func copyStream(w http.ResponseWriter, s *upstream.Stream) error {
+func copyStream(w http.ResponseWriter, s *upstream.Stream, buf []byte) error {
 	rc := http.NewResponseController(w)
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
 	for {
-		n, err := s.Read(*buf)
+		n, err := s.Read(buf)
 		if n > 0 {
 			_ = rc.SetWriteDeadline(time.Now().Add(upstream.StallTimeout))
-			if _, err := w.Write((*buf)[:n]); err != nil {
+			if _, err := w.Write(buf[:n]); err != nil {
 				return upstream.ErrClientGone
 			}
 			if err := rc.Flush(); err != nil {
--- a/internal/proxy/downstream/receivebody.go
+++ b/internal/proxy/downstream/receivebody.go
@@ -24,6 +24,9 @@
 	}
 	req.Outbound.Body = body
 	if !complete {
+		if err := u.reserveStream(); err != nil {
+			return nil, u.errorResponse(w, err)
+		}
 		return srv.streamBody(w, r, req, u)
 	}
 	u.markComplete()
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -30,9 +30,17 @@
 // keepAliveTimeout is how long an idle client connection waits for its next request.
 const keepAliveTimeout = 2 * time.Minute
 
-// DefaultBodyMemory is the memory budget in bytes if none is configured. It applies three times: to request
-// bodies, to request heads and to the responses of backends.
-const DefaultBodyMemory = 16 << 20
+// defaultMemory is the limit in bytes for request heads, and for streamed bodies, before SetMemory is called.
+const defaultMemory = 16 << 20
+
+// MemoryLimits limits the memory of the client side's buffers, in bytes. The zero value allows none beyond what
+// each request may always buffer.
+type MemoryLimits struct {
+	Bodies       int // buffered bodies
+	Heads        int // request heads
+	Streams      int // buffers that copy streamed bodies
+	StreamBuffer int // size of each of these
+}
 
 // Config holds what NewServer needs.
 type Config struct {
@@ -62,6 +70,8 @@
 	server         *http.Server
 	bodyMemory     *clientconn.MemoryBudget // for the part of each body beyond guaranteedBodyBuffer
 	headMemory     *clientconn.MemoryBudget // for heads, and that first part, beyond UnmeteredBuffer
+	streamMemory   *clientconn.MemoryBudget // for the buffers that copy streamed bodies
+	streamBuffers  streamBuffers
 
 	maxConns    atomic.Int64 // client connections that are served; some more are accepted to reject requests
 	maxInFlight atomic.Int64 // requests, each of which may need a connection to a backend; more are rejected
@@ -88,8 +98,9 @@
 // NewServer returns a server that accepts no connections before SetLimits and Serve are called.
 func NewServer(cfg Config) *Server {
 	srv := &Server{handler: cfg.Handler, requestStarted: cfg.RequestStarted, listAvailable: cfg.ListAvailable, audit: cfg.Audit,
-		logger: cfg.Logger, bodyMemory: clientconn.NewMemoryBudget(0), headMemory: clientconn.NewMemoryBudget(DefaultBodyMemory),
-		conns: map[net.Conn]clientConnState{}, uploads: map[*upload]bool{}}
+		logger: cfg.Logger, bodyMemory: clientconn.NewMemoryBudget(0), headMemory: clientconn.NewMemoryBudget(defaultMemory),
+		streamMemory: clientconn.NewMemoryBudget(defaultMemory),
+		conns:        map[net.Conn]clientConnState{}, uploads: map[*upload]bool{}}
 	classNumbers := make([]int, len(cfg.Site.Classes))
 	for i := range classNumbers {
 		classNumbers[i] = i
@@ -135,15 +146,18 @@
 // SetAwaitingSync sets whether the endpoint list is yet to be confirmed.
 func (srv *Server) SetAwaitingSync(awaiting bool) { srv.awaitingSync.Store(awaiting) }
 
-// SetMemory sets how many bytes of bodies may be buffered, and as many of heads.
-func (srv *Server) SetMemory(bytes int) {
-	srv.bodyMemory.SetMax(bytes)
-	srv.headMemory.SetMax(bytes)
+// SetMemory sets the limits of memory. Buffers in use keep their size.
+func (srv *Server) SetMemory(limits MemoryLimits) {
+	srv.bodyMemory.SetMax(limits.Bodies)
+	srv.headMemory.SetMax(limits.Heads)
+	srv.streamMemory.SetMax(limits.Streams)
+	srv.streamBuffers.setSize(limits.StreamBuffer)
 }
 
-// BufferedBytes returns how many bytes are reserved for buffered bodies and heads.
-func (srv *Server) BufferedBytes() (bodies, heads int) {
-	return srv.bodyMemory.Used(), srv.headMemory.Used()
+// BufferedBytes returns how many bytes are reserved for buffered bodies, for heads, and for the buffers that copy
+// streamed bodies.
+func (srv *Server) BufferedBytes() (bodies, heads, streams int) {
+	return srv.bodyMemory.Used(), srv.headMemory.Used(), srv.streamMemory.Used()
 }
 
 // Conns returns the open client connections.
@@ -212,7 +226,7 @@
 	}
 	srv.writeResponse(w, resp)
 	if resp.Stream != nil {
-		forwardStream(w, r, resp.Stream)
+		srv.forwardStream(w, r, resp.Stream)
 	}
 	finish(resp.Status)
 }
--- a/internal/proxy/downstream/upload.go
+++ b/internal/proxy/downstream/upload.go
@@ -55,6 +55,9 @@
 	bodyReserved    int // bytes reserved from bodyMemory
 	headMemory      *clientconn.MemoryBudget
 	headReserved    int // bytes reserved from headMemory
+	streamMemory    *clientconn.MemoryBudget
+	streamReserved  int // bytes reserved from streamMemory
+	streamBuffers   *streamBuffers
 	conn            net.Conn
 
 	mu        sync.Mutex
@@ -65,7 +68,8 @@
 // newUpload registers the upload of a request that started at startedAt.
 func (srv *Server) newUpload(w http.ResponseWriter, r *http.Request, startedAt time.Time) *upload {
 	u := &upload{source: r.Body, contentLength: r.ContentLength, setReadDeadline: http.NewResponseController(w).SetReadDeadline,
-		startedAt: startedAt, lastReceived: time.Now(), bodyMemory: srv.bodyMemory, headMemory: srv.headMemory}
+		startedAt: startedAt, lastReceived: time.Now(), bodyMemory: srv.bodyMemory, headMemory: srv.headMemory,
+		streamMemory: srv.streamMemory, streamBuffers: &srv.streamBuffers}
 	u.conn, _ = r.Context().Value(connKey{}).(net.Conn)
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
@@ -77,6 +81,7 @@
 func (srv *Server) releaseUpload(u *upload) {
 	u.bodyMemory.Release(u.bodyReserved)
 	u.headMemory.Release(u.headReserved)
+	u.streamMemory.Release(u.streamReserved)
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	delete(srv.uploads, u)
@@ -180,6 +185,9 @@
 	for {
 		if len(body) == cap(body) {
 			more := max(clientconn.UnmeteredBuffer, cap(body))
+			if known := int(u.contentLength) - len(body); u.contentLength > 0 {
+				more = min(more, known)
+			}
 			ok, err := u.reserve(cap(body), more)
 			if !ok {
 				return body, false, err
@@ -217,6 +225,17 @@
 	return true, nil
 }
 
+// reserveStream reserves the memory for copying the rest of the body to a backend. It returns errBodyMemory if
+// there is none.
+func (u *upload) reserveStream() error {
+	size := HTTPCopyBuffer + StreamBuffers*u.streamBuffers.length()
+	if !u.streamMemory.Reserve(size) {
+		return errBodyMemory
+	}
+	u.streamReserved = size
+	return nil
+}
+
 // remaining returns how many bytes of the body have not been read; known is false without a Content-Length.
 func (u *upload) remaining() (n int64, known bool) {
 	return u.contentLength - u.received.Load(), u.contentLength >= 0
@@ -224,12 +243,12 @@
 
 // forwardTo writes the rest of the body to the pipe that the attempt reads from.
 func (u *upload) forwardTo(pipe *io.PipeWriter) error {
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
+	buf := u.streamBuffers.get()
+	defer u.streamBuffers.put(buf)
 	for {
-		n, err := u.Read(*buf)
+		n, err := u.Read(buf)
 		if n > 0 && err != errBodyTooLarge {
-			if _, err := pipe.Write((*buf)[:n]); err != nil {
+			if _, err := pipe.Write(buf[:n]); err != nil {
 				return errRequestEnded
 			}
 		}
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -1,10 +1,9 @@
 package proxy
 
 import (
-	"cmp"
-
 	"merlinpick/internal/management"
 	"merlinpick/internal/proxy/downstream"
+	"merlinpick/internal/proxy/upstream"
 )
 
 const (
@@ -47,15 +46,15 @@
 // applyResourceShare sets this process's limits of memory and connections: all of the proxy's, or half if
 // shared with another process of the proxy.
 func (p *Proxy) applyResourceShare(shared bool) {
-	clients, backends, reject := p.config.connLimits(shared)
-	p.frontend.SetLimits(max(clients, minConns), max(backends, minConns), reject)
-	fraction, memory := 1.0, cmp.Or(p.config.BodyMemory, downstream.DefaultBodyMemory)
-	if shared {
-		fraction, memory = 0.5, memory/2
-	}
-	p.frontend.SetMemory(memory)
-	p.loop.pool.SetLimits(max(backends, minConns), memory)
-	if p.config.OnMemoryShare != nil {
-		p.config.OnMemoryShare(fraction)
+	plan := p.config.planMemory(shared)
+	p.frontend.SetLimits(plan.clients, plan.backends, plan.reject)
+	p.frontend.SetMemory(downstream.MemoryLimits{Bodies: plan.buffers, Heads: plan.buffers, Streams: plan.buffers,
+		StreamBuffer: plan.streamBuffer})
+	p.loop.pool.SetLimits(upstream.Limits{MaxOpen: plan.backends, ResponseBytes: plan.buffers, StreamBuffer: plan.streamBuffer})
+	if plan.heap > 0 && p.config.SetHeapLimit != nil {
+		p.config.SetHeapLimit(int64(plan.heap))
 	}
+	p.config.Logger.Info("resource limits", "memory_bytes", p.config.MemoryBytes, "descriptors", p.config.MaxDescriptors,
+		"shared", shared, "heap_bytes", plan.heap, "client_connections", plan.clients, "requests_in_flight", plan.backends,
+		"buffer_bytes", plan.buffers, "stream_buffer_bytes", plan.streamBuffer)
 }
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -27,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
 			p := startProxy(t, startDiscovery(t).addr, 400, listJSON(1, true, endpointJSON("a", b.Addr, discovery.StatusServing)))
-			p.frontend.SetMemory(room)
+			p.frontend.SetMemory(downstream.MemoryLimits{Bodies: room, Heads: room, Streams: room})
 			answers := make(chan int, peers)
 			var all []*proxytest.Client
 			for i := range peers {
@@ -63,6 +63,32 @@
 	}
 }
 
+// TestStreamedBodiesAreBoundedAcrossConnections guards against memory that grows with the number of bodies that are
+// streamed: the buffers that copy them were bounded by no limit. A request beyond the limit is rejected.
+func TestStreamedBodiesAreBoundedAcrossConnections(t *testing.T) {
+	const size = 1 << 20
+	b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
+	p := startProxy(t, startDiscovery(t).addr, 400, listJSON(1, true, endpointJSON("a", b.Addr, discovery.StatusServing)))
+	const buffer = 8 << 10
+	p.frontend.SetMemory(downstream.MemoryLimits{Heads: size, Streams: downstream.HTTPCopyBuffer + downstream.StreamBuffers*buffer,
+		StreamBuffer: buffer})
+	half := strings.Repeat("x", size/2)
+	first, second := connect(t, p), connect(t, p)
+	first.Send(t, proxytest.PostRequest("1", fmt.Sprint("Content-Length: ", size))+half)
+	proxytest.WaitUntil(t, func() bool { _, _, streams := p.frontend.BufferedBytes(); return streams > 0 })
+	go func() {
+		_, _ = io.WriteString(second, proxytest.PostRequest("2", fmt.Sprint("Content-Length: ", size))+half)
+	}()
+	if resp, _ := second.ReadResponse(t); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a second body: got %s, want 503", resp.Status)
+	}
+	first.Send(t, half)
+	if resp, _ := first.ReadResponse(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("the first body: got %s, want 200", resp.Status)
+	}
+	proxytest.WaitUntil(t, func() bool { _, _, streams := p.frontend.BufferedBytes(); return streams == 0 })
+}
+
 // TestIdleClientsLeaveDescriptorsForOthers checks that calls to discovery and to backends, and health checks,
 // have their own descriptors: they work although idle clients use up the limit of client connections while
 // discovery is down.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -152,7 +152,7 @@
 
 // bufferedHeads returns how many bytes of request headers and first bytes of bodies a proxy has buffered.
 func bufferedHeads(p *runningProxy) int {
-	_, heads := p.frontend.BufferedBytes()
+	_, heads, _ := p.frontend.BufferedBytes()
 	return heads
 }
 
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -72,7 +72,7 @@
 				}
 			}
 			proxytest.WaitUntil(t, func() bool { f := p.Metrics(); return f.InFlight == 0 && f.Classes["post"].Succeeded == 1 })
-			if bodies, _ := p.frontend.BufferedBytes(); bodies != 0 {
+			if bodies, _, _ := p.frontend.BufferedBytes(); bodies != 0 {
 				t.Errorf("%d bytes of bodies are still buffered, want none", bodies)
 			}
 		})
--- a/internal/proxy/upstream/generation_test.go
+++ b/internal/proxy/upstream/generation_test.go
@@ -73,7 +73,7 @@
 	proxytest.Receive(t, "request", came)
 	p.UpdateEndpoints(false, []discovery.Endpoint{proxytest.Endpoint("a", b.Addr, discovery.StatusDraining)})
 	p.SweepIdle(time.Now().Add(p.idleTimeout))
-	p.SetLimits(1, 1)
+	p.SetLimits(Limits{MaxOpen: 1, ResponseBytes: 1})
 	close(goOn)
 	if res := proxytest.Receive(t, "result", results); res.Status != balancer.StatusOK || string(res.Body) != "ok" || p.openConns != 0 {
 		t.Errorf("got %v %q with %d open connections, want %v \"ok\" with none",
@@ -94,7 +94,7 @@
 	}
 	c := p.takeIdle(a.backend, a.generation, false)
 	p.SweepIdle(time.Now().Add(2 * p.idleTimeout))
-	p.SetLimits(1, 1)
+	p.SetLimits(Limits{MaxOpen: 1, ResponseBytes: 1})
 	// At the limit: the connection in use is not closed.
 	if res := newAttempt(p, "a", proxytest.Timeout).Run(); res.Status != balancer.StatusNotSent {
 		t.Errorf("second attempt: got %v, want %v", res.Status, balancer.StatusNotSent)
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -40,10 +41,11 @@
 // It replaces http.Transport, which automatically resends a GET or a request with an idempotency key when a
 // reused connection turns out to be closed: an attempt that the balancer would not know of.
 type Pool struct {
-	maxBuffered atomic.Int64 // responses of up to this many bytes are buffered completely
-	onForwarded func()
-	audit       *audit.Recorder
-	logger      *slog.Logger
+	maxBuffered  atomic.Int64 // responses of up to this many bytes are buffered completely
+	streamBuffer atomic.Int64 // size in bytes of the write buffer of a streamed request
+	onForwarded  func()
+	audit        *audit.Recorder
+	logger       *slog.Logger
 
 	mu          sync.Mutex
 	dialContext DialFunc
@@ -93,6 +95,7 @@
 		localZone: cfg.LocalZone, drainGrace: defaultDrainGrace, byName: map[string]*backend{}}
 	p.SetReuseDelay(idletimeout.ReuseDelay, idletimeout.InterZoneReuseDelay)
 	p.maxBuffered.Store(MaxBufferedResponse)
+	p.streamBuffer.Store(defaultStreamBuffer)
 	p.SetTimeouts(cfg.DialTimeout, cfg.IdleClose)
 	return p
 }
@@ -118,13 +121,20 @@
 	}
 }
 
-// SetLimits sets how many connections may be open, and how many bytes of responses they may buffer in total.
-// It closes the connections that have been idle longest if there are more than maxOpen.
-func (p *Pool) SetLimits(maxOpen, memoryBytes int) {
+// Limits limits the resources of a Pool.
+type Limits struct {
+	MaxOpen       int // connections, including those being opened; at least 1
+	ResponseBytes int // bytes of responses that are buffered, in total
+	StreamBuffer  int // size in bytes of the write buffer of a streamed request
+}
+
+// SetLimits sets the limits. It closes the connections that have been idle longest if there are too many.
+func (p *Pool) SetLimits(limits Limits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.maxOpen = maxOpen
-	p.maxBuffered.Store(int64(min(MaxBufferedResponse, max(minBufferedResponse, memoryBytes/maxOpen))))
+	p.maxOpen = limits.MaxOpen
+	p.maxBuffered.Store(int64(min(MaxBufferedResponse, max(minBufferedResponse, limits.ResponseBytes/limits.MaxOpen))))
+	p.streamBuffer.Store(int64(cmp.Or(limits.StreamBuffer, defaultStreamBuffer)))
 	for p.openConns > p.maxOpen && p.closeOldestIdleLocked() {
 	}
 }
--- a/internal/proxy/upstream/send.go
+++ b/internal/proxy/upstream/send.go
@@ -15,9 +15,9 @@
 	"merlinpick/balancer"
 )
 
-// writeBufferBytes is the size of the write buffer of a streamed request. Its header and the start of its
-// body are sent in one write.
-const writeBufferBytes = 32 << 10
+// defaultStreamBuffer is the size in bytes of the write buffer of a streamed request, if none is set. Its
+// header and the start of its body are sent in one write.
+const defaultStreamBuffer = 32 << 10
 
 // exchange sends the request and reads the response. reusable reports whether the connection can be reused.
 func (a *Attempt) exchange(c *conn) (result Result, reusable bool) {
@@ -123,7 +123,7 @@
 	out.ContentLength = a.request.ContentLength
 	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.request.Body), remaining))
 	a.checkFirstByte(time.Now())
-	w := bufio.NewWriterSize(stallTimeoutWriter{c, a.ctx, a.sendDeadline}, writeBufferBytes)
+	w := bufio.NewWriterSize(stallTimeoutWriter{c, a.ctx, a.sendDeadline}, int(a.pool.streamBuffer.Load()))
 	err := out.Write(w)
 	if err == nil {
 		err = w.Flush()
