Charge a request's head with what its fields take once they are parsed

Cause: a head of 15 KB may have 2,600 fields, of which net/http makes a map of 250 KB (90 to 120 bytes a field, 400 KB allocated on the way), and the request to the backend 180 KB more, until the response. Only the text was bounded. A head over the limit was parsed up to the limit before it was rejected.

Change: before a head is passed to net/http, twice its text and 128 bytes for each field are reserved from the budget of heads until the response, where that is over 4 KiB; without, the request gets 503 and the connection is closed. In place of a head over the limit net/http gets one with a single field, which it answers with 431 as before. The framing is checked without a slice of all lines.

Test: TestParsedHeadsAreBoundedAcrossConnections (fails where nothing is reserved).

--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -5,7 +5,6 @@
 package clientconn
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -49,11 +48,11 @@
 	closeReason atomic.Pointer[audit.Event] // why the proxy closes the connection; nil before it does
 	discarded   atomic.Int64                // bytes received after the shutdown
 
-	mu            sync.Mutex
-	phase         Phase
-	discarding    bool // bytes received from now on are dropped
-	closed        bool // the descriptor is closed
-	memoryCharged int  // bytes reserved from the listener's headMemory
+	mu         sync.Mutex
+	phase      Phase
+	discarding bool // bytes received from now on are dropped
+	closed     bool // the descriptor is closed
+	memory     headMemory
 	// The body of a chunked request, as far as it has been read from the socket; see ChunkedEndFinder.
 	chunked      bool
 	chunks       framing.ChunkScanner
@@ -75,14 +74,6 @@
 	return [...]string{PhaseIdle: "idle", PhaseReadingHead: "reading_head", PhaseInFlight: "in_flight"}[p]
 }
 
-const (
-	// MalformedHead replaces a head whose framing is ambiguous: net/http responds with 400 and closes. It is
-	// passed as bytes, since a read error would also lose the response to a request still in flight.
-	MalformedHead = "ambiguous\r\n\r\n"
-
-	headReadSlack = 4 << 10 // bytes that net/http reads beyond MaxHeaderBytes before it responds with 431
-)
-
 const (
 	// MaxHeadBytes is how long a request's head may be, in bytes; a longer one is answered with 431.
 	MaxHeadBytes = 16 << 10
@@ -106,7 +97,7 @@
 
 // newConn wraps a newly accepted connection.
 func newConn(c net.Conn, listener *Listener) *Conn {
-	conn := &Conn{Conn: c, listener: listener}
+	conn := &Conn{Conn: c, listener: listener, memory: headMemory{budget: listener.headMemory}}
 	if sc, ok := c.(syscall.Conn); ok {
 		conn.rawConn, _ = sc.SyscallConn()
 	}
@@ -141,7 +132,7 @@
 		n = copy(p, c.buffered)
 		if c.buffered = c.buffered[n:]; len(c.buffered) == 0 {
 			c.buffered = nil
-			c.releaseMemory()
+			c.releaseBuffer()
 		}
 	} else {
 		n, err = c.receive(p)
@@ -227,6 +218,7 @@
 	c.awaitsNextRequest = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.memory.releaseAnswered()
 	switch {
 	case c.passable != 0 || c.eofAfterPass: // the head of the next request has arrived meanwhile
 		c.phase = PhaseInFlight
@@ -281,7 +273,7 @@
 			}
 			checked = max(0, len(c.buffered)-len("\r\n\r")) // the last bytes may be part of the head's end
 		}
-		if len(c.buffered) > UnmeteredBuffer && !c.chargeMemory() && c.CloseUnused(true) {
+		if len(c.buffered) > UnmeteredBuffer && !c.reserveBuffer() && c.CloseUnused(true) {
 			return io.EOF
 		}
 		first := len(c.buffered) == 0
@@ -295,24 +287,6 @@
 	}
 }
 
-// checkHead checks the buffered bytes, except for the first checked ones, and passes a head that is complete,
-// too long or malformed; done reports whether it did.
-func (c *Conn) checkHead(checked int) (done bool, err error) {
-	for len(c.buffered) > 1 && c.buffered[0] == '\r' && c.buffered[1] == '\n' { // empty lines before a request
-		c.buffered, checked = c.buffered[2:], 0
-	}
-	unchecked := c.buffered[checked:]
-	switch end := bytes.Index(unchecked, []byte("\r\n\r\n")); {
-	case end >= 0:
-		return true, c.passHead(func() { c.frameRequestLocked(checked + end + len("\r\n\r\n")) })
-	case hasBareLF(unchecked):
-		return true, c.passHead(c.passMalformedLocked)
-	case len(c.buffered) > MaxHeadBytes+headReadSlack: // net/http answers 431 and closes
-		return true, c.passHead(func() { c.passable, c.eofAfterPass = -1, true })
-	}
-	return false, nil
-}
-
 // receiveMore appends received bytes to buffered, up to limit bytes in total.
 func (c *Conn) receiveMore(limit int) (n int, err error) {
 	c.buffered = slices.Grow(c.buffered, 1<<10)
@@ -334,78 +308,6 @@
 	return nil
 }
 
-// chargeMemory reserves the memory of the longest head, once; it returns false if there is not enough.
-func (c *Conn) chargeMemory() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.memoryCharged == 0 && !c.closed && c.listener.headMemory.Reserve(MaxHeadBytes+headReadSlack) {
-		c.memoryCharged = MaxHeadBytes + headReadSlack
-	}
-	return c.memoryCharged > 0
-}
-
-func (c *Conn) releaseMemory() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.memoryCharged > 0 {
-		c.listener.headMemory.Release(c.memoryCharged)
-		c.memoryCharged = 0
-	}
-}
-
-// passHead calls setPassable with mu locked, unless the connection is already discarding.
-func (c *Conn) passHead(setPassable func()) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.discarding {
-		return io.EOF
-	}
-	c.phase = PhaseInFlight
-	setPassable()
-	return nil
-}
-
-// frameRequestLocked passes the head that ends at index end of buffered, and its body.
-func (c *Conn) frameRequestLocked(end int) {
-	c.hadRequest = true
-	length, chunked, err := framing.Parse(c.buffered[:end])
-	switch {
-	case err != nil:
-		c.passMalformedLocked()
-	case chunked:
-		c.passable, c.eofAfterPass = -1, true
-		c.chunked = true
-		c.followBodyLocked(c.buffered[end:])
-	default:
-		c.passable = int64(end) + max(length, 0)
-		c.eofAfterPass = c.passable < 0 // the sum has overflowed
-	}
-}
-
-// followBodyLocked follows the framing of a chunked body through bytes that have been read from the socket.
-func (c *Conn) followBodyLocked(received []byte) {
-	if c.chunked {
-		c.chunks.Scan(received)
-		c.bodyReceived += int64(len(received))
-	}
-}
-
-// passMalformedLocked passes MalformedHead in place of the buffered bytes.
-func (c *Conn) passMalformedLocked() {
-	c.buffered, c.passable, c.eofAfterPass = []byte(MalformedHead), int64(len(MalformedHead)), true
-}
-
-// hasBareLF reports whether an LF in b does not follow a CR. An LF as the first byte does not count, since
-// the byte before it is unknown.
-func hasBareLF(b []byte) bool {
-	for i := 1; i < len(b); i++ {
-		if b[i] == '\n' && b[i-1] != '\r' {
-			return true
-		}
-	}
-	return false
-}
-
 // SyscallConn returns the raw connection of the socket, which package socket uses.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
--- a/internal/proxy/framing/framing.go
+++ b/internal/proxy/framing/framing.go
@@ -16,13 +16,15 @@
 // Transfer-Encoding beside a Content-Length, a repeated Content-Length, a Transfer-Encoding in HTTP/1.0,
 // folded lines, a bare CR or LF. Another recipient could take a part of such a body for a separate request.
 func Parse(head []byte) (length int64, chunked bool, err error) {
-	lines := bytes.Split(bytes.TrimSuffix(head, []byte("\r\n\r\n")), []byte("\r\n"))
+	var firstLine []byte
 	length = -1
-	for i, line := range lines {
-		if bytes.ContainsAny(line, "\r\n\x00") || i > 0 && (len(line) == 0 || line[0] == ' ' || line[0] == '\t') {
+	for line := range bytes.SplitSeq(bytes.TrimSuffix(head, []byte("\r\n\r\n")), []byte("\r\n")) {
+		first := firstLine == nil
+		if bytes.ContainsAny(line, "\r\n\x00") || !first && (len(line) == 0 || line[0] == ' ' || line[0] == '\t') {
 			return 0, false, ErrAmbiguous
 		}
-		if i == 0 {
+		if first {
+			firstLine = line
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -41,7 +43,7 @@
 			chunked = true
 		}
 	}
-	if chunked && (length >= 0 || bytes.Contains(lines[0], []byte("HTTP/1.0"))) {
+	if chunked && (length >= 0 || bytes.Contains(firstLine, []byte("HTTP/1.0"))) {
 		return 0, false, ErrAmbiguous
 	}
 	return length, chunked, nil
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -63,6 +63,60 @@
 	}
 }
 
+// TestParsedHeadsAreBoundedAcrossConnections guards against memory that grows with the number of fields in the heads of
+// requests in flight: what net/http makes of a very short field takes twenty times its length. Requests beyond the
+// limit are rejected at once, and the memory is released with the response.
+func TestParsedHeadsAreBoundedAcrossConnections(t *testing.T) {
+	const peers, fields, room = 8, 2000, 1 << 20
+	const fitting = room / (fields * 141) // requests
+	var text strings.Builder
+	for i := range fields {
+		fmt.Fprintf(&text, "%03x:\r\n", i)
+	}
+	request := func(i int) string {
+		return strings.Replace(proxytest.LookRequest(fmt.Sprint(i), 20000), "Host: h\r\n", "Host: h\r\n"+text.String(), 1)
+	}
+	release := make(chan struct{})
+	b := proxytest.StartBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		<-release
+		_, _ = io.WriteString(w, proxytest.OKResponse)
+		return true
+	})
+	p := startProxy(t, startDiscovery(t).addr, 400, listJSON(1, true, endpointJSON("a", b.Addr, discovery.StatusServing)))
+	p.frontend.SetMemory(downstream.MemoryLimits{Heads: room})
+	answers := make(chan int, peers)
+	for i := range peers {
+		c := connect(t, p)
+		c.Send(t, request(i))
+		go func() {
+			if resp, err := http.ReadResponse(c.Reader, nil); err == nil {
+				answers <- resp.StatusCode
+			}
+		}()
+	}
+	for range peers - fitting {
+		if got := proxytest.Receive(t, "rejection", answers); got != http.StatusServiceUnavailable {
+			t.Errorf("got status %d while the memory is used up, want 503", got)
+		}
+	}
+	if n := bufferedHeads(p); n > room || n < room/2 {
+		t.Errorf("%d bytes are reserved for heads, want %d to %d", n, room/2, room)
+	}
+	close(release)
+	for range fitting {
+		if got := proxytest.Receive(t, "response", answers); got != http.StatusOK {
+			t.Errorf("got status %d, want 200", got)
+		}
+	}
+	proxytest.WaitUntil(t, func() bool { return bufferedHeads(p) == 0 })
+	c := connect(t, p)
+	c.Send(t, request(peers))
+	if resp, _ := c.ReadResponse(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("request after the memory was released: got %s, want 200", resp.Status)
+	}
+	proxytest.WaitUntil(t, func() bool { return bufferedHeads(p) == 0 })
+}
+
 // TestStreamedBodiesAreBoundedAcrossConnections guards against memory that grows with the number of bodies that are
 // streamed: the buffers that copy them were bounded by no limit. A request beyond the limit is rejected.
 func TestStreamedBodiesAreBoundedAcrossConnections(t *testing.T) {
