Close the connection of an upload at once that is rejected for lack of memory

Cause: net/http reads up to 256 KB of a body that its handler has not read before it closes the connection, and waits for a client that has stopped until the request's read deadline, 2.5 s after its start. So a rejected upload kept its slot longer than one that was not.

Change: a rejected upload sets the read deadline to the past, as an eviction does already. That holds for the older rejections of bodies too.

Test: TestStreamedBodiesAreBoundedAcrossConnections (the connection ended after 2.5 s before).

--- a/internal/proxy/downstream/receivebody.go
+++ b/internal/proxy/downstream/receivebody.go
@@ -15,7 +15,7 @@
 	body, complete, err := u.buffer()
 	switch {
 	case err != nil:
-		return nil, u.errorResponse(w, err)
+		return nil, u.reject(w, err)
 	case req.Outbound.Method == http.MethodGet && (len(body) > 0 || !complete):
 		if !complete {
 			w.Header().Set("Connection", "close")
@@ -25,7 +25,7 @@
 	req.Outbound.Body = body
 	if !complete {
 		if err := u.reserveStream(); err != nil {
-			return nil, u.errorResponse(w, err)
+			return nil, u.reject(w, err)
 		}
 		return srv.streamBody(w, r, req, u)
 	}
--- a/internal/proxy/downstream/upload.go
+++ b/internal/proxy/downstream/upload.go
@@ -261,6 +261,13 @@
 	}
 }
 
+// reject returns the response to a request whose body is not read any further, and keeps net/http from waiting for
+// more of it before it closes the connection.
+func (u *upload) reject(w http.ResponseWriter, err error) Response {
+	_ = u.setReadDeadline(time.Unix(1, 0))
+	return u.errorResponse(w, err)
+}
+
 // errorResponse returns the response to a request whose body could not be read, for the error of Read or
 // buffer. The connection closes, since the rest of the body could not be told from a next request.
 func (u *upload) errorResponse(w http.ResponseWriter, err error) Response {
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -118,29 +118,35 @@
 }
 
 // TestStreamedBodiesAreBoundedAcrossConnections guards against memory that grows with the number of bodies that are
-// streamed: the buffers that copy them were bounded by no limit. A request beyond the limit is rejected.
+// streamed: the buffers that copy them were bounded by no limit. A request beyond the limit is rejected and its
+// connection closed at once, even if its client sends no more of the body: the slot is needed for others.
 func TestStreamedBodiesAreBoundedAcrossConnections(t *testing.T) {
-	const size = 1 << 20
+	const size, buffer = 200 << 10, 8 << 10
 	b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
 	p := startProxy(t, startDiscovery(t).addr, 400, listJSON(1, true, endpointJSON("a", b.Addr, discovery.StatusServing)))
-	const buffer = 8 << 10
-	p.frontend.SetMemory(downstream.MemoryLimits{Heads: size, Streams: downstream.HTTPCopyBuffer + downstream.StreamBuffers*buffer,
-		StreamBuffer: buffer})
+	p.frontend.SetMemory(downstream.MemoryLimits{Heads: size, StreamBuffer: buffer,
+		Streams: downstream.HTTPCopyBuffer + downstream.StreamBuffers*buffer})
+	streams := func() int { _, _, reserved := p.frontend.BufferedBytes(); return reserved }
 	half := strings.Repeat("x", size/2)
 	first, second := connect(t, p), connect(t, p)
 	first.Send(t, proxytest.PostRequest("1", fmt.Sprint("Content-Length: ", size))+half)
-	proxytest.WaitUntil(t, func() bool { _, _, streams := p.frontend.BufferedBytes(); return streams > 0 })
-	go func() {
-		_, _ = io.WriteString(second, proxytest.PostRequest("2", fmt.Sprint("Content-Length: ", size))+half)
-	}()
+	proxytest.WaitUntil(t, func() bool { return streams() > 0 })
+	sent := time.Now()
+	second.Send(t, proxytest.PostRequest("2", fmt.Sprint("Content-Length: ", size))+half)
 	if resp, _ := second.ReadResponse(t); resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("a second body: got %s, want 503", resp.Status)
 	}
+	if _, err := second.Reader.ReadByte(); err != io.EOF {
+		t.Errorf("after the rejection: got error %v, want the end of the connection", err)
+	}
+	if took := time.Since(sent); took > clientconn.RequestReadTimeout/2 {
+		t.Errorf("the connection of the second body ended after %v, want at once", took)
+	}
 	first.Send(t, half)
 	if resp, _ := first.ReadResponse(t); resp.StatusCode != http.StatusOK {
 		t.Errorf("the first body: got %s, want 200", resp.Status)
 	}
-	proxytest.WaitUntil(t, func() bool { _, _, streams := p.frontend.BufferedBytes(); return streams == 0 })
+	proxytest.WaitUntil(t, func() bool { return streams() == 0 })
 }
 
 // TestIdleClientsLeaveDescriptorsForOthers checks that calls to discovery and to backends, and health checks,
