Count a client's time from when its kernel may hold the rest of its body

Cause: the client's time counted from when the last byte was in the proxy's receive buffer. While that is full, the client's kernel holds up to 4 MB more, and the client may have sent all of it long before.

Evidence: in the trace 'body arrived' comes only when the rest fits into the receive buffer, and the 504 one client's time later: 5.7 s after the last byte of 6 MB with a length, 5.2 s in chunks.

Change: bodyEndWatcher notes the last time at which the client surely had not sent the last byte: under 64 KB were unread, or more was missing than a kernel holds. The client's time counts from then, and is over when that was so long ago, whether the end has been seen or not.

--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -35,12 +35,12 @@
 	l.audit.Trace(r.ID, "taken", "class", r.ClassName, "uploading", r.BodyPending)
 }
 
-// auditBodyArrived records that the last byte of a request's body has arrived at arrived, though bytes of it
-// are still unread. The client's time starts then.
-func (l *eventLoop) auditBodyArrived(r *request, arrived, deadline time.Time) {
+// auditBodySent records that the client may have sent the last byte of its body at sent, though bytes of it are
+// still unread. The client's time starts then.
+func (l *eventLoop) auditBodySent(r *request, sent, deadline time.Time) {
 	r.rules.SetDeadline(deadline)
 	if l.audit.IsTracing() {
-		l.audit.Trace(r.ID, "body arrived", "since", time.Since(arrived))
+		l.audit.Trace(r.ID, "body arrived", "since", time.Since(sent))
 	}
 }
 
--- a/internal/proxy/downstream/bodyend.go
+++ b/internal/proxy/downstream/bodyend.go
@@ -13,10 +13,20 @@
 // than a backend accepts it, so the last byte may wait in the kernel's receive buffer for as long as a
 // backend hangs or the connection to it is delayed. The bodyEndWatcher therefore asks the kernel whether the
 // last byte has arrived, however many bytes are unread before it.
+//
+// While the receive buffer is full, the client's kernel holds more of the body, perhaps all of the rest: its
+// client may have sent the last byte as soon as the buffer was full. So the time counts from then if the body
+// turns out to have ended, and is over when the buffer has been full for as long as the client waits.
 
 const (
 	bodyEndPollInterval = 25 * time.Millisecond
 
+	// minReceiveWindow is how many bytes may be unread while the client's kernel can surely send more.
+	minReceiveWindow = 64 << 10
+	// maxClientSendBuffer is how many bytes a client's kernel holds at most: the default limit of Linux
+	// (net.ipv4.tcp_wmem).
+	maxClientSendBuffer = 4 << 20
+
 	// httpReaderBuffer is the size in bytes of the read buffer of net/http, which may hold that much of a
 	// body that is no longer in the kernel's receive buffer.
 	httpReaderBuffer = 4 << 10
@@ -28,15 +38,23 @@
 	conn       net.Conn
 	remaining  func() (n int64, known bool) // bytes of the body not read yet; known is false if it is chunked
 	chunkedEnd *clientconn.ChunkedEndFinder // nil if conn cannot be asked for the end of a chunked body
-	onEnd      func(arrived time.Time)      // called once, when the end has arrived
+	timeout    time.Duration                // how long the client waits after the last byte
+	// mayHaveSentAll is since when the client may have sent the last byte: the last time at which it surely
+	// had not.
+	mayHaveSentAll time.Time
+	// onEnd is called once, when the end has arrived or the client's time is over, with the time from which
+	// the client's time counts.
+	onEnd func(sent time.Time)
 
 	stop      chan struct{}
 	goroutine sync.WaitGroup
 }
 
-// watchBodyEnd starts a watcher that polls for the end of a body until it is found or stopAndWait is called.
-func watchBodyEnd(conn net.Conn, remaining func() (int64, bool), onEnd func(time.Time)) *bodyEndWatcher {
-	w := &bodyEndWatcher{conn: conn, remaining: remaining, onEnd: onEnd, stop: make(chan struct{})}
+// watchBodyEnd starts a watcher that polls for the end of a body until it has called onEnd or stopAndWait is
+// called.
+func watchBodyEnd(conn net.Conn, remaining func() (int64, bool), timeout time.Duration, onEnd func(time.Time)) *bodyEndWatcher {
+	w := &bodyEndWatcher{conn: conn, remaining: remaining, timeout: timeout, mayHaveSentAll: time.Now(), onEnd: onEnd,
+		stop: make(chan struct{})}
 	if c, ok := conn.(*clientconn.Conn); ok {
 		w.chunkedEnd = clientconn.NewChunkedEndFinder(c)
 	}
@@ -53,13 +71,28 @@
 		case <-w.stop:
 			return
 		}
-		if arrived, ok := w.endArrived(); ok {
-			w.onEnd(arrived)
+		if w.isClientSending() {
+			w.mayHaveSentAll = time.Now()
+		}
+		arrived, ended := w.endArrived()
+		if ended && arrived.Before(w.mayHaveSentAll) {
+			w.mayHaveSentAll = arrived
+		}
+		if ended || time.Since(w.mayHaveSentAll) >= w.timeout {
+			w.onEnd(w.mayHaveSentAll)
 			return
 		}
 	}
 }
 
+// isClientSending reports whether the client has surely not sent the last byte yet, unless that byte has
+// arrived: its kernel could send more, or holds less than is missing.
+func (w *bodyEndWatcher) isClientSending() bool {
+	unread := socket.Unread(w.conn)
+	remaining, known := w.remaining()
+	return unread < minReceiveWindow || known && remaining-unread > maxClientSendBuffer
+}
+
 // endArrived reports whether the end of the body has arrived, and when.
 func (w *bodyEndWatcher) endArrived() (at time.Time, ok bool) {
 	remaining, known := w.remaining()
--- a/internal/proxy/downstream/receivebody.go
+++ b/internal/proxy/downstream/receivebody.go
@@ -58,9 +58,9 @@
 	stopWatching := context.AfterFunc(srv.handler.Stopped(), req.stopUpload)
 	defer stopWatching()
 	srv.dispatch(req)
-	watcher := watchBodyEnd(u.conn, u.remaining, func(arrived time.Time) {
+	watcher := watchBodyEnd(u.conn, u.remaining, req.Outbound.Timeout, func(sent time.Time) {
 		srv.markRequestComplete(u.conn)
-		srv.handler.HandleBodyEndSeen(req, arrived)
+		srv.handler.HandleBodyEndSeen(req, sent)
 	})
 	err := u.forwardTo(to)
 	watcher.stopAndWait()
--- a/internal/proxy/downstream/request.go
+++ b/internal/proxy/downstream/request.go
@@ -60,8 +60,9 @@
 	// HandleRequest starts to handle a request, which gets its response through Respond.
 	HandleRequest(r *Request)
 	// HandleBodyEndSeen is called when the last byte of a streamed body is known to have arrived, though it
-	// has not been read yet. The time that the client waits counts from arrived.
-	HandleBodyEndSeen(r *Request, arrived time.Time)
+	// has not been read yet, or may have been sent so long ago that the client's time is over. That time
+	// counts from sent.
+	HandleBodyEndSeen(r *Request, sent time.Time)
 	// HandleBodyRead is called when a streamed body has been read completely.
 	HandleBodyRead(r *Request, clientDeadline time.Time)
 	// HandleClientGone is called when nobody waits for the response any more, even while it is being sent.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -47,9 +47,9 @@
 // HandleRequest posts a new request.
 func (l *eventLoop) HandleRequest(r *downstream.Request) { l.post(func() { l.handleRequest(r) }) }
 
-// HandleBodyEndSeen posts that the last byte of a body that is being forwarded has arrived.
-func (l *eventLoop) HandleBodyEndSeen(r *downstream.Request, arrived time.Time) {
-	l.postFor(r, func(r *request) { l.handleBodyEndSeen(r, arrived) })
+// HandleBodyEndSeen posts since when the client of a body that is being forwarded may have sent all of it.
+func (l *eventLoop) HandleBodyEndSeen(r *downstream.Request, sent time.Time) {
+	l.postFor(r, func(r *request) { l.handleBodyEndSeen(r, sent) })
 }
 
 // HandleBodyRead posts that a request's body has been read completely.
@@ -103,15 +103,15 @@
 	heap.Push(&l.timers, timer{dueAt: r.Deadline + expiryGrace.Microseconds(), request: r})
 }
 
-// handleBodyEndSeen records when the last byte of a body arrived, while the body is still being forwarded.
+// handleBodyEndSeen records when the last byte of a body was sent, while the body is still being forwarded.
 // The client's timeout starts then, however long the backend takes to read the rest.
-func (l *eventLoop) handleBodyEndSeen(r *request, arrived time.Time) {
+func (l *eventLoop) handleBodyEndSeen(r *request, sent time.Time) {
 	if r.ended || !r.BodyPending {
 		return
 	}
-	deadline := arrived.Add(r.Outbound.Timeout)
+	deadline := sent.Add(r.Outbound.Timeout)
 	r.Outbound.ClientDeadline.Store(&deadline)
-	l.auditBodyArrived(r, arrived, deadline)
+	l.auditBodySent(r, sent, deadline)
 	r.Deadline = l.clock.at(deadline)
 	l.armDeadline(r)
 }
@@ -122,8 +122,8 @@
 	if r.ended {
 		return
 	}
-	if arrived := r.Outbound.ClientDeadline.Load(); arrived != nil {
-		deadline = min(deadline, l.clock.at(*arrived))
+	if earlier := r.Outbound.ClientDeadline.Load(); earlier != nil {
+		deadline = min(deadline, l.clock.at(*earlier))
 	}
 	r.BodyPending, r.Deadline = false, deadline
 	l.auditBodyRead(r, l.clock.time(deadline))
