Do not count a pause of the backend against the client of an upload

Cause: the deadline of a read from the client counts from the bytes before it. After a write to the backend that took longer than a client may pause, 1.5 s, the next read began behind its deadline, and failed although bytes were there. Evidence: a backend that reads nothing for 3 s, a time of 8 s: 408 as soon as the backend goes on.

Change: the time in which the backend takes no bytes moves the start of the request and its last bytes on, by which the deadlines of reads count. The client's time ends the request as before.

Test: TestUploadIsNotTooSlowForItsBackend (408 before, want 200).

--- a/internal/proxy/downstream/upload.go
+++ b/internal/proxy/downstream/upload.go
@@ -117,6 +117,13 @@
 	return n, err
 }
 
+// excludePause keeps the time in which the backend took no bytes, so that none were read, from counting against
+// the client.
+func (u *upload) excludePause(pause time.Duration) {
+	u.startedAt = u.startedAt.Add(pause)
+	u.lastReceived = u.lastReceived.Add(pause)
+}
+
 // readDeadline returns the time by which the next byte must arrive.
 func (u *upload) readDeadline() time.Time {
 	graceEnd := u.startedAt.Add(clientconn.RequestReadTimeout)
@@ -248,9 +255,11 @@
 	for {
 		n, err := u.Read(buf)
 		if n > 0 && err != errBodyTooLarge {
+			written := time.Now()
 			if _, err := pipe.Write(buf[:n]); err != nil {
 				return errRequestEnded
 			}
+			u.excludePause(time.Since(written))
 		}
 		if err == io.EOF || err == nil && u.received.Load() == u.contentLength {
 			return nil
--- a/internal/proxy/slowserver_test.go
+++ b/internal/proxy/slowserver_test.go
@@ -122,3 +122,18 @@
 		})
 	}
 }
+
+// TestUploadIsNotTooSlowForItsBackend guards against a 408 to a client that sends as fast as the proxy reads: its
+// backend takes nothing for longer than a client may pause.
+func TestUploadIsNotTooSlowForItsBackend(t *testing.T) {
+	const size, timeout, pause = 6 << 20, 8 * time.Second, 3 * time.Second
+	cl := startUploadToSlowBackend(t, timeout, fmt.Sprintf("Content-Length: %d", size), func(body io.Reader) error {
+		time.Sleep(pause)
+		_, err := io.Copy(io.Discard, body)
+		return err
+	})
+	go func() { _, _ = io.WriteString(cl, strings.Repeat("x", size)) }()
+	if resp, _ := cl.ReadResponse(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("got %s, want 200", resp.Status)
+	}
+}
