Reject a request whose ID may have been executed already and must not be again

Cause: a request's ID was known only while the request was in flight. When its client had gone and its attempt had been cancelled, the same ID on another connection was a new request, though a server may have executed the first one.

Evidence: a test that sends a request of a class that must not be repeated, disconnects when the server has received it, and sends it again: executed twice, also where the first one was answered.

A request with one of them is answered 409 (failed, since it may have run) and counted in app.repeated_ids. Idempotent classes, and IDs that were refused unsent, are served as before. By the protocol an ID is fresh on every request, except where a request crosses the end of a connection that the proxy closes: that one was not read.

--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -88,6 +88,7 @@
 	}
 	neverExecuted := status == balancer.StatusConnectFailed || status == balancer.StatusNotSent ||
 		status == balancer.StatusRejected && !a.request.Settings.RejectedMayHaveExecuted
+	a.request.mayBeExecuted = a.request.mayBeExecuted || !neverExecuted
 	a.request.rules.AttemptEnded(a.recordIndex, !neverExecuted)
 }
 
--- a/internal/proxy/audit/audit.go
+++ b/internal/proxy/audit/audit.go
@@ -32,6 +32,9 @@
 // request in this data was never read, so its client must send it again.
 const ClientBytesDiscarded Event = "discards.client"
 
+// RequestIDRepeated counts requests that were rejected since one with the same ID may have been executed.
+const RequestIDRepeated Event = "repeated_ids"
+
 // Reasons for closing a connection to a backend.
 const (
 	BackendConnDone       Event = "closes.server.answered"  // it has carried a response and cannot be reused
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"merlinpick/balancer"
+	"merlinpick/internal/proxy/audit"
 	"merlinpick/internal/proxy/downstream"
 	"merlinpick/internal/proxy/invariant"
 	"merlinpick/internal/proxy/upstream"
@@ -24,6 +26,7 @@
 type request struct {
 	*downstream.Request
 	rules            *invariant.Request
+	mayBeExecuted    bool     // by an attempt that was started
 	recordedAttempts int      // attempts that were started
 	ended            bool     // it has its final response, or its client has disconnected
 	attemptCount     int      // attempts that the balancer decided on
@@ -73,12 +76,18 @@
 }
 
 // handleRequest passes a request to the balancer, which must end it by its deadline. A request with the ID of
-// one that is still in the table is rejected, since the two could not be told apart.
+// one that is still in the table is rejected, since the two could not be told apart, and so is one with the ID
+// of a request that may have been executed and must not be executed twice.
 func (l *eventLoop) handleRequest(received *downstream.Request) {
 	if l.requests[received.ID] != nil {
 		received.Respond(downstream.Response{Status: http.StatusBadRequest})
 		return
 	}
+	if !isIdempotent(received) && l.executed.contains(l.clock.now(), received.ID) {
+		l.audit.Count(audit.RequestIDRepeated)
+		received.Respond(downstream.Response{Status: http.StatusConflict})
+		return
+	}
 	if received.IsClientGoneByContext() { // disconnected while the event was queued
 		received.Respond(downstream.Response{})
 		return
@@ -147,9 +156,17 @@
 	l.removeIfDone(r)
 }
 
+// isIdempotent reports whether a request may be executed any number of times.
+func isIdempotent(r *downstream.Request) bool {
+	return r.Settings.Classes[r.Class].Idempotency == balancer.Idempotent
+}
+
 // removeIfDone removes a request from the table if it has ended and has no attempt in flight.
 func (l *eventLoop) removeIfDone(r *request) {
 	if r.ended && r.currentAttempt == nil {
+		if r.mayBeExecuted && !isIdempotent(r.Request) {
+			l.executed.add(l.clock.now(), r.ID)
+		}
 		delete(l.requests, r.ID)
 		r.Outbound.Body, r.Outbound.Header = nil, nil // its timer may keep the request for seconds
 	}
