Have the two processes of an upgrade tell each other which requests may have been executed

Cause: each process remembers the IDs of its own requests alone; both accept clients on the shared listener.

Change: over the connection of the handover, from when the successor serves, each process sends the hash of an ID before an attempt of a request starts that must not be executed twice, and that it was not executed where that turns out; the predecessor begins with all that it remembers or has in flight. The predecessor states in its state that it reads these messages, so that an older one gets none; an older successor discards them. The state's golden line is unchanged.

Test: TestRepeatedIDIsNotExecutedAtOtherProcess (before the upgrade, at the predecessor, at the successor).

--- a/internal/proxy/executedids.go
+++ b/internal/proxy/executedids.go
@@ -2,7 +2,11 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
+
+	"merlinpick/internal/proxy/handover"
 )
 
 const (
@@ -29,27 +33,32 @@
 	return h.Sum64()
 }
 
-// add remembers an ID.
-func (e *executedIDs) add(now int64, id string) {
+// add remembers an ID by its hash.
+func (e *executedIDs) add(now int64, hash uint64) {
 	e.rotate(now)
-	e.current[hashID(id)] = struct{}{}
+	e.current[hash] = struct{}{}
 }
 
 // remove forgets an ID, whose request has turned out not to have been executed.
-func (e *executedIDs) remove(id string) {
-	delete(e.current, hashID(id))
-	delete(e.previous, hashID(id))
+func (e *executedIDs) remove(hash uint64) {
+	delete(e.current, hash)
+	delete(e.previous, hash)
 }
 
 // contains reports whether an ID is remembered.
-func (e *executedIDs) contains(now int64, id string) bool {
+func (e *executedIDs) contains(now int64, hash uint64) bool {
 	e.rotate(now)
-	hash := hashID(id)
 	_, current := e.current[hash]
 	_, previous := e.previous[hash]
 	return current || previous
 }
 
+// all returns the hashes of all IDs that are remembered.
+func (e *executedIDs) all(now int64) []uint64 {
+	e.rotate(now)
+	return slices.AppendSeq(slices.Collect(maps.Keys(e.previous)), maps.Keys(e.current))
+}
+
 // rotate forgets the IDs of the window before the last one.
 func (e *executedIDs) rotate(now int64) {
 	age := time.Duration(now-e.rotatedAt) * time.Microsecond
@@ -62,3 +71,50 @@
 	}
 	e.current, e.rotatedAt = map[uint64]struct{}{}, now
 }
+
+// executionRecord is what the loop knows of executed requests, and how it tells the proxy's other process.
+type executionRecord struct {
+	ids   *executedIDs
+	share func(handover.Execution) // does not block; nil: there is no other process
+}
+
+// noteAttempt tells the proxy's other process that a request is about to be executed.
+func (l *eventLoop) noteAttempt(r *request) {
+	if !isIdempotent(r.Request) && l.executions.share != nil {
+		l.executions.share(handover.Execution{ID: hashID(r.ID), Executed: true})
+	}
+}
+
+// noteEnd remembers the ID of a request that has ended, if it may have been executed and must not be again.
+func (l *eventLoop) noteEnd(r *request) {
+	if isIdempotent(r.Request) || r.recordedAttempts == 0 {
+		return
+	}
+	hash := hashID(r.ID)
+	if r.mayBeExecuted {
+		l.executions.ids.add(l.clock.now(), hash)
+	} else if l.executions.share != nil {
+		l.executions.share(handover.Execution{ID: hash})
+	}
+}
+
+// executedRequests returns the hashes of the IDs of all requests that may have been executed, or may be in a moment,
+// and must not be executed twice.
+func (l *eventLoop) executedRequests() []uint64 {
+	hashes := l.executions.ids.all(l.clock.now())
+	for id, r := range l.requests {
+		if !isIdempotent(r.Request) && r.recordedAttempts > 0 {
+			hashes = append(hashes, hashID(id))
+		}
+	}
+	return hashes
+}
+
+// handleExecution applies an update of the proxy's other process.
+func (l *eventLoop) handleExecution(e handover.Execution) {
+	if e.Executed {
+		l.executions.ids.add(l.clock.now(), e.ID)
+	} else {
+		l.executions.ids.remove(e.ID)
+	}
+}
--- a/internal/proxy/handover/predecessor.go
+++ b/internal/proxy/handover/predecessor.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,7 +26,10 @@
 	Listener net.Listener // shared with the predecessor
 	State    State
 
-	conn *net.UnixConn
+	conn       *net.UnixConn
+	executions *executionSender
+	senders    sync.WaitGroup
+	closeOnce  sync.Once
 }
 
 // ConnectPredecessor gets the listening socket and the state from the predecessor that serves from a state
@@ -39,7 +43,7 @@
 		}
 		return nil
 	}
-	p := &Predecessor{conn: conn}
+	p := &Predecessor{conn: conn, executions: newExecutionSender()}
 	if err := p.receive(); err != nil {
 		logger.Warn("handover from predecessor failed", "error", err)
 		conn.Close()
@@ -102,17 +106,46 @@
 	return nil
 }
 
-// NotifyServing tells the predecessor that this process accepts clients too.
+// NotifyServing tells the predecessor that this process accepts clients too. From then on ShareExecution sends.
 func (p *Predecessor) NotifyServing() error {
-	_, err := p.conn.Write([]byte{'s'})
-	return err
+	if _, err := p.conn.Write([]byte{kindServing}); err != nil {
+		return err
+	}
+	if p.State.SharesExecutions {
+		p.senders.Go(func() { p.executions.run(p.conn) })
+	}
+	return nil
 }
 
-// AwaitExit blocks until the predecessor has exited or Close was called.
-func (p *Predecessor) AwaitExit() {
-	_, _ = io.Copy(io.Discard, p.conn)
-	p.conn.Close()
+// ShareExecution sends an update to the predecessor, without blocking. Any goroutine may call it.
+func (p *Predecessor) ShareExecution(e Execution) {
+	if p.State.SharesExecutions {
+		p.executions.add(e)
+	}
+}
+
+// AwaitExit blocks until the predecessor has exited or Close was called, and passes its updates on.
+func (p *Predecessor) AwaitExit(update func(Execution)) {
+	defer p.Close()
+	reader := bufio.NewReader(p.conn)
+	for {
+		kind, err := reader.ReadByte()
+		if err != nil {
+			return
+		}
+		e, err := readExecution(reader, kind)
+		if err != nil {
+			return
+		}
+		update(e)
+	}
 }
 
 // Close closes the connection, which tells the predecessor that this process has ended.
-func (p *Predecessor) Close() { p.conn.Close() }
+func (p *Predecessor) Close() {
+	p.closeOnce.Do(func() {
+		close(p.executions.stop)
+		p.conn.Close()
+	})
+	p.senders.Wait()
+}
--- a/internal/proxy/handover/server.go
+++ b/internal/proxy/handover/server.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,11 @@
 	// SuccessorDisconnected is called when the connection to a successor has closed, if ExportState returned
 	// a state for it. After a failed handover the successor may still run.
 	SuccessorDisconnected func()
+	// SuccessorServing is called when the successor accepts clients. It returns the hashes of the IDs of all
+	// requests that may have been executed and must not be executed twice. Later ones go to ShareExecution.
+	SuccessorServing func() []uint64
+	// Executed is called for each update of the successor.
+	Executed func(Execution)
 }
 
 // Server hands over the client listener to successor processes, one at a time. It owns the goroutine that
@@ -34,8 +40,9 @@
 	logger         *slog.Logger
 
 	mu         sync.Mutex
-	conn       *net.UnixConn // connection to the successor, nil if there is none
-	serving    bool          // the successor accepts clients
+	conn       *net.UnixConn    // connection to the successor, nil if there is none
+	serving    bool             // the successor accepts clients
+	executions *executionSender // to the successor; nil unless it accepts clients
 	closed     bool
 	closing    chan struct{}
 	goroutines sync.WaitGroup
@@ -109,7 +116,7 @@
 	}
 	conn.Close()
 	s.mu.Lock()
-	s.conn, s.serving = nil, false
+	s.conn, s.serving, s.executions = nil, false, nil
 	closed := s.closed
 	s.mu.Unlock()
 	if !closed { // otherwise Close has closed it, since this process ends
@@ -117,18 +124,52 @@
 	}
 }
 
-// followSuccessor reads the successor's notification that it is serving, and returns when the connection has
-// closed.
+// followSuccessor reads what the successor sends: that it is serving, and updates on executed requests. It returns
+// when the connection has closed.
 func (s *Server) followSuccessor(conn *net.UnixConn) {
-	var b [1]byte
+	sender := newExecutionSender()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	defer close(sender.stop)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
 	for {
-		if _, err := conn.Read(b[:]); err != nil {
+		kind, err := reader.ReadByte()
+		if err != nil {
+			return
+		}
+		if kind == kindServing {
+			s.startSharing(sender)
+			sending.Go(func() { sender.run(conn) })
+			continue
+		}
+		e, err := readExecution(reader, kind)
+		if err != nil {
+			s.logger.Warn("handover to successor failed", "error", err)
 			return
 		}
-		s.logger.Info("successor serving")
-		s.mu.Lock()
-		s.serving = true
-		s.mu.Unlock()
+		s.hooks.Executed(e)
+	}
+}
+
+// startSharing records that the successor accepts clients, and sends it all executed requests.
+func (s *Server) startSharing(sender *executionSender) {
+	s.logger.Info("successor serving")
+	s.mu.Lock()
+	s.serving, s.executions = true, sender
+	s.mu.Unlock()
+	for _, id := range s.hooks.SuccessorServing() {
+		sender.add(Execution{ID: id, Executed: true})
+	}
+}
+
+// ShareExecution sends an update to the successor, if there is one that accepts clients, without blocking. Any
+// goroutine may call it.
+func (s *Server) ShareExecution(e Execution) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.executions != nil {
+		s.executions.add(e)
 	}
 }
 
@@ -154,7 +195,7 @@
 	if _, err = conn.Write(append(line, '\n')); err != nil {
 		return fmt.Errorf("handover: send the state: %w", err)
 	}
-	return nil
+	return conn.SetWriteDeadline(time.Time{})
 }
 
 // SuccessorServing reports whether a connected successor accepts clients.
--- a/internal/proxy/handover/state.go
+++ b/internal/proxy/handover/state.go
@@ -30,6 +30,9 @@
 	// Now is the time on the predecessor's clock when it wrote the state, in microseconds; 0 from versions
 	// that do not send it.
 	Now int64 `json:"now"`
+	// SharesExecutions states that the predecessor reads updates on executed requests; false from versions
+	// that do not.
+	SharesExecutions bool `json:"shares_executions,omitempty"`
 }
 
 // RetryBudgetUsage is the encoding of balancer.RetryBudgetUsage: times on the predecessor's clock, in
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -64,6 +64,7 @@
 	}
 	a.started, a.outbound, a.server = true, outbound, outbound.Server()
 	r.currentAttempt = a
+	l.noteAttempt(r)
 	l.auditAttemptStart(a)
 	l.auditListEvidence(a)
 	l.attempts.goroutines.Go(func() {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -38,13 +38,13 @@
 	logger  *slog.Logger
 	managed bool // there is a management address, which serves the metrics
 
-	events    chan func()
-	timers    timerHeap
-	requests  map[string]*request // by ID; removed when the request has ended and no attempt is in flight
-	executed  *executedIDs        // of requests that must not be executed twice
-	attempts  attemptTable
-	list      endpointList
-	overrides overrideState
+	events     chan func()
+	timers     timerHeap
+	requests   map[string]*request // by ID; removed when the request has ended and no attempt is in flight
+	executions executionRecord
+	attempts   attemptTable
+	list       endpointList
+	overrides  overrideState
 
 	drainDeadline int64 // time on clock by which every request ends after SIGTERM; 0 before SIGTERM
 
@@ -80,7 +80,7 @@
 		balancer: cfg.balancer, clock: cfg.clock, pool: cfg.pool, zoneNumbers: cfg.zoneNumbers,
 		metrics: cfg.metrics, audit: cfg.audit, logger: cfg.logger, managed: cfg.managed,
 		events:   make(chan func(), eventQueueLength),
-		requests: map[string]*request{}, executed: newExecutedIDs(),
+		requests: map[string]*request{}, executions: executionRecord{ids: newExecutedIDs()},
 		list: endpointList{
 			status: newListStatus(cfg.maxListAge, cfg.logger), startTimes: startTimes{}, knownServers: override.NewNameSet(),
 			available: make(chan struct{}), synced: make(chan struct{}),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -117,6 +117,9 @@
 		metrics: metrics, audit: recorder, logger: cfg.Logger, managed: cfg.Managed, maxListAge: cfg.maxListAge(),
 	})
 	p := &Proxy{config: cfg, loop: l, metrics: metrics, predecessor: predecessor, drainTimes: downstream.DrainTimes, syncTimeout: cfg.syncTimeout()}
+	if cfg.Managed {
+		l.executions.share = p.shareExecution
+	}
 	p.openListClient()
 	p.frontend = downstream.NewServer(downstream.Config{
 		Site: cfg.Site, Settings: engine.Settings(), Listener: listener, Handler: l,
@@ -262,7 +265,7 @@
 		goroutines.Go(func() { p.cluster.Run(memberCtx) })
 	}
 	if p.predecessor != nil {
-		goroutines.Go(func() { p.predecessor.AwaitExit(); p.addOtherProcesses(-1) })
+		goroutines.Go(func() { p.predecessor.AwaitExit(p.receiveExecution); p.addOtherProcesses(-1) })
 		defer p.predecessor.Close()
 	}
 	if p.syncTimeout > 0 {
--- a/internal/proxy/repeatedid_test.go
+++ b/internal/proxy/repeatedid_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"merlinpick/internal/discovery"
 	"merlinpick/internal/proxy/proxytest"
@@ -59,3 +60,66 @@
 		})
 	}
 }
+
+// connectTo returns a client of a process that shares its listener with another one.
+func connectTo(t *testing.T, p *runningProxy) *proxytest.Client {
+	t.Helper()
+	for range 1000 {
+		before := p.frontend.OpenConns()
+		c := connect(t, p)
+		for end := time.Now().Add(20 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if p.frontend.OpenConns() > before {
+				return c
+			}
+		}
+		c.Close()
+	}
+	t.Fatal("no connection was accepted by this process")
+	return nil
+}
+
+// TestRepeatedIDIsNotExecutedAtOtherProcess guards against a request that runs at both processes of an upgrade: it comes
+// again under the same ID at the other process, after its client has disconnected.
+func TestRepeatedIDIsNotExecutedAtOtherProcess(t *testing.T) {
+	var executions atomic.Int32
+	received, release := make(chan struct{}, 10), make(chan struct{})
+	b := proxytest.StartBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		executions.Add(1)
+		received <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, proxytest.OKResponse)
+		return true
+	})
+	defer close(release)
+	d := startDiscovery(t)
+	known := listJSON(1, true, endpointJSON("a", b.Addr, discovery.StatusServing))
+	state := t.TempDir()
+	first := startProxyAt(t, d.addr, 400, known, state)
+	proxytest.WaitUntil(t, func() bool { return first.handover.Load() != nil })
+	post := func(id string) string { return proxytest.PostRequest(id, "Content-Length: 1") + "x" }
+	executeAndLeave := func(p *runningProxy, id string) {
+		c := connectTo(t, p)
+		c.Send(t, post(id))
+		proxytest.Receive(t, "the first execution", received)
+		c.Close()
+	}
+	executeAndLeave(first, "before the upgrade")
+	// One response for each process.
+	d.responses <- listJSON(2, true, endpointJSON("a", b.Addr, discovery.StatusServing))
+	d.responses <- listJSON(2, true, endpointJSON("a", b.Addr, discovery.StatusServing))
+	second := startProxyAt(t, d.addr, 400, known, state)
+	proxytest.WaitUntil(t, second.Ready)
+	proxytest.WaitUntil(t, func() bool { return first.handover.Load().SuccessorServing() })
+	executeAndLeave(first, "at the predecessor")
+	executeAndLeave(second, "at the successor")
+	for id, p := range map[string]*runningProxy{"before the upgrade": second, "at the predecessor": second, "at the successor": first} {
+		again := connectTo(t, p)
+		again.Send(t, post(id))
+		if resp, _ := again.ReadResponse(t); resp.StatusCode != http.StatusConflict {
+			t.Errorf("%s: the second request got %s, want 409", id, resp.Status)
+		}
+	}
+	if n := executions.Load(); n != 3 {
+		t.Errorf("3 requests were executed %d times", n)
+	}
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -83,7 +83,7 @@
 		received.Respond(downstream.Response{Status: http.StatusBadRequest})
 		return
 	}
-	if !isIdempotent(received) && l.executed.contains(l.clock.now(), received.ID) {
+	if !isIdempotent(received) && l.executions.ids.contains(l.clock.now(), hashID(received.ID)) {
 		l.audit.Count(audit.RequestIDRepeated)
 		received.Respond(downstream.Response{Status: http.StatusConflict})
 		return
@@ -164,9 +164,7 @@
 // removeIfDone removes a request from the table if it has ended and has no attempt in flight.
 func (l *eventLoop) removeIfDone(r *request) {
 	if r.ended && r.currentAttempt == nil {
-		if r.mayBeExecuted && !isIdempotent(r.Request) {
-			l.executed.add(l.clock.now(), r.ID)
-		}
+		l.noteEnd(r)
 		delete(l.requests, r.ID)
 		r.Outbound.Body, r.Outbound.Header = nil, nil // its timer may keep the request for seconds
 	}
--- a/internal/proxy/succession.go
+++ b/internal/proxy/succession.go
@@ -36,7 +36,7 @@
 		used := p.loop.balancer.ExportRetryBudget(now)
 		exported <- handover.State{
 			RetryBudget:  handover.RetryBudgetUsage{Requests: used.Requests, Retries: used.Retries},
-			KnownServers: p.loop.list.knownServers.All(), Now: now,
+			KnownServers: p.loop.list.knownServers.All(), Now: now, SharesExecutions: true,
 		}
 	})
 	select {
@@ -94,7 +94,8 @@
 	if !ok {
 		return errNoDescriptor
 	}
-	hooks := handover.Hooks{ExportState: p.exportState, SuccessorDisconnected: func() { p.addOtherProcesses(-1) }}
+	hooks := handover.Hooks{ExportState: p.exportState, SuccessorDisconnected: func() { p.addOtherProcesses(-1) },
+		SuccessorServing: p.executedRequests, Executed: p.receiveExecution}
 	s, err := handover.Start(p.config.StateDir, clientListener, hooks, p.config.Logger)
 	if err != nil {
 		return err
@@ -103,6 +104,33 @@
 	return nil
 }
 
+// executedRequests returns the hashes of the IDs of all requests that must not be executed again.
+func (p *Proxy) executedRequests() []uint64 {
+	all := make(chan []uint64, 1)
+	p.loop.post(func() { all <- p.loop.executedRequests() })
+	select {
+	case ids := <-all:
+		return ids
+	case <-p.loop.done:
+		return nil
+	}
+}
+
+// receiveExecution passes an update of the other process to the loop.
+func (p *Proxy) receiveExecution(e handover.Execution) {
+	p.loop.post(func() { p.loop.handleExecution(e) })
+}
+
+// shareExecution tells the other processes of this proxy about a request. It does not block.
+func (p *Proxy) shareExecution(e handover.Execution) {
+	if p.predecessor != nil {
+		p.predecessor.ShareExecution(e)
+	}
+	if s := p.handover.Load(); s != nil {
+		s.ShareExecution(e)
+	}
+}
+
 // closeHandover closes the handover server, which tells a successor that this process has ended.
 func (p *Proxy) closeHandover() {
 	if s := p.handover.Load(); s != nil {
