Take a client for one that still sends only where its buffer is nearly empty twice in a row

What callers saw: beside other tests, 200 3.2 s after the last byte of an upload with a time of 1.5 s, in TestUploadToSlowBackendIsAnsweredInTime, twice; alone it passed.

Cause: under load a receive buffer stays at its first 128 KB, which hold 64 KB at most, so a full one had under 64 KB unread and counted as one into which the client's kernel can send more. A buffer also runs empty for moments while a slow backend reads.

Change: at most 4 KB unread, in two polls of 25 ms in a row.

--- a/internal/proxy/downstream/bodyend.go
+++ b/internal/proxy/downstream/bodyend.go
@@ -21,8 +21,12 @@
 const (
 	bodyEndPollInterval = 25 * time.Millisecond
 
-	// minReceiveWindow is how many bytes may be unread while the client's kernel can surely send more.
-	minReceiveWindow = 64 << 10
+	// maxUnreadWhileSending is how many bytes may be unread while the client's kernel can surely send more: the
+	// receive buffer may be as small as 64 KiB, and a kernel may wait until much of it is free.
+	maxUnreadWhileSending = 4 << 10
+	// pollsWhileSending is in how many polls in a row there must be so few: the buffer of a slow backend's
+	// upload runs empty for moments, too.
+	pollsWhileSending = 2
 	// maxClientSendBuffer is how many bytes a client's kernel holds at most: the default limit of Linux
 	// (net.ipv4.tcp_wmem).
 	maxClientSendBuffer = 4 << 20
@@ -42,6 +46,7 @@
 	// mayHaveSentAll is since when the client may have sent the last byte: the last time at which it surely
 	// had not.
 	mayHaveSentAll time.Time
+	lowPolls       int // polls in a row with at most maxUnreadWhileSending bytes unread
 	// onEnd is called once, when the end has arrived or the client's time is over, with the time from which
 	// the client's time counts.
 	onEnd func(sent time.Time)
@@ -89,8 +94,12 @@
 // arrived: its kernel could send more, or holds less than is missing.
 func (w *bodyEndWatcher) isClientSending() bool {
 	unread := socket.Unread(w.conn)
+	w.lowPolls++
+	if unread > maxUnreadWhileSending {
+		w.lowPolls = 0
+	}
 	remaining, known := w.remaining()
-	return unread < minReceiveWindow || known && remaining-unread > maxClientSendBuffer
+	return w.lowPolls >= pollsWhileSending || known && remaining-unread > maxClientSendBuffer
 }
 
 // endArrived reports whether the end of the body has arrived, and when.
