Count the memory of a request whose client has gone until the loop has handled it

Cause: a request of a client that has gone waited in the event loop's queue, of 256, with all its fields, while its goroutine had returned, its connection was closed, and both its memory and its slot were free for the next.

Evidence: a heap profile at 34.7 MB has 28.9 MB of parsed heads, of some 115 requests, with at most 10 goroutines that have one; 0.7 MB were reserved; of 205 timers' requests 8 had a head. So the queue had them. Ruled out by the same figures: timers; by a trial, that net/http keeps the head of an idle connection (0.01 MB each).

Change: the goroutine waits until the loop has finished with the request.

The stub of the client side's tests answers a request whose client has gone, as the loop does. Test: TestRequestOfGoneClientKeepsItsMemoryUntilHandled (0 bytes reserved before).

--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -44,6 +44,8 @@
 	requestStarted atomic.Int64 // first byte of the current request, or the accept; Unix nanoseconds
 	lastReceived   atomic.Int64 // last bytes received, or the accept; Unix nanoseconds
 
+	slotHolders atomic.Int32 // the descriptor, and net/http's goroutine; the slot is free once neither is left
+
 	unanswered  atomic.Pointer[string]      // ID of the accepted request that has no response; nil: none
 	closeReason atomic.Pointer[audit.Event] // why the proxy closes the connection; nil before it does
 	discarded   atomic.Int64                // bytes received after the shutdown
@@ -101,6 +103,8 @@
 	if sc, ok := c.(syscall.Conn); ok {
 		conn.rawConn, _ = sc.SyscallConn()
 	}
+	const descriptorAndGoroutine = 2
+	conn.slotHolders.Store(descriptorAndGoroutine)
 	now := time.Now().UnixNano()
 	conn.requestStarted.Store(now)
 	conn.lastReceived.Store(now)
--- a/internal/proxy/clientconn/headmemory.go
+++ b/internal/proxy/clientconn/headmemory.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// releaseMemory releases all memory, when the connection is closed.
+// releaseMemory releases all memory that heads have reserved.
 func (c *Conn) releaseMemory() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/clientconn/linger.go
+++ b/internal/proxy/clientconn/linger.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// CloseNow closes the descriptor and releases its slot.
+// CloseNow closes the descriptor.
 func (c *Conn) CloseNow() {
 	c.mu.Lock()
 	first, phase := !c.closed, c.phase
@@ -148,7 +148,20 @@
 		c.auditClosed(phase)
 		_ = c.Conn.Close()
 		c.listener.Lingering.remove(c)
-		c.releaseMemory()
+		c.releaseSlotHolder()
+	}
+}
+
+// Finished is to be called when net/http has finished with the connection. Its request takes memory, and its
+// goroutine runs, until then, though the descriptor may have been closed before.
+func (c *Conn) Finished() {
+	c.releaseMemory()
+	c.releaseSlotHolder()
+}
+
+// releaseSlotHolder releases the connection's slot with the last of its holders.
+func (c *Conn) releaseSlotHolder() {
+	if c.slotHolders.Add(-1) == 0 {
 		c.listener.releaseSlot()
 	}
 }
--- a/internal/proxy/clientconn/listener.go
+++ b/internal/proxy/clientconn/listener.go
@@ -48,7 +48,7 @@
 }
 
 // Accept waits for a slot and returns the next connection, which releases the slot when its descriptor is
-// closed. It fails only when the listener cannot be used any more: net/http would end the server on a
+// closed and Finished was called. It fails only when the listener cannot be used any more: net/http would end the server on a
 // temporary error, and with it all requests in flight.
 func (l *Listener) Accept() (net.Conn, error) {
 	if !l.acquireSlot() {
--- a/internal/proxy/downstream/evict.go
+++ b/internal/proxy/downstream/evict.go
@@ -43,6 +43,7 @@
 	defer srv.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(srv.conns, c)
+		c.(*clientconn.Conn).Finished()
 		return
 	}
 	if s == http.StateIdle {
--- a/internal/proxy/downstream/request.go
+++ b/internal/proxy/downstream/request.go
@@ -65,7 +65,8 @@
 	HandleBodyEndSeen(r *Request, sent time.Time)
 	// HandleBodyRead is called when a streamed body has been read completely.
 	HandleBodyRead(r *Request, clientDeadline time.Time)
-	// HandleClientGone is called when nobody waits for the response any more, even while it is being sent.
+	// HandleClientGone is called when nobody waits for the response any more, even while it is being sent. A
+	// request that has had none then gets one, which is not sent.
 	HandleClientGone(r *Request)
 	// Stopped returns a context that is done once the Handler has stopped.
 	Stopped() context.Context
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -260,12 +260,25 @@
 			// context.
 		default: // the client has gone
 			srv.handler.HandleClientGone(req)
+			srv.awaitRelease(req)
 		}
 	case <-srv.handler.Stopped().Done():
 	}
 	return resp
 }
 
+// awaitRelease waits until the Handler has finished with a request whose client has gone. A request takes its
+// memory while it waits in the Handler's queue, so it has to keep its connection slot and what it has reserved.
+func (srv *Server) awaitRelease(req *Request) {
+	select {
+	case resp := <-req.responses:
+		if resp.Stream != nil {
+			resp.Stream.CancelAttempt()
+		}
+	case <-srv.handler.Stopped().Done():
+	}
+}
+
 // clientDeadline returns when the client gives up on a request whose last byte has just been read.
 func clientDeadline(req *Request) time.Time { return time.Now().Add(req.Outbound.Timeout) }
 
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -62,8 +62,14 @@
 func (h *stubHandler) HandleRequest(*Request)                { h.record("request") }
 func (h *stubHandler) HandleBodyEndSeen(*Request, time.Time) { h.record("body arrived") }
 func (h *stubHandler) HandleBodyRead(*Request, time.Time)    { h.record("body received") }
-func (h *stubHandler) HandleClientGone(*Request)             { h.record("client gone") }
-func (h *stubHandler) Stopped() context.Context              { return context.Background() }
+func (h *stubHandler) HandleClientGone(r *Request) {
+	h.record("client gone")
+	select {
+	case r.responses <- Response{}:
+	default: // it has had its response
+	}
+}
+func (h *stubHandler) Stopped() context.Context { return context.Background() }
 
 // newTestServer returns a server that has an endpoint list and does not count requests.
 func newTestServer(site *settings.Site, l net.Listener, handler Handler) *Server {
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -12,6 +12,7 @@
 	"merlinpick/internal/proxy/clientconn"
 	"merlinpick/internal/proxy/downstream"
 	"merlinpick/internal/proxy/proxytest"
+	"merlinpick/internal/proxy/socket"
 )
 
 // TestUnparsedInputIsBoundedAcrossConnections checks the limit on memory for all incomplete requests
@@ -117,6 +118,28 @@
 	proxytest.WaitUntil(t, func() bool { return bufferedHeads(p) == 0 })
 }
 
+// TestRequestOfGoneClientKeepsItsMemoryUntilHandled guards against memory beyond its limit when many clients leave at once:
+// their requests wait in the loop's queue, with all their fields, and no longer counted.
+func TestRequestOfGoneClientKeepsItsMemoryUntilHandled(t *testing.T) {
+	b := proxytest.StartBackend(t, proxytest.RespondWith(proxytest.OKResponse, true))
+	p := startProxy(t, startDiscovery(t).addr, 200, listJSON(1, true, endpointJSON("a", b.Addr, discovery.StatusServing)))
+	blocked, end := blockLoop(t, p)
+	proxytest.Receive(t, "block of the loop", blocked)
+	cl := connect(t, p)
+	cl.Send(t, strings.Replace(proxytest.LookRequest("1", 4000), "Host: h\r\n", "Host: h\r\n"+strings.Repeat("x:\r\n", 500), 1))
+	proxytest.WaitUntil(t, func() bool { return bufferedHeads(p) > 0 })
+	conn := p.frontend.Conns()[0]
+	cl.Close()
+	proxytest.WaitUntil(t, func() bool { return socket.PeerClosed(conn) })
+	time.Sleep(100 * time.Millisecond) // net/http has noticed it
+	if bufferedHeads(p) == 0 || p.frontend.OpenConns() != 1 {
+		t.Errorf("%d bytes are reserved and %d connections open while the request waits, want some and 1",
+			bufferedHeads(p), p.frontend.OpenConns())
+	}
+	end()
+	proxytest.WaitUntil(t, func() bool { return bufferedHeads(p) == 0 && p.frontend.OpenConns() == 0 })
+}
+
 // TestStreamedBodiesAreBoundedAcrossConnections guards against memory that grows with the number of bodies that are
 // streamed: the buffers that copy them were bounded by no limit. A request beyond the limit is rejected and its
 // connection closed at once, even if its client sends no more of the body: the slot is needed for others.
