--- /dev/null
+++ b/cmd/merlinpick-proxy/harness_test.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// proxyProgram is the path of the proxy that the tests run. It is built without the race detector, which takes
+// several times the memory.
+var proxyProgram string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "merlinpick-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	proxyProgram = filepath.Join(dir, "merlinpick-proxy")
+	if out, err := exec.Command("go", "build", "-o", proxyProgram, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+const (
+	serverCount    = 9
+	serviceTime    = 30 * time.Millisecond // of a server, for each request
+	longBody       = 32 << 20              // bytes of a response to a request for longPath
+	longPath       = "/enrol/long"
+	shortPath      = "/enrol/short"
+	clientDeadline = 2 * time.Second
+	startTimeout   = 20 * time.Second
+)
+
+// startServers starts servers that answer each request, and discovery with a list of them. It returns
+// discovery's address.
+func startServers(t *testing.T) (discovery string) {
+	var entries []string
+	for i := range serverCount {
+		entries = append(entries, fmt.Sprintf(
+			`{"name":"s%d","address":%q,"zone":"a","type":"m","group":1,"status":"SERVING","weight":1,"since_ms":0}`,
+			i, startServer(t)))
+	}
+	list := `{"index":5,"snapshot":true,"endpoints":[` + strings.Join(entries, ",") + `]}`
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !r.URL.Query().Has("from") {
+			_, _ = io.WriteString(w, list)
+			return
+		}
+		select { // the list never changes
+		case <-r.Context().Done():
+		case <-time.After(400 * time.Millisecond):
+			_, _ = io.WriteString(w, `{"index":5,"snapshot":false,"endpoints":[]}`)
+		}
+	})}
+	l := listen(t)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// startServer starts a server of the tier and returns its address.
+func startServer(t *testing.T) string {
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// serve answers the requests on a connection, one after the other.
+func serve(c net.Conn) {
+	defer c.Close()
+	chunk := make([]byte, 256<<10)
+	for r := bufio.NewReader(c); ; {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		time.Sleep(serviceTime)
+		length := 2
+		if request.URL.Path == longPath {
+			length = longBody
+		}
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length); err != nil {
+			return
+		}
+		for length > 0 {
+			n, err := c.Write(chunk[:min(length, len(chunk))])
+			if err != nil {
+				return
+			}
+			length -= n
+		}
+	}
+}
+
+// proxyProcess is a proxy that runs as a process.
+type proxyProcess struct {
+	cmd     *exec.Cmd
+	address string // for clients
+	log     string // path of its log
+	ended   chan struct{}
+}
+
+// limits are the limits of a proxy, as in its configuration.
+type limits struct {
+	memoryMB    int
+	descriptors int
+}
+
+// startProxy starts a proxy and waits until it is ready. The process ends with the test.
+func startProxy(t *testing.T, discovery string, l limits) *proxyProcess {
+	t.Helper()
+	dir := t.TempDir()
+	reserved := listen(t)
+	p := &proxyProcess{address: reserved.Addr().String(), log: filepath.Join(dir, "log"), ended: make(chan struct{})}
+	reserved.Close()
+	settings := `{"contract":{"ask_every_us":10000000,"drain_grace_us":1000000},"failure_domains":["a"],` +
+		`"limits":{"dial_timeout_us":250000,"idle_close_us":5000000,"try_limit":3},"membership_mode":"subscribe",` +
+		`"profiles":[{"give_up_us":4000000,"name":"enrol","objective_us":1500000,"repeat":"at_most_once","worth":1},` +
+		`{"give_up_us":5000000,"name":"read","objective_us":2000000,"repeat":"deduplicated","dedup_scope":"zone","dedup_window_us":7500000,"worth":1}],` +
+		`"siblings":1,"tiers":["entry"]}`
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": p.address, "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": l.memoryMB, "sockets": l.descriptors},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(p.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	p.cmd = exec.Command(proxyProgram)
+	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "TMPDIR="+dir)
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = p.cmd.Wait(); close(p.ended) }()
+	t.Cleanup(func() { _ = p.cmd.Process.Kill(); <-p.ended })
+	for end := time.Now().Add(startTimeout); !p.isHealthy(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the proxy is not ready; its log:\n%s", p.logText())
+		}
+	}
+	return p
+}
+
+func (p *proxyProcess) isHealthy() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+"/_health", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// hasEnded reports whether the process has ended by itself.
+func (p *proxyProcess) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *proxyProcess) logText() string {
+	text, _ := os.ReadFile(p.log)
+	return string(text)
+}
+
+var peakMemory = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// peakKB returns the most memory in KB that the process has had resident so far.
+func (p *proxyProcess) peakKB(t *testing.T) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	match := peakMemory.FindSubmatch(text)
+	if err != nil || match == nil {
+		t.Fatalf("no peak memory of the proxy: %v", err)
+	}
+	kB, _ := strconv.Atoi(string(match[1]))
+	return kB
+}
