Hold the reuse delays of a new pool to their constants again

The check that a new pool's reuse delay is idletimeout.ReuseDelay, and no other, went with the test that was split for two zones; only lower bounds were left. It is back, for both delays, beside the bounds.

--- a/internal/proxy/upstream/reusedelay_test.go
+++ b/internal/proxy/upstream/reusedelay_test.go
@@ -67,6 +67,10 @@
 func TestReuseDelayCoversJitter(t *testing.T) {
 	const delay, latency, jitter = 10 * time.Millisecond, 20 * time.Millisecond, 0.3
 	p := poolWith(4)
+	if p.reuseDelay != idletimeout.ReuseDelay || p.interZoneReuseDelay != idletimeout.InterZoneReuseDelay {
+		t.Errorf("reuse delays are %v and %v, want %v and %v",
+			p.reuseDelay, p.interZoneReuseDelay, idletimeout.ReuseDelay, idletimeout.InterZoneReuseDelay)
+	}
 	if p.reuseDelay < delay {
 		t.Errorf("reuse delay is %v in the local zone, want %v or more", p.reuseDelay, delay)
 	}
