Run the proxy of the memory tests by the lab's process package

Its tests started and ended the process, and read its peak memory, by code of their own; faultlab/process does both, by the same figure (VmHWM), and ends the process with the test's. A process that has ended still fails each test.

go test ./cmd/merlinpick-proxy: passes, peaks of 11.6 to 22.9 MiB.

--- a/cmd/merlinpick-proxy/flood_test.go
+++ b/cmd/merlinpick-proxy/flood_test.go
@@ -62,9 +62,6 @@
 			go func() { defer close(flooded); flood(ctx, p.address, f.text) }()
 			sound := sendSound(ctx, p.address, soundPerSecond)
 			<-flooded
-			if p.hasEnded() {
-				t.Fatalf("the proxy has ended; its log:\n%s", p.logText())
-			}
 			peak := p.peakKB(t)
 			t.Logf("peak %.1f MiB; sound requests: %v", float64(peak)/1024, sound)
 			if peak > l.memoryMB<<10 || sound.late > 0 || sound.unanswered > 0 {
--- a/cmd/merlinpick-proxy/harness_test.go
+++ b/cmd/merlinpick-proxy/harness_test.go
@@ -11,11 +11,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"merlinpick/internal/faultlab/process"
 )
 
 // proxyProgram is the path of the proxy that the tests run. It is built without the race detector, which takes
@@ -131,10 +131,9 @@
 
 // proxyProcess is a proxy that runs as a process.
 type proxyProcess struct {
-	cmd     *exec.Cmd
+	*process.Process
 	address string // for clients
 	log     string // path of its log
-	ended   chan struct{}
 }
 
 // limits are the limits of a proxy, as in its configuration.
@@ -148,7 +147,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	reserved := listen(t)
-	p := &proxyProcess{address: reserved.Addr().String(), log: filepath.Join(dir, "log"), ended: make(chan struct{})}
+	p := &proxyProcess{address: reserved.Addr().String(), log: filepath.Join(dir, "log")}
 	reserved.Close()
 	settings := `{"contract":{"ask_every_us":10000000,"drain_grace_us":1000000},"failure_domains":["a"],` +
 		`"limits":{"dial_timeout_us":250000,"idle_close_us":5000000,"try_limit":3},"membership_mode":"subscribe",` +
@@ -165,19 +164,19 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	log, err := os.Create(p.log)
+	starter := process.NewStarter()
+	p.Process, err = starter.Start(process.Spec{Name: "n1", Command: []string{proxyProgram}, Log: p.log,
+		Env: append(os.Environ(), "LB_CONFIG="+path, "TMPDIR="+dir)})
 	if err != nil {
+		starter.Close()
 		t.Fatal(err)
 	}
-	defer log.Close()
-	p.cmd = exec.Command(proxyProgram)
-	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "TMPDIR="+dir)
-	p.cmd.Stderr = log
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = p.cmd.Wait(); close(p.ended) }()
-	t.Cleanup(func() { _ = p.cmd.Process.Kill(); <-p.ended })
+	t.Cleanup(func() {
+		if err := p.Kill(); err != nil {
+			t.Error(err)
+		}
+		starter.Close()
+	})
 	for end := time.Now().Add(startTimeout); !p.isHealthy(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("the proxy is not ready; its log:\n%s", p.logText())
@@ -201,31 +200,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// hasEnded reports whether the process has ended by itself.
-func (p *proxyProcess) hasEnded() bool {
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *proxyProcess) logText() string {
 	text, _ := os.ReadFile(p.log)
 	return string(text)
 }
 
-var peakMemory = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
-
-// peakKB returns the most memory in KB that the process has had resident so far.
+// peakKB returns the most memory in KB that the process has had resident so far. The test fails if it has ended.
 func (p *proxyProcess) peakKB(t *testing.T) int {
 	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	match := peakMemory.FindSubmatch(text)
-	if err != nil || match == nil {
-		t.Fatalf("no peak memory of the proxy: %v", err)
+	peak := process.PeakMemory(p.PID())
+	if p.Crashed() || peak == 0 {
+		t.Fatalf("the proxy has ended; its log:\n%s", p.logText())
 	}
-	kB, _ := strconv.Atoi(string(match[1]))
-	return kB
+	return int(peak >> 10)
 }
--- a/cmd/merlinpick-proxy/memory_test.go
+++ b/cmd/merlinpick-proxy/memory_test.go
@@ -77,9 +77,6 @@
 			go func() { defer close(crowdEnded); runCrowd(ctx, p.address, c.crowdSize, crowds[c.crowd]) }()
 			sound := sendSound(ctx, p.address, soundPerSecond)
 			<-crowdEnded
-			if p.hasEnded() {
-				t.Fatalf("the proxy has ended; its log:\n%s", p.logText())
-			}
 			peak := p.peakKB(t)
 			t.Logf("%v: peak %.1f MiB; sound requests: %v", c, float64(peak)/1024, sound)
 			if limit := c.memoryMB << 10; peak > limit {
