Send a successor all executed requests, not only as many as may wait

On reading the change: when the successor serves, the predecessor put the hashes of all requests that it remembers into the queue of updates, which drops what is over 4,096, before anything was written. A proxy that has more than some 140 requests a second of classes that must not run twice would have had IDs that run at both processes.

They are written before the queue is, and no longer pass through it.

Test: TestAllExecutionsReachOtherProcess (12,288 IDs; the 4,097th did not arrive before), and one update each way.

--- a/internal/proxy/handover/execution.go
+++ b/internal/proxy/handover/execution.go
@@ -68,8 +68,16 @@
 	}
 }
 
-// run writes the pending updates until stop is closed or a write fails.
-func (s *executionSender) run(conn net.Conn) {
+// run writes that the requests with these IDs may have been executed, then the pending updates, until stop is
+// closed or a write fails.
+func (s *executionSender) run(conn net.Conn, executed []uint64) {
+	var all []byte
+	for _, id := range executed {
+		all = append(all, Execution{ID: id, Executed: true}.encode()...)
+	}
+	if _, err := conn.Write(all); err != nil {
+		return
+	}
 	for {
 		select {
 		case e := <-s.pending:
--- a/internal/proxy/handover/predecessor.go
+++ b/internal/proxy/handover/predecessor.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	if p.State.SharesExecutions {
-		p.senders.Go(func() { p.executions.run(p.conn) })
+		p.senders.Go(func() { p.executions.run(p.conn, nil) })
 	}
 	return nil
 }
--- a/internal/proxy/handover/server.go
+++ b/internal/proxy/handover/server.go
@@ -139,8 +139,9 @@
 			return
 		}
 		if kind == kindServing {
-			s.startSharing(sender)
-			sending.Go(func() { sender.run(conn) })
+			s.markServing(sender)
+			executed := s.hooks.SuccessorServing()
+			sending.Go(func() { sender.run(conn, executed) })
 			continue
 		}
 		e, err := readExecution(reader, kind)
@@ -152,15 +153,12 @@
 	}
 }
 
-// startSharing records that the successor accepts clients, and sends it all executed requests.
-func (s *Server) startSharing(sender *executionSender) {
+// markServing records that the successor accepts clients, and with what updates are sent to it from now on.
+func (s *Server) markServing(sender *executionSender) {
 	s.logger.Info("successor serving")
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.serving, s.executions = true, sender
-	s.mu.Unlock()
-	for _, id := range s.hooks.SuccessorServing() {
-		sender.add(Execution{ID: id, Executed: true})
-	}
 }
 
 // ShareExecution sends an update to the successor, if there is one that accepts clients, without blocking. Any
