Have one default of buffers' memory and one of a stream buffer's size

16 MiB stood in downstream and in the memory plan, 32 KiB in downstream, upstream and the plan. The plan and downstream take them from the package that has them. No value changes.

--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -30,8 +30,8 @@
 // keepAliveTimeout is how long an idle client connection waits for its next request.
 const keepAliveTimeout = 2 * time.Minute
 
-// defaultMemory is the limit in bytes for request heads, and for streamed bodies, before SetMemory is called.
-const defaultMemory = 16 << 20
+// DefaultMemory is the limit of each kind of buffers, in bytes, if the memory limit is not known.
+const DefaultMemory = 16 << 20
 
 // MemoryLimits limits the memory of the client side's buffers, in bytes. The zero value allows none beyond what
 // each request may always buffer.
@@ -98,8 +98,8 @@
 // NewServer returns a server that accepts no connections before SetLimits and Serve are called.
 func NewServer(cfg Config) *Server {
 	srv := &Server{handler: cfg.Handler, requestStarted: cfg.RequestStarted, listAvailable: cfg.ListAvailable, audit: cfg.Audit,
-		logger: cfg.Logger, bodyMemory: clientconn.NewMemoryBudget(0), headMemory: clientconn.NewMemoryBudget(defaultMemory),
-		streamMemory: clientconn.NewMemoryBudget(defaultMemory),
+		logger: cfg.Logger, bodyMemory: clientconn.NewMemoryBudget(0), headMemory: clientconn.NewMemoryBudget(DefaultMemory),
+		streamMemory: clientconn.NewMemoryBudget(DefaultMemory),
 		conns:        map[net.Conn]clientConnState{}, uploads: map[*upload]bool{}}
 	classNumbers := make([]int, len(cfg.Site.Classes))
 	for i := range classNumbers {
--- a/internal/proxy/downstream/streambuffers.go
+++ b/internal/proxy/downstream/streambuffers.go
@@ -1,8 +1,11 @@
 package downstream
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
+
+	"merlinpick/internal/proxy/upstream"
 )
 
 const (
@@ -12,14 +15,12 @@
 	// StreamBuffers is the number of buffers of MemoryLimits.StreamBuffer bytes that a streamed request takes:
 	// one from the client, and one to the backend.
 	StreamBuffers = 2
-
-	defaultStreamBuffer = 32 << 10
 )
 
 // streamBuffers holds buffers that copy bodies for reuse. All have the size that was set last. Any goroutine may
 // use it; the zero value is ready to use.
 type streamBuffers struct {
-	size atomic.Int64 // 0: defaultStreamBuffer
+	size atomic.Int64 // 0: upstream.DefaultStreamBuffer
 	pool sync.Pool    // of *[]byte
 }
 
@@ -28,10 +29,7 @@
 
 // length returns the size of the buffers that get returns.
 func (b *streamBuffers) length() int {
-	if size := int(b.size.Load()); size > 0 {
-		return size
-	}
-	return defaultStreamBuffer
+	return cmp.Or(int(b.size.Load()), upstream.DefaultStreamBuffer)
 }
 
 // get returns a buffer, to be given back with put.
--- a/internal/proxy/memoryplan.go
+++ b/internal/proxy/memoryplan.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "merlinpick/internal/proxy/downstream"
+import (
+	"merlinpick/internal/proxy/downstream"
+	"merlinpick/internal/proxy/upstream"
+)
 
 // How the memory limit of a process is divided. The heap gets a fraction of it; the rest is for the program's
 // text, the C library, and what the garbage collector is late with. The heap has to hold, at the same time:
@@ -29,14 +32,11 @@
 	maxBufferFraction = 1.0 / 8
 	minBufferFraction = 1.0 / 32
 
-	// Limits of the size of a buffer that copies a streamed body.
+	// minStreamBuffer is the least size of a buffer that copies a streamed body; upstream.DefaultStreamBuffer is
+	// the largest.
 	minStreamBuffer = 4 << 10
-	maxStreamBuffer = 32 << 10
 )
 
-// defaultBuffers is the limit of each kind of buffers, in bytes, if the memory limit is not known.
-const defaultBuffers = 16 << 20
-
 // memoryPlan holds the limits of a process that follow from its memory and its descriptors.
 type memoryPlan struct {
 	heap                      int // soft limit of the heap in bytes; 0: none
@@ -49,7 +49,7 @@
 func (cfg Config) planMemory(shared bool) memoryPlan {
 	clients, backends, reject := cfg.connLimits(shared)
 	plan := memoryPlan{clients: max(clients, minConns), backends: max(backends, minConns), reject: reject,
-		buffers: defaultBuffers}
+		buffers: downstream.DefaultMemory}
 	memory := cfg.MemoryBytes
 	if shared {
 		memory, plan.buffers = memory/2, plan.buffers/2
@@ -86,5 +86,5 @@
 // is memory for that.
 func streamBufferSize(memory, requests int) int {
 	size := (memory/requests - downstream.HTTPCopyBuffer) / downstream.StreamBuffers
-	return max(minStreamBuffer, min(maxStreamBuffer, size))
+	return max(minStreamBuffer, min(upstream.DefaultStreamBuffer, size))
 }
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -95,7 +95,7 @@
 		localZone: cfg.LocalZone, drainGrace: defaultDrainGrace, byName: map[string]*backend{}}
 	p.SetReuseDelay(idletimeout.ReuseDelay, idletimeout.InterZoneReuseDelay)
 	p.maxBuffered.Store(MaxBufferedResponse)
-	p.streamBuffer.Store(defaultStreamBuffer)
+	p.streamBuffer.Store(DefaultStreamBuffer)
 	p.SetTimeouts(cfg.DialTimeout, cfg.IdleClose)
 	return p
 }
@@ -134,7 +134,7 @@
 	defer p.mu.Unlock()
 	p.maxOpen = limits.MaxOpen
 	p.maxBuffered.Store(int64(min(MaxBufferedResponse, max(minBufferedResponse, limits.ResponseBytes/limits.MaxOpen))))
-	p.streamBuffer.Store(int64(cmp.Or(limits.StreamBuffer, defaultStreamBuffer)))
+	p.streamBuffer.Store(int64(cmp.Or(limits.StreamBuffer, DefaultStreamBuffer)))
 	for p.openConns > p.maxOpen && p.closeOldestIdleLocked() {
 	}
 }
--- a/internal/proxy/upstream/send.go
+++ b/internal/proxy/upstream/send.go
@@ -15,9 +15,9 @@
 	"merlinpick/balancer"
 )
 
-// defaultStreamBuffer is the size in bytes of the write buffer of a streamed request, if none is set. Its
+// DefaultStreamBuffer is the size in bytes of a buffer that copies a streamed body, if none is set. A request's
 // header and the start of its body are sent in one write.
-const defaultStreamBuffer = 32 << 10
+const DefaultStreamBuffer = 32 << 10
 
 // exchange sends the request and reads the response. reusable reports whether the connection can be reused.
 func (a *Attempt) exchange(c *conn) (result Result, reusable bool) {
