--- a/internal/proxy/clientconn/headmemory.go
+++ b/internal/proxy/clientconn/headmemory.go
@@ -78,5 +78,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.memory.release(c.memory.buffer + c.memory.parsed + c.memory.next)
-	c.memory = headMemory{budget: c.memory.budget}
+	c.memory.buffer, c.memory.parsed, c.memory.next = 0, 0, 0
 }
--- a/internal/proxy/executedids.go
+++ b/internal/proxy/executedids.go
@@ -78,10 +78,17 @@
 	share func(handover.Execution) // does not block; nil: there is no other process
 }
 
+// shareIfPossible tells the proxy's other process about a request, if there can be one.
+func (e *executionRecord) shareIfPossible(update handover.Execution) {
+	if e.share != nil {
+		e.share(update)
+	}
+}
+
 // noteAttempt tells the proxy's other process that a request is about to be executed.
 func (l *eventLoop) noteAttempt(r *request) {
-	if !isIdempotent(r.Request) && l.executions.share != nil {
-		l.executions.share(handover.Execution{ID: hashID(r.ID), Executed: true})
+	if !isIdempotent(r.Request) {
+		l.executions.shareIfPossible(handover.Execution{ID: hashID(r.ID), Executed: true})
 	}
 }
 
@@ -93,8 +100,8 @@
 	hash := hashID(r.ID)
 	if r.mayBeExecuted {
 		l.executions.ids.add(l.clock.now(), hash)
-	} else if l.executions.share != nil {
-		l.executions.share(handover.Execution{ID: hash})
+	} else {
+		l.executions.shareIfPossible(handover.Execution{ID: hash})
 	}
 }
 
