--- a/internal/proxy/bodyend_test.go
+++ b/internal/proxy/bodyend_test.go
@@ -25,16 +25,22 @@
 // buffers and then block. It returns the listener's address.
 func startStuckBackend(t *testing.T) string {
 	t.Helper()
-	var lc net.ListenConfig
-	lc.Control = func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}
+	return listenWithReceiveBuffer(t, 4<<10).Addr().String()
+}
+
+// listenWithReceiveBuffer returns a listener, closed when the test ends, whose connections have receive buffers
+// of this size.
+func listenWithReceiveBuffer(t *testing.T, bytes int) net.Listener {
+	t.Helper()
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) })
+	}}
 	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return l.Addr().String()
+	return l
 }
 
 // limitWriteBuffers sets small write buffers on the proxy's connections to backends.
--- a/internal/proxy/slowserver_test.go
+++ b/internal/proxy/slowserver_test.go
@@ -4,10 +4,8 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -19,14 +17,7 @@
 // answers when it has read one. It returns its address.
 func startSlowBackend(t *testing.T, read func(body io.Reader) error) string {
 	t.Helper()
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10) })
-	}}
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := listenWithReceiveBuffer(t, 64<<10)
 	go func() {
 		for {
 			c, err := l.Accept()
