Use the proxy tests' backend for the servers of the memory tests

The servers accepted, read and answered by code of their own; proxytest.StartBackend does the first two.

--- a/cmd/merlinpick-proxy/harness_test.go
+++ b/cmd/merlinpick-proxy/harness_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +15,7 @@
 	"time"
 
 	"merlinpick/internal/faultlab/process"
+	"merlinpick/internal/proxy/proxytest"
 )
 
 // proxyProgram is the path of the proxy that the tests run. It is built without the race detector, which takes
@@ -54,7 +54,7 @@
 	for i := range serverCount {
 		entries = append(entries, fmt.Sprintf(
 			`{"name":"s%d","address":%q,"zone":"a","type":"m","group":1,"status":"SERVING","weight":1,"since_ms":0}`,
-			i, startServer(t)))
+			i, proxytest.StartBackend(t, respond).Addr))
 	}
 	list := `{"index":5,"snapshot":true,"endpoints":[` + strings.Join(entries, ",") + `]}`
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -84,49 +84,23 @@
 	return l
 }
 
-// startServer starts a server of the tier and returns its address.
-func startServer(t *testing.T) string {
-	l := listen(t)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
-// serve answers the requests on a connection, one after the other.
-func serve(c net.Conn) {
-	defer c.Close()
+// respond answers a request like a server of the tier.
+func respond(w io.Writer, request *http.Request, _ int) (keepOpen bool) {
+	time.Sleep(serviceTime)
+	if request.URL.Path != longPath {
+		_, err := io.WriteString(w, proxytest.OKResponse)
+		return err == nil
+	}
+	if _, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longBody); err != nil {
+		return false
+	}
 	chunk := make([]byte, 256<<10)
-	for r := bufio.NewReader(c); ; {
-		request, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-		time.Sleep(serviceTime)
-		length := 2
-		if request.URL.Path == longPath {
-			length = longBody
-		}
-		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length); err != nil {
-			return
-		}
-		for length > 0 {
-			n, err := c.Write(chunk[:min(length, len(chunk))])
-			if err != nil {
-				return
-			}
-			length -= n
+	for left := longBody; left > 0; left -= len(chunk) {
+		if _, err := w.Write(chunk); err != nil {
+			return false
 		}
 	}
+	return true
 }
 
 // proxyProcess is a proxy that runs as a process.
