--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,10 +1,13 @@
 package discovery
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 )
 
 // Values of Endpoint.Status.
@@ -33,6 +36,23 @@
 	Endpoints []Endpoint
 }
 
+// ApplyTo applies the entries of the list to endpoints by name: it removes the deleted ones and replaces the
+// others.
+func (l *List) ApplyTo(endpoints map[string]Endpoint) {
+	for _, endpoint := range l.Endpoints {
+		if endpoint.Status == StatusDeleted {
+			delete(endpoints, endpoint.Name)
+		} else {
+			endpoints[endpoint.Name] = endpoint
+		}
+	}
+}
+
+// SortedEndpoints returns endpoints in the order of their names.
+func SortedEndpoints(endpoints map[string]Endpoint) []Endpoint {
+	return slices.SortedFunc(maps.Values(endpoints), func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // listMessage is a list in the JSON form of the protocol.
 type listMessage struct {
 	Version   int64      `json:"index"`
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -52,9 +52,7 @@
 func (s *registryState) replaceEndpoints(list *List) {
 	s.accepted = failover.AcceptedVersion{Epoch: list.Epoch, Version: list.Version, ConfirmedAt: time.Now()}
 	s.endpoints = map[string]Endpoint{}
-	for _, endpoint := range list.Endpoints {
-		s.endpoints[endpoint.Name] = endpoint
-	}
+	list.ApplyTo(s.endpoints)
 }
 
 // followRegistry follows the registry's list until the context ends, failing over between its members.
@@ -177,12 +175,8 @@
 	}
 	for _, endpoint := range changes.Endpoints {
 		delete(state.missingSince, endpoint.Name)
-		if endpoint.Status == StatusDeleted {
-			delete(state.endpoints, endpoint.Name)
-		} else {
-			state.endpoints[endpoint.Name] = endpoint
-		}
 	}
+	changes.ApplyTo(state.endpoints)
 	c.retained.Store(int64(len(state.missingSince)))
 	c.saveCache()
 	c.publish(Update{changes})
@@ -210,9 +204,7 @@
 	if c.cache == nil {
 		return
 	}
-	list := &List{Version: c.registry.accepted.Version, Epoch: c.registry.accepted.Epoch}
-	for _, name := range slices.Sorted(maps.Keys(c.registry.endpoints)) {
-		list.Endpoints = append(list.Endpoints, c.registry.endpoints[name])
-	}
+	list := &List{Version: c.registry.accepted.Version, Epoch: c.registry.accepted.Epoch,
+		Endpoints: SortedEndpoints(c.registry.endpoints)}
 	c.cache.Put(list.encode)
 }
