Share the endpoint list between the two processes of an upgrade

Cause: a successor inherited the retry budget, names of servers, executed IDs and suspensions, but started from the list of its configuration, which is that of the old process's start, and was left to discovery for the rest.

Evidence: the old process asks from=47, the new one finds it, logs "initial endpoint list" version=41, asks from=41 and has no other list until discovery is back; the old one has ended 0.06 s after SIGTERM. So neither its requests, nor a failed handover, nor an update.

Change: the successor asks its predecessor for the list that it holds and starts from that one, unless its own has a version above any that the predecessor has held of the same source. Until the old process has ended each tells the other every list that discovery has changed. discovery.Client adopts it if it is newer, and discards answers to calls that were made before. Versions without this neither ask nor are told. "initial endpoint list" says from where. It works since the successor then routes by what the predecessor was told, up to the end of the predecessor, with or without discovery.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,8 @@
 	return s.Address
 }
 
-func (s Source) equal(other Source) bool {
+// Equal reports whether the list comes from the same place.
+func (s Source) Equal(other Source) bool {
 	if len(s.Members) > 0 || len(other.Members) > 0 {
 		return slices.Equal(s.Members, other.Members)
 	}
@@ -60,8 +62,14 @@
 	Logger     *slog.Logger
 }
 
-// Update is an answer of the source: a full list, or the changes since the previous update.
-type Update struct{ List *List }
+// Update is an answer of the source: a full list, or the changes since the previous update. Or it is the full
+// list of another process of the proxy.
+type Update struct {
+	List             *List
+	Source           Source // where the list comes from
+	FromOtherProcess bool   // set by AdoptList; discovery has not confirmed the list to this process
+	HighestVersion   int64  // of the other process, see HeldList; 0: not from another process
+}
 
 // Client follows the list of endpoints.
 type Client struct {
@@ -76,10 +84,17 @@
 	unreachable   chan struct{}   // closed at the first failure to reach discovery
 	sourceChanges chan Source     // holds only the latest source requested
 
-	source   Source // used by Run's goroutine only
-	platform platformState
-	registry registryState
-	cache    *atomicfile.Writer // nil: no cache
+	// holding guards the held list while it is replaced and published, by an answer or by AdoptList: source,
+	// heldFrom, confirmed, platform.version and registry. Run's goroutine alone changes source, and reads it
+	// without the lock.
+	holding   sync.Mutex
+	source    Source
+	heldFrom  Source // where the held list comes from
+	confirmed bool   // a source has answered
+	platform  platformState
+	registry  registryState
+
+	cache *atomicfile.Writer // nil: no cache
 
 	callCounts                    callCounter // calls for the platform list
 	lastSuccess                   failover.LastSuccess
@@ -109,6 +124,7 @@
 // in the proxy's configuration for the platform, in which case the first call requests the changes since its
 // version. It must be called before Run.
 func (c *Client) SetInitialList(list *List) {
+	c.heldFrom = c.source
 	if len(c.source.Members) > 0 {
 		c.registry.replaceEndpoints(list)
 	} else if list.Snapshot {
@@ -169,7 +185,7 @@
 		for {
 			select {
 			case source := <-c.sourceChanges:
-				if source.equal(c.source) {
+				if source.Equal(c.source) {
 					continue
 				}
 				next <- source
@@ -185,9 +201,11 @@
 // changeSource switches to another source and resets what was learned from the previous one.
 func (c *Client) changeSource(source Source) {
 	c.log.Info("endpoint list source changed", "from", c.source, "to", source)
+	c.holding.Lock()
 	c.source = source
-	c.fromRegistry.Store(len(source.Members) > 0)
 	c.registry.sourceChanged = true
+	c.holding.Unlock()
+	c.fromRegistry.Store(len(source.Members) > 0)
 	c.platform.watching = false
 	c.platform.rejectedSinceSuccess, c.platform.watchTimedOut = false, false
 	c.platform.scheduler.reset()
@@ -196,12 +214,12 @@
 	c.http = c.makeHTTPClient(source)
 }
 
-// publish sends an update and waits until it is received. A change of source waits too: the held version
-// already includes the update, and the next call continues from that version.
-func (c *Client) publish(update Update) {
+// publish sends an update and waits until it is received, or until done is closed. A change of source waits
+// too: the held version already includes the update, and the next call continues from that version.
+func (c *Client) publish(done <-chan struct{}, update Update) {
 	select {
 	case c.updates <- update:
-	case <-c.done:
+	case <-done:
 	}
 }
 
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -62,7 +62,8 @@
 //	any age          the list stays in use; Metrics.Age reports its age
 //
 // A new process is not ready until its first answer, or until shortly before NotifyDeadline (internal/proxy,
-// readiness.go).
+// readiness.go). If it takes over from another process of the proxy, it starts from that one's list, and both
+// get the changes that discovery has told the other, at once (heldlist.go).
 //
 // Registry (Source.Members). If the next member answers, a change arrives at most LongPollTimeout +
 // registryWatchSlack + FailoverJitter after it was confirmed, plus the registry's own bound on how stale a
--- a/internal/discovery/listcost_test.go
+++ b/internal/discovery/listcost_test.go
@@ -62,7 +62,7 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					if err := c.accept(l, time.Now()); err != nil {
+					if err := c.accept(l, c.heldRegistryVersion(), time.Now()); err != nil {
 						b.Fatal(err)
 					}
 				}
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -55,9 +55,9 @@
 	return fmt.Sprintf("version went back from %d to %d; the full list is requested", e.held, e.received)
 }
 
-// platformState is what a client knows of the platform list. Only Run's goroutine uses it.
+// platformState is what a client knows of the platform list. Only Run's goroutine uses it, but for version.
 type platformState struct {
-	version              int64     // of the held list; negative: none
+	version              int64     // of the held list; negative: none; Client.holding guards it
 	watching             bool      // the last call succeeded: the next one is a watch
 	watchTimedOut        bool      // the last call was a watch that timed out
 	rejectedSinceSuccess bool      // a call ended with a 503 after the last one that succeeded
@@ -65,19 +65,39 @@
 	scheduler            pollScheduler
 }
 
-// needsFullList reports whether the next call has to request the full list.
-func (s *platformState) needsFullList(malformed bool, now time.Time) bool {
-	return s.version < 0 || malformed || s.watching && !s.resyncAt.IsZero() && !now.Before(s.resyncAt)
+// needsFullList reports whether the next call, with the held version, has to request the full list.
+func (s *platformState) needsFullList(held int64, malformed bool, now time.Time) bool {
+	return held < 0 || malformed || s.watching && !s.resyncAt.IsZero() && !now.Before(s.resyncAt)
 }
 
-// checkVersion returns a *versionRegressedError if an answer with changes has a version below the held one.
-func (s *platformState) checkVersion(list *List) error {
-	if !list.Snapshot && list.Version < s.version {
+// checkVersion returns a *versionRegressedError if an answer with changes has a version below the held one,
+// or a *supersededError if the held version has changed after the call and the answer has changes to the former
+// one, or an older list. Changes to a former version may lack an endpoint that has changed back since.
+func (s *platformState) checkVersion(list *List, calledWith int64) error {
+	superseded := s.version != calledWith && (!list.Snapshot || list.Version < s.version)
+	switch {
+	case superseded:
+		return &supersededError{calledWith, s.version, list.Version}
+	case !list.Snapshot && list.Version < s.version:
 		return &versionRegressedError{s.version, list.Version}
 	}
 	return nil
 }
 
+// heldPlatformVersion returns the version of the held platform list; negative: none.
+func (c *Client) heldPlatformVersion() int64 {
+	c.holding.Lock()
+	defer c.holding.Unlock()
+	return c.platform.version
+}
+
+// discardPlatformVersion makes the next call request the full list.
+func (c *Client) discardPlatformVersion() {
+	c.holding.Lock()
+	defer c.holding.Unlock()
+	c.platform.version = -1
+}
+
 // followPlatform watches the platform list until the context ends. The next watch is started at once after an
 // answer, so that no change in between arrives late. The calls after a watch that timed out and after the
 // first malformed answer are made at once too.
@@ -86,8 +106,9 @@
 	failures := 0      // consecutive
 	malformed := false // the last call requested changes and got a malformed answer
 	for ctx.Err() == nil {
-		full := state.needsFullList(malformed, time.Now())
-		list, err := c.callPlatform(ctx, full)
+		held := c.heldPlatformVersion()
+		full := state.needsFullList(held, malformed, time.Now())
+		list, err := c.callPlatform(ctx, held, full)
 		if ctx.Err() != nil {
 			return
 		}
@@ -96,12 +117,16 @@
 			c.finishResync(err)
 		}
 		if err == nil {
-			err = state.checkVersion(list)
+			err = c.acceptPlatformList(list, held)
 		}
 		state.watching = err == nil
 		if err == nil {
 			failures = 0
-			c.acceptPlatformList(list)
+			continue
+		}
+		var superseded *supersededError
+		if errors.As(err, &superseded) {
+			c.logSuperseded(err)
 			continue
 		}
 		c.failures.Add(1)
@@ -114,7 +139,7 @@
 			state.watchTimedOut = true
 			continue
 		case errors.As(err, &regressed):
-			state.version = -1
+			c.discardPlatformVersion()
 			continue
 		case errors.As(err, &badList):
 			if malformed = !full; failures == 0 {
@@ -128,12 +153,20 @@
 	}
 }
 
-// acceptPlatformList publishes the list of a call that succeeded.
-func (c *Client) acceptPlatformList(list *List) {
+// acceptPlatformList publishes the answer to a call that was made with a held version, or returns an error of
+// checkVersion that says why the answer is discarded.
+func (c *Client) acceptPlatformList(list *List, calledWith int64) error {
+	c.holding.Lock()
+	defer c.holding.Unlock()
+	if err := c.platform.checkVersion(list, calledWith); err != nil {
+		return err
+	}
 	c.lastSuccess.Record()
-	c.platform.version, c.platform.rejectedSinceSuccess = list.Version, false
+	c.platform.version, c.heldFrom, c.confirmed = list.Version, c.source, true
+	c.platform.rejectedSinceSuccess = false
 	c.platform.scheduler.recordSuccess()
-	c.publish(Update{list})
+	c.publish(c.done, Update{List: list, Source: c.source})
+	return nil
 }
 
 // signalUnreachable closes the channel of Unreachable at the first call whose connection failed or that was
@@ -168,7 +201,7 @@
 }
 
 // callPlatform requests the full list, or the changes since the held version.
-func (c *Client) callPlatform(ctx context.Context, full bool) (*List, error) {
+func (c *Client) callPlatform(ctx context.Context, held int64, full bool) (*List, error) {
 	url := "http://" + c.source.Address + listPath
 	if full {
 		return c.hedgedCall(ctx, url)
@@ -181,7 +214,7 @@
 	case watch:
 		hold = watchHoldMin + c.randomDelay(watchHoldJitter)
 	}
-	url += "?from=" + strconv.FormatInt(c.platform.version, 10) +
+	url += "?from=" + strconv.FormatInt(held, 10) +
 		"&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
 	if !watch {
 		return c.hedgedCall(ctx, url)
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -40,7 +40,7 @@
 		e.received, e.held)
 }
 
-// registryState is what a client knows of the registry's list. It is used by Run's goroutine only.
+// registryState is what a client knows of the registry's list. Client.holding guards it.
 type registryState struct {
 	accepted      failover.AcceptedVersion
 	endpoints     map[string]Endpoint  // by name; nil: no list yet
@@ -55,30 +55,53 @@
 	list.ApplyTo(s.endpoints)
 }
 
+// registryVersion is the version of a held registry list.
+type registryVersion struct {
+	epoch   string
+	version int64
+	known   bool // false: no list is held
+}
+
+// heldRegistryVersion returns the version of the held registry list.
+func (c *Client) heldRegistryVersion() registryVersion {
+	c.holding.Lock()
+	defer c.holding.Unlock()
+	return c.registry.heldVersion()
+}
+
+func (s *registryState) heldVersion() registryVersion {
+	return registryVersion{s.accepted.Epoch, s.accepted.Version, s.endpoints != nil}
+}
+
 // followRegistry follows the registry's list until the context ends, failing over between its members.
 func (c *Client) followRegistry(ctx context.Context) {
 	ring := failover.NewRing(c.source.Members, c.randomness, maxRegistryBackoff)
 	full := true // the next call requests the full list
 	for ctx.Err() == nil {
-		calledAt, versionBefore := time.Now(), c.registry.accepted.Version
-		list, err := c.callMember(ctx, ring.Current(), full)
+		calledAt, held := time.Now(), c.heldRegistryVersion()
+		list, err := c.callMember(ctx, ring.Current(), full, held)
 		if ctx.Err() != nil {
 			return
 		}
 		now := time.Now()
 		if err == nil {
-			err = c.accept(list, now)
+			err = c.accept(list, held, now)
 		}
 		if err == nil {
 			c.lastSuccess.Record()
 			c.expireMissing(now)
-			if !full && c.registry.accepted.Version == versionBefore {
+			if !full && c.heldRegistryVersion().version == held.version {
 				ring.PaceWatch(ctx, now.Sub(calledAt), LongPollTimeout)
 			}
 			ring.RecordSuccess()
 			full = false
 			continue
 		}
+		var superseded *supersededError
+		if errors.As(err, &superseded) {
+			c.logSuperseded(err)
+			continue
+		}
 		c.failures.Add(1)
 		if list != nil && !errors.Is(err, failover.ErrStaleVersion) {
 			full = true // the changes do not apply to the held list
@@ -93,20 +116,26 @@
 }
 
 // callMember requests the full list from a member, or watches for changes since the held version.
-func (c *Client) callMember(ctx context.Context, member string, full bool) (*List, error) {
+func (c *Client) callMember(ctx context.Context, member string, full bool, held registryVersion) (*List, error) {
 	target, timeout := "http://"+member+listPath, registryCallTimeout
-	if !full && c.registry.endpoints != nil {
-		target += "?from=" + strconv.FormatInt(c.registry.accepted.Version, 10) +
+	if !full && held.known {
+		target += "?from=" + strconv.FormatInt(held.version, 10) +
 			"&hold_ms=" + strconv.FormatInt(LongPollTimeout.Milliseconds(), 10) +
-			"&line=" + url.QueryEscape(c.registry.accepted.Epoch)
+			"&line=" + url.QueryEscape(held.epoch)
 		timeout = LongPollTimeout + registryWatchSlack
 	}
 	return c.fetch(ctx, target, timeout)
 }
 
-// accept publishes what is new in an answer, or returns an error that says why the answer is discarded.
-func (c *Client) accept(list *List, now time.Time) error {
+// accept publishes what is new in the answer to a call that was made with a held version, or returns an error
+// that says why the answer is discarded.
+func (c *Client) accept(list *List, calledWith registryVersion, now time.Time) error {
+	c.holding.Lock()
+	defer c.holding.Unlock()
 	state := &c.registry
+	if held := state.heldVersion(); !list.Snapshot && held != calledWith {
+		return &supersededError{calledWith.version, held.version, list.Version}
+	}
 	first := state.endpoints == nil
 	sameEpoch := list.Epoch == state.accepted.Epoch && !first
 	if !sameEpoch && !list.Snapshot {
@@ -117,6 +146,7 @@
 			return err
 		}
 	}
+	c.confirmed, c.heldFrom = true, c.source
 	if sameEpoch {
 		state.accepted.ConfirmedAt = now
 	}
@@ -131,7 +161,7 @@
 	state.replaceEndpoints(&complete)
 	c.retained.Store(int64(len(state.missingSince)))
 	c.saveCache()
-	c.publish(Update{&complete})
+	c.publish(c.done, Update{List: &complete, Source: c.source})
 	return nil
 }
 
@@ -179,11 +209,13 @@
 	changes.ApplyTo(state.endpoints)
 	c.retained.Store(int64(len(state.missingSince)))
 	c.saveCache()
-	c.publish(Update{changes})
+	c.publish(c.done, Update{List: changes, Source: c.source})
 }
 
 // expireMissing removes the endpoints that have been retained for missingRetention.
 func (c *Client) expireMissing(now time.Time) {
+	c.holding.Lock()
+	defer c.holding.Unlock()
 	state := &c.registry
 	var expired []Endpoint
 	for _, name := range slices.Sorted(maps.Keys(state.missingSince)) {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -37,7 +37,7 @@
 	Discovery      discovery.Source
 	Seed           uint64          // of the random choices of the balancer and the discovery client
 	MaxDescriptors int             // files that the process may hold open
-	InitialList    *discovery.List // endpoint list from the configuration; may be nil
+	InitialList    *discovery.List // from the configuration, for a process without a predecessor; may be nil
 	// ListCacheDir is the directory that caches the latest list, if Discovery has members; empty: none.
 	ListCacheDir string
 	StateDir     string // directory for state that outlives the process; used if Managed
--- a/internal/proxy/handover/execution.go
+++ b/internal/proxy/handover/execution.go
@@ -19,10 +19,6 @@
 const (
 	executionBytes = 1 + 8 // its kind, and the hash
 
-	kindServing     = 's' // without a hash: the successor serves
-	kindExecuted    = 'x'
-	kindNotExecuted = 'u'
-
 	// maxPendingExecutions is how many updates wait for the connection at most; further ones are dropped.
 	maxPendingExecutions = 4096
 )
@@ -40,9 +36,6 @@
 
 // readExecution reads the rest of an update of this kind.
 func readExecution(r io.Reader, kind byte) (Execution, error) {
-	if kind != kindExecuted && kind != kindNotExecuted {
-		return Execution{}, fmt.Errorf("handover: message of unknown kind %q", kind)
-	}
 	var id [executionBytes - 1]byte
 	if _, err := io.ReadFull(r, id[:]); err != nil {
 		return Execution{}, fmt.Errorf("handover: read an update: %w", err)
--- a/internal/proxy/handover/execution_test.go
+++ b/internal/proxy/handover/execution_test.go
@@ -27,7 +27,7 @@
 			}
 			return all
 		},
-		Executed: func(e Execution) { fromSuccessor <- e },
+		Receiver: Receiver{Executed: func(e Execution) { fromSuccessor <- e }},
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -39,7 +39,10 @@
 	}
 	defer successor.Listener.Close()
 	fromPredecessor, ended := make(chan Execution, remembered+1), make(chan struct{})
-	go func() { defer close(ended); successor.AwaitExit(func(e Execution) { fromPredecessor <- e }) }()
+	go func() {
+		defer close(ended)
+		successor.AwaitExit(Receiver{Executed: func(e Execution) { fromPredecessor <- e }})
+	}()
 	defer func() { successor.Close(); <-ended }()
 	if err := successor.NotifyServing(); err != nil {
 		t.Fatal(err)
--- a/internal/proxy/handover/predecessor.go
+++ b/internal/proxy/handover/predecessor.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"merlinpick/internal/discovery"
 )
 
 // ErrNoSocket reports that a predecessor's first message did not contain a listening socket.
@@ -25,11 +27,18 @@
 type Predecessor struct {
 	Listener net.Listener // shared with the predecessor
 	State    State
+	// List is the endpoint list that the predecessor held when this process connected; nil if it had none, or
+	// is of a version that does not tell it.
+	List *discovery.HeldList
 
 	conn       *net.UnixConn
+	reader     *bufio.Reader // of what follows the state
 	executions *executionSender
-	senders    sync.WaitGroup
-	closeOnce  sync.Once
+	lists      *listSender
+
+	mu      sync.Mutex
+	closed  bool
+	senders sync.WaitGroup
 }
 
 // ConnectPredecessor gets the listening socket and the state from the predecessor that serves from a state
@@ -43,7 +52,7 @@
 		}
 		return nil
 	}
-	p := &Predecessor{conn: conn, executions: newExecutionSender()}
+	p := &Predecessor{conn: conn, reader: bufio.NewReader(conn), executions: newExecutionSender(), lists: newListSender()}
 	if err := p.receive(); err != nil {
 		logger.Warn("handover from predecessor failed", "error", err)
 		conn.Close()
@@ -53,21 +62,49 @@
 	return p
 }
 
-// receive reads the listening socket, then the state.
+// receive reads the listening socket, the state, and the endpoint list.
 func (p *Predecessor) receive() error {
 	_ = p.conn.SetDeadline(time.Now().Add(ioTimeout))
 	if err := p.receiveListener(); err != nil {
 		return err
 	}
+	err := p.receiveState()
+	if err == nil && p.State.SharesList {
+		err = p.receiveList()
+	}
+	if err != nil {
+		p.Listener.Close()
+		return err
+	}
+	return p.conn.SetDeadline(time.Time{})
+}
+
+// receiveState reads the state. Nothing follows it before this process has sent a message.
+func (p *Predecessor) receiveState() error {
 	line, err := bufio.NewReader(io.LimitReader(p.conn, maxStateBytes)).ReadBytes('\n')
 	if err == nil {
 		err = json.Unmarshal(line, &p.State)
 	}
 	if err != nil {
-		p.Listener.Close()
 		return fmt.Errorf("handover: read the predecessor's state: %w", err)
 	}
-	return p.conn.SetDeadline(time.Time{})
+	return nil
+}
+
+// receiveList asks the predecessor for its endpoint lists, and reads the one that it holds now.
+func (p *Predecessor) receiveList() error {
+	if _, err := p.conn.Write([]byte{kindListRequest}); err != nil {
+		return fmt.Errorf("handover: ask for the predecessor's endpoint list: %w", err)
+	}
+	kind, err := p.reader.ReadByte()
+	if err == nil && kind != kindList {
+		err = fmt.Errorf("message of kind %q", kind)
+	}
+	if err != nil {
+		return fmt.Errorf("handover: read the predecessor's endpoint list: %w", err)
+	}
+	p.List, err = readList(p.reader)
+	return err
 }
 
 // receiveListener reads the first message and opens its first descriptor as the listener. It closes other
@@ -112,7 +149,7 @@
 		return err
 	}
 	if p.State.SharesExecutions {
-		p.senders.Go(func() { p.executions.run(p.conn, nil) })
+		p.startSender(func() { p.executions.run(p.conn, nil) })
 	}
 	return nil
 }
@@ -124,28 +161,50 @@
 	}
 }
 
-// AwaitExit blocks until the predecessor has exited or Close was called, and passes its updates on.
-func (p *Predecessor) AwaitExit(update func(Execution)) {
+// ShareLists sends the endpoint list that current returns to the predecessor after each NotifyListChanged. It is
+// called once at most.
+func (p *Predecessor) ShareLists(current func() *discovery.HeldList) {
+	if p.State.SharesList {
+		p.startSender(func() { p.lists.run(p.conn, current) })
+	}
+}
+
+// NotifyListChanged reports that discovery has changed the endpoint list of this process. It does not block, and
+// any goroutine may call it.
+func (p *Predecessor) NotifyListChanged() { p.lists.notify() }
+
+// startSender starts a goroutine that sends to the predecessor, unless Close was called.
+func (p *Predecessor) startSender(send func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.senders.Go(send)
+	}
+}
+
+// AwaitExit blocks until the predecessor has exited or Close was called, and passes on what it tells.
+func (p *Predecessor) AwaitExit(to Receiver) {
 	defer p.Close()
-	reader := bufio.NewReader(p.conn)
 	for {
-		kind, err := reader.ReadByte()
+		kind, err := p.reader.ReadByte()
 		if err != nil {
 			return
 		}
-		e, err := readExecution(reader, kind)
-		if err != nil {
+		if err := to.receive(p.reader, kind); err != nil {
 			return
 		}
-		update(e)
 	}
 }
 
 // Close closes the connection, which tells the predecessor that this process has ended.
 func (p *Predecessor) Close() {
-	p.closeOnce.Do(func() {
+	p.mu.Lock()
+	if !p.closed {
+		p.closed = true
 		close(p.executions.stop)
+		close(p.lists.stop)
 		p.conn.Close()
-	})
+	}
+	p.mu.Unlock()
 	p.senders.Wait()
 }
--- a/internal/proxy/handover/server.go
+++ b/internal/proxy/handover/server.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"merlinpick/internal/discovery"
 	"merlinpick/internal/listener"
 )
 
@@ -27,8 +28,11 @@
 	// SuccessorServing is called when the successor accepts clients. It returns the hashes of the IDs of all
 	// requests that may have been executed and must not be executed twice. Later ones go to ShareExecution.
 	SuccessorServing func() []uint64
-	// Executed is called for each update of the successor.
-	Executed func(Execution)
+	// HeldList returns the endpoint list that this process holds, nil if it holds none. It is called on a
+	// goroutine that sends to the successor.
+	HeldList func() *discovery.HeldList
+	// Receiver takes what the successor tells.
+	Receiver Receiver
 }
 
 // Server hands over the client listener to successor processes, one at a time. It owns the goroutine that
@@ -43,6 +47,7 @@
 	conn       *net.UnixConn    // connection to the successor, nil if there is none
 	serving    bool             // the successor accepts clients
 	executions *executionSender // to the successor; nil unless it accepts clients
+	lists      *listSender      // to the successor; nil unless it has asked for lists
 	closed     bool
 	closing    chan struct{}
 	goroutines sync.WaitGroup
@@ -116,7 +121,7 @@
 	}
 	conn.Close()
 	s.mu.Lock()
-	s.conn, s.serving, s.executions = nil, false, nil
+	s.conn, s.serving, s.executions, s.lists = nil, false, nil, nil
 	closed := s.closed
 	s.mu.Unlock()
 	if !closed { // otherwise Close has closed it, since this process ends
@@ -124,13 +129,14 @@
 	}
 }
 
-// followSuccessor reads what the successor sends: that it is serving, and updates on executed requests. It returns
-// when the connection has closed.
+// followSuccessor reads what the successor sends, and sends it what it has asked for. It returns when the
+// connection has closed.
 func (s *Server) followSuccessor(conn *net.UnixConn) {
-	sender := newExecutionSender()
+	executions, lists := newExecutionSender(), newListSender()
 	var sending sync.WaitGroup
 	defer sending.Wait()
-	defer close(sender.stop)
+	defer close(executions.stop)
+	defer close(lists.stop)
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -138,18 +144,20 @@
 		if err != nil {
 			return
 		}
-		if kind == kindServing {
-			s.markServing(sender)
+		switch kind {
+		case kindServing:
+			s.markServing(executions)
 			executed := s.hooks.SuccessorServing()
-			sending.Go(func() { sender.run(conn, executed) })
-			continue
-		}
-		e, err := readExecution(reader, kind)
-		if err != nil {
-			s.logger.Warn("handover to successor failed", "error", err)
-			return
+			sending.Go(func() { executions.run(conn, executed) })
+		case kindListRequest:
+			s.shareLists(lists)
+			sending.Go(func() { lists.run(conn, s.hooks.HeldList) })
+		default:
+			if err := s.hooks.Receiver.receive(reader, kind); err != nil {
+				s.logger.Warn("handover to successor failed", "error", err)
+				return
+			}
 		}
-		s.hooks.Executed(e)
 	}
 }
 
@@ -161,6 +169,24 @@
 	s.serving, s.executions = true, sender
 }
 
+// shareLists sends the successor the held endpoint list, and records with what later ones are sent.
+func (s *Server) shareLists(sender *listSender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = sender
+	sender.notify()
+}
+
+// NotifyListChanged reports that discovery has changed the endpoint list of this process. It does not block, and
+// any goroutine may call it.
+func (s *Server) NotifyListChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lists != nil {
+		s.lists.notify()
+	}
+}
+
 // ShareExecution sends an update to the successor, if there is one that accepts clients, without blocking. Any
 // goroutine may call it.
 func (s *Server) ShareExecution(e Execution) {
--- a/internal/proxy/handover/state.go
+++ b/internal/proxy/handover/state.go
@@ -5,7 +5,8 @@
 // The two processes share one listening socket, so that no client connection is lost in the accept queue of a
 // closed socket. The successor gets the socket through a Unix socket in the proxy's state directory. The
 // connection between the processes shows each that the other is running: the kernel closes it when the
-// process at the other end exits for any reason.
+// process at the other end exits for any reason. While both run, each tells the other on it what binds both: see
+// execution.go and endpointlist.go.
 package handover
 
 import (
@@ -33,6 +34,9 @@
 	// SharesExecutions states that the predecessor reads updates on executed requests; false from versions
 	// that do not.
 	SharesExecutions bool `json:"shares_executions,omitempty"`
+	// SharesList states that the predecessor tells its endpoint list, and reads the successor's; false from
+	// versions that do not.
+	SharesList bool `json:"shares_list,omitempty"`
 }
 
 // RetryBudgetUsage is the encoding of balancer.RetryBudgetUsage: times on the predecessor's clock, in
--- a/internal/proxy/liststatus.go
+++ b/internal/proxy/liststatus.go
@@ -13,8 +13,8 @@
 //
 // The list is synced by each answer from discovery, with or without changes. It becomes stale maxAge after
 // the last sync: from then on there may be changes that discovery counts as notified, but that this process
-// has not received. In a process that has only the list from its configuration, the list is stale from the
-// start, since its age is unknown.
+// has not received. In a process that has only a list from its configuration or its predecessor, the list
+// is stale from the start: its age is unknown, or the predecessor may have lost discovery.
 type listStatus struct {
 	logger     *slog.Logger
 	maxAge     time.Duration // 0: the list is never stale
@@ -34,12 +34,15 @@
 // isStale reports whether the list was stale at the last check.
 func (s *listStatus) isStale() bool { return s.stale.Load() }
 
-// setInitial records the list that the process starts with.
-func (s *listStatus) setInitial(list *discovery.List) {
-	s.version = list.Version
-	s.logger.Info("initial endpoint list", "version", list.Version, "endpoints", len(list.Endpoints))
+// setInitial records the list that the process starts with, and where it comes from.
+func (s *listStatus) setInitial(list *discovery.List, from string) {
+	s.setVersion(list)
+	s.logger.Info("initial endpoint list", "version", list.Version, "endpoints", len(list.Endpoints), "from", from)
 }
 
+// setVersion records a list that discovery has not confirmed to this process.
+func (s *listStatus) setVersion(list *discovery.List) { s.version = list.Version }
+
 // markSynced records an answer from discovery.
 func (s *listStatus) markSynced(now time.Time, list *discovery.List) {
 	first := s.synced.IsZero()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -119,6 +119,7 @@
 	p := &Proxy{config: cfg, loop: l, metrics: metrics, predecessor: predecessor, drainTimes: downstream.DrainTimes, syncTimeout: cfg.syncTimeout()}
 	if cfg.Managed {
 		l.executions.share = p.shareExecution
+		l.list.changed = p.notifyListChanged
 	}
 	p.openListClient()
 	p.frontend = downstream.NewServer(downstream.Config{
@@ -141,34 +142,62 @@
 	p.loop.list.updates = p.listClient.Updates()
 }
 
+// Where the list that a process starts with comes from, in the log.
+const (
+	fromPredecessor   = "predecessor"
+	fromCache         = "cache"
+	fromConfiguration = "configuration"
+)
+
 // applyInitialList applies a list that is known before discovery answers, if there is one.
 func (p *Proxy) applyInitialList() {
-	if list := p.initialList(); list != nil {
-		p.loop.list.status.setInitial(list)
-		p.loop.applyList(balancer.UpdateCached, list)
+	if list, from := p.initialList(); list != nil {
+		p.loop.list.status.setInitial(list.List, from)
+		p.loop.applyList(balancer.UpdateCached, discovery.Update{List: list.List, Source: list.Source, HighestVersion: list.HighestVersion})
 	}
 	p.loop.list.status.checkStale(time.Now())
 }
 
-// initialList returns the newest list available at the start, from the proxy's cache or its configuration, or
-// nil.
-func (p *Proxy) initialList() *discovery.List {
-	configured := p.config.InitialList
-	if p.config.ListCacheDir == "" {
-		if configured != nil && len(p.config.Discovery.Members) == 0 {
-			p.listClient.SetInitialList(configured)
+// initialList returns the list to start with, and where it comes from; nil if there is none. The predecessor's
+// replaces that of the cache or the configuration, unless it precedes it: to clients the two processes are one
+// proxy, which must not go back to an older list.
+func (p *Proxy) initialList() (list *discovery.HeldList, from string) {
+	own, from := p.ownInitialList()
+	if p.predecessor != nil && p.predecessor.List != nil {
+		inherited := p.predecessor.List
+		if own == nil || !inherited.Precedes(p.config.Discovery, own) {
+			p.listClient.InheritList(*inherited)
+			return inherited, fromPredecessor
 		}
-		return configured
 	}
-	cached, err := discovery.LoadCachedList(p.config.ListCacheDir)
+	if own == nil {
+		return nil, ""
+	}
+	if from == fromCache || len(p.config.Discovery.Members) == 0 {
+		p.listClient.SetInitialList(own)
+	}
+	return &discovery.HeldList{Source: p.config.Discovery, List: own}, from
+}
+
+// ownInitialList returns the newer one of the lists in the proxy's cache and its configuration, or nil.
+func (p *Proxy) ownInitialList() (list *discovery.List, from string) {
+	configured := p.config.InitialList
+	cached, err := p.config.loadCachedList()
 	if err != nil { // the proxy starts without the cache: the registry sends the complete list
 		p.config.Logger.Error("cached endpoint list not used", "error", err)
 	}
 	if cached == nil || configured != nil && configured.Version > cached.Version {
-		return configured
+		return configured, fromConfiguration
+	}
+	return cached, fromCache
+}
+
+// loadCachedList returns the list in the cache; nil if there is none.
+func (cfg Config) loadCachedList() (*discovery.List, error) {
+	if cfg.ListCacheDir == "" {
+		return nil, nil
 	}
-	p.listClient.SetInitialList(cached)
-	return cached
+	return discovery.LoadCachedList(cfg.ListCacheDir)
 }
 
 // openOverrides loads the operators' overrides and applies them. Without a management address it does
@@ -265,7 +294,8 @@
 		goroutines.Go(func() { p.cluster.Run(memberCtx) })
 	}
 	if p.predecessor != nil {
-		goroutines.Go(func() { p.predecessor.AwaitExit(p.receiveExecution); p.addOtherProcesses(-1) })
+		goroutines.Go(func() { p.predecessor.AwaitExit(p.otherProcessReceiver()); p.addOtherProcesses(-1) })
+		p.predecessor.ShareLists(p.exportList)
 		defer p.predecessor.Close()
 	}
 	if p.syncTimeout > 0 {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	responses chan string   // the queued responses; "" breaks the connection
 	calls     chan string   // the URL query of each call
 	stop      chan struct{} // closed to end the waiting calls
+	refusing  atomic.Bool   // further calls are reset
 }
 
 // startDiscovery starts a fakeDiscovery without responses.
@@ -35,6 +37,9 @@
 	d := &fakeDiscovery{responses: make(chan string, 10), calls: make(chan string, 1000), stop: make(chan struct{})}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.calls <- r.URL.RawQuery
+		if d.refusing.Load() {
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case text := <-d.responses:
 			if text == "" {
--- a/internal/proxy/readiness.go
+++ b/internal/proxy/readiness.go
@@ -72,7 +72,7 @@
 		return "clients are not accepted yet"
 	}
 	if p.frontend.IsAwaitingSync() {
-		return fmt.Sprintf("the list of the configuration is not confirmed: discovery at %v has not answered yet", p.config.Discovery)
+		return fmt.Sprintf("the list of the start is not confirmed: discovery at %v has not answered yet", p.config.Discovery)
 	}
 	return ""
 }
--- a/internal/proxy/succession.go
+++ b/internal/proxy/succession.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"merlinpick/internal/discovery"
 	"merlinpick/internal/proxy/handover"
 )
 
@@ -36,7 +37,7 @@
 		used := p.loop.balancer.ExportRetryBudget(now)
 		exported <- handover.State{
 			RetryBudget:  handover.RetryBudgetUsage{Requests: used.Requests, Retries: used.Retries},
-			KnownServers: p.loop.list.knownServers.All(), Now: now, SharesExecutions: true,
+			KnownServers: p.loop.list.knownServers.All(), Now: now, SharesExecutions: true, SharesList: true,
 		}
 	})
 	select {
@@ -95,7 +96,7 @@
 		return errNoDescriptor
 	}
 	hooks := handover.Hooks{ExportState: p.exportState, SuccessorDisconnected: func() { p.addOtherProcesses(-1) },
-		SuccessorServing: p.executedRequests, Executed: p.receiveExecution}
+		SuccessorServing: p.executedRequests, HeldList: p.exportList, Receiver: p.otherProcessReceiver()}
 	s, err := handover.Start(p.config.StateDir, clientListener, hooks, p.config.Logger)
 	if err != nil {
 		return err
@@ -116,9 +117,12 @@
 	}
 }
 
-// receiveExecution passes an update of the other process to the loop.
-func (p *Proxy) receiveExecution(e handover.Execution) {
-	p.loop.post(func() { p.loop.handleExecution(e) })
+// otherProcessReceiver returns what takes the messages of another process of this proxy.
+func (p *Proxy) otherProcessReceiver() handover.Receiver {
+	return handover.Receiver{
+		Executed:     func(e handover.Execution) { p.loop.post(func() { p.loop.handleExecution(e) }) },
+		EndpointList: func(list discovery.HeldList) { p.listClient.AdoptList(p.loop.stopped, list) },
+	}
 }
 
 // shareExecution tells the other processes of this proxy about a request. It does not block.
@@ -131,6 +135,29 @@
 	}
 }
 
+// exportList returns the complete endpoint list that requests are routed by, or nil if there is none yet.
+func (p *Proxy) exportList() *discovery.HeldList {
+	held := make(chan *discovery.HeldList, 1)
+	p.loop.post(func() { held <- p.loop.list.held.export() })
+	select {
+	case list := <-held:
+		return list
+	case <-p.loop.done:
+		return nil
+	}
+}
+
+// notifyListChanged tells the other processes of this proxy that discovery has changed the endpoint list. It does
+// not block.
+func (p *Proxy) notifyListChanged() {
+	if p.predecessor != nil {
+		p.predecessor.NotifyListChanged()
+	}
+	if s := p.handover.Load(); s != nil {
+		s.NotifyListChanged()
+	}
+}
+
 // closeHandover closes the handover server, which tells a successor that this process has ended.
 func (p *Proxy) closeHandover() {
 	if s := p.handover.Load(); s != nil {
