Divide the loop that follows the platform's list, and handle a failed call apart

followPlatform had 51 lines and two local variables that only failures change. They are fields of platformState now, reset where the loop begins as before; handleFailedCall decides what follows a failed or discarded call. No behaviour changes.

--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -60,14 +60,16 @@
 	version              int64     // of the held list; negative: none; Client.holding guards it
 	watching             bool      // the last call succeeded: the next one is a watch
 	watchTimedOut        bool      // the last call was a watch that timed out
+	malformedChanges     bool      // the last call requested changes and got a malformed answer
+	failures             int       // consecutive failed calls
 	rejectedSinceSuccess bool      // a call ended with a 503 after the last one that succeeded
 	resyncAt             time.Time // when the full list is requested; zero: not scheduled
 	scheduler            pollScheduler
 }
 
 // needsFullList reports whether the next call, with the held version, has to request the full list.
-func (s *platformState) needsFullList(held int64, malformed bool, now time.Time) bool {
-	return held < 0 || malformed || s.watching && !s.resyncAt.IsZero() && !now.Before(s.resyncAt)
+func (s *platformState) needsFullList(held int64, now time.Time) bool {
+	return held < 0 || s.malformedChanges || s.watching && !s.resyncAt.IsZero() && !now.Before(s.resyncAt)
 }
 
 // checkVersion returns a *versionRegressedError if an answer with changes has a version below the held one,
@@ -99,58 +101,63 @@
 }
 
 // followPlatform watches the platform list until the context ends. The next watch is started at once after an
-// answer, so that no change in between arrives late. The calls after a watch that timed out and after the
-// first malformed answer are made at once too.
+// answer, so that no change in between arrives late.
 func (c *Client) followPlatform(ctx context.Context) {
 	state := &c.platform
-	failures := 0      // consecutive
-	malformed := false // the last call requested changes and got a malformed answer
+	state.failures, state.malformedChanges = 0, false
 	for ctx.Err() == nil {
 		held := c.heldPlatformVersion()
-		full := state.needsFullList(held, malformed, time.Now())
+		full := state.needsFullList(held, time.Now())
 		list, err := c.callPlatform(ctx, held, full)
 		if ctx.Err() != nil {
 			return
 		}
-		malformed, state.watchTimedOut = false, false
+		state.malformedChanges, state.watchTimedOut = false, false
 		if full {
 			c.finishResync(err)
 		}
 		if err == nil {
 			err = c.acceptPlatformList(list, held)
 		}
-		state.watching = err == nil
-		if err == nil {
-			failures = 0
-			continue
-		}
-		var superseded *supersededError
-		if errors.As(err, &superseded) {
-			c.logSuperseded(err)
-			continue
+		if state.watching = err == nil; state.watching {
+			state.failures = 0
+		} else {
+			c.handleFailedCall(ctx, err, full)
 		}
-		c.failures.Add(1)
-		c.log.Warn("endpoint list call failed", "address", c.source, "attempt", failures+1, "error", err)
-		var timedOut *watchTimeoutError
-		var regressed *versionRegressedError
-		var badList *malformedListError
-		switch {
-		case errors.As(err, &timedOut): // no sign of overload, since a watch does not wait in the queue
-			state.watchTimedOut = true
-			continue
-		case errors.As(err, &regressed):
-			c.discardPlatformVersion()
-			continue
-		case errors.As(err, &badList):
-			if malformed = !full; failures == 0 {
-				failures++
-				continue
-			}
+	}
+}
+
+// handleFailedCall records that a call failed or that its answer was discarded, and waits until the next one is
+// due. The calls after a watch that timed out and after the first malformed answer are made at once too.
+func (c *Client) handleFailedCall(ctx context.Context, err error, full bool) {
+	var superseded *supersededError
+	if errors.As(err, &superseded) {
+		c.logSuperseded(err)
+		return
+	}
+	state := &c.platform
+	c.failures.Add(1)
+	c.log.Warn("endpoint list call failed", "address", c.source, "attempt", state.failures+1, "error", err)
+	var timedOut *watchTimeoutError
+	var regressed *versionRegressedError
+	var malformed *malformedListError
+	switch {
+	case errors.As(err, &timedOut): // no sign of overload, since a watch does not wait in the queue
+		state.watchTimedOut = true
+		return
+	case errors.As(err, &regressed):
+		c.discardPlatformVersion()
+		return
+	case errors.As(err, &malformed):
+		state.malformedChanges = !full
+		if state.failures == 0 {
+			state.failures++
+			return
 		}
-		failures++
-		c.signalUnreachable(err)
-		c.sleep(ctx, state.scheduler.delayAfter(err, failures))
 	}
+	state.failures++
+	c.signalUnreachable(err)
+	c.sleep(ctx, state.scheduler.delayAfter(err, state.failures))
 }
 
 // acceptPlatformList publishes the answer to a call that was made with a held version, or returns an error of
