--- a/internal/proxy/handover/message.go
+++ b/internal/proxy/handover/message.go
@@ -17,6 +17,13 @@
 	kindNotExecuted = 'u' // the same
 )
 
+// unexpectedMessageError reports a message of a kind that the process does not know or expect.
+type unexpectedMessageError struct{ kind byte }
+
+func (e *unexpectedMessageError) Error() string {
+	return fmt.Sprintf("handover: unexpected message of kind %q", e.kind)
+}
+
 // Receiver holds the functions that take what the other process tells, on the goroutine of the connection.
 type Receiver struct {
 	Executed     func(Execution)
@@ -39,5 +46,5 @@
 		}
 		return err
 	}
-	return fmt.Errorf("handover: message of unknown kind %q", kind)
+	return &unexpectedMessageError{kind}
 }
--- a/internal/proxy/handover/predecessor.go
+++ b/internal/proxy/handover/predecessor.go
@@ -97,12 +97,12 @@
 		return fmt.Errorf("handover: ask for the predecessor's endpoint list: %w", err)
 	}
 	kind, err := p.reader.ReadByte()
-	if err == nil && kind != kindList {
-		err = fmt.Errorf("message of kind %q", kind)
-	}
 	if err != nil {
 		return fmt.Errorf("handover: read the predecessor's endpoint list: %w", err)
 	}
+	if kind != kindList {
+		return &unexpectedMessageError{kind}
+	}
 	p.List, err = readList(p.reader)
 	return err
 }
