--- a/internal/proxy/successorlist_test.go
+++ b/internal/proxy/successorlist_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync/atomic"
 	"testing"
 
 	"merlinpick/internal/discovery"
@@ -17,35 +13,18 @@
 type upgradeFixture struct {
 	gone, new, next *proxytest.Backend
 	discovery       *fakeDiscovery
-	out             *outageServer // refuses the successor's calls
+	out             *fakeDiscovery // another one, which is down
 	state           string
 	configured      string // list of the configuration: "gone" alone
 	predecessor     *runningProxy
 }
 
-// outageServer is the address of a discovery that is down: it resets all calls.
-type outageServer struct {
-	addr  string
-	calls atomic.Int32
-}
-
-func startOutage(t *testing.T) *outageServer {
-	t.Helper()
-	o := &outageServer{}
-	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		o.calls.Add(1)
-		panic(http.ErrAbortHandler)
-	}))
-	t.Cleanup(s.Close)
-	o.addr = strings.TrimPrefix(s.URL, "http://")
-	return o
-}
-
 func startUpgrade(t *testing.T) *upgradeFixture {
 	t.Helper()
 	reply := proxytest.RespondWith(proxytest.OKResponse, true)
 	f := &upgradeFixture{gone: proxytest.StartBackend(t, reply), new: proxytest.StartBackend(t, reply),
-		next: proxytest.StartBackend(t, reply), discovery: startDiscovery(t), out: startOutage(t), state: t.TempDir()}
+		next: proxytest.StartBackend(t, reply), discovery: startDiscovery(t), out: startDiscovery(t), state: t.TempDir()}
+	f.out.refusing.Store(true)
 	f.configured = listJSON(1, true, endpointJSON("gone", f.gone.Addr, discovery.StatusServing))
 	f.predecessor = startProxyAt(t, f.discovery.addr, 400, f.configured, f.state)
 	f.discovery.responses <- listJSON(2, false, endpointJSON("gone", f.gone.Addr, discovery.StatusDeleted),
