Play costly clients beside sound ones in the lab, as a failing test

In pre-production, while 12 clients sent heads of many fields at full speed, answers to others came after their due time. Nothing in the repository played that: the flood tests send on one connection at a time and allow 0.5 s.

--- a/cmd/merlinpick-faultlab/main.go
+++ b/cmd/merlinpick-faultlab/main.go
@@ -41,6 +41,7 @@
 
 	Run     runCommand     `cmd:"" help:"Play an experiment; exit 0 if every expectation held, 1 if not, 2 without a verdict."`
 	Soak    soakCommand    `cmd:"" help:"Play experiments drawn from seeds, with overlapping faults; exit 1 after a broken rule or a crash."`
+	Costly  costlyCommand  `cmd:"" help:"Play clients that make a proxy work at full speed beside others; exit 1 if the others pay for it."`
 	Check   checkCommand   `cmd:"" help:"Report every error in an experiment file, with its line and key."`
 	Report  reportCommand  `cmd:"" help:"Write report.html of a run again, and print its figures."`
 	Compare compareCommand `cmd:"" help:"Print the figures of two runs side by side."`
--- a/internal/faultlab/path/path_test.go
+++ b/internal/faultlab/path/path_test.go
@@ -21,7 +21,7 @@
 	firstSeed     = flag.Uint64("path.seed", 1,
 		"seed of the first proxy and its calls; each further one adds 1")
 	onlyPhase  = flag.String("path.phase", "", "run this phase only; empty: all")
-	proxyCores = flag.Int("path.cores", DeploymentLimits.Cores, "cores in the proxy's configuration")
+	proxyCores = flag.Float64("path.cores", DeploymentLimits.Cores, "cores in the proxy's configuration")
 )
 
 const zones = 9
--- a/internal/faultlab/path/proxy.go
+++ b/internal/faultlab/path/proxy.go
@@ -30,9 +30,9 @@
 
 // Limits are the resources in a proxy's configuration.
 type Limits struct {
-	Cores    int `json:"cores"`
-	MemoryMB int `json:"memory_mb"`
-	Sockets  int `json:"sockets"`
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
 }
 
 // DeploymentLimits are the limits of a proxy that shares its machine with a server.
@@ -45,6 +45,8 @@
 	Zones   int    // number of zones of the servers
 	Limits  Limits
 	Seed    uint64
+
+	Management string // management address; empty: none
 }
 
 // Proxy is a running proxy process.
@@ -56,7 +58,20 @@
 
 func microseconds(d time.Duration) int64 { return d.Microseconds() }
 
-// settings returns the service settings: the proxy is in the home zone, and there is one idempotent class.
+// ReadClass and WriteClass are the classes of requests: an idempotent one, and one that must not be repeated.
+const (
+	ReadClass  = "read"
+	WriteClass = "write"
+)
+
+// classSettings returns the settings of a class.
+func classSettings(name, repeat string) map[string]any {
+	return map[string]any{"name": name, "objective_us": microseconds(400 * time.Millisecond),
+		"give_up_us": microseconds(callTimeout), "worth": 1, "late_share": 0.0, "repeat": repeat, "stream": false,
+		"dedup_scope": "all", "dedup_window_us": 0}
+}
+
+// settings returns the service settings: the proxy is in the home zone.
 func settings(zones int) map[string]any {
 	var names []string
 	for zone := range zones {
@@ -71,9 +86,7 @@
 			"idle_close_us": microseconds(5 * time.Second), "max_retry_after_us": microseconds(2 * time.Second), "retry_after": true,
 			"second_copies": true, "try_limit": 3, "streams_per_conn": 1, "peers": false, "probes": false},
 		"ordinal": 0, "siblings": 1, "tenants": []any{}, "tiers": []string{"a", "b"}, "stage": 1, "weights": "off",
-		"profiles": []any{map[string]any{"name": "read", "objective_us": microseconds(400 * time.Millisecond),
-			"give_up_us": microseconds(callTimeout), "worth": 1, "late_share": 0.0, "repeat": "idempotent", "stream": false,
-			"dedup_scope": "all", "dedup_window_us": 0}},
+		"profiles": []any{classSettings(ReadClass, "idempotent"), classSettings(WriteClass, "at_most_once")},
 	}
 }
 
@@ -86,12 +99,16 @@
 	if _, err := os.Stat(program); err != nil {
 		return nil, fmt.Errorf("proxy: %w; build it as described in README.md", err)
 	}
-	addr, err := freeAddress()
+	addr, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(map[string]any{"name": "p", "listen": addr, "discovery": registry.Addr, "limits": options.Limits,
-		"seed": fmt.Sprintf("%016x", options.Seed), "settings": settings(options.Zones)})
+	configuration := map[string]any{"name": "p", "listen": addr, "discovery": registry.Addr, "limits": options.Limits,
+		"seed": fmt.Sprintf("%016x", options.Seed), "settings": settings(options.Zones)}
+	if options.Management != "" {
+		configuration["mgmt"] = options.Management
+	}
+	text, err := json.Marshal(configuration)
 	if err != nil {
 		return nil, fmt.Errorf("configuration of the proxy: %w", err)
 	}
@@ -101,7 +118,7 @@
 	}
 	p := &Proxy{Addr: addr, starter: process.NewStarter()}
 	p.process, err = p.starter.Start(process.Spec{Name: "p", Command: []string{program}, Dir: options.Dir,
-		Env: []string{"LB_CONFIG=" + file}, Log: filepath.Join(options.Dir, "log")})
+		Env: []string{"LB_CONFIG=" + file, "TMPDIR=" + options.Dir}, Log: filepath.Join(options.Dir, "log")})
 	if err != nil {
 		p.starter.Close()
 		return nil, err
@@ -113,8 +130,8 @@
 	return p, nil
 }
 
-// freeAddress returns an address of 127.0.0.1 with a port that was free.
-func freeAddress() (string, error) {
+// FreeAddress returns an address of 127.0.0.1 with a port that was free.
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("find a port for the proxy: %w", err)
@@ -171,9 +188,39 @@
 	return values["VmRSS"], values["RssAnon"], nil
 }
 
+// PeakMemory returns the most resident memory that the process has had, in bytes; 0 if it has ended.
+func (p *Proxy) PeakMemory() int64 { return process.PeakMemory(p.process.PID()) }
+
 // Close kills the process and waits for its end.
 func (p *Proxy) Close() {
 	_ = p.process.Signal(syscall.SIGKILL)
 	<-p.process.Ended()
 	p.starter.Close()
 }
+
+// throttlePeriod is the period of Throttle.
+const throttlePeriod = 20 * time.Millisecond
+
+// Throttle gives the process a fraction of a core: it is stopped for the rest of each throttlePeriod. With one core
+// or more it runs all the time. stop lets it run on.
+func (p *Proxy) Throttle(cores float64) (stop func()) {
+	if cores >= 1 {
+		return func() {}
+	}
+	ended, stopped := make(chan struct{}), make(chan struct{})
+	running := time.Duration(cores * float64(throttlePeriod))
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-ended:
+				return
+			case <-time.After(running):
+			}
+			_ = p.process.Signal(syscall.SIGSTOP)
+			time.Sleep(throttlePeriod - running)
+			_ = p.process.Signal(syscall.SIGCONT)
+		}
+	}()
+	return func() { close(ended); <-stopped }
+}
