Count how often goroutines wait long for a processor

Neither log nor metrics told whether a late answer had waited for a server, for the event loop, or for the processor.

--- a/internal/faultlab/costly/play.go
+++ b/internal/faultlab/costly/play.go
@@ -3,11 +3,14 @@
 package costly
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,12 +43,15 @@
 	CPU        time.Duration // processor time of the proxy
 	Took       time.Duration
 	Management time.Duration // slowest call to the management address
+
+	// SchedulingDelays counts how often a goroutine of the proxy waited over 10 ms for a processor, by its metric.
+	SchedulingDelays int64
 }
 
 // String returns all figures on a line.
 func (r Result) String() string {
-	return fmt.Sprintf("%v; processor %.0f %%, peak memory %.1f MiB, slowest management call %v", r.Sound,
-		100*r.CPU.Seconds()/r.Took.Seconds(), float64(r.PeakMemory)/(1<<20), r.Management.Round(time.Millisecond))
+	return fmt.Sprintf("%v; processor %.0f %%, peak memory %.1f MiB, slowest management call %v, %d scheduling delays over 10 ms", r.Sound,
+		100*r.CPU.Seconds()/r.Took.Seconds(), float64(r.PeakMemory)/(1<<20), r.Management.Round(time.Millisecond), r.SchedulingDelays)
 }
 
 // managementLimit is the time in which the management address has to answer.
@@ -122,6 +128,7 @@
 	sound := soundClients{address: proxy.Addr}
 	result.Sound = sound.run(ctx)
 	clients.Wait()
+	result.SchedulingDelays = metric(management, schedulingDelayMetric)
 	ended, err := proxy.CPU()
 	result.CPU, result.Took, result.PeakMemory = ended-begun, time.Since(start), proxy.PeakMemory()
 	return result, err
@@ -149,6 +156,27 @@
 	return slowest
 }
 
+// schedulingDelayMetric is the proxy's metric of SchedulingDelays.
+const schedulingDelayMetric = "app.scheduling_delays.over_10ms"
+
+// metric returns a metric of the proxy at a management address; -1 if it has none.
+func metric(address, name string) int64 {
+	client := http.Client{Timeout: patience}
+	response, err := client.Get("http://" + address + "/v1/metrics")
+	if err != nil {
+		return -1
+	}
+	defer response.Body.Close()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if text, ok := strings.CutPrefix(lines.Text(), name+"="); ok {
+			if value, err := strconv.ParseInt(text, 10, 64); err == nil {
+				return value
+			}
+		}
+	}
+	return -1
+}
+
 // startServers starts servers that read each request and answer it after serviceTime.
 func startServers() (servers *path.Servers, stop func(), err error) {
 	servers = &path.Servers{Zones: 1}
--- a/internal/program/rollout.go
+++ b/internal/program/rollout.go
@@ -72,15 +72,17 @@
 	return client, active, cached.Document
 }
 
-// managedProxy is the proxy with the metrics of the rollout added, as the management API exports it.
+// managedProxy is the proxy with the metrics of the process and of the rollout added, as the management API exports
+// it.
 type managedProxy struct {
 	*proxy.Proxy
 	rollout *rollout.Client // nil: the proxy follows no service's document
 }
 
-// Metrics returns the metrics of the proxy and of the rollout.
+// Metrics returns the metrics of the proxy, of the process and of the rollout.
 func (p managedProxy) Metrics() management.Metrics {
 	metrics := p.Proxy.Metrics()
+	countSchedulingDelays(metrics.Events)
 	if p.rollout != nil {
 		r := p.rollout.Metrics()
 		metrics.Rollout = &management.Rollout{Version: r.Version, RejectedVersion: r.RejectedVersion, Age: r.Age,
