--- a/internal/faultlab/costly/kinds.go
+++ b/internal/faultlab/costly/kinds.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	writes     int
 	resets     bool // it resets the connection instead of reading what is answered
 	neverReads bool
+	// Forwarded states that its requests reach servers.
+	Forwarded bool
 	// Management states that it calls the management address.
 	Management bool
 }
@@ -87,21 +90,21 @@
 
 // Kinds are all kinds of costly clients.
 var Kinds = []Kind{
-	{Name: "sound", text: read(soundTimeout, shortHead)},
-	{Name: "sound-long", text: read(soundTimeout, longHead)},
-	{Name: "sound-fields", text: func(int64) string { return request("GET", path.ReadClass, soundTimeout, manyFields, 0) }},
+	{Name: "sound", Forwarded: true, text: read(soundTimeout, shortHead)},
+	{Name: "sound-long", Forwarded: true, text: read(soundTimeout, longHead)},
+	{Name: "sound-fields", Forwarded: true, text: func(int64) string { return request("GET", path.ReadClass, soundTimeout, manyFields, 0) }},
 	{Name: "unsound", text: read(malformedTimeout, shortHead)},
 	{Name: "unsound-long", text: read(malformedTimeout, longHead)},
 	{Name: "unsound-fields", text: func(int64) string { return request("GET", path.ReadClass, malformedTimeout, manyFields, 0) }},
 	{Name: "unsound-short", text: fixed("GET /read/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nRequest-Class: read\r\nRequest-Timeout-Ms: x\r\n\r\n")},
-	{Name: "no-time", text: read("1", shortHead)},
+	{Name: "no-time", Forwarded: true, text: read("1", shortHead)},
 	{Name: "unknown-class", text: func(n int64) string { return request("GET", fmt.Sprintf("c%d", n), soundTimeout, "", shortHead) }},
-	{Name: "repeated-id", text: fixed(request("GET", path.ReadClass, soundTimeout, "", shortHead))},
+	{Name: "repeated-id", Forwarded: true, text: fixed(request("GET", path.ReadClass, soundTimeout, "", shortHead))},
 	{Name: "malformed", text: fixed("GET /read/k HTTP/1.1\nHost: h\n\n"), writes: 1},
 	{Name: "empty-lines", text: fixed(strings.Repeat("\r\n", 2<<10))},
-	{Name: "chunks", text: chunkedUpload("1\r\nx\r\n")},
-	{Name: "extensions", text: chunkedUpload("1;" + strings.Repeat("e", 1<<10) + "\r\nx\r\n")},
-	{Name: "trailers", text: func(int64) string { return chunkedHead() + "1\r\nx\r\n0\r\n" + manyFields + "\r\n" }, writes: 1},
+	{Name: "chunks", Forwarded: true, text: chunkedUpload("1\r\nx\r\n")},
+	{Name: "extensions", Forwarded: true, text: chunkedUpload("1;" + strings.Repeat("e", 1<<10) + "\r\nx\r\n")},
+	{Name: "trailers", Forwarded: true, text: func(int64) string { return chunkedHead() + "1\r\nx\r\n0\r\n" + manyFields + "\r\n" }, writes: 1},
 	{Name: "discarded-bodies", text: func(int64) string {
 		return request("POST", path.WriteClass, malformedTimeout, fmt.Sprintf("Content-Length: %d\r\n", bodyBytes), 0) + strings.Repeat("x", bodyBytes)
 	}},
@@ -112,6 +115,15 @@
 	{Name: "metrics", text: fixed("GET /v1/metrics HTTP/1.1\r\nHost: h\r\n\r\n"), writes: 1, Management: true},
 }
 
+// Draw returns a random kind whose requests reach no server, at the address of clients.
+func Draw(random *rand.Rand) Kind {
+	for {
+		if kind := Kinds[random.IntN(len(Kinds))]; !kind.Forwarded && !kind.Management {
+			return kind
+		}
+	}
+}
+
 // KindNamed returns the kind of a name.
 func KindNamed(name string) (Kind, bool) {
 	for _, kind := range Kinds {
@@ -128,10 +140,10 @@
 	afterFailedConnect = 5 * time.Millisecond
 )
 
-// Run is a client of this kind until the context ends.
-func (k Kind) Run(ctx context.Context, address string) {
+// Run is a client of this kind, with an address of its own or none, until the context ends.
+func (k Kind) Run(ctx context.Context, address string, from net.Addr) {
 	for ctx.Err() == nil {
-		c, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", address)
+		c, err := (&net.Dialer{Timeout: connectTimeout, LocalAddr: from}).DialContext(ctx, "tcp", address)
 		if err != nil {
 			time.Sleep(afterFailedConnect)
 			continue
