Let the lab's experiments and the soak have costly clients, and forbid late answers beside them

Change: the fault `costly`: clients of random kinds whose requests reach no server. While it lasts, and for requests that began in it, the referee's rule `late` is broken by an answer after the deadline and the slack.

--- a/internal/faultlab/experiment/check_fault.go
+++ b/internal/faultlab/experiment/check_fault.go
@@ -20,7 +20,7 @@
 	c.checkNotNegative(key+".spread", fault.Spread)
 	c.checkFraction(key+".share", fault.Share)
 	needs := map[string]float64{"factor": fault.Factor, "part": fault.Fraction, "ms": fault.DelayMs, "versions": float64(fault.Versions),
-		"liars": float64(fault.ByzantineMembers), "clients": float64(fault.IdleClients)}
+		"liars": float64(fault.ByzantineMembers), "clients": float64(fault.Clients)}
 	for _, need := range kind.RequiredKeys {
 		c.checkPositive(key+"."+need, needs[need])
 	}
--- a/internal/faultlab/experiment/experiment.go
+++ b/internal/faultlab/experiment/experiment.go
@@ -211,9 +211,9 @@
 	Service          int  `toml:"service"`
 	Count            int  `toml:"count"` // maximum number of hollow servers; number of configuration writes
 	ByzantineMembers int  `toml:"liars" json:"Liars"`
-	IdleClients      int  `toml:"clients" json:"Clients"` // at each proxy
-	InvalidConfig    bool `toml:"faulty" json:"Faulty"`   // writes a document that must be rejected
-	KeepDirectory    bool `toml:"keep" json:"Keep"`       // a restarted proxy keeps its directory
+	Clients          int  `toml:"clients"`              // idle or costly ones, at each proxy
+	InvalidConfig    bool `toml:"faulty" json:"Faulty"` // writes a document that must be rejected
+	KeepDirectory    bool `toml:"keep" json:"Keep"`     // a restarted proxy keeps its directory
 }
 
 // Expect holds the bounds of a metric.
@@ -312,6 +312,8 @@
 	"hold_up": {Proxies: true, HasDuration: true, Effect: "SIGSTOP for up to 0.15 s, repeatedly"},
 	"crowd": {Proxies: true, HasDuration: true, RequiredKeys: []string{"clients"},
 		Effect: "`clients` clients connect to each and send nothing"},
+	"costly": {Proxies: true, HasDuration: true, RequiredKeys: []string{"clients"},
+		Effect: "`clients` clients send unsound requests to each at full speed; no answer to others may be late"},
 	"rude":      {Proxies: true, HasDuration: true, Effect: "clients connect that send no valid request"},
 	"disk_full": {Proxies: true, HasDuration: true, Effect: "every write of at least a byte to a file fails"},
 
--- a/internal/faultlab/experiment/metrics.go
+++ b/internal/faultlab/experiment/metrics.go
@@ -8,12 +8,13 @@
 )
 
 // Rules are the names of the rules that the referee checks, as in metrics and reports.
-var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged", "list", "rude", "gone"}
+var Rules = []string{"lost", "twice", "repeat", "drain", "tip", "garbled", "forged", "list", "rude", "gone", "late"}
 
 // RuleText holds the meaning of a violation of each rule.
 var RuleText = map[string]string{
 	"lost":    "an accepted request got no complete final response before its deadline",
 	"twice":   "a request got more than one response",
+	"late":    "beside costly clients an answer to another client came after its deadline",
 	"rude":    "a client that sent no valid request got neither an error nor a closed connection in 3 s",
 	"gone":    "an attempt started more than 0.1 s after its client had disconnected",
 	"repeat":  "a request was sent again, or rejected, although its class does not allow it",
--- a/internal/faultlab/referee/excuse.go
+++ b/internal/faultlab/referee/excuse.go
@@ -1,6 +1,7 @@
 package referee
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -53,6 +54,35 @@
 	}
 }
 
+// BeginCostlySpan starts a span in which clients of the lab keep a proxy busy without waiting for anybody: answers to
+// others may not be late. The returned function ends the span.
+func (r *Referee) BeginCostlySpan(proxy string, at time.Time) (end func(time.Time)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.proxy(proxy)
+	i := len(p.costly)
+	p.costly = append(p.costly, span{at, at.Add(24 * time.Hour)})
+	return func(to time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		p.costly[i].end = to
+	}
+}
+
+// Late is the rule that an answer is not late because other clients keep the proxy busy.
+const Late = "late"
+
+// checkLate checks an answer after its deadline: it breaks a rule if costly clients kept the proxy busy meanwhile.
+func (r *Referee) checkLate(clientAttempt *ClientAttempt, at time.Time, late time.Duration) {
+	busy := slices.ContainsFunc(r.proxy(clientAttempt.Proxy).costly, func(s span) bool {
+		return s.start.Before(at) && s.end.After(clientAttempt.StartedAt)
+	})
+	if busy && !r.isExcused(clientAttempt) {
+		r.violate(Violation{Rule: Late, At: at, Proxy: clientAttempt.Proxy, Attempt: clientAttempt.ID,
+			Text: fmt.Sprintf("answered %v after its deadline, beside costly clients", late.Round(time.Millisecond))})
+	}
+}
+
 // isFlooded reports whether idle clients used up the proxy's connections at some time during the attempt.
 func (r *Referee) isFlooded(clientAttempt *ClientAttempt) bool {
 	return slices.ContainsFunc(r.proxy(clientAttempt.Proxy).floods, func(s span) bool {
--- a/internal/faultlab/referee/referee.go
+++ b/internal/faultlab/referee/referee.go
@@ -81,6 +81,7 @@
 	newestOrder    int64 // ListUpdate.Order that it received
 	excuses        []span
 	floods         []span
+	costly         []span // see BeginCostlySpan
 }
 
 type span struct{ start, end time.Time }
@@ -200,6 +201,7 @@
 			fmt.Sprintf("answered %v after its deadline", late.Round(time.Millisecond)))
 	case late > r.config.DeadlineSlack+socketSlack:
 		r.tally.LateResponses++
+		r.checkLate(clientAttempt, at, late)
 	}
 	return clientAttempt.Outcome
 }
--- a/internal/faultlab/run/faults_proxies.go
+++ b/internal/faultlab/run/faults_proxies.go
@@ -47,6 +47,8 @@
 		return t.pauseRepeatedly(ctx, planned, proxy, target.At, t.plan.Source("hold up "+target.Name))
 	case "crowd":
 		return t.floodConnections(ctx, planned, proxy, target.At)
+	case "costly":
+		return t.runCostlyClients(ctx, planned, proxy, target.At, t.plan.Source("costly "+target.Name))
 	case "rude":
 		return t.runMisbehavingClients(ctx, planned, proxy, target.At, t.plan.Source("rude "+target.Name))
 	case "disk_full":
--- a/internal/faultlab/run/faults_series.go
+++ b/internal/faultlab/run/faults_series.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"merlinpick/internal/faultlab/costly"
 	"merlinpick/internal/faultlab/plan"
 	"merlinpick/internal/faultlab/process"
 	"merlinpick/internal/faultlab/sleep"
@@ -63,7 +64,7 @@
 	defer stop()
 	var all sync.WaitGroup
 	defer all.Wait()
-	for i := 0; i < planned.Fault.IdleClients && sleep.For(flood, floodConnectGap); i++ {
+	for i := 0; i < planned.Fault.Clients && sleep.For(flood, floodConnectGap); i++ {
 		c, err := (&net.Dialer{Timeout: floodDialTimeout}).DialContext(flood, "tcp", proxy.listenAddress)
 		if err != nil {
 			continue // the proxy is down, or at its connection limit
@@ -78,3 +79,20 @@
 	<-flood.Done()
 	return nil
 }
+
+// runCostlyClients runs clients that send requests which reach no server, at full speed, for the fault's duration. No
+// answer to another client may be late meanwhile.
+func (t *timeline) runCostlyClients(ctx context.Context, planned plan.PlannedFault, proxy *proxyUnderTest,
+	at time.Duration, r *rand.Rand) error {
+	endSpan := t.ref.BeginCostlySpan(proxy.node.Name, time.Now())
+	defer func() { endSpan(time.Now()) }()
+	running, stop := context.WithDeadline(ctx, t.start.Add(at+planned.Duration))
+	defer stop()
+	var all sync.WaitGroup
+	for range planned.Fault.Clients {
+		kind := costly.Draw(r)
+		all.Go(func() { kind.Run(running, proxy.listenAddress, nil) })
+	}
+	all.Wait()
+	return nil
+}
--- a/internal/faultlab/soak/soak.go
+++ b/internal/faultlab/soak/soak.go
@@ -76,6 +76,9 @@
 	{"crowd", func(random *rand.Rand) string {
 		return fmt.Sprintf("clients = %d\n", 50+random.IntN(250)) + drawShare(0.1, 0.5)(random)
 	}, [2]float64{2, 5}},
+	{"costly", func(random *rand.Rand) string {
+		return fmt.Sprintf("clients = %d\n", 1+random.IntN(20)) + drawShare(0.1, 0.3)(random)
+	}, [2]float64{2, 5}},
 	{"disk_full", drawShare(0.3, 1), [2]float64{1, 5}},
 	{"nodo_kill", drawShare(0.1, 0.4), [2]float64{0.5, 3}},
 	{"nodo_silent", drawShare(0.1, 0.4), [2]float64{0.5, 4}},
