Share processor time among clients, so that one that never waits cannot make others late

Cause: class of fault, a shared resource without a limit by client. A connection's goroutine that answers by itself never waits, so the runtime stops it only after 10 ms, and with one processor each step of another request (accept, read, event loop, attempt, response) stands behind 10 ms of each such client; the poller of the network is asked every 10 ms too.

Ruled out: the event loop (each request that passes it keeps its client waiting; no harm), memory and garbage collection (26 of 64 MiB), connection slots (none short in the log), slow servers.

Change: package cpushare, without clock and goroutines, gives each connection and each client an allowance of processor time. Beyond it a connection waits for turns, which go round the clients; all throttled ones take 0.4 of the processor at most, and no allowance grows while all take over 0.5. clientconn charges what is done between two waits: heads, bytes of bodies, what is discarded, the search for the end of a chunked body, the event loop's and the attempt's part. The loop that accepts yields after each connection. Log line `client throttled`, metrics app.throttles.client and client_us.

--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -37,7 +37,7 @@
 }
 
 // TestEachFunctionOutsidePolicyHasARow checks docs/policy.md against the code. The page must have at least
-// one rule for each file that deploy/balancer.toml lists under policy. For each function of the two packages
+// one rule for each file that deploy/balancer.toml lists under policy. For each function of the three packages
 // that is in another file it must have a row that says why the function is no decision, or that it is one. No
 // function may have two entries, and no entry may name a function that does not exist.
 func TestEachFunctionOutsidePolicyHasARow(t *testing.T) {
@@ -61,7 +61,7 @@
 	for _, m := range regexp.MustCompile(`(?m)^\| (\w+\.go) \| ([\w.]+) \|(?:[^|]+\|){4}$`).FindAllStringSubmatch(page, -1) {
 		rules[m[1]+" "+m[2]]++
 	}
-	for _, dir := range []string{"../balancer", "../internal/tailweights"} {
+	for _, dir := range []string{"../balancer", "../internal/cpushare", "../internal/tailweights"} {
 		paths, _ := filepath.Glob(dir + "/*.go")
 		for _, path := range paths {
 			if strings.HasSuffix(path, "_test.go") {
--- a/internal/proxy/audit/audit.go
+++ b/internal/proxy/audit/audit.go
@@ -35,6 +35,12 @@
 // RequestIDRepeated counts requests that were rejected since one with the same ID may have been executed.
 const RequestIDRepeated Event = "repeated_ids"
 
+// Clients whose work waits since they use more than their share of the processor; see package cpushare.
+const (
+	ClientThrottled       Event = "throttles.client"    // waits for a turn
+	ClientThrottledMicros Event = "throttles.client_us" // microseconds that they took
+)
+
 // Reasons for closing a connection to a backend.
 const (
 	BackendConnDone       Event = "closes.server.answered"  // it has carried a response and cannot be reused
@@ -90,13 +96,16 @@
 func (r *Recorder) Violations() map[string]int64 { return r.violations.Snapshot() }
 
 // Count increments the count of an event.
-func (r *Recorder) Count(event Event) {
+func (r *Recorder) Count(event Event) { r.Add(event, 1) }
+
+// Add adds n to the count of an event.
+func (r *Recorder) Add(event Event, n int64) {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.events[event]++
+	r.events[event] += n
 }
 
 // Events returns the number of events by name, without zero counts.
--- a/internal/proxy/clientconn/chunkedend.go
+++ b/internal/proxy/clientconn/chunkedend.go
@@ -22,6 +22,7 @@
 // goroutine owns it, which may be another than the one that reads the connection.
 type ChunkedEndFinder struct {
 	conn     *Conn
+	work     sideWork
 	chunks   framing.ChunkScanner // of the body's first position bytes
 	position int64
 
@@ -30,7 +31,12 @@
 }
 
 // NewChunkedEndFinder returns a finder for the chunked body that the connection receives.
-func NewChunkedEndFinder(c *Conn) *ChunkedEndFinder { return &ChunkedEndFinder{conn: c, arrived: -1} }
+func NewChunkedEndFinder(c *Conn) *ChunkedEndFinder {
+	return &ChunkedEndFinder{conn: c, work: c.newSideWork(), arrived: -1}
+}
+
+// Close is to be called when the finder is not needed any more.
+func (f *ChunkedEndFinder) Close() { f.work.end() }
 
 // Arrived reports whether the last byte of the body has arrived, and when it was first known to be there. It
 // is to be called repeatedly: it looks only when no byte has arrived since the call before, since a body that
@@ -41,7 +47,11 @@
 		return time.Time{}, false
 	}
 	for !f.chunks.Ended() {
-		if !f.scanMore() {
+		f.work.awaitTurn()
+		began := time.Now()
+		more := f.scanMore()
+		f.work.charge(time.Since(began))
+		if !more {
 			return time.Time{}, false
 		}
 	}
--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"merlinpick/internal/cpushare"
 	"merlinpick/internal/proxy/audit"
 	"merlinpick/internal/proxy/framing"
 	"merlinpick/internal/proxy/socket"
@@ -41,11 +42,17 @@
 	hadRequest        bool   // a request's head has been passed
 	awaitsNextRequest bool   // net/http waits for the next request, with its longer idle timeout
 
-	requestStarted atomic.Int64 // first byte of the current request, or the accept; Unix nanoseconds
-	lastReceived   atomic.Int64 // last bytes received, or the accept; Unix nanoseconds
+	epoch          time.Time    // where now counts from
+	requestStarted atomic.Int64 // now, at the first byte of the current request, or at the accept; see awaitTurn
+	lastReceived   atomic.Int64 // now, when the last bytes were received, or at the accept
 
 	slotHolders atomic.Int32 // the descriptor, and net/http's goroutine; the slot is free once neither is left
 
+	share         processorShare
+	workBegan     atomic.Int64           // now, when the reading goroutine began to work; 0: it waits
+	bodyThrottled atomic.Int64           // nanoseconds, see TakeBodyThrottled
+	class         atomic.Pointer[string] // named by the last request; nil: none was
+
 	unanswered  atomic.Pointer[string]      // ID of the accepted request that has no response; nil: none
 	closeReason atomic.Pointer[audit.Event] // why the proxy closes the connection; nil before it does
 	discarded   atomic.Int64                // bytes received after the shutdown
@@ -99,18 +106,28 @@
 
 // newConn wraps a newly accepted connection.
 func newConn(c net.Conn, listener *Listener) *Conn {
-	conn := &Conn{Conn: c, listener: listener, memory: headMemory{budget: listener.headMemory}}
+	conn := &Conn{Conn: c, listener: listener, epoch: listener.turns.start, memory: headMemory{budget: listener.headMemory}}
 	if sc, ok := c.(syscall.Conn); ok {
 		conn.rawConn, _ = sc.SyscallConn()
 	}
 	const descriptorAndGoroutine = 2
 	conn.slotHolders.Store(descriptorAndGoroutine)
-	now := time.Now().UnixNano()
+	now := conn.now()
 	conn.requestStarted.Store(now)
 	conn.lastReceived.Store(now)
+	conn.share = processorShare{turns: listener.turns, conn: listener.turns.connect(c)}
 	return conn
 }
 
+// now returns the time since epoch in nanoseconds, which steps of the wall clock do not affect. It is never 0.
+func (c *Conn) now() int64 { return max(1, int64(time.Since(c.epoch))) }
+
+// timeAt returns the time at which now returned a value.
+func (c *Conn) timeAt(nanoseconds int64) time.Time { return c.epoch.Add(time.Duration(nanoseconds)) }
+
+// SetClass records the class that the current request names, for the log.
+func (c *Conn) SetClass(name string) { c.class.Store(&name) }
+
 // Read returns the bytes that may be passed to net/http. A read of one byte while a request is in flight is
 // how net/http detects that the client disconnects: see bufferPipelined.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -139,7 +156,7 @@
 			c.releaseBuffer()
 		}
 	} else {
-		n, err = c.receive(p)
+		n, err = c.receiveInTurn(p)
 	}
 	if c.passable > 0 {
 		c.passable -= int64(n)
@@ -147,6 +164,23 @@
 	return n, err
 }
 
+// receiveInTurn receives, and waits until the connection may go on with what it has received. What the reading goroutine
+// does until the next call is charged to the connection.
+func (c *Conn) receiveInTurn(p []byte) (n int, err error) {
+	if n, err = c.receiveCharged(p); n > 0 {
+		c.awaitTurn(cpushare.HandleBytes)
+	}
+	return n, err
+}
+
+// receiveCharged receives, and charges the connection for what the reading goroutine does before and after.
+func (c *Conn) receiveCharged(p []byte) (n int, err error) {
+	c.pauseWork()
+	n, err = c.receive(p)
+	c.resumeWork()
+	return n, err
+}
+
 // receive reads from the socket, and records that bytes have arrived before any goroutine can take the
 // connection for idle. While the connection is discarding it drops them and returns EOF once a read fails.
 func (c *Conn) receive(p []byte) (n int, err error) {
@@ -156,7 +190,7 @@
 			return 0, err
 		}
 		if n > 0 && !c.discarding {
-			c.lastReceived.Store(time.Now().UnixNano())
+			c.lastReceived.Store(c.now())
 			if c.phase == PhaseIdle {
 				c.phase = PhaseReadingHead
 			}
@@ -173,6 +207,7 @@
 		case err != nil:
 			return 0, io.EOF
 		}
+		c.awaitTurn(cpushare.HandleBytes)
 	}
 }
 
@@ -246,21 +281,22 @@
 }
 
 // RequestStarted returns when the current request's first byte arrived, or a new connection was accepted.
-func (c *Conn) RequestStarted() time.Time { return time.Unix(0, c.requestStarted.Load()) }
+func (c *Conn) RequestStarted() time.Time { return c.timeAt(c.requestStarted.Load()) }
 
-// SinceLastReceived returns how long ago the last bytes arrived, or the connection was accepted if none have.
-func (c *Conn) SinceLastReceived() time.Duration {
-	return time.Since(time.Unix(0, c.lastReceived.Load()))
-}
+// LastReceived returns when the last bytes were read from the socket, or the connection was accepted if none were.
+func (c *Conn) LastReceived() time.Time { return c.timeAt(c.lastReceived.Load()) }
+
+// SinceLastReceived returns how long ago that was.
+func (c *Conn) SinceLastReceived() time.Duration { return time.Since(c.LastReceived()) }
 
 // startRequestTimer records the start of a request on a kept-alive connection, and replaces the longer idle
 // timeout of net/http with RequestReadTimeout.
 func (c *Conn) startRequestTimer() {
-	now := time.Now()
-	c.requestStarted.Store(now.UnixNano())
+	now := c.now()
+	c.requestStarted.Store(now)
 	if c.awaitsNextRequest {
 		c.awaitsNextRequest = false
-		_ = c.SetReadDeadline(now.Add(RequestReadTimeout))
+		_ = c.SetReadDeadline(c.timeAt(now).Add(RequestReadTimeout))
 	}
 }
 
@@ -269,19 +305,23 @@
 	if c.hadRequest && len(c.buffered) > 0 {
 		c.startRequestTimer()
 	}
-	for checked := 0; ; {
+	for checked, incomplete := 0, 0; ; {
 		if len(c.buffered) > checked {
 			done, err := c.checkHead(checked)
 			if done {
 				return err
 			}
 			checked = max(0, len(c.buffered)-len("\r\n\r")) // the last bytes may be part of the head's end
+			// After its first bytes a connection goes on at once: if its client has gone, it frees its slot soon.
+			if incomplete++; incomplete > 1 {
+				c.awaitTurn(cpushare.HandleBytes)
+			}
 		}
 		if len(c.buffered) > UnmeteredBuffer && !c.reserveBuffer() && c.CloseUnused(true) {
 			return io.EOF
 		}
 		first := len(c.buffered) == 0
-		n, err := c.receiveMore(math.MaxInt)
+		n, err := c.receiveMore(math.MaxInt, c.receiveCharged)
 		if c.hadRequest && first && n > 0 {
 			c.startRequestTimer()
 		}
@@ -291,10 +331,10 @@
 	}
 }
 
-// receiveMore appends received bytes to buffered, up to limit bytes in total.
-func (c *Conn) receiveMore(limit int) (n int, err error) {
+// receiveMore appends bytes that receive returns to buffered, up to limit bytes in total.
+func (c *Conn) receiveMore(limit int, receive func([]byte) (int, error)) (n int, err error) {
 	c.buffered = slices.Grow(c.buffered, 1<<10)
-	n, err = c.receive(c.buffered[len(c.buffered):min(cap(c.buffered), limit)])
+	n, err = receive(c.buffered[len(c.buffered):min(cap(c.buffered), limit)])
 	c.buffered = c.buffered[:len(c.buffered)+n]
 	return n, err
 }
@@ -305,7 +345,7 @@
 // with a deadline, or until MaxPipelinedBytes are buffered.
 func (c *Conn) bufferPipelined() error {
 	for len(c.buffered) < MaxPipelinedBytes {
-		if n, err := c.receiveMore(MaxPipelinedBytes); n == 0 && err != nil {
+		if n, err := c.receiveMore(MaxPipelinedBytes, c.receive); n == 0 && err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/clientconn/head.go
+++ b/internal/proxy/clientconn/head.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 
+	"merlinpick/internal/cpushare"
 	"merlinpick/internal/proxy/framing"
 )
 
@@ -37,8 +38,10 @@
 	case end >= 0 && checked+end <= maxBufferedHead:
 		return true, c.passCompleteHead(checked + end + len("\r\n\r\n"))
 	case end < 0 && hasBareLF(unchecked):
+		c.awaitTurn(cpushare.HandleRequest)
 		return true, c.passHead(func() { c.passInsteadLocked([]byte(MalformedHead)) })
 	case len(c.buffered) > maxBufferedHead:
+		c.awaitTurn(cpushare.HandleRequest)
 		return true, c.passHead(func() { c.passInsteadLocked(overlongHead) })
 	}
 	return false, nil
@@ -48,6 +51,7 @@
 // there is none, the request is rejected and the connection closed, or, behind a request in flight, answered
 // as malformed.
 func (c *Conn) passCompleteHead(end int) error {
+	c.awaitTurn(cpushare.HandleRequest)
 	if c.reserveParsed(c.buffered[:end]) {
 		return c.passHead(func() { c.frameRequestLocked(end) })
 	}
--- a/internal/proxy/clientconn/linger.go
+++ b/internal/proxy/clientconn/linger.go
@@ -17,7 +17,11 @@
 // LingerTimeout is over; then the descriptor is closed. A request that the client sends before it has
 // received the shutdown gets no response: the client sends it again.
 
-const maxLingerBytes = 1 << 20 // bytes discarded, at most, of a peer that keeps sending
+const (
+	maxLingerBytes = 1 << 20 // bytes discarded, at most, of a peer that keeps sending
+	// discardCost is about how much processor time it takes to read some of them.
+	discardCost = 5 * time.Microsecond
+)
 
 // RejectionText is the response to a request that was cut off before its head was complete. The request was
 // never forwarded, so the client may send it again.
@@ -127,12 +131,16 @@
 // It runs in a goroutine of its own.
 func (c *Conn) discardInput() {
 	defer c.CloseNow()
+	work := c.newSideWork()
+	defer work.end()
 	buf := make([]byte, 2<<10) // small, since many connections may linger
 	for left := maxLingerBytes; left > 0; {
+		work.awaitTurn()
 		n, err := c.Conn.Read(buf)
 		if err != nil {
 			return
 		}
+		work.charge(discardCost)
 		left -= n
 		c.discarded.Add(int64(n))
 	}
@@ -162,6 +170,7 @@
 // releaseSlotHolder releases the connection's slot with the last of its holders.
 func (c *Conn) releaseSlotHolder() {
 	if c.slotHolders.Add(-1) == 0 {
+		c.listener.turns.disconnect(c.share.conn)
 		c.listener.releaseSlot()
 	}
 }
--- a/internal/proxy/clientconn/listener.go
+++ b/internal/proxy/clientconn/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	audit      *audit.Recorder // nil: closes are not counted
 	Lingering  LingeringConns  // connections that are shut down and not closed yet
 	headMemory *MemoryBudget
+	turns      *turns
 	slotFreed  chan struct{} // has a value after a slot was released
 	closed     chan struct{}
 	closeOnce  sync.Once
@@ -37,6 +39,7 @@
 type ListenerConfig struct {
 	MakeRoom   func()          // called while connections wait for a slot; it may close a connection
 	HeadMemory *MemoryBudget   // for heads longer than UnmeteredBuffer
+	Cores      float64         // processors that the process may use; 0: as many as the runtime uses
 	Audit      *audit.Recorder // nil: closes are not counted
 	Logger     *slog.Logger
 }
@@ -44,7 +47,7 @@
 // NewListener wraps a listener. The result has no slots before SetLimit is called.
 func NewListener(l net.Listener, cfg ListenerConfig) *Listener {
 	return &Listener{Listener: l, makeRoom: cfg.MakeRoom, headMemory: cfg.HeadMemory, audit: cfg.Audit,
-		retrier: listener.NewRetrier(cfg.Logger), slotFreed: make(chan struct{}, 1), closed: make(chan struct{})}
+		turns: newTurns(cfg.Cores, cfg.Audit, cfg.Logger), retrier: listener.NewRetrier(cfg.Logger), slotFreed: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // Accept waits for a slot and returns the next connection, which releases the slot when its descriptor is
@@ -58,6 +61,7 @@
 		c, err := l.Listener.Accept()
 		if err == nil {
 			l.retrier.Succeeded()
+			runtime.Gosched() // else this goroutine alone runs while connections keep coming
 			return newConn(c, l), nil
 		}
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
--- a/internal/proxy/downstream/bodyend.go
+++ b/internal/proxy/downstream/bodyend.go
@@ -118,4 +118,7 @@
 func (w *bodyEndWatcher) stopAndWait() {
 	close(w.stop)
 	w.goroutine.Wait()
+	if w.chunkedEnd != nil {
+		w.chunkedEnd.Close()
+	}
 }
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -53,6 +53,7 @@
 	// its response, 0 if it had none; only the first call of finish counts.
 	RequestStarted func(class string) (finish func(status int))
 	ListAvailable  <-chan struct{} // closed once there is an endpoint list
+	Cores          float64         // processors that the process may use; 0: as many as the runtime uses
 	Audit          *audit.Recorder
 	Logger         *slog.Logger
 }
@@ -107,7 +108,7 @@
 	}
 	srv.SetSettings(cfg.Site, cfg.Settings, classNumbers)
 	srv.Listener = clientconn.NewListener(cfg.Listener, clientconn.ListenerConfig{MakeRoom: srv.MakeRoom, HeadMemory: srv.headMemory,
-		Audit: cfg.Audit, Logger: cfg.Logger})
+		Cores: cfg.Cores, Audit: cfg.Audit, Logger: cfg.Logger})
 	srv.server = &http.Server{
 		Handler: srv, ReadHeaderTimeout: clientconn.RequestReadTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: clientconn.MaxHeadBytes, ConnState: srv.trackConn, ErrorLog: debugLogger(cfg.Logger),
@@ -196,6 +197,9 @@
 	snapshot := srv.acquireSettings()
 	defer srv.releaseSettings(snapshot)
 	req, rejection := snapshot.parseRequest(w, r)
+	if c, ok := r.Context().Value(connKey{}).(*clientconn.Conn); ok && req != nil {
+		c.SetClass(req.ClassName)
+	}
 	if rejection.Status != 0 {
 		srv.writeResponse(w, rejection)
 		return
@@ -241,7 +245,9 @@
 		return srv.awaitResponse(req)
 	}
 	c.MarkInFlight(req.ID)
-	resp := srv.awaitResponse(req)
+	c.Charge(clientconn.DecisionCost)
+	var resp Response
+	c.AwaitOthers(func() { resp = srv.awaitResponse(req) })
 	if resp.Status != 0 || req.IsClientGone() {
 		c.MarkAnswered()
 	}
--- a/internal/proxy/downstream/upload.go
+++ b/internal/proxy/downstream/upload.go
@@ -104,6 +104,9 @@
 		return 0, err
 	}
 	n, err := u.source.Read(p)
+	if throttled := u.takeThrottled(); throttled > 0 {
+		u.excludePause(throttled)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = cmp.Or(u.armReadDeadline(deadline), err)
 	}
@@ -117,8 +120,16 @@
 	return n, err
 }
 
-// excludePause keeps the time in which the backend took no bytes, so that none were read, from counting against
-// the client.
+// takeThrottled returns for how long the proxy has throttled the reading of the body since the last call.
+func (u *upload) takeThrottled() time.Duration {
+	if c, ok := u.conn.(*clientconn.Conn); ok {
+		return c.TakeBodyThrottled()
+	}
+	return 0
+}
+
+// excludePause keeps the time in which the backend took no bytes, or the client was throttled, so that none were read,
+// from counting against the client.
 func (u *upload) excludePause(pause time.Duration) {
 	u.startedAt = u.startedAt.Add(pause)
 	u.lastReceived = u.lastReceived.Add(pause)
@@ -255,11 +266,11 @@
 	for {
 		n, err := u.Read(buf)
 		if n > 0 && err != errBodyTooLarge {
-			written := time.Now()
-			if _, err := pipe.Write(buf[:n]); err != nil {
+			pause, err := u.writeTo(pipe, buf[:n])
+			if err != nil {
 				return errRequestEnded
 			}
-			u.excludePause(time.Since(written))
+			u.excludePause(pause)
 		}
 		if err == io.EOF || err == nil && u.received.Load() == u.contentLength {
 			return nil
@@ -270,6 +281,19 @@
 	}
 }
 
+// writeTo writes to the pipe, and returns how long the attempt that reads from it took.
+func (u *upload) writeTo(pipe *io.PipeWriter, b []byte) (took time.Duration, err error) {
+	began := time.Now()
+	write := func() { _, err = pipe.Write(b) }
+	if c, ok := u.conn.(*clientconn.Conn); ok {
+		c.Charge(clientconn.ForwardCost)
+		c.AwaitOthers(write)
+	} else {
+		write()
+	}
+	return time.Since(began), err
+}
+
 // reject returns the response to a request whose body is not read any further, and keeps net/http from waiting for
 // more of it before it closes the connection.
 func (u *upload) reject(w http.ResponseWriter, err error) Response {
