Close connections that their clients have reset at the accept

Callers saw: beside clients that connect, write half a head and reset at full speed, some 10 of 100 requests refused.

Cause: a connection that is already reset when it is accepted took a slot, a goroutine and a buffer until a read failed; the slots ran short, and requests on other new connections were rejected. Reset connections with unread bytes do not look reset to a read or a peek, which return the bytes first.

Change: socket.PeerReset asks by poll; the listener closes such a connection and keeps its slot for the next one.

--- a/internal/proxy/clientconn/listener.go
+++ b/internal/proxy/clientconn/listener.go
@@ -11,6 +11,7 @@
 
 	"merlinpick/internal/listener"
 	"merlinpick/internal/proxy/audit"
+	"merlinpick/internal/proxy/socket"
 )
 
 // Listener accepts no more connections than it has slots. Further connections wait in the kernel, and while
@@ -62,6 +63,10 @@
 		if err == nil {
 			l.retrier.Succeeded()
 			runtime.Gosched() // else this goroutine alone runs while connections keep coming
+			if socket.PeerReset(c) {
+				c.Close()
+				continue
+			}
 			return newConn(c, l), nil
 		}
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
--- a/internal/proxy/socket/socket.go
+++ b/internal/proxy/socket/socket.go
@@ -34,6 +34,14 @@
 	return ok && (err != nil || closed)
 }
 
+// PeerReset reports whether the peer of a connection has reset it, even if bytes are unread, so that nothing can be written
+// to it any more.
+func PeerReset(c net.Conn) bool {
+	reset := false
+	_, _ = withDescriptor(c, func(fd uintptr) { reset = poll(fd)&(pollErr|pollHup) != 0 })
+	return reset
+}
+
 // Unread returns how many bytes are unread in the kernel's receive buffer of a connection; 0 if that is
 // unknown.
 func Unread(c net.Conn) int64 {
@@ -126,12 +134,18 @@
 
 // hasHangup reports whether the peer has closed a connection, or shut down its sending side, though bytes are
 // unread.
-func hasHangup(fd uintptr) bool {
+func hasHangup(fd uintptr) bool { return poll(fd)&(pollRDHup|pollHup|pollErr) != 0 }
+
+// poll returns which of pollErr, pollHup and pollRDHup are set for a connection.
+func poll(fd uintptr) (events int16) {
 	p := struct {
 		fd              int32
 		events, revents int16
 	}{fd: int32(fd), events: pollRDHup}
 	var zeroTimeout syscall.Timespec
 	n, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&p)), 1, uintptr(unsafe.Pointer(&zeroTimeout)), 0, 0, 0)
-	return errno == 0 && n == 1 && p.revents&(pollRDHup|pollHup|pollErr) != 0
+	if errno != 0 || n != 1 {
+		return 0
+	}
+	return p.revents
 }
