Accept 200 calls a second at the management address, so that callers at full speed wait

Callers saw: with 60 callers of /v1/metrics at full speed, readiness was answered after 2 s or not at all; it is owed in 1 s.

Cause: the same class as on a related path: each call is answered without a wait, and the 16 connections kept closing each other.

The row is in TestCostlyClientsDelayNobody.

--- a/cmd/merlinpick-proxy/costly_test.go
+++ b/cmd/merlinpick-proxy/costly_test.go
@@ -22,6 +22,7 @@
 	{"discarded-bodies", 12, path.Limits{Cores: 1, MemoryMB: 64, Sockets: 384}},
 	{"resets", 12, path.Limits{Cores: 1, MemoryMB: 64, Sockets: 384}},
 	{"metrics", 12, path.Limits{Cores: 1, MemoryMB: 64, Sockets: 384}},
+	{"metrics", 60, path.Limits{Cores: 1, MemoryMB: 64, Sockets: 384}},
 }
 
 // TestCostlyClientsDelayNobody guards against late, refused or missing answers to sound requests while other clients
--- a/internal/management/server.go
+++ b/internal/management/server.go
@@ -27,6 +27,8 @@
 	callTimeout    = 2 * time.Second // for receiving a complete call
 	writeTimeout   = 2 * time.Second // for sending its response, in addition to callTimeout
 	maxHeaderBytes = 4 << 10
+	callsPerSecond = 200     // more wait, so that callers at full speed leave the processor to requests
+	callBurst      = 32      // calls at once after a pause
 	maxBodyBytes   = 4 << 10 // no call needs a body, but it is read to make sure that the call is complete
 )
 
@@ -97,7 +99,7 @@
 
 // newServer returns a server of the management API on a listener.
 func newServer(l net.Listener, proxy Proxy, log *slog.Logger) *Server {
-	s := &Server{proxy: proxy, log: log, listener: listener.Retry(l, log)}
+	s := &Server{proxy: proxy, log: log, listener: listener.Pace(listener.Retry(l, log), callsPerSecond, callBurst)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/readyz", s.handleReady)
 	mux.HandleFunc("GET /v1/metrics", s.handleMetrics)
