Count a client's time from the read of its last byte, and leave 150 ms for the response

Cause: the time of a request began when its goroutine had come to handle it, after its waits for the processor and for a turn; and the 30 ms between its deadline and the client's had to cover the waits of the event loop and the writer.

Change: the time counts from the read, by a monotonic clock; for first bytes that were there at once, from the accept. responseMargin is 150 ms, an eighth of the timeout at most as before.

--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -61,6 +61,7 @@
 	phase      Phase
 	discarding bool // bytes received from now on are dropped
 	closed     bool // the descriptor is closed
+	hasWaited  bool // a read has found nothing to read, or something before
 	memory     headMemory
 	// The body of a chunked request, as far as it has been read from the socket; see ChunkedEndFinder.
 	chunked      bool
@@ -190,7 +191,10 @@
 			return 0, err
 		}
 		if n > 0 && !c.discarding {
-			c.lastReceived.Store(c.now())
+			if c.hasWaited { // else they may have arrived as early as the accept
+				c.lastReceived.Store(c.now())
+			}
+			c.hasWaited = true
 			if c.phase == PhaseIdle {
 				c.phase = PhaseReadingHead
 			}
@@ -218,6 +222,7 @@
 	if c.rawConn == nil {
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
+		c.hasWaited = true
 		return n, err, true
 	}
 	waitErr := c.rawConn.Read(func(fd uintptr) bool {
@@ -228,6 +233,7 @@
 			}
 		}
 		if err == syscall.EAGAIN {
+			c.hasWaited = true
 			c.mu.Unlock()
 		}
 		return err != syscall.EAGAIN // true ends the wait and leaves mu locked
@@ -283,7 +289,8 @@
 // RequestStarted returns when the current request's first byte arrived, or a new connection was accepted.
 func (c *Conn) RequestStarted() time.Time { return c.timeAt(c.requestStarted.Load()) }
 
-// LastReceived returns when the last bytes were read from the socket, or the connection was accepted if none were.
+// LastReceived returns when the last bytes were read from the socket. It is when the connection was accepted if none were,
+// or if they were the first ones and there at once.
 func (c *Conn) LastReceived() time.Time { return c.timeAt(c.lastReceived.Load()) }
 
 // SinceLastReceived returns how long ago that was.
--- a/internal/proxy/downstream/parserequest.go
+++ b/internal/proxy/downstream/parserequest.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// responseMargin is how much earlier a response is due than the client gives up, so that a busy core does
-	// not make it late. For a request with a short timeout, the margin is at most the timeout divided by
-	// responseMarginDivisor.
-	responseMargin        = 30 * time.Millisecond
+	// responseMargin is how much earlier a response is due than the client gives up: the process may be held up
+	// for so long between reading its clock and writing. For a request with a short timeout, the margin is at
+	// most the timeout divided by responseMarginDivisor.
+	responseMargin        = 150 * time.Millisecond
 	responseMarginDivisor = 8
 
 	timeoutHeader = "Request-Timeout-Ms" // how long the client waits, from the last byte of its request
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -285,8 +285,15 @@
 	}
 }
 
-// clientDeadline returns when the client gives up on a request whose last byte has just been read.
-func clientDeadline(req *Request) time.Time { return time.Now().Add(req.Outbound.Timeout) }
+// clientDeadline returns when the client gives up on a request whose last byte has been read. Its time counts from when
+// that byte was read, however long the connection has waited for a turn or for the processor since.
+func clientDeadline(req *Request) time.Time {
+	read := time.Now()
+	if c, ok := req.clientConn.(*clientconn.Conn); ok {
+		read = c.LastReceived()
+	}
+	return read.Add(req.Outbound.Timeout)
+}
 
 // rejectedResponse returns the response to a request that exceeds the limit of requests in flight.
 func rejectedResponse(req *Request) Response {
