--- a/internal/faultlab/referee/referee_test.go
+++ b/internal/faultlab/referee/referee_test.go
@@ -254,3 +254,37 @@
 		}
 	}
 }
+
+// TestAnswerBesideCostlyClientsMayNotBeLate checks that an answer after its deadline breaks the rule only where costly
+// clients kept the proxy busy, beyond the slack, and not where a fault of the lab excuses it.
+func TestAnswerBesideCostlyClientsMayNotBeLate(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, test := range []struct {
+		name       string
+		answeredAt int // ms; due at 1000
+		from, to   int // of the costly clients, ms
+		excused    bool
+		want       int
+	}{
+		{"in time", 1000, 0, 2000, false, 0},
+		{"within the slack", 1060, 0, 2000, false, 0},
+		{"late", 1100, 0, 2000, false, 1},
+		{"late after they had ended", 1100, 200, 800, false, 1},
+		{"late without them", 1100, 1200, 2000, false, 0},
+		{"late while the lab stops the proxy", 1100, 0, 2000, true, 0},
+	} {
+		r := New(Config{Classes: []Class{{Name: "read"}}, DeadlineSlack: 20 * time.Millisecond})
+		r.BeginCostlySpan("p", at(test.from))(at(test.to))
+		if test.excused {
+			r.BeginExcusedSpan("p", at(500))(at(900))
+		}
+		attempt := &ClientAttempt{ID: "1", StartedAt: at(0), Deadline: at(1000)}
+		r.RecordSend(attempt, "p")
+		r.RecordWritten(attempt, at(1))
+		r.RecordResponse(attempt, at(test.answeredAt), 504, 0)
+		if got := r.Close().ViolationCounts[Late]; got != test.want {
+			t.Errorf("%s: rule broken %d times, want %d", test.name, got, test.want)
+		}
+	}
+}
