Take fractions of the time that there is, not of the processor, in sharing processor time

Cause: allowances were a fraction of the cores in the limits, though what is charged is the time that passes. Of a process with a part of a core each piece of work takes as much longer, so the part counted twice: by the logs, ordinary clients of 86 proxies waited for turns.

Change: fractions of the time, for each processor that the runtime uses; a connection may save 3 ms and gets 1 %. A piece of work is charged in full to what all take together, which holds where the process is stopped meanwhile, and at most 5 ms of it to its connection and client.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,7 +15,7 @@
 
 // Config is a valid configuration of a proxy process.
 type Config struct {
-	Proxy             proxy.Config // Logger, Cores, MemoryBytes and SetHeapLimit are not set
+	Proxy             proxy.Config // Logger, MemoryBytes and SetHeapLimit are not set
 	ManagementAddress string       // HOST:PORT of the management API; empty: none
 	Cores             float64      // CPU limit in cores; 0: not given
 	MemoryMB          float64      // memory limit in MB; 0: not given
--- a/internal/cpushare/cpushare.go
+++ b/internal/cpushare/cpushare.go
@@ -2,6 +2,9 @@
 // proxy busy cannot take the processor from others. It measures nothing and waits for nothing: its caller
 // reports what was used and asks for turns, with the time of a clock of its own that never goes back.
 //
+// What is used is the time that passes while something is done, not the processor's: of a process that gets a
+// part of a processor, work takes as much longer, so that all fractions are of the time that there is.
+//
 // Each connection has an allowance of processor time, and so has each client (an address) for all of its
 // connections. A connection within both goes on at once. Beyond either it is throttled: it waits for a turn,
 // and all throttled connections together take at most sharedFraction of the processor. While all connections
@@ -30,8 +33,8 @@
 
 	// connRate is the allowance of a connection, as a fraction of the processor, and connBurst how much of it
 	// may be saved. A connection whose requests wait for servers stays below: one of 30 ms takes some 0.3 %.
-	connRate  = 0.005
-	connBurst = time.Millisecond
+	connRate  = 0.01
+	connBurst = 3 * time.Millisecond
 
 	// clientRate and clientBurst are the allowance of all connections of an address.
 	clientRate  = 0.1
@@ -41,6 +44,10 @@
 	// throttled for some seconds more, not longer.
 	maxDebt = 50 * time.Millisecond
 
+	// maxOwnCharge is the most that one piece of work is charged to its connection and client. None takes so
+	// long by itself: the process was held up meanwhile.
+	maxOwnCharge = 5 * time.Millisecond
+
 	// connectCost is about what a new connection takes: accept, a goroutine, and the close.
 	connectCost = 50 * time.Microsecond
 	// turnCost is about what it takes to wait for a turn and to get it, beside the work.
@@ -103,11 +110,12 @@
 	growth    time.Duration // clock of the allowances, which stands still while total is overdrawn
 }
 
-// New returns a Scheduler for a number of processors, which may be a fraction.
-func New(now time.Duration, cores float64) *Scheduler {
-	return &Scheduler{cores: cores, clients: map[netip.Addr]*client{}, updatedAt: now,
-		shared: newShare(now, cores, sharedFraction, sharedBurst),
-		total:  newShare(now, cores, totalFraction, totalBurst)}
+// New returns a Scheduler for a number of processors.
+func New(now time.Duration, cores int) *Scheduler {
+	s := &Scheduler{cores: float64(max(1, cores)), clients: map[netip.Addr]*client{}, updatedAt: now}
+	s.shared = newBucket(now, sharedFraction*s.cores, sharedBurst)
+	s.total = newBucket(now, totalFraction*s.cores, totalBurst)
+	return s
 }
 
 // update moves the clock of the allowances on.
@@ -121,13 +129,7 @@
 
 // newAllowance returns a full allowance.
 func (s *Scheduler) newAllowance(rate float64, burst time.Duration) allowance {
-	return allowance{bucket: newShare(s.growth, s.cores, rate, burst)}
-}
-
-// newShare returns a full bucket for a fraction of the processors. With less than one the burst is smaller
-// too, since it takes as much longer.
-func newShare(now time.Duration, cores, fraction float64, burst time.Duration) bucket {
-	return newBucket(now, fraction*cores, time.Duration(min(1, cores)*float64(burst)))
+	return allowance{bucket: newBucket(s.growth, rate*s.cores, burst)}
 }
 
 // Connect adds a new connection of a client.
@@ -180,9 +182,9 @@
 func (s *Scheduler) Charge(now time.Duration, c *Conn, used time.Duration) {
 	s.update(now)
 	s.total.take(now, used, maxTotalDebt)
-	c.allowance.take(s.growth, used, maxDebt)
-	c.client.allowance.take(s.growth, used, maxDebt)
-	c.used += used
+	c.allowance.take(s.growth, min(used, maxOwnCharge), maxDebt)
+	c.client.allowance.take(s.growth, min(used, maxOwnCharge), maxDebt)
+	c.used += min(used, maxOwnCharge)
 	if !c.inTurn {
 		return
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -81,7 +81,7 @@
 // processConfig applies the CPU and memory limits to this process and returns the configuration of the proxy.
 func processConfig(active *config.Config, log *slog.Logger) proxy.Config {
 	cfg := active.Proxy
-	cfg.Logger, cfg.Cores = log, active.Cores
+	cfg.Logger = log
 	if active.MemoryMB > 0 {
 		cfg.MemoryBytes = int(active.MemoryMB * bytesPerMB)
 		cfg.SetHeapLimit = func(bytes int64) { debug.SetMemoryLimit(bytes) }
--- a/internal/proxy/clientconn/listener.go
+++ b/internal/proxy/clientconn/listener.go
@@ -40,7 +40,6 @@
 type ListenerConfig struct {
 	MakeRoom   func()          // called while connections wait for a slot; it may close a connection
 	HeadMemory *MemoryBudget   // for heads longer than UnmeteredBuffer
-	Cores      float64         // processors that the process may use; 0: as many as the runtime uses
 	Audit      *audit.Recorder // nil: closes are not counted
 	Logger     *slog.Logger
 }
@@ -48,7 +47,7 @@
 // NewListener wraps a listener. The result has no slots before SetLimit is called.
 func NewListener(l net.Listener, cfg ListenerConfig) *Listener {
 	return &Listener{Listener: l, makeRoom: cfg.MakeRoom, headMemory: cfg.HeadMemory, audit: cfg.Audit,
-		turns: newTurns(cfg.Cores, cfg.Audit, cfg.Logger), retrier: listener.NewRetrier(cfg.Logger), slotFreed: make(chan struct{}, 1), closed: make(chan struct{})}
+		turns: newTurns(cfg.Audit, cfg.Logger), retrier: listener.NewRetrier(cfg.Logger), slotFreed: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // Accept waits for a slot and returns the next connection, which releases the slot when its descriptor is
--- a/internal/proxy/clientconn/turns.go
+++ b/internal/proxy/clientconn/turns.go
@@ -14,8 +14,8 @@
 
 const (
 	// maxCharge is the most that one piece of work is charged with, between two points at which a connection may
-	// wait. None takes so long; what is measured beyond it was waiting for the processor.
-	maxCharge = 5 * time.Millisecond
+	// wait. What is measured beyond it was a wait for something else.
+	maxCharge = 100 * time.Millisecond
 	// minGrantDelay is the least time until the next turns are given: a timer for each would take more than a turn.
 	minGrantDelay = time.Millisecond
 )
@@ -31,12 +31,9 @@
 	timer     *time.Timer                      // calls grant; nil until a connection has waited
 }
 
-// newTurns returns turns for a number of processors; 0: as many as the runtime uses.
-func newTurns(cores float64, recorder *audit.Recorder, logger *slog.Logger) *turns {
-	if cores <= 0 {
-		cores = float64(runtime.GOMAXPROCS(0))
-	}
-	return &turns{start: time.Now(), report: newThrottleReport(recorder, logger), scheduler: cpushare.New(0, cores),
+// newTurns returns turns for the processors that the runtime uses.
+func newTurns(recorder *audit.Recorder, logger *slog.Logger) *turns {
+	return &turns{start: time.Now(), report: newThrottleReport(recorder, logger), scheduler: cpushare.New(0, runtime.GOMAXPROCS(0)),
 		granted: map[*cpushare.Turn]chan struct{}{}}
 }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -48,8 +48,7 @@
 
 	Cluster *ClusterPlan // nil for a proxy without a cluster
 
-	Cores       float64 // processors that the process may use, also a fraction; 0: not known
-	MemoryBytes int     // memory limit of the proxy; 0: not known
+	MemoryBytes int // memory limit of the proxy; 0: not known
 
 	// SetHeapLimit sets the soft limit of the process's heap in bytes; may be nil. It is called at the start and
 	// whenever another process of the proxy starts or ends, if the memory limit is known.
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -53,7 +53,6 @@
 	// its response, 0 if it had none; only the first call of finish counts.
 	RequestStarted func(class string) (finish func(status int))
 	ListAvailable  <-chan struct{} // closed once there is an endpoint list
-	Cores          float64         // processors that the process may use; 0: as many as the runtime uses
 	Audit          *audit.Recorder
 	Logger         *slog.Logger
 }
@@ -108,7 +107,7 @@
 	}
 	srv.SetSettings(cfg.Site, cfg.Settings, classNumbers)
 	srv.Listener = clientconn.NewListener(cfg.Listener, clientconn.ListenerConfig{MakeRoom: srv.MakeRoom, HeadMemory: srv.headMemory,
-		Cores: cfg.Cores, Audit: cfg.Audit, Logger: cfg.Logger})
+		Audit: cfg.Audit, Logger: cfg.Logger})
 	srv.server = &http.Server{
 		Handler: srv, ReadHeaderTimeout: clientconn.RequestReadTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: clientconn.MaxHeadBytes, ConnState: srv.trackConn, ErrorLog: debugLogger(cfg.Logger),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -125,7 +125,7 @@
 	p.frontend = downstream.NewServer(downstream.Config{
 		Site: cfg.Site, Settings: engine.Settings(), Listener: listener, Handler: l,
 		RequestStarted: func(class string) func(int) { return metrics.requestStarted(class).finish },
-		ListAvailable:  l.list.available, Cores: cfg.Cores, Audit: recorder, Logger: cfg.Logger,
+		ListAvailable:  l.list.available, Audit: recorder, Logger: cfg.Logger,
 	})
 	p.applyResourceShare(false)
 	return p
