Count connections that are closed at the accept among the broken ones

Cause: closes a connection that its client has reset at the accept, and counted it nowhere; the tests of package proxy were not run on it before.

Change: it counts as answered_or_broken, as it did when net/http closed it. The test is as it was.

Result: go test -race ./internal/proxy -run ClientGoneBeforeRead passes.

--- a/internal/proxy/clientconn/listener.go
+++ b/internal/proxy/clientconn/listener.go
@@ -63,6 +63,7 @@
 			l.retrier.Succeeded()
 			runtime.Gosched() // else this goroutine alone runs while connections keep coming
 			if socket.PeerReset(c) {
+				l.audit.Count(audit.ClientConnDone)
 				c.Close()
 				continue
 			}
