Count a client's time from when its last byte arrived at the machine

The protocol counts the time from when the client sent, and a request is taken once its last byte is on a connection that the machine accepted; the proxy counted from its accept or read.

The system says when the last bytes arrived (TCP_INFO). The time counts from then, not before a read last found nothing; where the system tells nothing, as before. Waits under 10 ms count as none.

--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -45,6 +45,7 @@
 	epoch          time.Time    // where now counts from
 	requestStarted atomic.Int64 // now, at the first byte of the current request, or at the accept; see awaitTurn
 	lastReceived   atomic.Int64 // now, when the last bytes were received, or at the accept
+	lastArrived    atomic.Int64 // now, when these bytes arrived at this machine, as far as is known
 
 	slotHolders atomic.Int32 // the descriptor, and net/http's goroutine; the slot is free once neither is left
 
@@ -59,9 +60,10 @@
 
 	mu         sync.Mutex
 	phase      Phase
-	discarding bool // bytes received from now on are dropped
-	closed     bool // the descriptor is closed
-	hasWaited  bool // a read has found nothing to read, or something before
+	discarding bool  // bytes received from now on are dropped
+	closed     bool  // the descriptor is closed
+	hasWaited  bool  // a read has found nothing to read, or something before
+	lastEmpty  int64 // now, when a read last found nothing to read; 0: none has
 	memory     headMemory
 	// The body of a chunked request, as far as it has been read from the socket; see ChunkedEndFinder.
 	chunked      bool
@@ -116,6 +118,7 @@
 	now := conn.now()
 	conn.requestStarted.Store(now)
 	conn.lastReceived.Store(now)
+	conn.lastArrived.Store(now)
 	conn.share = processorShare{turns: listener.turns, conn: listener.turns.connect(c)}
 	return conn
 }
@@ -191,10 +194,7 @@
 			return 0, err
 		}
 		if n > 0 && !c.discarding {
-			if c.hasWaited { // else they may have arrived as early as the accept
-				c.lastReceived.Store(c.now())
-			}
-			c.hasWaited = true
+			c.recordReceivedLocked()
 			if c.phase == PhaseIdle {
 				c.phase = PhaseReadingHead
 			}
@@ -215,6 +215,20 @@
 	}
 }
 
+// recordReceivedLocked records when bytes were received, and when they arrived.
+func (c *Conn) recordReceivedLocked() {
+	now := c.now()
+	if c.hasWaited { // else they may have arrived as early as the accept
+		c.lastReceived.Store(now)
+	}
+	c.hasWaited = true
+	arrived := c.lastReceived.Load()
+	if c.rawConn != nil {
+		arrived = min(arrived, max(c.lastEmpty, now-int64(socket.SinceArrival(c.rawConn))))
+	}
+	c.lastArrived.Store(arrived)
+}
+
 // readAndLock reads once and returns with mu locked. If there is a descriptor, mu is locked before the bytes
 // leave the kernel's receive buffer. ok is false, and mu not locked, if there was no read because its
 // deadline has passed or the connection is closed.
@@ -233,7 +247,7 @@
 			}
 		}
 		if err == syscall.EAGAIN {
-			c.hasWaited = true
+			c.hasWaited, c.lastEmpty = true, c.now()
 			c.mu.Unlock()
 		}
 		return err != syscall.EAGAIN // true ends the wait and leaves mu locked
@@ -293,6 +307,10 @@
 // or if they were the first ones and there at once.
 func (c *Conn) LastReceived() time.Time { return c.timeAt(c.lastReceived.Load()) }
 
+// LastArrived returns when the bytes that were read last arrived at this machine. They may have waited for the accept, for
+// a slot, and for the processor. Where the system does not tell, it is LastReceived.
+func (c *Conn) LastArrived() time.Time { return c.timeAt(c.lastArrived.Load()) }
+
 // SinceLastReceived returns how long ago that was.
 func (c *Conn) SinceLastReceived() time.Duration { return time.Since(c.LastReceived()) }
 
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -285,13 +285,13 @@
 }
 
 // clientDeadline returns when the client gives up on a request whose last byte has been read. Its time counts from when
-// that byte was read, however long the connection has waited for a turn or for the processor since.
+// that byte arrived, however long the connection has waited since for the accept, a turn or the processor.
 func clientDeadline(req *Request) time.Time {
-	read := time.Now()
+	arrived := time.Now()
 	if c, ok := req.clientConn.(*clientconn.Conn); ok {
-		read = c.LastReceived()
+		arrived = c.LastArrived()
 	}
-	return read.Add(req.Outbound.Timeout)
+	return arrived.Add(req.Outbound.Timeout)
 }
 
 // rejectedResponse returns the response to a request that exceeds the limit of requests in flight.
--- a/internal/proxy/socket/socket.go
+++ b/internal/proxy/socket/socket.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 	"unsafe"
 )
 
@@ -55,6 +56,25 @@
 	return int64(n)
 }
 
+// arrivalResolution is the longest period of the clock by which a kernel notes when bytes arrive.
+const arrivalResolution = 10 * time.Millisecond
+
+// SinceArrival returns for how long at least the last bytes of a connection have been at this machine, whether they were
+// read or not; without bytes, for how long the connection has been. It is 0 if it is short or unknown.
+func SinceArrival(raw syscall.RawConn) time.Duration {
+	var info syscall.TCPInfo
+	size := uint32(unsafe.Sizeof(info))
+	errno := syscall.EINVAL
+	err := raw.Control(func(fd uintptr) {
+		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	})
+	if err != nil || errno != 0 {
+		return 0
+	}
+	return max(0, time.Duration(info.Last_data_recv)*time.Millisecond-arrivalResolution)
+}
+
 // skippedBytes takes the bytes that PeekAt skips. Nobody reads it.
 var skippedBytes [64 << 10]byte
 
--- a/internal/proxy/socket/socket_test.go
+++ b/internal/proxy/socket/socket_test.go
@@ -49,3 +49,47 @@
 		t.Errorf("%d bytes are unread afterwards, want all %d", n, len(text))
 	}
 }
+
+// TestSinceArrivalCountsWhetherReadOrNot checks that the time since the last bytes arrived is never too long, and at most
+// some clock periods too short, before and after they are read.
+func TestSinceArrivalCountsWhetherReadOrNot(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	before := time.Now()
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	arrived := time.Now()
+	const wait, tolerance = 100 * time.Millisecond, 3 * arrivalResolution
+	time.Sleep(wait)
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	raw, err := server.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, state := range []string{"unread", "read"} {
+		shortest := time.Since(arrived) - tolerance
+		age := SinceArrival(raw)
+		if longest := time.Since(before); age < shortest || age > longest {
+			t.Errorf("%s: got %v since the arrival, want %v to %v", state, age, shortest, longest)
+		}
+		if state == "read" {
+			return
+		}
+		if _, err := server.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
