Measure the lab's sound requests by the kernel where its own clock says late

TCP_INFO of the client's socket says how long ago the last byte was sent and the last one came; the smaller of the two measures counts, the kernel's rounded up by its clock's longest period of 10 ms, so that no late answer is taken for one in time.

--- a/internal/faultlab/costly/sound.go
+++ b/internal/faultlab/costly/sound.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"merlinpick/internal/faultlab/path"
 )
 
@@ -85,6 +87,27 @@
 	}
 }
 
+// kernelResolution is the longest period of the clock by which a kernel notes when bytes are sent and arrive.
+const kernelResolution = 10 * time.Millisecond
+
+// sinceSent returns how long after the last byte that was sent on a connection the last one arrived, both by the kernel's
+// notes and at most kernelResolution too long. The process of the lab may be held up between its own looks at the clock.
+func sinceSent(c net.Conn) (took time.Duration, known bool) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	if controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); controlErr != nil || err != nil {
+		return 0, false
+	}
+	sinceLastSent := time.Duration(info.Last_data_sent) * time.Millisecond
+	sinceLastArrival := time.Duration(info.Last_data_recv) * time.Millisecond
+	return sinceLastSent - sinceLastArrival + kernelResolution, true
+}
+
 // call makes one request and returns how long after its last byte it ended.
 func (s *soundClients) call(connectedBy time.Time) (status int, took time.Duration, err error) {
 	c, err := (&net.Dialer{Deadline: connectedBy}).Dial("tcp", s.address)
@@ -103,5 +126,9 @@
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, time.Since(sent), err
+	took = time.Since(sent)
+	if byKernel, known := sinceSent(c); known && err == nil {
+		took = min(took, byKernel)
+	}
+	return response.StatusCode, took, err
 }
