Count an attempt's time between the sockets in the lab's referee

The proxies' own log of requests that took over nine tenths of their time has one sound one: 583 of 646 ms.

The protocol counts the time of a request from its last byte, that of an answer to its last byte.

TestTimeOfAttemptCountsBetweenSockets holds that late and lost answers after a late write are still found.

--- a/internal/faultlab/load/clients.go
+++ b/internal/faultlab/load/clients.go
@@ -31,7 +31,7 @@
 )
 
 const (
-	// A response within this time after an attempt's deadline counts as late and not as lost.
+	// How long a client waits after its time, which counts from the last byte that it wrote, for a late response.
 	lateResponseWindow = 600 * time.Millisecond
 	// With this maximum, half of the cancellations come before most responses.
 	maxCancelDelay   = 300 * time.Millisecond
@@ -278,10 +278,12 @@
 	c.jobs[attempt.ID] = job
 	c.mu.Unlock()
 	c.referee.RecordSend(attempt, conn.proxy.Name)
+	_ = conn.SetReadDeadline(attempt.Deadline.Add(lateResponseWindow))
 	var writtenAt atomic.Pointer[time.Time]
 	if err := conn.WriteThen(request.bytes, func(at time.Time) {
 		writtenAt.Store(&at)
 		c.referee.RecordWritten(attempt, at)
+		_ = conn.SetReadDeadline(at.Add(attempt.Deadline.Sub(attempt.StartedAt) + lateResponseWindow))
 	}); err != nil {
 		return attemptResult{}, true
 	}
@@ -295,7 +297,6 @@
 		})
 		defer cancel.Stop()
 	}
-	_ = conn.SetReadDeadline(attempt.Deadline.Add(lateResponseWindow))
 	if _, err := conn.reader.Peek(1); err != nil {
 		defer conn.Reset()
 		now := time.Now()
@@ -333,6 +334,7 @@
 		c.referee.RecordConnectionClosed(attempt, now, true, false)
 		return attemptResult{outcome: referee.Failed}
 	}
+	c.referee.RecordReceived(attempt, conn.LastReadAt())
 	result.outcome = c.referee.RecordResponse(attempt, now, response.StatusCode, digest)
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
 		result.retryAfter = min(time.Duration(seconds*float64(time.Second)),
--- a/internal/faultlab/referee/clientattempt.go
+++ b/internal/faultlab/referee/clientattempt.go
@@ -36,6 +36,7 @@
 
 	CanceledAt       time.Time // when the client closed the connection early; zero: it did not
 	WrittenAt        time.Time // last byte written to the proxy's socket; zero: never
+	ReceivedAt       time.Time // last byte of the response read from the socket; zero: unknown
 	EndedAt          time.Time
 	Outcome          Outcome
 	Status           int
@@ -45,6 +46,23 @@
 	attempts []*Attempt
 }
 
+// dueAt returns when the proxy has to have answered: its time counts from the last byte of the request, which the lab may
+// have written late.
+func (a *ClientAttempt) dueAt() time.Time {
+	if byWrite := a.WrittenAt.Add(a.Deadline.Sub(a.StartedAt)); byWrite.After(a.Deadline) {
+		return byWrite
+	}
+	return a.Deadline
+}
+
+// lateness returns how long after dueAt a response came that the client saw at a time.
+func (a *ClientAttempt) lateness(seenAt time.Time) time.Duration {
+	if !a.ReceivedAt.IsZero() {
+		return a.ReceivedAt.Sub(a.dueAt())
+	}
+	return seenAt.Sub(a.dueAt())
+}
+
 // Attempt is a request that reached a server completely.
 type Attempt struct {
 	clientAttempt  *ClientAttempt
--- a/internal/faultlab/referee/excuse.go
+++ b/internal/faultlab/referee/excuse.go
@@ -12,7 +12,7 @@
 	if proxy == nil {
 		return false
 	}
-	from, to := clientAttempt.StartedAt, clientAttempt.Deadline.Add(maxLateness)
+	from, to := clientAttempt.StartedAt, clientAttempt.dueAt().Add(maxLateness)
 	if !clientAttempt.EndedAt.IsZero() && clientAttempt.EndedAt.After(to) {
 		to = clientAttempt.EndedAt
 	}
--- a/internal/faultlab/referee/referee.go
+++ b/internal/faultlab/referee/referee.go
@@ -176,6 +176,13 @@
 	clientAttempt.WrittenAt = at
 }
 
+// RecordReceived records when the last byte of an attempt's response was read from the proxy's socket.
+func (r *Referee) RecordReceived(clientAttempt *ClientAttempt, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clientAttempt.ReceivedAt = at
+}
+
 // RecordResponse records a complete response with the digest of its body, and returns the attempt's outcome.
 func (r *Referee) RecordResponse(clientAttempt *ClientAttempt, at time.Time, status int, digest uint64) Outcome {
 	r.mu.Lock()
@@ -194,7 +201,7 @@
 	default:
 		clientAttempt.Outcome = Failed
 	}
-	late := at.Sub(clientAttempt.Deadline)
+	late := clientAttempt.lateness(at)
 	switch {
 	case late > maxLateness:
 		r.recordLost(clientAttempt, at,
@@ -322,7 +329,7 @@
 			}
 		case clientAttempt.closedUnanswered:
 			r.recordLost(clientAttempt, clientAttempt.EndedAt, "the connection was closed without a response")
-		case clientAttempt.Outcome == Unanswered:
+		case clientAttempt.Outcome == Unanswered && clientAttempt.EndedAt.Sub(clientAttempt.dueAt()) >= maxLateness:
 			r.recordLost(clientAttempt, clientAttempt.EndedAt, "no response before the deadline")
 		}
 	}
--- a/internal/faultlab/referee/referee_test.go
+++ b/internal/faultlab/referee/referee_test.go
@@ -288,3 +288,42 @@
 		}
 	}
 }
+
+// TestTimeOfAttemptCountsBetweenSockets checks that a proxy's time counts from the last byte of the request that the lab
+// wrote to the last one of the response that the lab read: a lab that is held up does not make an answer late or lost, and
+// hides no late one.
+func TestTimeOfAttemptCountsBetweenSockets(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	const never = 0
+	for _, test := range []struct {
+		name           string
+		written        int // ms; due 1000 later
+		received, seen int // ms; received never: a client that ended its wait when seen
+		want           string
+	}{
+		{"in time after a late write", 400, 1390, 1390, ""},
+		{"late after a late write", 400, 1500, 1500, Late},
+		{"lost after a late write", 400, 2000, 2000, "lost"},
+		{"in time and seen late", 1, 990, 1800, ""},
+		{"late and seen later", 1, 1100, 1800, Late},
+		{"no answer in the time after a late write", 400, never, 1600, ""},
+		{"no answer", 400, never, 2000, "lost"},
+	} {
+		r := New(Config{Classes: []Class{{Name: "read"}}, DeadlineSlack: 20 * time.Millisecond})
+		r.BeginCostlySpan("p", at(0))(at(3000))
+		attempt := &ClientAttempt{ID: "1", StartedAt: at(0), Deadline: at(1000)}
+		r.RecordSend(attempt, "p")
+		r.RecordWritten(attempt, at(test.written))
+		if test.received == never {
+			r.RecordTimeout(attempt, at(test.seen))
+		} else {
+			r.RecordReceived(attempt, at(test.received))
+			r.RecordResponse(attempt, at(test.seen), 504, 0)
+		}
+		got := r.Close().ViolationCounts
+		if len(got) > 1 || test.want == "" && len(got) > 0 || test.want != "" && got[test.want] != 1 {
+			t.Errorf("%s: got %v, want one of %q, or none if that is empty", test.name, got, test.want)
+		}
+	}
+}
