Name the class of rejected requests in the log line on throttled clients

The line client throttled names the class of the client, but it was set only after the request's checks, so it was empty for clients whose requests fail them, which are those that the incident was about. It is set before them now, if there is such a class.

The connection of a request comes out of its context by one function in place of three assertions.

TestClassOfRejectedRequestIsRecorded fails before (got the class "").

--- a/internal/proxy/clientconn/conn.go
+++ b/internal/proxy/clientconn/conn.go
@@ -132,6 +132,14 @@
 // SetClass records the class that the current request names, for the log.
 func (c *Conn) SetClass(name string) { c.class.Store(&name) }
 
+// Class returns the class that was recorded last; "" if none was.
+func (c *Conn) Class() string {
+	if name := c.class.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // Read returns the bytes that may be passed to net/http. A read of one byte while a request is in flight is
 // how net/http detects that the client disconnects: see bufferPipelined.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/proxy/clientconn/throttlereport.go
+++ b/internal/proxy/clientconn/throttlereport.go
@@ -55,9 +55,7 @@
 		entry = &throttledClient{address: address}
 		r.clients[address] = entry
 	}
-	if class := c.class.Load(); class != nil {
-		entry.class = *class
-	}
+	entry.class = cmp.Or(c.Class(), entry.class)
 	entry.waits++
 	entry.total += throttled
 	entry.longest = max(entry.longest, throttled)
--- a/internal/proxy/downstream/forwardstream.go
+++ b/internal/proxy/downstream/forwardstream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"merlinpick/internal/proxy/clientconn"
 	"merlinpick/internal/proxy/socket"
 	"merlinpick/internal/proxy/upstream"
 )
@@ -25,7 +24,7 @@
 	if err == nil {
 		return
 	}
-	if c, ok := r.Context().Value(connKey{}).(*clientconn.Conn); ok && s.ContentLength < 0 && !r.ProtoAtLeast(1, 1) {
+	if c := clientConnOf(r); c != nil && s.ContentLength < 0 && !r.ProtoAtLeast(1, 1) {
 		// Without chunks, an HTTP/1.0 client takes an orderly close for the end of the response, but not a
 		// reset.
 		socket.ResetOnClose(c.Conn)
--- a/internal/proxy/downstream/parserequest.go
+++ b/internal/proxy/downstream/parserequest.go
@@ -19,25 +19,32 @@
 	responseMargin        = 150 * time.Millisecond
 	responseMarginDivisor = 8
 
+	classHeader   = "Request-Class"
 	timeoutHeader = "Request-Timeout-Ms" // how long the client waits, from the last byte of its request
 )
 
 // errMalformedTimeout means that Request-Timeout-Ms is not a number. Clients are shown the text.
 var errMalformedTimeout = errors.New(timeoutHeader + " is no number of milliseconds")
 
+// hasClass reports whether there is a class of a name.
+func (v *settingsSnapshot) hasClass(name string) bool {
+	_, ok := v.classes[name]
+	return ok
+}
+
 // parseRequest checks a request's head by the settings of the snapshot and builds the Request from it. If the
 // head is invalid, it returns the response that rejects the request, which is then not forwarded.
 func (v *settingsSnapshot) parseRequest(w http.ResponseWriter, r *http.Request) (*Request, Response) {
 	fail := func(status int, reason string) (*Request, Response) { return nil, errorResponse(status, reason) }
-	for _, name := range []string{"Request-Id", "Request-Class", timeoutHeader, "Idempotency-Key", "Tenant"} {
+	for _, name := range []string{"Request-Id", classHeader, timeoutHeader, "Idempotency-Key", "Tenant"} {
 		if len(r.Header[name]) > 1 {
 			return fail(http.StatusBadRequest, name+" is given twice")
 		}
 	}
-	name := r.Header.Get("Request-Class")
+	name := r.Header.Get(classHeader)
 	class, ok := v.classes[name]
 	if !ok {
-		return fail(http.StatusBadRequest, "unknown Request-Class")
+		return fail(http.StatusBadRequest, "unknown "+classHeader)
 	}
 	firstSegment, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if firstSegment != name || !strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -95,6 +95,12 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// clientConnOf returns the connection of a request; nil if it was not accepted by a clientconn.Listener.
+func clientConnOf(r *http.Request) *clientconn.Conn {
+	c, _ := r.Context().Value(connKey{}).(*clientconn.Conn)
+	return c
+}
+
 // NewServer returns a server that accepts no connections before SetLimits and Serve are called.
 func NewServer(cfg Config) *Server {
 	srv := &Server{handler: cfg.Handler, requestStarted: cfg.RequestStarted, listAvailable: cfg.ListAvailable, audit: cfg.Audit,
@@ -179,8 +185,9 @@
 // ServeHTTP answers health checks and serves requests.
 func (srv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	startedAt := time.Now()
-	if c, ok := r.Context().Value(connKey{}).(*clientconn.Conn); ok {
-		startedAt = c.RequestStarted()
+	conn := clientConnOf(r)
+	if conn != nil {
+		startedAt = conn.RequestStarted()
 	}
 	rc := http.NewResponseController(w)
 	// A deadline is needed since net/http may read the rest of a body before it responds.
@@ -195,10 +202,10 @@
 	}
 	snapshot := srv.acquireSettings()
 	defer srv.releaseSettings(snapshot)
-	req, rejection := snapshot.parseRequest(w, r)
-	if c, ok := r.Context().Value(connKey{}).(*clientconn.Conn); ok && req != nil {
-		c.SetClass(req.ClassName)
+	if class := r.Header.Get(classHeader); conn != nil && snapshot.hasClass(class) {
+		conn.SetClass(class)
 	}
+	req, rejection := snapshot.parseRequest(w, r)
 	if rejection.Status != 0 {
 		srv.writeResponse(w, rejection)
 		return
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -343,3 +343,28 @@
 		}
 	})
 }
+
+// TestClassOfRejectedRequestIsRecorded guards against log lines on throttled clients that do not name the class of their
+// requests because these are rejected.
+func TestClassOfRejectedRequestIsRecorded(t *testing.T) {
+	for class, want := range map[string]string{"look": "look", "unknown": ""} {
+		synctest.Test(t, func(t *testing.T) {
+			p := startPiped(t, 8)
+			defer p.stop()
+			c := p.connect()
+			defer c.Close()
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			if _, err := io.WriteString(c, "GET /look/k HTTP/1.1\r\nHost: h\r\nRequest-Class: "+class+"\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			conns := p.Conns()
+			if len(conns) != 1 {
+				t.Fatalf("%d connections are open, want 1", len(conns))
+			}
+			if got := conns[0].Class(); got != want {
+				t.Errorf("a request of class %s without an ID: got the class %q, want %q", class, got, want)
+			}
+		})
+	}
+}
