Divide parseRequest into its checks and the building of the Request

Class and path, method and key, and the Request are functions of their own, in the order of before. The two tests of package socket share their connection.

go test ./internal/proxy/downstream ./internal/proxy/socket passes.

--- a/internal/proxy/downstream/parserequest.go
+++ b/internal/proxy/downstream/parserequest.go
@@ -19,8 +19,11 @@
 	responseMargin        = 150 * time.Millisecond
 	responseMarginDivisor = 8
 
+	idHeader      = "Request-Id"
 	classHeader   = "Request-Class"
 	timeoutHeader = "Request-Timeout-Ms" // how long the client waits, from the last byte of its request
+	keyHeader     = "Idempotency-Key"
+	tenantHeader  = "Tenant"
 )
 
 // errMalformedTimeout means that Request-Timeout-Ms is not a number. Clients are shown the text.
@@ -35,55 +38,80 @@
 // parseRequest checks a request's head by the settings of the snapshot and builds the Request from it. If the
 // head is invalid, it returns the response that rejects the request, which is then not forwarded.
 func (v *settingsSnapshot) parseRequest(w http.ResponseWriter, r *http.Request) (*Request, Response) {
-	fail := func(status int, reason string) (*Request, Response) { return nil, errorResponse(status, reason) }
-	for _, name := range []string{"Request-Id", classHeader, timeoutHeader, "Idempotency-Key", "Tenant"} {
+	class, rejection := v.parseClass(r)
+	if rejection.Status != 0 {
+		return nil, rejection
+	}
+	classSettings := v.balancer.Classes[class]
+	if rejection = checkFitsClass(w, r, classSettings); rejection.Status != 0 {
+		return nil, rejection
+	}
+	timeout, err := clientTimeout(r, classSettings)
+	if err != nil {
+		return nil, errorResponse(http.StatusBadRequest, err.Error())
+	}
+	return v.newRequest(r, class, timeout), Response{}
+}
+
+// parseClass returns the number of the class that a request names in its head and in its path, or the response to a
+// request without a class or an ID.
+func (v *settingsSnapshot) parseClass(r *http.Request) (class int, rejection Response) {
+	fail := func(reason string) (int, Response) { return 0, errorResponse(http.StatusBadRequest, reason) }
+	for _, name := range []string{idHeader, classHeader, timeoutHeader, keyHeader, tenantHeader} {
 		if len(r.Header[name]) > 1 {
-			return fail(http.StatusBadRequest, name+" is given twice")
+			return fail(name + " is given twice")
 		}
 	}
 	name := r.Header.Get(classHeader)
 	class, ok := v.classes[name]
 	if !ok {
-		return fail(http.StatusBadRequest, "unknown "+classHeader)
+		return fail("unknown " + classHeader)
 	}
-	firstSegment, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	firstSegment, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if firstSegment != name || !strings.HasPrefix(r.RequestURI, "/") {
-		return fail(http.StatusBadRequest, "the path does not begin with the class")
+		return fail("the path does not begin with the class")
 	}
-	id := r.Header.Get("Request-Id")
-	if id == "" {
-		return fail(http.StatusBadRequest, "no Request-Id")
+	if r.Header.Get(idHeader) == "" {
+		return fail("no " + idHeader)
 	}
-	classSettings, method := v.balancer.Classes[class], http.MethodPost
-	if classSettings.Idempotency == balancer.Idempotent {
+	return class, Response{}
+}
+
+// checkFitsClass checks a request's method and key against its class. It returns the response if they do not fit.
+func checkFitsClass(w http.ResponseWriter, r *http.Request, class balancer.Class) (rejection Response) {
+	method := http.MethodPost
+	if class.Idempotency == balancer.Idempotent {
 		method = http.MethodGet
 	}
 	if r.Method != method {
 		w.Header().Set("Allow", method)
-		return fail(http.StatusMethodNotAllowed, "wrong method for the class")
+		return errorResponse(http.StatusMethodNotAllowed, "wrong method for the class")
 	}
-	if hasKey := r.Header.Get("Idempotency-Key") != ""; hasKey !=
-		(classSettings.Idempotency == balancer.IdempotentWithKey) {
-		return fail(http.StatusBadRequest, "Idempotency-Key does not fit the class")
+	if hasKey := r.Header.Get(keyHeader) != ""; hasKey != (class.Idempotency == balancer.IdempotentWithKey) {
+		return errorResponse(http.StatusBadRequest, keyHeader+" does not fit the class")
 	}
-	timeout, err := clientTimeout(r, classSettings)
-	if err != nil {
-		return fail(http.StatusBadRequest, err.Error())
-	}
-	tenant, ok := v.tenants[r.Header.Get("Tenant")]
+	return Response{}
+}
+
+// newRequest builds the Request from a head that is valid.
+func (v *settingsSnapshot) newRequest(r *http.Request, class int, timeout time.Duration) *Request {
+	tenant, ok := v.tenants[r.Header.Get(tenantHeader)]
 	if !ok {
 		tenant = -1 // unknown
 	}
+	_, pathInClass, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	id, className := r.Header.Get(idHeader), r.Header.Get(classHeader)
 	req := &Request{
-		Request: balancer.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
+		Request: balancer.Request{ID: id, Class: class, Tenant: tenant,
+			Key:     pathInClass[strings.LastIndexByte(pathInClass, '/')+1:],
 			Timeout: max(1, timeout.Microseconds()), Settings: v.balancer},
-		ClassName: name,
-		Outbound: upstream.Request{ID: id, Method: method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header),
-			Timeout: timeout, NonIdempotent: classSettings.Idempotency == balancer.NonIdempotent},
+		ClassName: className,
+		Outbound: upstream.Request{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header),
+			Timeout: timeout, NonIdempotent: v.balancer.Classes[class].Idempotency == balancer.NonIdempotent},
 		responses: make(chan Response, 1),
 	}
 	req.Outbound.ClientGone = req.IsClientGone
-	return req, Response{}
+	return req
 }
 
 // clientTimeout returns how long the proxy has for a response, counted from the last byte of the request: the
--- a/internal/proxy/socket/socket_test.go
+++ b/internal/proxy/socket/socket_test.go
@@ -7,24 +7,31 @@
 	"time"
 )
 
-// TestPeekAtShowsBytesBehindOffset checks that PeekAt shows the unread bytes from any offset on, consumes none,
-// and shows nothing behind the last one.
-func TestPeekAtShowsBytesBehindOffset(t *testing.T) {
+// connectedPair returns the ends of a TCP connection, which are closed at the end of the test.
+func connectedPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
+	client, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
-	server, err := l.Accept()
+	t.Cleanup(func() { client.Close() })
+	server, err = l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer server.Close()
+	t.Cleanup(func() { server.Close() })
+	return client, server
+}
+
+// TestPeekAtShowsBytesBehindOffset checks that PeekAt shows the unread bytes from any offset on, consumes none,
+// and shows nothing behind the last one.
+func TestPeekAtShowsBytesBehindOffset(t *testing.T) {
+	client, server := connectedPair(t)
 	_ = server.(*net.TCPConn).SetReadBuffer(200 << 10)
 	text := make([]byte, 2*len(skippedBytes)+len(skippedBytes)/4)
 	for i := range text {
@@ -53,16 +60,7 @@
 // TestSinceArrivalCountsWhetherReadOrNot checks that the time since the last bytes arrived is never too long, and at most
 // some clock periods too short, before and after they are read.
 func TestSinceArrivalCountsWhetherReadOrNot(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	client, server := connectedPair(t)
 	before := time.Now()
 	if _, err := client.Write([]byte("x")); err != nil {
 		t.Fatal(err)
@@ -70,11 +68,6 @@
 	arrived := time.Now()
 	const wait, tolerance = 100 * time.Millisecond, 3 * arrivalResolution
 	time.Sleep(wait)
-	server, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
 	raw, err := server.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
