Show in a play of costly clients for how long the proxy lacked a processor

The play prints for which part of its time the proxy's threads were ready and had no processor, from /proc/PID/task/*/schedstat.

--- a/internal/faultlab/costly/play.go
+++ b/internal/faultlab/costly/play.go
@@ -45,6 +45,7 @@
 	Sound      Outcomes
 	PeakMemory int64         // bytes, resident
 	CPU        time.Duration // processor time of the proxy
+	RunQueue   time.Duration // for which the proxy's threads were ready to run and had no processor, all together
 	Took       time.Duration
 	Management time.Duration    // slowest call to the management address
 	Metrics    map[string]int64 // of the proxy
@@ -52,8 +53,8 @@
 
 // String returns all figures on a line.
 func (r Result) String() string {
-	return fmt.Sprintf("%v; processor %.0f %%, peak memory %.1f MiB, slowest management call %v, %d scheduling delays over 10 ms%s", r.Sound,
-		100*r.CPU.Seconds()/r.Took.Seconds(), float64(r.PeakMemory)/(1<<20), r.Management.Round(time.Millisecond),
+	return fmt.Sprintf("%v; processor %.0f %%, ready and without one %.0f %%, peak memory %.1f MiB, slowest management call %v, %d scheduling delays over 10 ms%s", r.Sound,
+		100*r.CPU.Seconds()/r.Took.Seconds(), 100*r.RunQueue.Seconds()/r.Took.Seconds(), float64(r.PeakMemory)/(1<<20), r.Management.Round(time.Millisecond),
 		r.Metrics[schedulingDelayMetric], r.rejections())
 }
 
@@ -122,7 +123,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	start := time.Now()
+	start, runQueueBefore := time.Now(), proxy.RunQueueWait()
 	ctx, stop := context.WithTimeout(ctx, margin+costlyTime+margin)
 	defer stop()
 	var clients sync.WaitGroup
@@ -146,6 +147,7 @@
 	result.Metrics = readMetrics(management)
 	ended, err := proxy.CPU()
 	result.CPU, result.Took, result.PeakMemory = ended-begun, time.Since(start), proxy.PeakMemory()
+	result.RunQueue = proxy.RunQueueWait() - runQueueBefore
 	return result, err
 }
 
--- a/internal/faultlab/path/proxy.go
+++ b/internal/faultlab/path/proxy.go
@@ -170,6 +170,23 @@
 	return time.Duration(used.Nano()), nil
 }
 
+// RunQueueWait returns for how long the threads that the process has now were ready to run and had no processor, all
+// together; 0 if the system does not tell.
+func (p *Proxy) RunQueueWait() (total time.Duration) {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.process.PID())) // only a bad pattern fails
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if fields := strings.Fields(string(text)); len(fields) == 3 { // ns on a processor, ns ready, time slices
+			waited, _ := strconv.ParseInt(fields[1], 10, 64)
+			total += time.Duration(waited)
+		}
+	}
+	return total
+}
+
 // Memory returns the process's resident memory and the anonymous part of it, in bytes.
 func (p *Proxy) Memory() (resident, anonymous int64, err error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.process.PID()))
