Let the test of connections that give way allow for the runtime's order

Every 61st choice of the runtime prefers a goroutine that has just given way, so one piece of work may go on before another goroutine runs; two in a row may not. The test asks for two pieces of work each, and fails without the call as before.

go test ./internal/proxy/clientconn -run GivesWay: 2,000 of 2,000 pass, 300 of 300 with -race; without the call 5 of 5 fail.

--- a/internal/proxy/clientconn/turns_test.go
+++ b/internal/proxy/clientconn/turns_test.go
@@ -22,8 +22,10 @@
 	for _, work := range []cpushare.Work{cpushare.HandleBytes, cpushare.HandleRequest} {
 		var otherHasRun atomic.Bool
 		go otherHasRun.Store(true)
-		if throttled := turns.await(conn, work); throttled != 0 {
-			t.Fatalf("throttled for %v within the allowance", throttled)
+		for range 2 { // the runtime may resume at once a goroutine that gives way, once in 61 times
+			if throttled := turns.await(conn, work); throttled != 0 {
+				t.Fatalf("throttled for %v within the allowance", throttled)
+			}
 		}
 		if !otherHasRun.Load() {
 			t.Errorf("work %d went on before a goroutine that was ready had run", work)
